Count test outcomes through a nose2 plugin

Cause: nose2's result object has no lists of failures, so the totals could not be printed. Change: a plugin counts outcomes and passes over the tests that KNOWN-RED.txt lists. Checked by breaking one assertion on a scratch copy: the run exits non-zero with '4 passed, 1 failed'; restored: '5 passed, 0 failed'.

--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
@@ -1,16 +1,26 @@
-"""Pass over the tests of KNOWN-RED.txt and name the slow tests."""
+"""Pass over the tests of KNOWN-RED.txt, count the rest and name slow tests."""
 
 import time
 import unittest
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
-from nose2.events import Plugin, StartTestEvent, StartTestRunEvent, StopTestEvent
+from nose2.events import (
+    Plugin,
+    StartTestEvent,
+    StartTestRunEvent,
+    StopTestEvent,
+    TestOutcomeEvent,
+)
 
 SLOW_TEST_S = 5.0
 KNOWN_RED_PATH = Path(__file__).resolve().parents[4] / "KNOWN-RED.txt"
 TEST_LINE_PREFIX = "test:"
 
+# Totals over the packages, which nose2 runs one after the other.
+OUTCOMES: Counter[str] = Counter()
+
 
 def known_red_tests(path: Path) -> frozenset[str]:
     """Return the ids on the ``test:`` lines of the list of known failures."""
@@ -62,3 +72,7 @@
         elapsed_s = time.monotonic() - self._started_s
         if elapsed_s >= SLOW_TEST_S:
             print(f"slow test: {event.test.id()} took {elapsed_s:.1f} s")
+
+    def testOutcome(self, event: TestOutcomeEvent) -> None:
+        """Count the outcome: passed, failed, error, skipped or subtest."""
+        OUTCOMES[event.outcome] += 1
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
@@ -18,6 +18,8 @@
 import hypothesis
 import nose2
 
+from persimmonyoke_testing.nose2_plugin import OUTCOMES
+
 DEFAULT_SEED = 20261203
 PACKAGES = (
     "persimmonyoke",
@@ -32,17 +34,16 @@
     return Path(__file__).resolve().parents[3] / package / "src"
 
 
-def run_package(package: str, names: Sequence[str]) -> nose2.result.PluggableTestResult:
-    """Run the named tests of one package, or all of them, and return the result."""
+def run_package(package: str, names: Sequence[str]) -> bool:
+    """Run the named tests of one package, or all; return whether they passed."""
     root = str(source_root(package))
-    arguments = ["nose2", "-s", root, "-t", root, *names]
     program = nose2.discover(
-        argv=arguments,
+        argv=["nose2", "-s", root, "-t", root, *names],
         module=None,
         exit=False,
         plugins=["persimmonyoke_testing.nose2_plugin"],
     )
-    return program.result
+    return program.result.wasSuccessful()
 
 
 def seed_random_tests() -> None:
@@ -60,21 +61,18 @@
     """Run the tests and return the exit status."""
     seed_random_tests()
     names = sys.argv[1:]
-    passed = failed = skipped = 0
+    successful = True
     for package in PACKAGES:
         selected = [name for name in names if name.split(".")[0] == package]
-        if names and not selected:
-            continue
-        result = run_package(package, selected)
-        broken = len(result.failures) + len(result.errors)
-        failed += broken
-        skipped += len(result.skipped)
-        passed += result.testsRun - broken - len(result.skipped)
+        if selected or not names:
+            successful &= run_package(package, selected)
+    failed = OUTCOMES["failed"] + OUTCOMES["error"]
+    passed, skipped = OUTCOMES["passed"], OUTCOMES["skipped"]
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     if passed + failed + skipped == 0:
         print("no test was found", file=sys.stderr)
         return 1
-    return 1 if failed else 0
+    return 0 if successful and not failed else 1
 
 
 if __name__ == "__main__":
