--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/controller.py
@@ -0,0 +1,129 @@
+"""Control loop of one pool: hold authority, settle open orders, issue new ones."""
+
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from dataclasses import dataclass
+from threading import Event
+
+from loguru import logger
+
+from persimmonyoke.errors import ProtocolError, StoreUnavailable
+from persimmonyoke.internal.authority.lease import AuthorityLease
+from persimmonyoke.internal.authority.orders import (
+    AuthorityLost,
+    IssueOutcome,
+    OrderIssuer,
+)
+
+LOG_PREFIX = "[authority]"
+WORK_INTERVAL_S = 0.5
+LEASE_CHECKS_PER_RENEWAL = 3
+
+
+@dataclass(frozen=True)
+class PlannedOrder:
+    """Describe the next order that a pool needs."""
+
+    engine: str
+    incarnation: str
+    action: str
+    arguments: Mapping[str, str]
+    reason: str
+
+
+class OrderPlanner(ABC):
+    """Decide which order a pool needs next."""
+
+    @abstractmethod
+    def plan(self, *, now_s: float) -> PlannedOrder | None:
+        """Return the next order, or ``None`` if the pool is as it should be."""
+
+    @abstractmethod
+    def note_outcome(self, planned: PlannedOrder, outcome: IssueOutcome) -> None:
+        """Take note of what became of a planned order."""
+
+
+class PoolController:
+    """Run the control loop of one pool in two tasks.
+
+    Renewal has its own task, because asking engines for their state can take longer
+    than the time between two renewals.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        lease: AuthorityLease,
+        issuer: OrderIssuer,
+        planner: OrderPlanner,
+    ) -> None:
+        self.pool = pool
+        self._lease = lease
+        self._issuer = issuer
+        self._planner = planner
+        self._taken_over_fencing = 0
+
+    def hold_lease(self, stop: Event) -> None:
+        """Acquire and renew the lease until ``stop`` is set, then release it."""
+        renew_at_s = 0.0
+        interval_s = self._lease.renewal_interval_s
+        while not stop.is_set():
+            now_s = time.monotonic()
+            if now_s >= renew_at_s:
+                self._acquire_or_renew(now_s)
+                renew_at_s = now_s + interval_s
+            self._lease.check(now_s=time.monotonic())
+            stop.wait(interval_s / LEASE_CHECKS_PER_RENEWAL)
+        self._lease.release()
+
+    def work(self, stop: Event) -> None:
+        """Settle and issue orders while authority is held, until ``stop`` is set."""
+        while not stop.is_set():
+            try:
+                self.step(now_s=time.monotonic(), now_unix_s=time.time())
+            except (AuthorityLost, ProtocolError) as error:
+                logger.warning(
+                    "{} pool {}: authority given up: {}", LOG_PREFIX, self.pool, error
+                )
+                self._lease.release()
+            except StoreUnavailable as error:
+                logger.warning("{} pool {}: {}", LOG_PREFIX, self.pool, error)
+            stop.wait(WORK_INTERVAL_S)
+
+    def step(self, *, now_s: float, now_unix_s: float) -> IssueOutcome | None:
+        """Do one round; return the outcome of an order if one was issued."""
+        authority = self._lease.check(now_s=now_s)
+        if authority is None:
+            return None
+        if self._taken_over_fencing != authority.fencing:
+            self._issuer.take_over(authority, now_unix_s=now_unix_s)
+            self._taken_over_fencing = authority.fencing
+        if not self._issuer.settle_open_orders(now_s=now_s, now_unix_s=now_unix_s):
+            return None
+        if now_s < self._issuer.first_order_s(authority):
+            return None
+        planned = self._planner.plan(now_s=now_s)
+        if planned is None:
+            return None
+        outcome = self._issuer.issue(
+            planned.engine,
+            planned.incarnation,
+            planned.action,
+            planned.arguments,
+            reason=planned.reason,
+            now_s=now_s,
+            now_unix_s=now_unix_s,
+        )
+        self._planner.note_outcome(planned, outcome)
+        return outcome
+
+    def _acquire_or_renew(self, now_s: float) -> None:
+        try:
+            if self._lease.authority is not None:
+                self._lease.renew(now_s=now_s)
+            elif self._lease.try_acquire(now_s=now_s) is not None:
+                logger.info("{} pool {}: authority acquired", LOG_PREFIX, self.pool)
+        except StoreUnavailable as error:
+            logger.warning("{} pool {}: lease: {}", LOG_PREFIX, self.pool, error)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/lease.py
@@ -0,0 +1,187 @@
+"""Lease of a pool: acquisition, renewal and the time until it ends."""
+
+import secrets
+from dataclasses import dataclass
+
+import cbor2
+
+from persimmonyoke.errors import StoreUnavailable
+from persimmonyoke.internal.authority.timer import LeaseTimer
+from persimmonyoke.internal.platform.store import (
+    EXPECT_ABSENT,
+    KeyValue,
+    KeyValueStore,
+    WriteApplied,
+    WriteConflict,
+)
+
+RENEWALS_PER_LEASE = 4
+"""A holder renews this often in a lease, so that one lost renewal does not end it."""
+
+USABLE_SHARE = 0.85
+"""Share of the lease after which the holder gives up by itself."""
+
+TIMER_SHARE = 0.95
+"""Share of the lease after which the kernel ends the process.
+
+It lies behind ``USABLE_SHARE``, so that a holder that runs gives up and survives an
+outage of the store, and before the end in the store, whose clock may be a little fast.
+"""
+
+
+@dataclass(frozen=True)
+class Authority:
+    """Hold the fencing number and the monotonic time at which authority ends."""
+
+    pool: str
+    fencing: int
+    lease_id: int
+    acquired_s: float
+    expires_s: float
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return the time for which orders may still be sent."""
+        return max(0.0, self.expires_s - now_s)
+
+
+class AuthorityLease:
+    """Acquire and renew the lease of one pool.
+
+    Lease time counts from before each request was sent, on the monotonic clock, so the
+    holder's view of the end is never later than the store's.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        key: str,
+        *,
+        pool: str,
+        holder: str,
+        lease_s: float,
+        timer: LeaseTimer,
+    ) -> None:
+        if lease_s <= 0:
+            raise ValueError(f"lease_s must be positive, got {lease_s!r}")
+        self._store = store
+        self._key = key
+        self._pool = pool
+        self._holder = holder
+        self._lease_s = lease_s
+        self._timer = timer
+        self._pending: tuple[str, int, float] | None = None
+        self.authority: Authority | None = None
+
+    @property
+    def usable_s(self) -> float:
+        """Return how long authority lasts after an acquisition or renewal."""
+        return self._lease_s * USABLE_SHARE
+
+    @property
+    def renewal_interval_s(self) -> float:
+        """Return the time between two renewals."""
+        return self._lease_s / RENEWALS_PER_LEASE
+
+    def holder_of_record(self) -> str | None:
+        """Return the name of the controller that the store shows as holder."""
+        current = self._store.get(self._key)
+        return None if current is None else str(cbor2.loads(current.value)["holder"])
+
+    def try_acquire(self, *, now_s: float) -> Authority | None:
+        """Try once to become the holder; raise ``StoreUnavailable`` if it is down."""
+        if self._pending is not None:
+            return self._settle_acquisition(now_s)
+        if self._store.get(self._key) is not None:
+            return None
+        lease_id = self._store.grant_lease(ttl_s=self._lease_s)
+        write_id = secrets.token_hex(8)
+        value = cbor2.dumps({"holder": self._holder, "write_id": write_id})
+        outcome = self._store.compare_and_swap(
+            self._key, value, expected_revision=EXPECT_ABSENT, lease_id=lease_id
+        )
+        match outcome:
+            case WriteApplied(revision):
+                return self._hold(revision, lease_id, now_s)
+            case WriteConflict():
+                self._revoke(lease_id)
+                return None
+            case _:
+                self._pending = (write_id, lease_id, now_s)
+                return None
+
+    def renew(self, *, now_s: float) -> bool:
+        """Renew the lease; return whether it is still held.
+
+        A renewal that fails because the store is down leaves the old end in force.
+        """
+        authority = self.authority
+        if authority is None:
+            return False
+        try:
+            remaining_s = self._store.keep_alive(authority.lease_id)
+        except StoreUnavailable:
+            return True
+        if remaining_s <= 0:
+            self.give_up()
+            return False
+        self._set(authority.fencing, authority.lease_id, authority.acquired_s, now_s)
+        return True
+
+    def check(self, *, now_s: float) -> Authority | None:
+        """Return the authority if its time has not ended, else give it up."""
+        if self.authority is not None and self.authority.remaining_s(now_s) <= 0:
+            self.give_up()
+        return self.authority
+
+    def give_up(self) -> None:
+        """Drop authority and cancel the timer.
+
+        The caller must have closed each order connection before, because the timer is
+        what keeps an order from being sent after a pause.
+        """
+        self.authority = None
+        self._timer.disarm(self._pool)
+
+    def release(self) -> None:
+        """Give up authority and end the lease, so that a successor need not wait."""
+        authority = self.authority
+        self.give_up()
+        if authority is not None:
+            self._revoke(authority.lease_id)
+
+    def _settle_acquisition(self, now_s: float) -> Authority | None:
+        """Find out whether an acquisition with a lost answer took effect.
+
+        Its authority counts from the time of the first request. The lease is revoked
+        if too much of it has passed, so that a late write can't hold the pool.
+        """
+        write_id, lease_id, started_s = self._pending or ("", 0, 0.0)
+        current = self._store.get(self._key)
+        self._pending = None
+        fresh = now_s - started_s < self.usable_s / 2
+        if fresh and current is not None and _write_id(current) == write_id:
+            return self._hold(current.mod_revision, lease_id, started_s)
+        self._revoke(lease_id)
+        return None
+
+    def _hold(self, fencing: int, lease_id: int, started_s: float) -> Authority:
+        return self._set(fencing, lease_id, started_s, started_s)
+
+    def _set(
+        self, fencing: int, lease_id: int, acquired_s: float, counted_from_s: float
+    ) -> Authority:
+        expires_s = counted_from_s + self.usable_s
+        self._timer.arm(self._pool, counted_from_s + self._lease_s * TIMER_SHARE)
+        self.authority = Authority(self._pool, fencing, lease_id, acquired_s, expires_s)
+        return self.authority
+
+    def _revoke(self, lease_id: int) -> None:
+        try:
+            self._store.revoke(lease_id)
+        except StoreUnavailable:
+            # The lease ends by itself; until then no other controller can acquire.
+            return
+
+
+def _write_id(key_value: KeyValue) -> str:
+    return str(cbor2.loads(key_value.value).get("write_id", ""))
