Add the simulated engine

Tests of routing, delivery and roles need an engine that follows the HTTP protocol over a real socket.

--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
@@ -0,0 +1,191 @@
+"""Simulated model engine that follows the engine HTTP protocol over loopback.
+
+A token is a whitespace-separated word. ``expected_text`` returns the whole answer to a
+prompt, also for an answer that was resumed or continued after a prefix.
+"""
+
+import dataclasses
+import itertools
+import time
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIServer
+
+from persimmonyoke.internal.upstreams.api import Role, Upstream
+from persimmonyoke_testing.engine_core import EngineCore
+from persimmonyoke_testing.engine_http import Connection, DroppingHandler, EngineApp
+from persimmonyoke_testing.engine_orders import Configuration
+from persimmonyoke_testing.engine_record import EngineRecord, OrderRun, RequestRun
+from persimmonyoke_testing.engine_settings import (
+    EngineFaults,
+    EngineSettings,
+    EngineTiming,
+)
+from persimmonyoke_testing.engine_text import expected_text
+
+__all__ = [
+    "EngineFaults",
+    "EngineRecord",
+    "EngineSettings",
+    "EngineStandIn",
+    "EngineTiming",
+    "OrderRun",
+    "RequestRun",
+    "expected_text",
+]
+
+MAX_CONNECTIONS = 4_096
+LISTEN_BACKLOG = 512
+
+
+class LoopbackServer(WSGIServer):
+    """Serve one application on loopback and keep track of its connections."""
+
+    handler_class = DroppingHandler
+
+    def __init__(self, port: int, application: object) -> None:
+        self.connections: set[Connection] = set()
+        super().__init__(
+            ("127.0.0.1", port),
+            application,
+            spawn=Pool(MAX_CONNECTIONS),
+            backlog=LISTEN_BACKLOG,
+            log=None,
+        )
+
+    def silence(self) -> None:
+        """Stop answering on all open connections; new ones work."""
+        for connection in self.connections:
+            connection.silenced = True
+
+    def drop_all(self) -> None:
+        """Refuse new connections and drop the open ones."""
+        self.close()
+        self.stop(timeout=0)
+
+
+class EngineStandIn:
+    """Run a simulated engine until stopped; usable as a context manager."""
+
+    def __init__(
+        self, settings: EngineSettings | None = None, **changes: object
+    ) -> None:
+        """Prepare an engine; ``changes`` replace fields of the settings."""
+        base = settings or EngineSettings()
+        self.settings = dataclasses.replace(base, **changes)
+        self.faults = EngineFaults()
+        self.record = EngineRecord()
+        self.configuration = Configuration(
+            role=self.settings.role,
+            models=list(self.settings.models),
+            version=self.settings.version,
+        )
+        self.core: EngineCore | None = None
+        self._server: LoopbackServer | None = None
+        self._port = 0
+        self._starts = itertools.count(1)
+        self._watcher: gevent.Greenlet | None = None
+        self._boot_id = f"{time.time_ns():x}"[-8:]
+
+    def __enter__(self) -> "EngineStandIn":
+        self.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    @property
+    def name(self) -> str:
+        """Return the name of the engine."""
+        return self.settings.name
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``; it stays the same over restarts."""
+        return f"127.0.0.1:{self._port}"
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of the running process, empty after a crash."""
+        return self.core.incarnation if self.core else ""
+
+    @property
+    def running(self) -> bool:
+        """Return whether the engine accepts connections."""
+        return self.core is not None
+
+    def upstream(self) -> Upstream:
+        """Return the directory entry of this engine."""
+        return Upstream(
+            name=self.settings.name,
+            pool=self.settings.pool,
+            address=self.address,
+            availability_zone=self.settings.availability_zone,
+            region=self.settings.region,
+            role=Role(self.configuration.role),
+            models=tuple(self.configuration.models),
+            incarnation=self.incarnation,
+        )
+
+    def start(self) -> None:
+        """Start a new incarnation on the same address."""
+        if self.core is not None:
+            raise RuntimeError(f"engine {self.settings.name} is running already")
+        incarnation = f"{self.settings.name}-{self._boot_id}-{next(self._starts)}"
+        core = EngineCore(
+            self.settings,
+            self.faults,
+            self.configuration,
+            self.record,
+            incarnation=incarnation,
+        )
+        self._server = LoopbackServer(self._port, EngineApp(core))
+        self._server.start()
+        self._port = self._server.server_port
+        core.start()
+        self.core = core
+        self._watcher = gevent.spawn(self._watch_for_crash, core)
+
+    def stop(self) -> None:
+        """End the process; a stopped engine can be started again."""
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None and watcher is not gevent.getcurrent():
+            watcher.kill(block=False)
+        self._end()
+
+    def crash(self) -> None:
+        """End the process at once, dropping all connections and all memory."""
+        if self.core is not None:
+            self.record.counts["crashes"] += 1
+            self._end()
+
+    def restart(self) -> None:
+        """Crash if running, and start a new incarnation."""
+        self.crash()
+        self.start()
+
+    def silence_open_connections(self) -> None:
+        """Stop answering on open connections while new ones work."""
+        if self._server is not None:
+            self._server.silence()
+
+    def _end(self) -> None:
+        core, self.core = self.core, None
+        if core is None or self._server is None:
+            return
+        self._server.drop_all()
+        core.stop()
+        if self.settings.forgets_fencing:
+            self.configuration.fencing = 0
+
+    def _watch_for_crash(self, core: EngineCore) -> None:
+        core.crash_requested.wait()
+        if self.core is not core:
+            return
+        self.crash()
+        delay_s = self.faults.restart_after_s
+        if delay_s is not None:
+            gevent.sleep(self.settings.timing.scaled(delay_s))
+            if self.core is None:
+                self.start()
