--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/api.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/api.py
@@ -46,7 +46,9 @@
 
     ``prefix_text`` is the part of the answer that the caller already has; the engine
     continues after it and numbers offsets from its end on. ``kv_handle`` names an
-    imported KV cache.
+    imported KV cache. ``max_tokens`` bounds the whole answer including the prefix, so
+    a retry repeats the call with a longer prefix and changes nothing else. A higher
+    ``priority`` runs earlier.
     """
 
     request_id: str
@@ -169,7 +171,9 @@
 
     ``sent`` is false only if no byte of the call was written. ``refused`` says that
     the engine answered that it did not run the call. ``crashed`` says that the
-    engine's process is gone, as far as a new connection shows.
+    engine's process is gone, as far as a new connection shows. ``silent`` says that
+    nothing arrived within the idle timeout, so the connection or the engine stalls.
+    ``status`` is the HTTP status of an error answer.
     """
 
     def __init__(
@@ -179,23 +183,53 @@
         sent: bool = True,
         refused: bool = False,
         crashed: bool = False,
+        silent: bool = False,
+        status: int | None = None,
     ) -> None:
         super().__init__(message)
         self.sent = sent
         self.refused = refused
         self.crashed = crashed
+        self.silent = silent
+        self.status = status
 
 
 class EngineClient(ABC):
-    """Call one engine. Each method raises ``EngineFailure``."""
+    """Call one engine. Each method raises ``EngineFailure``.
+
+    Streams also raise ``ProtocolError`` for an event of another request or one that
+    is out of order; no such event is yielded. ``first_event_timeout_s`` and
+    ``idle_timeout_s`` bound the wait for the first and for each further event; ``None``
+    takes the default of the client.
+    """
 
     @abstractmethod
-    def generate(self, call: GenerateCall) -> Iterator[StreamEvent]:
-        """Start a stream and yield its events; closing the iterator disconnects."""
+    def generate(
+        self,
+        call: GenerateCall,
+        *,
+        first_event_timeout_s: float | None = None,
+        idle_timeout_s: float | None = None,
+    ) -> Iterator[StreamEvent]:
+        """Start a stream and yield its events; closing the iterator disconnects.
+
+        Nothing is sent before the first event is asked for.
+        """
 
     @abstractmethod
-    def resume(self, stream_id: str, *, offset: int) -> Iterator[StreamEvent]:
-        """Yield the events of a running or finished stream from a token offset on."""
+    def resume(
+        self,
+        stream_id: str,
+        *,
+        offset: int,
+        request_id: str | None = None,
+        first_event_timeout_s: float | None = None,
+        idle_timeout_s: float | None = None,
+    ) -> Iterator[StreamEvent]:
+        """Yield the events of a running or finished stream from a token offset on.
+
+        With ``request_id``, events of another request raise ``ProtocolError``.
+        """
 
     @abstractmethod
     def cancel(self, request_id: str) -> None:
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/connections.py
@@ -0,0 +1,129 @@
+"""Connections to upstreams that know whether a call was written."""
+
+import http.client
+import socket
+import struct
+import time
+from collections.abc import Mapping
+
+from urllib3.connection import HTTPConnection
+
+# A peer host that vanished is noticed after 5 + 3 x 2 s without data in flight, and
+# after 10 s with unacknowledged data.
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 10_000
+
+SocketOptions = list[tuple[int, int, int | bytes]]
+
+POOLED_SOCKET_OPTIONS: SocketOptions = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+]
+
+
+def discarding_socket_options(timeout_s: float) -> SocketOptions:
+    """Return options under which the kernel keeps no data after close or timeout."""
+    timeout_ms = max(1, int(timeout_s * 1_000))
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms),
+    ]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; an IPv6 host is in brackets."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise ValueError(f"address must be host:port, got {address!r}")
+    return host.strip("[]"), int(port)
+
+
+class UpstreamConnection(HTTPConnection):
+    """Connect to an upstream and note whether any byte of the call was written."""
+
+    written = False
+    idle_since_s = 0.0
+
+    def start(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Write one call; ``written`` tells afterwards if a byte may have left."""
+        self.written = False
+        self.timeout = timeout_s
+        self.request(method, path, body=body, headers=headers)
+
+    def send(self, data: object) -> None:
+        """Write to the socket, connecting first if necessary."""
+        if self.sock is None:
+            self.connect()
+        # Set before the write: a failed write may have sent a part.
+        self.written = True
+        super().send(data)
+
+    def read_head(self) -> http.client.HTTPResponse:
+        """Return the response after its headers, without urllib3's decoding layers.
+
+        Its wrapper costs more for each event of a stream than parsing the event.
+        """
+        self._response_options = None
+        self.sock.settimeout(self.timeout)
+        return http.client.HTTPConnection.getresponse(self)
+
+
+class ConnectionPool:
+    """Keep idle connections to one upstream, newest first."""
+
+    def __init__(
+        self, address: str, *, max_idle: int = 32, max_idle_s: float = 30.0
+    ) -> None:
+        self.address = address
+        self.max_idle = max_idle
+        self.max_idle_s = max_idle_s
+        self._host, self._port = split_address(address)
+        self._idle: list[UpstreamConnection] = []
+
+    def acquire(self, *, fresh: bool = False) -> UpstreamConnection:
+        """Return an idle connection that is still open, or an unopened new one."""
+        while self._idle and not fresh:
+            connection = self._idle.pop()
+            if self._is_usable(connection):
+                return connection
+            connection.close()
+        return self.new_connection()
+
+    def new_connection(
+        self, socket_options: SocketOptions = POOLED_SOCKET_OPTIONS
+    ) -> UpstreamConnection:
+        """Return a connection that opens at its first call."""
+        return UpstreamConnection(self._host, self._port, socket_options=socket_options)
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Take back a connection whose response was read completely."""
+        if connection.sock is None or len(self._idle) >= self.max_idle:
+            connection.close()
+            return
+        connection.idle_since_s = time.monotonic()
+        self._idle.append(connection)
+
+    def purge(self) -> None:
+        """Close the idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _is_usable(self, connection: UpstreamConnection) -> bool:
+        idle_s = time.monotonic() - connection.idle_since_s
+        return idle_s <= self.max_idle_s and connection.is_connected
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/load_view.py
@@ -0,0 +1,307 @@
+"""Estimate of each engine's load from late reports and own dispatches."""
+
+import itertools
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from persimmonyoke.internal.upstreams.api import LoadReport, Role
+
+# Age at which half of an estimate comes from the report and half from the mean of the
+# engines of the same role. Reports lag by about 2 s.
+REPORT_HALF_LIFE_S = 5.0
+# A larger difference between receipt and time stamp is taken for a wrong clock.
+MAX_LAG_S = 10.0
+# A dispatch whose completion was never noted stops counting after this time.
+MAX_DISPATCH_S = 600.0
+MAX_ENGINES = 4_096
+MAX_OPEN_PER_ENGINE = 4_096
+
+DispatchId = int
+
+
+@dataclass(frozen=True)
+class LoadEstimate:
+    """Estimate the load of one engine.
+
+    ``running_sequences`` counts the accepted sequences, running and queued.
+    ``age_s`` is the age of the last report, infinite without one. The rates and
+    ``max_sequences`` are 0 while no report has named them.
+    """
+
+    queued_prefill_tokens: float
+    running_sequences: float
+    age_s: float
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    max_sequences: int
+
+
+@dataclass
+class Dispatch:
+    """Hold one own dispatch that has not completed."""
+
+    engine: str
+    prefill_tokens: int
+    output_tokens: int
+    dispatched_s: float
+    prefilled_s: float | None = None
+
+
+@dataclass
+class EngineLoad:
+    """Hold the last report of an engine and own work around it.
+
+    The counters cover what the report cannot contain: ``new_*`` what was dispatched
+    since its time stamp and still runs, ``ended_*`` what it contains and has ended.
+    """
+
+    report: LoadReport | None = None
+    taken_s: float = float("-inf")
+    least_delay_s: float = float("inf")
+    open: OrderedDict[DispatchId, Dispatch] = field(default_factory=OrderedDict)
+    ended: list[tuple[Dispatch, float]] = field(default_factory=list)
+    new_sequences: int = 0
+    new_prefill_tokens: int = 0
+    ended_sequences: int = 0
+    ended_prefill_tokens: int = 0
+
+
+@dataclass
+class RoleMean:
+    """Sum the reports of the engines of one role."""
+
+    engines: int = 0
+    queued_prefill_tokens: float = 0.0
+    running_sequences: float = 0.0
+
+    def add(self, report: LoadReport, sign: int) -> None:
+        """Add or, with sign -1, remove a report."""
+        self.engines += sign
+        self.queued_prefill_tokens += sign * report.queued_prefill_tokens
+        self.running_sequences += sign * total_sequences(report)
+
+
+def total_sequences(report: LoadReport) -> int:
+    """Return the sequences that an engine has accepted."""
+    return report.running_sequences + report.queued_sequences
+
+
+class LoadView:
+    """Keep bounded load estimates of all engines.
+
+    Times are monotonic seconds. Reports carry wall-clock time stamps; ``unix_clock``
+    relates the two when a report arrives.
+    """
+
+    def __init__(self, *, unix_clock: Callable[[], float] = time.time) -> None:
+        self._unix_clock = unix_clock
+        self._engines: OrderedDict[str, EngineLoad] = OrderedDict()
+        self._dispatches: dict[DispatchId, str] = {}
+        self._ids = itertools.count(1)
+        self._means: dict[Role, RoleMean] = {}
+
+    def note_report(self, report: LoadReport, now_s: float) -> None:
+        """Take over a report; one that is older than the last is ignored."""
+        load = self._load(report.engine)
+        if is_outdated(report, load.report):
+            return
+        taken_s = now_s - self._age_s(load, report)
+        if load.report is None or load.report.incarnation == report.incarnation:
+            load.taken_s = max(load.taken_s, taken_s)
+        else:
+            self._drop_before(load, taken_s)
+            load.taken_s = taken_s
+        self._replace_report(load, report)
+        self._recount(load, now_s)
+
+    def note_dispatch(
+        self, engine: str, prefill_tokens: int, output_tokens: int, now_s: float
+    ) -> DispatchId:
+        """Count own work that was just sent to an engine."""
+        load = self._load(engine)
+        dispatch_id = next(self._ids)
+        dispatch = Dispatch(engine, prefill_tokens, output_tokens, now_s)
+        load.open[dispatch_id] = dispatch
+        self._dispatches[dispatch_id] = engine
+        load.new_sequences += 1
+        load.new_prefill_tokens += prefill_tokens
+        if len(load.open) > MAX_OPEN_PER_ENGINE:
+            self.note_completion(next(iter(load.open)), now_s)
+        return dispatch_id
+
+    def note_first_token(self, dispatch_id: DispatchId, now_s: float) -> None:
+        """Count the prefill of a dispatch as done."""
+        load, dispatch = self._find(dispatch_id)
+        if dispatch is None or dispatch.prefilled_s is not None:
+            return
+        dispatch.prefilled_s = now_s
+        if dispatch.dispatched_s > load.taken_s:
+            load.new_prefill_tokens -= dispatch.prefill_tokens
+        else:
+            load.ended_prefill_tokens += dispatch.prefill_tokens
+
+    def note_completion(self, dispatch_id: DispatchId, now_s: float) -> None:
+        """Count a dispatch as ended; unknown ids are ignored."""
+        load, dispatch = self._find(dispatch_id)
+        if dispatch is None:
+            return
+        self.note_first_token(dispatch_id, now_s)
+        del load.open[dispatch_id]
+        del self._dispatches[dispatch_id]
+        if dispatch.dispatched_s > load.taken_s:
+            load.new_sequences -= 1
+        else:
+            load.ended_sequences += 1
+        # A report that arrives later may have been taken before this completion.
+        load.ended.append((dispatch, now_s))
+        if len(load.ended) > MAX_OPEN_PER_ENGINE:
+            del load.ended[: MAX_OPEN_PER_ENGINE // 2]
+
+    def estimate(self, engine: str, now_s: float) -> LoadEstimate:
+        """Return the estimated load of an engine."""
+        load = self._engines.get(engine) or EngineLoad()
+        report = load.report
+        if report is None:
+            return self._unreported(load)
+        age_s = max(0.0, now_s - load.taken_s)
+        weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        mean = self._means[report.role]
+        base_prefill = mixed(
+            report.queued_prefill_tokens - load.ended_prefill_tokens,
+            mean.queued_prefill_tokens / mean.engines,
+            weight,
+        )
+        base_sequences = mixed(
+            total_sequences(report) - load.ended_sequences,
+            mean.running_sequences / mean.engines,
+            weight,
+        )
+        return LoadEstimate(
+            queued_prefill_tokens=base_prefill + load.new_prefill_tokens,
+            running_sequences=base_sequences + load.new_sequences,
+            age_s=age_s,
+            prefill_tokens_per_s=report.prefill_tokens_per_s,
+            decode_tokens_per_s=report.decode_tokens_per_s,
+            max_sequences=report.max_sequences,
+        )
+
+    def report(self, engine: str) -> LoadReport | None:
+        """Return the last report of an engine."""
+        load = self._engines.get(engine)
+        return load.report if load else None
+
+    def forget(self, engine: str) -> None:
+        """Drop what is known of an engine that left the directory."""
+        load = self._engines.pop(engine, None)
+        if load is None:
+            return
+        if load.report is not None:
+            self._means[load.report.role].add(load.report, -1)
+        for dispatch_id in load.open:
+            del self._dispatches[dispatch_id]
+
+    def _unreported(self, load: EngineLoad) -> LoadEstimate:
+        engines = sum(mean.engines for mean in self._means.values())
+        prefill = sum(mean.queued_prefill_tokens for mean in self._means.values())
+        running = sum(mean.running_sequences for mean in self._means.values())
+        # An engine without a report is not taken for an idle one.
+        return LoadEstimate(
+            queued_prefill_tokens=prefill / max(1, engines) + load.new_prefill_tokens,
+            running_sequences=running / max(1, engines) + load.new_sequences,
+            age_s=float("inf"),
+            prefill_tokens_per_s=0.0,
+            decode_tokens_per_s=0.0,
+            max_sequences=0,
+        )
+
+    def _load(self, engine: str) -> EngineLoad:
+        load = self._engines.get(engine)
+        if load is None:
+            load = self._engines[engine] = EngineLoad()
+            if len(self._engines) > MAX_ENGINES:
+                self.forget(next(iter(self._engines)))
+        else:
+            self._engines.move_to_end(engine)
+        return load
+
+    def _find(self, dispatch_id: DispatchId) -> tuple[EngineLoad, Dispatch | None]:
+        engine = self._dispatches.get(dispatch_id)
+        load = self._engines.get(engine) if engine is not None else None
+        if load is None:
+            return EngineLoad(), None
+        return load, load.open.get(dispatch_id)
+
+    def _age_s(self, load: EngineLoad, report: LoadReport) -> float:
+        """Return the age of a report on arrival, corrected for a wrong clock.
+
+        A difference outside the possible range of lags means that the clocks of the
+        two hosts differ; the least difference seen then stands for no lag.
+        """
+        delay_s = self._unix_clock() - report.taken_unix_s
+        if delay_s - load.least_delay_s > MAX_LAG_S:
+            # One of the clocks was set, so earlier differences say nothing.
+            load.least_delay_s = delay_s
+        load.least_delay_s = min(load.least_delay_s, delay_s)
+        if not 0.0 <= load.least_delay_s <= MAX_LAG_S:
+            delay_s -= load.least_delay_s
+        return min(max(0.0, delay_s), MAX_LAG_S)
+
+    def _replace_report(self, load: EngineLoad, report: LoadReport) -> None:
+        if load.report is not None:
+            self._means[load.report.role].add(load.report, -1)
+        self._means.setdefault(report.role, RoleMean()).add(report, 1)
+        load.report = report
+
+    def _recount(self, load: EngineLoad, now_s: float) -> None:
+        """Count anew which own work the report contains."""
+        taken_s = load.taken_s
+        self._expire(load, now_s)
+        load.ended = [item for item in load.ended if item[1] > taken_s]
+        dispatches = load.open.values()
+        new = [d for d in dispatches if d.dispatched_s > taken_s]
+        load.new_sequences = len(new)
+        load.new_prefill_tokens = sum(
+            d.prefill_tokens for d in new if d.prefilled_s is None
+        )
+        contained = [d for d, _ in load.ended if d.dispatched_s <= taken_s]
+        load.ended_sequences = len(contained)
+        prefilled = [*contained, *(d for d in dispatches if d.dispatched_s <= taken_s)]
+        load.ended_prefill_tokens = sum(
+            d.prefill_tokens
+            for d in prefilled
+            if d.prefilled_s is not None and d.prefilled_s > taken_s
+        )
+
+    def _expire(self, load: EngineLoad, now_s: float) -> None:
+        while load.open:
+            dispatch_id, dispatch = next(iter(load.open.items()))
+            if now_s - dispatch.dispatched_s <= MAX_DISPATCH_S:
+                return
+            del load.open[dispatch_id]
+            del self._dispatches[dispatch_id]
+
+    def _drop_before(self, load: EngineLoad, limit_s: float) -> None:
+        """Drop the own work that ended with an earlier incarnation."""
+        for dispatch_id, dispatch in list(load.open.items()):
+            if dispatch.dispatched_s <= limit_s:
+                del load.open[dispatch_id]
+                del self._dispatches[dispatch_id]
+        load.ended = [item for item in load.ended if item[0].dispatched_s > limit_s]
+
+
+def is_outdated(report: LoadReport, previous: LoadReport | None) -> bool:
+    """Return whether a report was overtaken by the previous one.
+
+    A step back by more than the greatest lag is a clock that was set, not a late
+    report.
+    """
+    if previous is None:
+        return False
+    return 0.0 < previous.taken_unix_s - report.taken_unix_s <= MAX_LAG_S
+
+
+def mixed(reported: float, mean: float, weight: float) -> float:
+    """Weigh a reported value, at least 0, against the mean."""
+    return weight * max(0.0, reported) + (1.0 - weight) * max(0.0, mean)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/pollers.py
@@ -0,0 +1,173 @@
+"""Tasks that read load reports and cache events from each engine."""
+
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+import gevent
+from loguru import logger
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.upstreams.api import (
+    CacheEventBatch,
+    EngineClient,
+    EngineFailure,
+    EngineState,
+    LoadReport,
+    Upstream,
+)
+
+POLL_INTERVAL_S = 1.0
+MAX_BACKOFF_S = 8.0
+
+
+@dataclass(frozen=True)
+class PollHandlers:
+    """Name the callables that get what the pollers read.
+
+    Each gets the upstream or report and the monotonic time of receipt.
+    """
+
+    on_load: Callable[[LoadReport, float], None]
+    on_cache_events: Callable[[Upstream, CacheEventBatch, float], None]
+    on_state: Callable[[EngineState, float], None] = lambda state, now_s: None
+    on_failure: Callable[[Upstream, EngineFailure, float], None] = (
+        lambda upstream, failure, now_s: None
+    )
+
+
+class EnginePoller:
+    """Read one engine at an interval, and more rarely while it fails.
+
+    The state is read at the start, after each failure and whenever a report names
+    another incarnation or role, since only the state is free of lag.
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        client: EngineClient,
+        handlers: PollHandlers,
+        *,
+        interval_s: float = POLL_INTERVAL_S,
+        max_backoff_s: float = MAX_BACKOFF_S,
+        rng: random.Random | None = None,
+    ) -> None:
+        if interval_s <= 0:
+            raise ValueError(f"interval_s must be positive, got {interval_s}")
+        self.upstream = upstream
+        self.failures = 0
+        self._client = client
+        self._handlers = handlers
+        self._interval_s = interval_s
+        self._max_backoff_s = max(max_backoff_s, interval_s)
+        self._rng = rng or random.Random()
+        self._next_number = 0
+        self._cache_incarnation = ""
+        self._cache_lost = False
+        self._state: EngineState | None = None
+
+    def run(self) -> None:
+        """Poll for ever; end the task by killing its greenlet."""
+        while True:
+            self.poll_once(time.monotonic())
+            gevent.sleep(self.delay_s())
+
+    def poll_once(self, now_s: float) -> bool:
+        """Read state, load and cache events once; return whether this succeeded."""
+        try:
+            if self._state is None:
+                self._read_state()
+            self._read_load()
+            self._read_cache_events()
+        except (EngineFailure, ProtocolError) as error:
+            self._note_failure(error, now_s)
+            return False
+        except Exception:
+            # A fault of a handler must not end the readings of this engine.
+            logger.exception("[upstreams] poller of {} failed", self.upstream.name)
+            self.failures += 1
+            return False
+        self.failures = 0
+        return True
+
+    def delay_s(self) -> float:
+        """Return the time until the next reading, with jitter.
+
+        The jitter keeps the pollers of all entry hosts from reading at once.
+        """
+        if not self.failures:
+            return self._interval_s * self._rng.uniform(0.9, 1.1)
+        exponent = min(self.failures, 10)
+        limit_s = min(self._interval_s * 2**exponent, self._max_backoff_s)
+        return self._rng.uniform(self._interval_s / 2, limit_s)
+
+    def _read_state(self) -> None:
+        self._state = self._client.state()
+        if self._state.incarnation != self._cache_incarnation:
+            # A new process numbers its events anew and starts with an empty cache.
+            self._cache_lost = bool(self._cache_incarnation)
+            self._cache_incarnation = self._state.incarnation
+            self._next_number = 0
+        self._handlers.on_state(self._state, time.monotonic())
+
+    def _read_load(self) -> None:
+        report = self._client.load()
+        self._handlers.on_load(report, time.monotonic())
+        state = self._state
+        if state is not None and (
+            report.incarnation != state.incarnation or report.role != state.role
+        ):
+            self._read_state()
+
+    def _read_cache_events(self) -> None:
+        batch = self._client.cache_events(since=self._next_number)
+        self._next_number = batch.next_number
+        if self._cache_lost:
+            batch = replace(batch, gap=True)
+            self._cache_lost = False
+        if batch.events or batch.gap:
+            self._handlers.on_cache_events(self.upstream, batch, time.monotonic())
+
+    def _note_failure(self, error: Exception, now_s: float) -> None:
+        self.failures += 1
+        self._state = None
+        if self.failures == 1:
+            logger.warning("[upstreams] {} not read: {}", self.upstream.name, error)
+        if isinstance(error, EngineFailure):
+            self._handlers.on_failure(self.upstream, error, now_s)
+
+
+class PollerGroup:
+    """Run one poller for each engine of the directory."""
+
+    def __init__(
+        self,
+        handlers: PollHandlers,
+        client_of: Callable[[Upstream], EngineClient],
+        *,
+        interval_s: float = POLL_INTERVAL_S,
+    ) -> None:
+        self._handlers = handlers
+        self._client_of = client_of
+        self._interval_s = interval_s
+        self._tasks: dict[tuple[str, str], gevent.Greenlet] = {}
+
+    def sync(self, engines: Iterable[Upstream]) -> None:
+        """Start pollers of new engines and stop those of engines that are gone."""
+        wanted = {(engine.name, engine.address): engine for engine in engines}
+        for key in self._tasks.keys() - wanted.keys():
+            self._tasks.pop(key).kill(block=False)
+        for key in wanted.keys() - self._tasks.keys():
+            poller = EnginePoller(
+                wanted[key],
+                self._client_of(wanted[key]),
+                self._handlers,
+                interval_s=self._interval_s,
+            )
+            self._tasks[key] = gevent.spawn(poller.run)
+
+    def stop(self) -> None:
+        """Stop all pollers."""
+        self.sync(())
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/sse.py
@@ -0,0 +1,82 @@
+"""Incremental decoding of chunked bodies and server-sent events."""
+
+from persimmonyoke.errors import ProtocolError
+
+MAX_CHUNK_HEAD_BYTES = 128
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+DATA_PREFIX = b"data: "
+
+
+class ChunkDecoder:
+    """Remove the chunked transfer coding from a body that arrives in parts."""
+
+    def __init__(self) -> None:
+        self.ended = False
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the payload of the chunks that are complete with this data."""
+        if self._rest:
+            data = self._rest + data
+        payloads = []
+        position = 0
+        while not self.ended:
+            head_end = data.find(b"\r\n", position)
+            if head_end < 0:
+                break
+            size = self._size(data[position:head_end])
+            start = head_end + 2
+            if len(data) < start + size + 2:
+                break
+            if data[start + size : start + size + 2] != b"\r\n":
+                raise ProtocolError("chunk of a stream does not end with CRLF")
+            if size == 0:
+                self.ended = True
+            payloads.append(data[start : start + size])
+            position = start + size + 2
+        self._rest = data[position:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ProtocolError("chunk of a stream is too large")
+        return payloads[0] if len(payloads) == 1 else b"".join(payloads)
+
+    @staticmethod
+    def _size(head: bytes) -> int:
+        try:
+            return int(head.partition(b";")[0], 16)
+        except ValueError as error:
+            raise ProtocolError(f"chunk head {head[:32]!r} is not a size") from error
+
+
+class EventDecoder:
+    """Split a server-sent event stream into the data of its events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def complete(self) -> bool:
+        """Return whether no event is left half read."""
+        return not self._rest
+
+    def feed(self, payload: bytes) -> list[bytes]:
+        """Return the data of the events that are complete with this payload."""
+        if self._rest:
+            payload = self._rest + payload
+        blocks = payload.split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ProtocolError("event of a stream is too large")
+        events = []
+        for block in blocks:
+            if block.startswith(DATA_PREFIX) and b"\n" not in block:
+                events.append(block[len(DATA_PREFIX) :])
+            else:
+                self._add_lines(block, events)
+        return events
+
+    @staticmethod
+    def _add_lines(block: bytes, events: list[bytes]) -> None:
+        lines = block.split(b"\n")
+        data = [line[5:].removeprefix(b" ") for line in lines if line[:5] == b"data:"]
+        if data:
+            events.append(b"\n".join(data))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/stream.py
@@ -0,0 +1,110 @@
+"""Events of one open stream."""
+
+import http.client
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.upstreams import wire
+from persimmonyoke.internal.upstreams.api import StreamEvent
+from persimmonyoke.internal.upstreams.sse import ChunkDecoder, EventDecoder
+
+READ_BYTES = 65_536
+# The end of the body follows the last event at once; without it the connection is
+# closed instead of reused.
+TAIL_TIMEOUT_S = 0.5
+
+
+@dataclass
+class StreamExpectation:
+    """Hold what the next event must carry; ``None`` accepts any value."""
+
+    request_id: str | None = None
+    stream_id: str | None = None
+    offset: int | None = None
+
+    def check(self, event: StreamEvent) -> None:
+        """Raise ``ProtocolError`` unless the event is the next one of this stream."""
+        if self.request_id is None:
+            self.request_id = event.request_id
+        if self.stream_id is None:
+            self.stream_id = event.stream_id
+        if self.offset is None:
+            self.offset = event.offset
+        if event.request_id != self.request_id or event.stream_id != self.stream_id:
+            raise ProtocolError(
+                f"event of request {event.request_id!r}, stream {event.stream_id!r}, "
+                f"arrived on stream {self.stream_id!r} of request {self.request_id!r}"
+            )
+        if event.offset != self.offset:
+            raise ProtocolError(
+                f"event of request {event.request_id!r} has offset {event.offset} "
+                f"instead of {self.offset}"
+            )
+        self.offset += event.tokens
+
+
+class EventStream:
+    """Read the events of a response until the one with a finish reason."""
+
+    def __init__(
+        self,
+        response: http.client.HTTPResponse,
+        sock: socket.socket,
+        expectation: StreamExpectation,
+    ) -> None:
+        self.drained = False
+        self._response = response
+        self._source = response.fp
+        self._sock = sock
+        self._expectation = expectation
+        self._chunks = ChunkDecoder() if response.chunked else None
+        self._events = EventDecoder()
+
+    def events(self, *, idle_timeout_s: float) -> Iterator[StreamEvent]:
+        """Yield the events; raise ``ConnectionError`` if the stream ends early.
+
+        A wait longer than ``idle_timeout_s`` raises ``TimeoutError``; the wait for the
+        first event ends by the timeout that the socket has on entry.
+        """
+        check = self._expectation.check
+        waiting_for_first = True
+        while True:
+            for data in self._read():
+                event = wire.decode_event(data)
+                check(event)
+                yield event
+                if event.finish_reason is not None:
+                    self._drain()
+                    return
+                if waiting_for_first:
+                    self._sock.settimeout(idle_timeout_s)
+                    waiting_for_first = False
+
+    def _read(self) -> list[bytes]:
+        data = self._source.read1(READ_BYTES)
+        if not data:
+            raise ConnectionResetError("stream ended before its last event")
+        if self._chunks is not None:
+            data = self._chunks.feed(data)
+            if self._chunks.ended and not data.strip():
+                raise ConnectionResetError("stream ended before its last event")
+        return self._events.feed(data)
+
+    def _drain(self) -> None:
+        """Read the end of the body, so that the connection can be used again."""
+        if self._chunks is None:
+            return
+        try:
+            self._sock.settimeout(TAIL_TIMEOUT_S)
+            while not self._chunks.ended:
+                data = self._source.read1(READ_BYTES)
+                if not data:
+                    return
+                if self._chunks.feed(data):
+                    return
+        except (OSError, ProtocolError):
+            return
+        self._response.close()
+        self.drained = self._events.complete
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
@@ -9,12 +9,10 @@
 import time
 
 import gevent
-from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from persimmonyoke.internal.upstreams.api import Role, Upstream
 from persimmonyoke_testing.engine_core import EngineCore
-from persimmonyoke_testing.engine_http import Connection, DroppingHandler, EngineApp
+from persimmonyoke_testing.engine_http import EngineApp
 from persimmonyoke_testing.engine_orders import Configuration
 from persimmonyoke_testing.engine_record import EngineRecord, OrderRun, RequestRun
 from persimmonyoke_testing.engine_settings import (
@@ -23,6 +21,7 @@
     EngineTiming,
 )
 from persimmonyoke_testing.engine_text import expected_text
+from persimmonyoke_testing.loopback import LoopbackServer
 
 __all__ = [
     "EngineFaults",
@@ -35,35 +34,6 @@
     "expected_text",
 ]
 
-MAX_CONNECTIONS = 4_096
-LISTEN_BACKLOG = 512
-
-
-class LoopbackServer(WSGIServer):
-    """Serve one application on loopback and keep track of its connections."""
-
-    handler_class = DroppingHandler
-
-    def __init__(self, port: int, application: object) -> None:
-        self.connections: set[Connection] = set()
-        super().__init__(
-            ("127.0.0.1", port),
-            application,
-            spawn=Pool(MAX_CONNECTIONS),
-            backlog=LISTEN_BACKLOG,
-            log=None,
-        )
-
-    def silence(self) -> None:
-        """Stop answering on all open connections; new ones work."""
-        for connection in self.connections:
-            connection.silenced = True
-
-    def drop_all(self) -> None:
-        """Refuse new connections and drop the open ones."""
-        self.close()
-        self.stop(timeout=0)
-
 
 class EngineStandIn:
     """Run a simulated engine until stopped; usable as a context manager."""
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_http.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_http.py
@@ -1,19 +1,15 @@
 """HTTP surface of the simulated engine."""
 
-import errno
-import socket
-import struct
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 from urllib.parse import parse_qs
 
 import orjson
-from gevent.event import Event
-from gevent.pywsgi import WSGIHandler
 
 from persimmonyoke_testing.engine_core import EngineCore, Rejection
 from persimmonyoke_testing.engine_scheduler import Sequence
 from persimmonyoke_testing.engine_streams import StreamReader
+from persimmonyoke_testing.loopback import CONNECTION_KEY, Connection
 
 REASONS = {
     200: "OK",
@@ -23,59 +19,11 @@
     409: "Conflict",
     503: "Service Unavailable",
 }
-CONNECTION_KEY = "persimmonyoke.connection"
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 StartResponse = Callable[..., Any]
 Environ = Mapping[str, Any]
 
 
-class Connection:
-    """Hold one accepted connection and whether a fault has silenced it."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.silenced = False
-
-    def wait_if_silenced(self) -> None:
-        """Block for ever on a silenced connection."""
-        if self.silenced:
-            Event().wait()
-
-    def drop(self, *, reset: bool = False) -> None:
-        """Abort the current call without an answer; raises ``BrokenPipeError``."""
-        if reset:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        raise BrokenPipeError(errno.EPIPE, "connection dropped by a fault switch")
-
-
-class DroppingHandler(WSGIHandler):
-    """Close a connection without an answer when its task is ended by a fault."""
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        self.connection = Connection(self.socket)
-        self.server.connections.add(self.connection)
-
-    def handle(self) -> None:
-        """Serve the connection and forget it afterwards."""
-        try:
-            super().handle()
-        finally:
-            self.server.connections.discard(self.connection)
-
-    def get_environ(self) -> dict[str, Any]:
-        """Add the connection to the environment of the call."""
-        return super().get_environ() | {CONNECTION_KEY: self.connection}
-
-    def handle_error(self, kind: type, value: BaseException, trace: Any) -> None:
-        """Send no 500 for a task that a crash ended: a dead process sends nothing."""
-        if issubclass(kind, Exception):
-            super().handle_error(kind, value, trace)
-        else:
-            self.close_connection = True
-
-
 class EngineApp:
     """Answer the calls of the engine protocol as a WSGI application."""
 
