--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/load_view.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/load_view.py
@@ -168,19 +168,20 @@
         age_s = max(0.0, now_s - load.taken_s)
         weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
         mean = self._means[report.role]
-        base_prefill = mixed(
-            report.queued_prefill_tokens - load.ended_prefill_tokens,
+        prefill = mixed(
+            report.queued_prefill_tokens,
             mean.queued_prefill_tokens / mean.engines,
             weight,
         )
-        base_sequences = mixed(
-            total_sequences(report) - load.ended_sequences,
-            mean.running_sequences / mean.engines,
-            weight,
+        sequences = mixed(
+            total_sequences(report), mean.running_sequences / mean.engines, weight
         )
+        # Own work is known exactly, so it counts in full at any age of the report.
+        prefill = max(0.0, prefill - load.ended_prefill_tokens)
+        sequences = max(0.0, sequences - load.ended_sequences)
         return LoadEstimate(
-            queued_prefill_tokens=base_prefill + load.new_prefill_tokens,
-            running_sequences=base_sequences + load.new_sequences,
+            queued_prefill_tokens=prefill + load.new_prefill_tokens,
+            running_sequences=sequences + load.new_sequences,
             age_s=age_s,
             prefill_tokens_per_s=report.prefill_tokens_per_s,
             decode_tokens_per_s=report.decode_tokens_per_s,
@@ -303,5 +304,5 @@
 
 
 def mixed(reported: float, mean: float, weight: float) -> float:
-    """Weigh a reported value, at least 0, against the mean."""
-    return weight * max(0.0, reported) + (1.0 - weight) * max(0.0, mean)
+    """Weigh a reported value against the mean."""
+    return weight * reported + (1.0 - weight) * mean
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_engine_client.py
@@ -0,0 +1,212 @@
+"""Tests of the engine client: classification of failures and whole answers."""
+
+import socket
+import time
+import unittest
+
+import gevent
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.upstreams.api import (
+    EngineFailure,
+    OrderAccepted,
+    OrderRefused,
+    OrderUnknown,
+)
+from persimmonyoke.internal.upstreams.connections import UpstreamConnection
+from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
+from persimmonyoke.internal.upstreams.probe import probe
+from persimmonyoke_testing.builders_upstreams import (
+    adapter_order,
+    generate_call,
+    role_order,
+)
+from persimmonyoke_testing.engine import EngineStandIn, EngineTiming, expected_text
+
+FAST = EngineTiming(time_scale=0.02)
+
+
+class ClientCase(unittest.TestCase):
+    def setUp(self):
+        self.engine = EngineStandIn(timing=FAST)
+        self.engine.start()
+        self.addCleanup(self.engine.stop)
+        self.client = HttpEngineClient(self.engine.address)
+        self.addCleanup(self.client.close)
+
+    def failure(self, events):
+        with self.assertRaises(EngineFailure) as caught:
+            list(events)
+        return caught.exception
+
+
+class FailureTest(ClientCase):
+    def test_a_refused_connection_is_not_sent(self):
+        # Treating it as sent would turn a harmless retry into an unknown outcome.
+        self.client.state()
+        self.engine.crash()
+        failure = self.failure(self.client.generate(generate_call()))
+        self.assertEqual((failure.sent, failure.crashed), (False, True))
+
+    def test_a_reset_after_the_request_was_written_counts_as_sent(self):
+        # Reporting not_run here would be false: the engine may have run the call.
+        self.client.state()
+        self.engine.faults.reset_generates = 1
+        failure = self.failure(self.client.generate(generate_call()))
+        self.assertTrue(failure.sent)
+        self.assertFalse(failure.refused)
+        self.assertFalse(failure.crashed)
+
+    def test_a_refusal_says_that_the_call_did_not_run(self):
+        # Without the mark, delivery could not resend to another engine safely.
+        self.engine.faults.refuse = True
+        failure = self.failure(self.client.generate(generate_call()))
+        self.assertEqual((failure.refused, failure.status), (True, 503))
+        self.assertEqual(self.engine.record.runs("request-1"), 0)
+
+    def test_a_crash_is_recognised_also_if_the_engine_restarted_at_once(self):
+        # A crash taken for a broken connection lets a crashing request go on.
+        self.client.state()
+        self.engine.faults.crash_marker = "poison"
+        for restart_after_s in (None, 0.0):
+            self.engine.faults.restart_after_s = restart_after_s
+            call = generate_call(prompt="poison", max_tokens=2_000)
+            failure = self.failure(self.client.generate(call))
+            self.assertEqual((failure.sent, failure.crashed), (True, True))
+            if restart_after_s is None:
+                self.engine.start()
+                self.client.state()
+
+    def test_a_cut_stream_of_a_living_engine_is_no_crash(self):
+        # Blaming the request would quarantine a harmless one.
+        self.engine.faults.cut_streams_after = 3
+        failure = self.failure(self.client.generate(generate_call()))
+        self.assertEqual((failure.sent, failure.crashed), (True, False))
+
+    def test_a_silent_stream_fails_after_its_idle_timeout_and_the_probe_succeeds(self):
+        # A stalled connection must neither hang the caller nor condemn the engine.
+        self.client.state()
+        events = self.client.generate(
+            generate_call(max_tokens=5_000), idle_timeout_s=0.2
+        )
+        next(events)
+        self.engine.silence_open_connections()
+        started_s = time.monotonic()
+        failure = self.failure(events)
+        self.assertTrue(failure.silent)
+        self.assertLess(time.monotonic() - started_s, 2.0)
+        self.assertTrue(probe(self.engine.upstream()))
+        self.assertEqual(self.client.state().name, self.engine.name)
+        self.engine.crash()
+        self.assertFalse(probe(self.engine.upstream()))
+
+    def test_a_finished_stream_leaves_its_connection_for_the_next_call(self):
+        # A new connection for each request would cost a round trip before each token.
+        first = list(self.client.generate(generate_call("a")))
+        pool = self.client._pool
+        idle = list(pool._idle)
+        self.assertEqual((len(first), len(idle)), (20, 1))
+        list(self.client.generate(generate_call("b")))
+        self.assertEqual(pool._idle, idle)
+
+    def test_a_closed_iterator_disconnects_and_the_stream_can_be_resumed(self):
+        # A caller that leaves must not keep a connection of the pool busy.
+        events = self.client.generate(generate_call(max_tokens=500))
+        event = next(events)
+        events.close()
+        self.assertEqual(self.client._pool._idle, [])
+        rest = self.client.resume(event.stream_id, offset=event.tokens)
+        text = event.text + "".join(e.text for e in rest)
+        self.assertEqual(text, expected_text(generate_call().prompt, 500))
+
+
+class OwnAnswerTest(ClientCase):
+    def test_an_event_of_another_request_is_never_yielded(self):
+        # Passing it on would hand one caller's answer to another.
+        other = self.client.generate(generate_call("other", max_tokens=5_000))
+        next(other)
+        events = self.client.generate(generate_call("own", max_tokens=5_000))
+        own = [next(events)]
+        self.engine.faults.crossed_events = 2
+        for stream, yielded in ((events, own), (other, [])):
+            with self.assertRaises(ProtocolError):
+                yielded.extend(stream)
+        self.assertEqual({event.request_id for event in own}, {"own"})
+        self.assertEqual(self.client._pool._idle, [])
+
+    @settings(max_examples=25)
+    @given(
+        cuts=st.lists(st.integers(1, 12), max_size=5),
+        per_event=st.integers(1, 9),
+        tokens=st.integers(1, 70),
+    )
+    def test_resuming_at_any_offsets_gives_each_token_once(
+        self, cuts, per_event, tokens
+    ):
+        # A wrong offset after a broken connection drops or repeats text.
+        timing = EngineTiming(time_scale=0.001)
+        with EngineStandIn(timing=timing, tokens_per_event=per_event) as engine:
+            client = HttpEngineClient(engine.address)
+            call = generate_call(max_tokens=tokens)
+            answer = self.read_with_cuts(engine, client, call, list(cuts))
+            self.assertEqual(answer, expected_text(call.prompt, tokens))
+            self.assertEqual(engine.record.runs(call.request_id), 1)
+
+    def read_with_cuts(self, engine, client, call, cuts):
+        texts, offset, stream_id = [], 0, None
+        while True:
+            engine.faults.cut_streams_after = cuts.pop() if cuts else None
+            if stream_id is None:
+                events = client.generate(call)
+            else:
+                resume = {"offset": offset, "request_id": call.request_id}
+                events = client.resume(stream_id, **resume)
+            try:
+                for event in events:
+                    texts.append(event.text)
+                    offset = event.offset + event.tokens
+                    stream_id = event.stream_id
+                return "".join(texts)
+            except EngineFailure as failure:
+                self.assertTrue(failure.sent)
+
+
+class OrderSenderTest(ClientCase):
+    def test_outcomes_of_orders_distinguish_no_effect_from_unknown_effect(self):
+        # An order that may have taken effect must be settled, not sent anew.
+        order = adapter_order("one")
+        self.engine.faults.lose_order_answers = 1
+        self.assertIsInstance(self.client.order(order, timeout_s=1.0), OrderUnknown)
+        self.assertIsInstance(self.client.order(order, timeout_s=1.0), OrderAccepted)
+        self.engine.crash()
+        self.assertIsInstance(self.client.order(order, timeout_s=1.0), OrderRefused)
+
+    def test_an_order_connection_discards_unsent_data_and_honours_its_deadline(self):
+        # Data that the kernel keeps could arrive after the authority was lost.
+        seen = []
+        real_connect = UpstreamConnection.connect
+
+        def connect(connection):
+            real_connect(connection)
+            linger = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, 8)
+            timeout_ms = connection.sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            seen.append((linger, timeout_ms))
+
+        UpstreamConnection.connect = connect
+        self.addCleanup(setattr, UpstreamConnection, "connect", real_connect)
+        self.client.order(role_order(), timeout_s=0.7)
+        linger = int.to_bytes(1, 4, "little") + bytes(4)
+        self.assertEqual(seen, [(linger, 700)])
+
+    def test_an_engine_that_never_answers_gives_unknown_within_the_timeout(self):
+        # A hanging order would hold the controller past its lease.
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        client = HttpEngineClient(f"127.0.0.1:{server.getsockname()[1]}")
+        with gevent.Timeout(5.0):
+            outcome = client.order(role_order(), timeout_s=0.2)
+        self.assertIsInstance(outcome, OrderUnknown)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_orders.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_orders.py
@@ -7,7 +7,6 @@
 
 import gevent
 from gevent.event import Event
-from loguru import logger
 
 from persimmonyoke.internal.upstreams.api import Role
 from persimmonyoke_testing.engine_record import EngineRecord, OrderRun
@@ -156,7 +155,6 @@
             self.configuration.version = body.get("version", self.configuration.version)
         self._kept[body["order_id"]].status = "done"
         self.open_order_id = None
-        logger.debug("[engine] {} finished {}", self.settings.name, action)
 
     def _change_role(self, role: Role) -> bool:
         timing = self.settings.timing
