Add clients by address and abandon idle connections after a caller's timeout

Open connections can stall together, so a timeout that the caller raises now purges the pool as the client's own timeout does.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/engine_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/engine_client.py
@@ -34,13 +34,15 @@
 NOT_RUN_HEADER = "X-Not-Run"
 INCARNATION_HEADER = "X-Engine-Incarnation"
 ERROR_BODY_BYTES = 512
+MAX_IDLE = 32
 
 
 class HttpEngineClient(EngineClient):
     """Call one engine over pooled connections.
 
     Safe to share between tasks. ``first_event_timeout_s`` and ``idle_timeout_s`` are
-    defaults for streams that do not set their own.
+    defaults for streams that do not set their own. With ``pooled`` false each call
+    opens a connection of its own, for use while open connections may be stalled.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         first_event_timeout_s: float = 30.0,
         idle_timeout_s: float = 5.0,
         probe_timeout_s: float = 0.5,
+        pooled: bool = True,
     ) -> None:
         limits = {
             "connect_timeout_s": connect_timeout_s,
@@ -70,7 +73,7 @@
         self.idle_timeout_s = idle_timeout_s
         self.probe_timeout_s = probe_timeout_s
         self.incarnation = ""
-        self._pool = ConnectionPool(address)
+        self._pool = ConnectionPool(address, max_idle=MAX_IDLE if pooled else 0)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -209,6 +212,12 @@
             connection.close()
             what = f"{method} {path.partition('?')[0]}"
             raise self._failure(connection, error, what, incarnation) from error
+        except GeneratorExit:
+            raise
+        except BaseException:
+            # A timeout of the caller: the idle connections may be stalled as well.
+            self._pool.purge()
+            raise
         finally:
             if reusable:
                 self._pool.release(connection)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_engine_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_engine_client.py
@@ -15,6 +15,7 @@
     OrderRefused,
     OrderUnknown,
 )
+from persimmonyoke.internal.upstreams.clients import UpstreamClients
 from persimmonyoke.internal.upstreams.connections import UpstreamConnection
 from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
 from persimmonyoke.internal.upstreams.probe import probe
@@ -121,6 +122,29 @@
         text = event.text + "".join(e.text for e in rest)
         self.assertEqual(text, expected_text(generate_call().prompt, 500))
 
+    def test_a_timeout_of_the_caller_abandons_all_idle_connections(self):
+        # Each stalled idle connection would cost one more request its first timeout.
+        self.client.state()
+        list(self.client.generate(generate_call("a", max_tokens=1)))
+        events = self.client.generate(generate_call("b", max_tokens=5_000))
+        next(events)
+        self.client.state()
+        self.engine.silence_open_connections()
+        with self.assertRaises(gevent.Timeout), gevent.Timeout(0.2):
+            list(events)
+        self.assertEqual(self.client.state().name, self.engine.name)
+
+    def test_a_fresh_client_leaves_stalled_connections_alone(self):
+        # Resuming over the connection that just stalled would stall again.
+        clients = UpstreamClients()
+        upstream = self.engine.upstream()
+        clients.engine(upstream).state()
+        self.engine.silence_open_connections()
+        with gevent.Timeout(2.0):
+            clients.engine(upstream, fresh=True).cancel("request-1")
+        clients.keep_only([])
+        self.assertIsNot(clients.engine(upstream), clients.engine(upstream, fresh=True))
+
 
 class OwnAnswerTest(ClientCase):
     def test_an_event_of_another_request_is_never_yielded(self):
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
@@ -86,22 +86,20 @@
     def test_a_higher_priority_runs_first(self):
         # Priorities that the engine ignores would hide a mistake in admission.
         engine, client = self.start(max_sequences=1)
-        order = []
-
-        def run(name, priority):
-            self.text(client, generate_call(name, priority=priority))
-            order.append(name)
-
         first = client.generate(generate_call("first", max_tokens=100_000))
         next(first)
         tasks = []
         for count, (name, priority) in enumerate([("low", 0), ("high", 5)], start=1):
-            tasks.append(gevent.spawn(run, name, priority))
+            call = generate_call(name, priority=priority)
+            tasks.append(gevent.spawn(self.text, client, call))
             queued = engine.core.scheduler.queued_sequences
             self.assertTrue(wait_until(lambda q=queued, c=count: q() == c))
         client.cancel("first")
         gevent.joinall(tasks)
-        self.assertEqual(order, ["high", "low"])
+        # The engine's own times, since client tasks may be woken in another order.
+        ended = sorted(engine.core.streams.values(), key=lambda s: s.finished_s)
+        order = [sequence.request_id for sequence in ended]
+        self.assertEqual(order, ["first", "high", "low"])
 
     def test_a_cancelled_request_ends_and_frees_its_slot(self):
         # Work of callers that are gone would otherwise fill the engine.
