--- a/packages/persimmonyoke/src/persimmonyoke/errors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/errors.py
@@ -175,7 +175,11 @@
         self.difference = difference
 
 
-class StoreUnavailable(PersimmonyokeError):
+class PlatformUnavailable(PersimmonyokeError):
+    """Report that a service of the platform did not answer."""
+
+
+class StoreUnavailable(PlatformUnavailable):
     """Report that a read from the key-value service failed."""
 
 
