Add the clients of the platform and simulators of its services

Cause: nodes read and write the key-value service, the host list and the weight store, each of which can be down, slow or lose an answer. Change: a store over the etcd v3 JSON gateway, a budget of calls shared by purpose, an HTTP host list and weight store; simulators over loopback sockets and an in-memory store that pass the same tests. WriteNotApplied is a kind of WriteUnknown for writes that definitely did not take effect. A watch stream silent for 3 s is opened anew, since connections can stall without an error.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
@@ -0,0 +1,204 @@
+"""Watch of the etcd v3 JSON gateway: one stream of JSON lines, reopened as needed."""
+
+import json
+import random
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from threading import Event, Thread
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.platform import etcd_json
+from persimmonyoke.internal.platform.budget import Operation, RateBudget
+from persimmonyoke.internal.platform.http_json import HttpFailure, parse_object, send
+from persimmonyoke.internal.platform.store import (
+    Purpose,
+    WatchCompacted,
+    WatchNotice,
+)
+
+IDLE_S = 3.0
+"""A stream without data for this long is opened anew.
+
+A connection can stall permanently while new ones work, and the gateway sends nothing
+on an idle stream. A configuration has to be in force within 5 s, also when the stream
+that should have brought it has stalled; a call each 3 s fits into the one call a second
+for which a waiting watch counts anyway.
+"""
+
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+CLOSER_CHECK_S = 1.0
+MAX_LINE_BYTES = 64 * 1024 * 1024
+
+log = part_logger("platform")
+
+
+class WatchLoop:
+    """Follow one prefix over streams that are opened one after the other."""
+
+    def __init__(
+        self,
+        pool: urllib3.HTTPConnectionPool,
+        *,
+        budget: RateBudget,
+        purpose: Purpose,
+        prefix: str,
+        from_revision: int,
+        on_event: Callable[[WatchNotice], None],
+        idle_s: float = IDLE_S,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._pool = pool
+        self._budget = budget
+        self._purpose = purpose
+        self._prefix = prefix
+        self._next_revision = max(1, from_revision)
+        self._on_event = on_event
+        self._idle_s = idle_s
+        self._rng = rng or random.Random()
+        self._response: urllib3.BaseHTTPResponse | None = None
+        self._ended = False
+
+    def run(self, stop: Event) -> None:
+        """Open stream after stream until ``stop`` is set."""
+        closer = Thread(target=self._close_on, args=(stop,), daemon=True)
+        closer.start()
+        try:
+            self._follow(stop)
+        finally:
+            self._ended = True
+
+    def _follow(self, stop: Event) -> None:
+        failures = 0
+        while not stop.is_set():
+            try:
+                self._follow_one_stream(stop)
+                failures = 0
+            except (HttpFailure, ProtocolError) as error:
+                if stop.is_set():
+                    return
+                failures += 1
+                log.warning("watch of {} failed: {}", self._prefix, error)
+                stop.wait(self._backoff_s(failures))
+
+    def _backoff_s(self, failures: int) -> float:
+        ceiling_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(failures, 10))
+        return self._rng.uniform(MIN_BACKOFF_S, ceiling_s)
+
+    def _close_on(self, stop: Event) -> None:
+        """Wake the reading task when the watch is stopped."""
+        while not stop.wait(CLOSER_CHECK_S):
+            if self._ended:
+                return
+        response = self._response
+        if response is not None:
+            _shut_down(response)
+
+    def _follow_one_stream(self, stop: Event) -> None:
+        """Read one stream until it ends or is silent for ``idle_s``."""
+        if not self._budget.acquire(
+            self._purpose, Operation.WATCH, timeout_s=self._idle_s
+        ):
+            raise HttpFailure("rate budget is spent", sent=False)
+        request = {
+            **etcd_json.prefix_fields(self._prefix),
+            "start_revision": str(self._next_revision),
+        }
+        with (
+            self._budget.watching(),
+            self._open_stream({"create_request": request}) as response,
+        ):
+            # The stop may have come before there was a stream to shut down.
+            if stop.is_set():
+                return
+            for line in _lines(response):
+                if stop.is_set():
+                    return
+                if self._handle(parse_object(line)):
+                    return
+
+    @contextmanager
+    def _open_stream(
+        self, body: Mapping[str, Any]
+    ) -> Iterator[urllib3.BaseHTTPResponse]:
+        response = send(
+            self._pool,
+            "POST",
+            "/v3/watch",
+            body,
+            timeout_s=self._idle_s,
+            stream=True,
+        )
+        self._response = response
+        try:
+            yield response
+        finally:
+            self._response = None
+            # A stream that was not read to its end can't carry another request.
+            response.close()
+
+    def _handle(self, answer: Mapping[str, Any]) -> bool:
+        """Report the events of one line; return true if the stream has ended."""
+        if "error" in answer:
+            raise ProtocolError(f"watch error: {json.dumps(answer['error'])[:200]}")
+        result = etcd_json.message(answer.get("result"), "result")
+        compact_revision = etcd_json.number(result, "compact_revision")
+        if compact_revision:
+            self._next_revision = max(self._next_revision, compact_revision)
+            self._on_event(WatchCompacted(compact_revision))
+            return True
+        if result.get("canceled"):
+            raise ProtocolError(f"watch cancelled: {result.get('cancel_reason', '')}")
+        for fields in etcd_json.messages(result.get("events"), "events"):
+            event = etcd_json.watch_event(fields)
+            # Events that an earlier stream has delivered are not reported twice.
+            if event.revision >= self._next_revision:
+                self._on_event(event)
+        self._advance(result)
+        return False
+
+    def _advance(self, result: Mapping[str, Any]) -> None:
+        """Move on past the revisions that this line has delivered."""
+        events = etcd_json.messages(result.get("events"), "events")
+        if events:
+            last = etcd_json.watch_event(events[-1]).revision
+            self._next_revision = max(self._next_revision, last + 1)
+        elif not result.get("created"):
+            # A line without events is a progress notice: all earlier ones were sent.
+            header = etcd_json.message(result.get("header"), "header")
+            reached = etcd_json.number(header, "revision")
+            self._next_revision = max(self._next_revision, reached + 1)
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the lines of a stream; end when it is closed or silent.
+
+    Raises ``HttpFailure`` if the stream breaks or a line is too long.
+    """
+    buffer = bytearray()
+    try:
+        for chunk in response.stream():
+            buffer += chunk
+            while (end := buffer.find(b"\n")) >= 0:
+                line = bytes(buffer[:end])
+                del buffer[: end + 1]
+                if line.strip():
+                    yield line
+            if len(buffer) > MAX_LINE_BYTES:
+                raise HttpFailure("line of the watch is too long", sent=True)
+    except urllib3.exceptions.ReadTimeoutError:
+        return
+    except (HTTPError, OSError) as error:
+        raise HttpFailure(f"stream broke: {error}", sent=True) from error
+
+
+def _shut_down(response: urllib3.BaseHTTPResponse) -> None:
+    try:
+        response.shutdown()
+    except (ValueError, RuntimeError, OSError) as error:
+        log.debug("stream was already closed: {}", error)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/http_json.py
@@ -0,0 +1,113 @@
+"""JSON calls over HTTP whose failures say whether a byte may have been sent."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    EmptyPoolError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from persimmonyoke.errors import ProtocolError
+
+CONNECT_TIMEOUT_S = 1.0
+POOL_CONNECTIONS = 16
+HEADERS = {"Content-Type": "application/json"}
+
+
+class HttpFailure(Exception):
+    """Report a call without a usable answer.
+
+    ``sent`` is false only if no byte of the request was written. ``status`` is the HTTP
+    status of an error answer, else 0.
+    """
+
+    def __init__(self, reason: str, *, sent: bool, status: int = 0) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+        self.status = status
+
+
+def connection_pool(base_url: str) -> urllib3.HTTPConnectionPool:
+    """Return a pool of connections to one service, which never retries by itself."""
+    return urllib3.connection_from_url(
+        base_url,
+        maxsize=POOL_CONNECTIONS,
+        block=False,
+        retries=False,
+        headers=HEADERS,
+    )
+
+
+def send(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    path: str,
+    body: Any = None,
+    *,
+    timeout_s: float,
+    stream: bool = False,
+) -> urllib3.BaseHTTPResponse:
+    """Send one request; raise ``HttpFailure`` without an answer of status 200."""
+    timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+    encoded = None if body is None else json.dumps(body).encode()
+    try:
+        response = pool.urlopen(
+            method,
+            path,
+            body=encoded,
+            timeout=timeout,
+            retries=False,
+            redirect=False,
+            preload_content=not stream,
+        )
+    except (NewConnectionError, ConnectTimeoutError, EmptyPoolError) as error:
+        raise HttpFailure(f"not connected: {error}", sent=False) from error
+    except (HTTPError, OSError) as error:
+        raise HttpFailure(f"no answer: {error}", sent=True) from error
+    if response.status != 200:
+        reason = f"status {response.status}: {_error_text(response, stream)}"
+        raise HttpFailure(reason, sent=True, status=response.status)
+    return response
+
+
+def call_json(
+    pool: urllib3.HTTPConnectionPool,
+    method: str,
+    path: str,
+    body: Any = None,
+    *,
+    timeout_s: float,
+) -> Mapping[str, Any]:
+    """Send one request and return the JSON object of its answer.
+
+    Raises ``HttpFailure``; an answer that is not a JSON object counts as none.
+    """
+    response = send(pool, method, path, body, timeout_s=timeout_s)
+    try:
+        return parse_object(response.data)
+    except ProtocolError as error:
+        raise HttpFailure(f"invalid answer: {error}", sent=True) from error
+
+
+def parse_object(raw: bytes) -> Mapping[str, Any]:
+    """Return a JSON object; raise ``ProtocolError`` otherwise."""
+    try:
+        parsed = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        raise ProtocolError(f"not JSON: {error}") from error
+    if not isinstance(parsed, dict):
+        raise ProtocolError("not a JSON object")
+    return parsed
+
+
+def _error_text(response: urllib3.BaseHTTPResponse, stream: bool) -> str:
+    if stream:
+        response.close()
+        return "no stream"
+    return response.data[:200].decode("utf-8", "replace")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/store.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/store.py
@@ -3,11 +3,24 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 from threading import Event
 
 EXPECT_ABSENT = 0
 """Value of ``expected_revision`` that creates a key only if it is absent."""
 
+MAX_VALUE_BYTES = 1_000_000
+"""Size limit of the key-value service."""
+
+
+class Purpose(StrEnum):
+    """Name the duties that share the calls to the key-value service."""
+
+    CONFIG = "config"
+    CLAIMS = "claims"
+    AUTHORITY = "authority"
+    OTHER = "other"
+
 
 @dataclass(frozen=True)
 class KeyValue:
@@ -41,6 +54,16 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class WriteNotApplied(WriteUnknown):
+    """Say that the write did not and will not take effect.
+
+    The connection could not be opened, the budget refused the call, or the service
+    rejected it. It is a kind of ``WriteUnknown``, so that code which doesn't tell the
+    two apart takes the safe branch.
+    """
+
+
 WriteOutcome = WriteApplied | WriteConflict | WriteUnknown
 
 
@@ -67,9 +90,14 @@
     """Read, compare-and-swap, lease and watch keys of the key-value service.
 
     Reads and lease calls raise ``StoreUnavailable``. A write whose answer was lost is
-    ``WriteUnknown``, a value, so that no caller can take it for a failed write.
+    ``WriteUnknown``, a value, so that no caller can take it for a failed write. A value
+    above ``MAX_VALUE_BYTES`` raises ``ValueError``.
     """
 
+    def for_purpose(self, purpose: Purpose) -> "KeyValueStore":
+        """Return this store with its calls counted for a purpose."""
+        return self
+
     @abstractmethod
     def get(self, key: str) -> KeyValue | None:
         """Return the key's value, or ``None`` if the key is absent."""
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
@@ -0,0 +1,100 @@
+"""HTTP servers of the simulators on loopback sockets."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.select import select
+
+SOCKET_KEY = "persimmonyoke.socket"
+LOOPBACK = "127.0.0.1"
+
+
+class ConnectionAborted(Exception):
+    """End a request without an answer."""
+
+
+class _Handler(WSGIHandler):
+    """Give the application its socket, so that it can break the connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def handle_error(self, error_type: Any, value: Any, trace: Any) -> None:
+        if not isinstance(value, ConnectionAborted):
+            super().handle_error(error_type, value, trace)
+        self.close_connection = True
+
+
+def abort_connection(environ: dict[str, Any]) -> None:
+    """Close the request's connection without an answer; never returns."""
+    close_quietly(environ[SOCKET_KEY])
+    raise ConnectionAborted
+
+
+def close_quietly(connection: socket.socket) -> None:
+    """Shut a socket down in both directions."""
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The peer was faster.
+        pass
+
+
+def peer_has_closed(connection: socket.socket) -> bool:
+    """Say whether the peer has closed its side, without waiting."""
+    try:
+        # A gevent socket waits even with MSG_DONTWAIT, so it is only read if readable.
+        readable, _, _ = select([connection], [], [], 0)
+        return bool(readable) and connection.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
+        return True
+
+
+class LoopbackServer:
+    """Serve a WSGI application on a loopback port that stays the same."""
+
+    def __init__(self, application: Callable[..., Any], *, port: int = 0) -> None:
+        self._application = application
+        self._server: WSGIServer | None = None
+        self.port = port
+
+    @property
+    def address(self) -> str:
+        """Return ``ip:port``."""
+        return f"{LOOPBACK}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.address}"
+
+    @property
+    def listening(self) -> bool:
+        """Say whether connections are accepted."""
+        return self._server is not None
+
+    def start(self) -> None:
+        """Accept connections; the first start chooses the port."""
+        if self._server is not None:
+            return
+        self._server = WSGIServer(
+            (LOOPBACK, self.port),
+            self._application,
+            log=None,
+            # The server can end only the connections of a pool.
+            spawn=Pool(),
+            handler_class=_Handler,
+        )
+        self._server.start()
+        self.port = self._server.server_port
+
+    def stop(self) -> None:
+        """Refuse connections and break the open ones."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop(timeout=0)
