Give up idle connections after a call without an answer

Cause: connections to a platform service can stall together while new ones work; one timeout of 2 s for each pooled connection could outlast a lease of 10 s. Change: a call without an answer replaces the pool. The simulator stalls all open connections, not only watches, so the test of a stalled watch writes from another client.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_store.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_store.py
@@ -5,16 +5,14 @@
 from threading import Event
 from typing import Any
 
-import urllib3
-
 from persimmonyoke.errors import ProtocolError, StoreUnavailable
 from persimmonyoke.internal.platform import etcd_json
 from persimmonyoke.internal.platform.budget import Operation, RateBudget
 from persimmonyoke.internal.platform.etcd_watch import IDLE_S, WatchLoop
 from persimmonyoke.internal.platform.http_json import (
+    Connections,
     HttpFailure,
     call_json,
-    connection_pool,
 )
 from persimmonyoke.internal.platform.store import (
     MAX_VALUE_BYTES,
@@ -48,7 +46,7 @@
         purpose: Purpose = Purpose.OTHER,
         timeout_s: float = CALL_TIMEOUT_S,
         watch_idle_s: float = IDLE_S,
-        pool: urllib3.HTTPConnectionPool | None = None,
+        connections: Connections | None = None,
     ) -> None:
         if timeout_s <= 0:
             raise ValueError(f"timeout_s is {timeout_s}; accepted: above 0")
@@ -57,7 +55,7 @@
         self._purpose = purpose
         self._timeout_s = timeout_s
         self._watch_idle_s = watch_idle_s
-        self._pool = pool if pool is not None else connection_pool(base_url)
+        self._connections = connections or Connections(base_url)
 
     def for_purpose(self, purpose: Purpose) -> "EtcdGatewayStore":
         """Return a store that shares the connections and counts for a purpose."""
@@ -67,7 +65,7 @@
             purpose=purpose,
             timeout_s=self._timeout_s,
             watch_idle_s=self._watch_idle_s,
-            pool=self._pool,
+            connections=self._connections,
         )
 
     def get(self, key: str) -> KeyValue | None:
@@ -137,7 +135,7 @@
     ) -> None:
         """Report each write under a prefix until ``stop`` is set."""
         WatchLoop(
-            self._pool,
+            self._connections,
             budget=self._budget,
             purpose=self._purpose,
             prefix=prefix,
@@ -161,7 +159,9 @@
         if not self._acquire(operation):
             raise StoreUnavailable(self._refusal())
         try:
-            return call_json(self._pool, "POST", path, body, timeout_s=self._timeout_s)
+            return call_json(
+                self._connections, "POST", path, body, timeout_s=self._timeout_s
+            )
         except HttpFailure as failure:
             raise StoreUnavailable(f"{path}: {failure.reason}") from failure
 
@@ -173,7 +173,7 @@
         body = etcd_json.compare_revision_txn(key, expected_revision, success)
         try:
             answer = call_json(
-                self._pool, "POST", "/v3/kv/txn", body, timeout_s=self._timeout_s
+                self._connections, "POST", "/v3/kv/txn", body, timeout_s=self._timeout_s
             )
             return _txn_outcome(answer)
         except HttpFailure as failure:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
@@ -14,7 +14,12 @@
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.platform import etcd_json
 from persimmonyoke.internal.platform.budget import Operation, RateBudget
-from persimmonyoke.internal.platform.http_json import HttpFailure, parse_object, send
+from persimmonyoke.internal.platform.http_json import (
+    Connections,
+    HttpFailure,
+    parse_object,
+    send,
+)
 from persimmonyoke.internal.platform.store import (
     Purpose,
     WatchCompacted,
@@ -43,7 +48,7 @@
 
     def __init__(
         self,
-        pool: urllib3.HTTPConnectionPool,
+        connections: Connections,
         *,
         budget: RateBudget,
         purpose: Purpose,
@@ -53,7 +58,7 @@
         idle_s: float = IDLE_S,
         rng: random.Random | None = None,
     ) -> None:
-        self._pool = pool
+        self._connections = connections
         self._budget = budget
         self._purpose = purpose
         self._prefix = prefix
@@ -127,7 +132,7 @@
         self, body: Mapping[str, Any]
     ) -> Iterator[urllib3.BaseHTTPResponse]:
         response = send(
-            self._pool,
+            self._connections,
             "POST",
             "/v3/watch",
             body,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/hosts.py
@@ -8,9 +8,9 @@
 
 from persimmonyoke.errors import PlatformUnavailable
 from persimmonyoke.internal.platform.http_json import (
+    Connections,
     HttpFailure,
     call_json,
-    connection_pool,
 )
 
 CALL_TIMEOUT_S = 2.0
@@ -58,7 +58,7 @@
     def __init__(self, base_url: str, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
         if timeout_s <= 0:
             raise ValueError(f"timeout_s is {timeout_s}; accepted: above 0")
-        self._pool = connection_pool(base_url)
+        self._connections = Connections(base_url)
         self._timeout_s = timeout_s
 
     def list_hosts(self) -> tuple[HostEntry, ...]:
@@ -68,7 +68,9 @@
         of it would look as if it had left.
         """
         try:
-            answer = call_json(self._pool, "GET", "/hosts", timeout_s=self._timeout_s)
+            answer = call_json(
+                self._connections, "GET", "/hosts", timeout_s=self._timeout_s
+            )
         except HttpFailure as failure:
             raise PlatformUnavailable(f"host list: {failure.reason}") from failure
         raw = answer.get("hosts")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/http_json.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/http_json.py
@@ -33,19 +33,36 @@
         self.status = status
 
 
-def connection_pool(base_url: str) -> urllib3.HTTPConnectionPool:
-    """Return a pool of connections to one service, which never retries by itself."""
-    return urllib3.connection_from_url(
-        base_url,
-        maxsize=POOL_CONNECTIONS,
-        block=False,
-        retries=False,
-        headers=HEADERS,
-    )
+class Connections:
+    """Hold the pool of connections to one service, which never retries by itself.
+
+    Connections can stall permanently while new ones work. After a call without an
+    answer all idle connections are given up, since they may have stalled together;
+    trying them one after the other could outlast a lease.
+    """
+
+    def __init__(self, base_url: str) -> None:
+        self._base_url = base_url
+        self.pool = self._new_pool()
+
+    def give_up_idle(self, used: urllib3.HTTPConnectionPool) -> None:
+        """Replace the pool, unless another call has done so since it was taken."""
+        if used is self.pool:
+            self.pool = self._new_pool()
+            used.close()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        return urllib3.connection_from_url(
+            self._base_url,
+            maxsize=POOL_CONNECTIONS,
+            block=False,
+            retries=False,
+            headers=HEADERS,
+        )
 
 
 def send(
-    pool: urllib3.HTTPConnectionPool,
+    connections: Connections,
     method: str,
     path: str,
     body: Any = None,
@@ -56,6 +73,7 @@
     """Send one request; raise ``HttpFailure`` without an answer of status 200."""
     timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
     encoded = None if body is None else json.dumps(body).encode()
+    pool = connections.pool
     try:
         response = pool.urlopen(
             method,
@@ -69,6 +87,7 @@
     except (NewConnectionError, ConnectTimeoutError, EmptyPoolError) as error:
         raise HttpFailure(f"not connected: {error}", sent=False) from error
     except (HTTPError, OSError) as error:
+        connections.give_up_idle(pool)
         raise HttpFailure(f"no answer: {error}", sent=True) from error
     if response.status != 200:
         reason = f"status {response.status}: {_error_text(response, stream)}"
@@ -77,7 +96,7 @@
 
 
 def call_json(
-    pool: urllib3.HTTPConnectionPool,
+    connections: Connections,
     method: str,
     path: str,
     body: Any = None,
@@ -88,7 +107,7 @@
 
     Raises ``HttpFailure``; an answer that is not a JSON object counts as none.
     """
-    response = send(pool, method, path, body, timeout_s=timeout_s)
+    response = send(connections, method, path, body, timeout_s=timeout_s)
     try:
         return parse_object(response.data)
     except ProtocolError as error:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
@@ -281,10 +281,28 @@
         self.addCleanup(watch.close)
         self.write("/p/a", b"1")
         wait_until(lambda: watch.values() == [b"1"])
-        self.service.stall_open_watches()
-        self.write("/p/b", b"2")
+        self.service.stall_open_connections()
+        # Another client writes, since the connections of this one have stalled too.
+        writer = EtcdGatewayStore(self.service.url, budget=self.budget)
+        writer.compare_and_swap("/p/b", b"2", expected_revision=0)
         wait_until(lambda: watch.values() == [b"1", b"2"], timeout_s=3 * WATCH_IDLE_S)
 
+    def test_idle_connections_that_stalled_together_cost_one_timeout(self):
+        # One timeout for each of them could outlast the lease of an authority.
+        tasks = [
+            threading.Thread(target=self.store.get, args=("/p/a",)) for _ in range(8)
+        ]
+        self.faults.slow_s = 0.05
+        for task in tasks:
+            task.start()
+        for task in tasks:
+            task.join()
+        self.faults.slow_s = 0.0
+        self.service.stall_open_connections()
+        with self.assertRaises(StoreUnavailable):
+            self.store.get("/p/a")
+        self.assertIsNone(self.store.get("/p/a"))
+
     def test_calls_are_counted_by_purpose_as_the_service_sees_them(self):
         # The account of calls would otherwise not match the load on the service.
         claims = self.store.for_purpose(Purpose.CLAIMS)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/weights.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/weights.py
@@ -10,9 +10,9 @@
 
 from persimmonyoke.errors import PlatformUnavailable
 from persimmonyoke.internal.platform.http_json import (
+    Connections,
     HttpFailure,
     call_json,
-    connection_pool,
 )
 
 CALL_TIMEOUT_S = 2.0
@@ -76,7 +76,7 @@
     ) -> None:
         if timeout_s <= 0:
             raise ValueError(f"timeout_s is {timeout_s}; accepted: above 0")
-        self._pool = connection_pool(base_url)
+        self._connections = Connections(base_url)
         self._timeout_s = timeout_s
         self._clock = clock
         self._sleep = sleep
@@ -86,7 +86,9 @@
         """Return the weights' size, or ``None``; raise ``PlatformUnavailable``."""
         path = f"/weights/{quote(model, safe='')}/{quote(version, safe='')}"
         try:
-            answer = call_json(self._pool, "GET", path, timeout_s=self._timeout_s)
+            answer = call_json(
+                self._connections, "GET", path, timeout_s=self._timeout_s
+            )
         except HttpFailure as failure:
             if failure.status == 404:
                 return None
@@ -117,7 +119,7 @@
         body = {"model": model, "version": version}
         try:
             return call_json(
-                self._pool, "POST", "/slots", body, timeout_s=self._timeout_s
+                self._connections, "POST", "/slots", body, timeout_s=self._timeout_s
             )
         except HttpFailure as failure:
             raise PlatformUnavailable(f"weight store: {failure.reason}") from failure
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/key_value_standin.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/key_value_standin.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
+from weakref import WeakSet
 
 import bottle
 
@@ -24,21 +25,23 @@
 )
 
 Json = dict[str, Any]
+STALL_CHECK_S = 0.05
 
 
 class KeyValueStandIn:
     """Serve the key-value service on a loopback port, with fault switches.
 
     ``faults`` and ``counts`` hold the switches and counters; ``set_down`` refuses
-    connections; ``stall_open_watches`` keeps the present watch connections open
-    without ever sending on them again; ``compact`` forgets the history.
+    connections; ``stall_open_connections`` keeps the present connections open without
+    ever sending on them again; ``compact`` forgets the history.
     """
 
     def __init__(self, *, port: int = 0) -> None:
         self.state = KeyValueState()
         self.faults = StoreFaults()
         self.counts = StoreCounts()
-        self._stall_generation = 0
+        self._connections: WeakSet[Any] = WeakSet()
+        self._stalled: WeakSet[Any] = WeakSet()
         self._server = LoopbackServer(self._application(), port=port)
 
     @property
@@ -66,9 +69,9 @@
         """Forget all events up to now."""
         self.state.compact()
 
-    def stall_open_watches(self) -> None:
-        """Never send again on the watches that are open now."""
-        self._stall_generation += 1
+    def stall_open_connections(self) -> None:
+        """Never send again on the connections that are open now."""
+        self._stalled |= self._connections
 
     def _application(self) -> bottle.Bottle:
         app = bottle.Bottle()
@@ -88,6 +91,10 @@
 
     def _endpoint(self, handler: Callable[[Json], Any]) -> Callable[[], Any]:
         def serve() -> Any:
+            connection = bottle.request.environ[SOCKET_KEY]
+            self._connections.add(connection)
+            while connection in self._stalled:
+                time.sleep(STALL_CHECK_S)
             body = json.loads(bottle.request.environ["wsgi.input"].read())
             if self.faults.slow_s:
                 time.sleep(self.faults.slow_s)
@@ -188,12 +195,12 @@
     def _watch_lines(
         self, environ: Json, revision: int, accept: Callable[[str], bool]
     ) -> Iterator[bytes]:
-        generation = self._stall_generation
+        connection = environ[SOCKET_KEY]
         self.counts.waiting_watches += 1
         try:
             yield _line({"header": self._header(), "created": True})
-            while not peer_has_closed(environ[SOCKET_KEY]):
-                stalled = generation != self._stall_generation
+            while not peer_has_closed(connection):
+                stalled = connection in self._stalled
                 events = [] if stalled else self.state.events_from(revision, accept)
                 if events:
                     yield _line({"header": self._header(), "events": _events(events)})
