Add presets, revisions of the configuration and the view in force

Cause: operators change presets concurrently, while the store loses answers and goes down; an accepted configuration must never revert. Change: strict TOML presets with one level of inheritance; revisions in CBOR under numbers that are created once; a log that settles lost answers by write id and shows conflicts as differences; a view that moves to higher numbers only; a loop that follows the store through outages and compaction.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
@@ -1,1 +1,61 @@
 """Presets, revisions of the configuration and the view that is in force."""
+
+from persimmonyoke.internal.presets.difference import (
+    preset_difference,
+    revision_difference,
+)
+from persimmonyoke.internal.presets.model import (
+    AdmissionPolicy,
+    Deadlines,
+    ModelSpec,
+    PoolKind,
+    PoolPolicy,
+    Preset,
+    RetryPolicy,
+    ServicePolicy,
+    WorkspacePolicy,
+)
+from persimmonyoke.internal.presets.parser import check_presets, parse_preset
+from persimmonyoke.internal.presets.revision import (
+    ChangeAction,
+    Revision,
+    decode_revision,
+    encode_revision,
+)
+from persimmonyoke.internal.presets.revision_log import (
+    Accepted,
+    Change,
+    Conflict,
+    ProposeOutcome,
+    RevisionLog,
+    Unsettled,
+)
+from persimmonyoke.internal.presets.view import ConfigurationView, follow_revisions
+
+__all__ = [
+    "Accepted",
+    "AdmissionPolicy",
+    "Change",
+    "ChangeAction",
+    "ConfigurationView",
+    "Conflict",
+    "Deadlines",
+    "ModelSpec",
+    "PoolKind",
+    "PoolPolicy",
+    "Preset",
+    "ProposeOutcome",
+    "RetryPolicy",
+    "Revision",
+    "RevisionLog",
+    "ServicePolicy",
+    "Unsettled",
+    "WorkspacePolicy",
+    "check_presets",
+    "decode_revision",
+    "encode_revision",
+    "follow_revisions",
+    "parse_preset",
+    "preset_difference",
+    "revision_difference",
+]
