Test authority and send a fencing number that grows with each order

Ruled out: the successor's settlement, which resends under its own number. Change: the number is the store revision of the last write of the order record. Failed subtests are now counted as failures in the totals.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/lease.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/lease.py
@@ -12,7 +12,8 @@
     KeyValue,
     KeyValueStore,
     WriteApplied,
-    WriteConflict,
+    WriteNotApplied,
+    WriteUnknown,
 )
 
 RENEWALS_PER_LEASE = 4
@@ -102,12 +103,11 @@
         match outcome:
             case WriteApplied(revision):
                 return self._hold(revision, lease_id, now_s)
-            case WriteConflict():
-                self._revoke(lease_id)
-                return None
-            case _:
+            case WriteUnknown() if not isinstance(outcome, WriteNotApplied):
                 self._pending = (write_id, lease_id, now_s)
-                return None
+            case _:
+                self._revoke(lease_id)
+        return None
 
     def renew(self, *, now_s: float) -> bool:
         """Renew the lease; return whether it is still held.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/orders.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from persimmonyoke.errors import StoreUnavailable
 from persimmonyoke.internal.authority.lease import Authority
 from persimmonyoke.internal.authority.record import (
     AuthorityChange,
@@ -22,6 +23,7 @@
     KeyValueStore,
     WriteApplied,
     WriteConflict,
+    WriteNotApplied,
 )
 from persimmonyoke.internal.upstreams.api import (
     EngineClient,
@@ -121,7 +123,7 @@
             raise AuthorityLost(f"record has fencing number {self.record.fencing}")
         change = AuthorityChange(self._holder, authority.fencing, now_unix_s)
         if self.record.fencing < authority.fencing:
-            self._write(self.record.with_authority(change), authority)
+            self._write(self.record.with_authority(change))
 
     def settle_open_orders(self, *, now_s: float, now_unix_s: float) -> bool:
         """Settle each open order as far as its engine can be asked.
@@ -164,7 +166,7 @@
             reason=reason,
             recorded_unix_s=now_unix_s,
         )
-        self._write(self.record.with_open(entry), authority)
+        self._write(self.record.with_open(entry))
         # The write may have taken long, so the time is read again before sending.
         now_s = self._clock_s()
         if self._authority(now_s) is None:
@@ -189,10 +191,13 @@
             f"order {entry.order_id} for {entry.engine} without authority",
         )
         timeout_s = min(self._order_deadline_s, authority.remaining_s(now_s))
+        # The record's last revision grows with each order and exceeds the number of
+        # the acquisition, so that a packet of an earlier order of this holder is
+        # refused as well.
         order = Order(
             entry.order_id,
             entry.engine,
-            authority.fencing,
+            self._revision,
             entry.action,
             dict(entry.arguments),
         )
@@ -263,7 +268,7 @@
         settled = self.record.with_settled(
             entry.order_id, status, detail, now_unix_s=now_unix_s
         )
-        self._write(settled, None)
+        self._write(settled)
 
     def _read(self) -> None:
         current = self._store.get(self._key)
@@ -274,11 +279,12 @@
         self._revision = current.mod_revision
         self.record = decode_record(current.value)
 
-    def _write(self, record: OrderRecord, authority: Authority | None) -> None:
+    def _write(self, record: OrderRecord) -> None:
         """Write the record; raise ``AuthorityLost`` unless it is known to be applied.
 
-        An unknown outcome ends this holder's turn: the record it works from may be
-        stale, and a successor (or this process after a new acquisition) reads it again.
+        Raises ``StoreUnavailable`` if it is known that nothing was written. An unknown
+        outcome ends this holder's turn: the record it works from may be stale, and a
+        successor (or this process after a new acquisition) reads it again.
         """
         write_id = secrets.token_hex(8)
         stamped = replace(record, write_id=write_id)
@@ -296,6 +302,8 @@
                 # A transport retry found our own first write.
                 self._revision = current.mod_revision
                 self.record = stamped
+            case WriteNotApplied(reason):
+                raise StoreUnavailable(f"order record was not written: {reason}")
             case WriteConflict():
                 raise AuthorityLost("another controller wrote the order record")
             case _:
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/tests/test_lease.py
@@ -0,0 +1,107 @@
+"""Tests of the lease of a pool."""
+
+import unittest
+
+from persimmonyoke.errors import StoreUnavailable
+from persimmonyoke_testing.builders_authority import LEASE_S, build_pair
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self):
+        self.first, self.second, self.engine = build_pair()
+        self.clock = self.first.clock
+
+    def test_only_one_of_two_controllers_acquires_the_lease(self):
+        # Two holders at once would send conflicting orders.
+        self.assertTrue(self.first.acquire())
+        self.assertFalse(self.second.acquire())
+        self.assertEqual(self.second.lease.holder_of_record(), "c1")
+
+    def test_a_successor_gets_a_higher_fencing_number_after_the_lease_lapsed(self):
+        # An equal number would let an engine take orders of the former holder.
+        self.first.acquire()
+        self.clock.advance(LEASE_S + 0.1)
+        self.assertTrue(self.second.acquire())
+        first, second = self.first.lease.authority, self.second.lease.authority
+        self.assertGreater(second.fencing, first.fencing)
+
+    def test_authority_ends_for_the_holder_before_the_lease_ends_in_the_store(self):
+        # Counting from the answer instead of the request would overlap a successor.
+        self.first.store.faults.slow_s = 0.5
+        started_s = self.clock()
+        self.assertTrue(self.first.acquire())
+        self.assertGreater(self.clock(), started_s)
+        self.assertLess(self.first.lease.authority.expires_s, started_s + LEASE_S)
+        self.clock.now_s = self.first.lease.authority.expires_s
+        self.assertIsNone(self.first.lease.check(now_s=self.clock()))
+
+    def test_the_kernel_timer_ends_the_process_before_a_successor_can_acquire(self):
+        # A holder paused past its lease must not run again.
+        self.first.acquire()
+        deadline_s = self.first.timer.deadline_s
+        self.assertLess(deadline_s, self.clock() + LEASE_S)
+        self.assertGreater(deadline_s, self.first.lease.authority.expires_s)
+
+    def test_a_renewal_moves_the_end_and_the_timer(self):
+        self.first.acquire()
+        before = self.first.timer.deadline_s
+        self.clock.advance(1.0)
+        self.assertTrue(self.first.lease.renew(now_s=self.clock()))
+        self.assertAlmostEqual(self.first.timer.deadline_s, before + 1.0)
+
+    def test_a_renewal_during_an_outage_keeps_the_old_end(self):
+        # Extending without the store would let two controllers hold authority.
+        self.first.acquire()
+        expires_s = self.first.lease.authority.expires_s
+        self.clock.advance(1.0)
+        self.first.store.faults.down = True
+        self.assertTrue(self.first.lease.renew(now_s=self.clock()))
+        self.assertEqual(self.first.lease.authority.expires_s, expires_s)
+
+    def test_giving_up_after_an_outage_cancels_the_timer(self):
+        # A process that runs and knows that it lost authority need not be ended.
+        self.first.acquire()
+        self.clock.advance(LEASE_S)
+        self.assertIsNone(self.first.lease.check(now_s=self.clock()))
+        self.assertIsNone(self.first.timer.deadline_s)
+
+    def test_a_renewal_of_a_lapsed_lease_gives_up_authority(self):
+        self.first.acquire()
+        self.first.state.revoke(self.first.lease.authority.lease_id)
+        self.assertFalse(self.first.lease.renew(now_s=self.clock()))
+        self.assertIsNone(self.first.lease.authority)
+
+    def test_an_acquisition_with_a_lost_answer_is_settled_by_its_write_id(self):
+        # Taking the lost answer for a failure would block the pool for a whole lease.
+        self.first.store.faults.lose_answers = 1
+        self.assertFalse(self.first.acquire())
+        started_s = self.clock()
+        self.clock.advance(0.5)
+        self.assertTrue(self.first.acquire())
+        expires_s = self.first.lease.authority.expires_s
+        self.assertLess(expires_s, started_s + LEASE_S)
+
+    def test_an_acquisition_with_a_lost_request_is_tried_again(self):
+        self.first.store.faults.lose_requests = 1
+        self.assertFalse(self.first.acquire())
+        self.assertFalse(self.first.acquire())
+        self.assertTrue(self.first.acquire())
+
+    def test_an_acquisition_settled_too_late_is_given_back(self):
+        # Little of the lease would be left, and none of it could be trusted.
+        self.first.store.faults.lose_answers = 1
+        self.first.acquire()
+        self.clock.advance(LEASE_S * 0.6)
+        self.assertFalse(self.first.acquire())
+        self.assertTrue(self.second.acquire())
+
+    def test_a_released_lease_is_free_at_once(self):
+        # A planned stop must not leave the pool without a controller for a lease.
+        self.first.acquire()
+        self.first.lease.release()
+        self.assertTrue(self.second.acquire())
+
+    def test_acquiring_while_the_store_is_down_raises(self):
+        self.first.store.faults.down = True
+        with self.assertRaises(StoreUnavailable):
+            self.first.acquire()
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_authority.py
@@ -0,0 +1,265 @@
+"""Builders for tests of the authority over engines."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+from persimmonyoke.internal.authority.controller import (
+    OrderPlanner,
+    PlannedOrder,
+    PoolController,
+)
+from persimmonyoke.internal.authority.lease import AuthorityLease
+from persimmonyoke.internal.authority.orders import IssueOutcome, OrderIssuer
+from persimmonyoke.internal.authority.timer import LeaseTimer
+from persimmonyoke.internal.upstreams.api import (
+    CacheEventBatch,
+    EngineClient,
+    EngineFailure,
+    EngineState,
+    GenerateCall,
+    LoadReport,
+    Order,
+    OrderAccepted,
+    OrderOutcome,
+    OrderRefused,
+    OrderUnknown,
+    Role,
+    StreamEvent,
+)
+from persimmonyoke_testing.key_value_state import KeyValueState
+from persimmonyoke_testing.memory_store import MemoryStore
+
+POOL = "llm-pool"
+LEASE_S = 4.0
+ORDER_DEADLINE_S = 2.0
+LEASE_KEY = "/persimmonyoke/kente/authority/llm-pool"
+RECORD_KEY = "/persimmonyoke/kente/orders/llm-pool"
+
+
+@dataclass
+class ManualClock:
+    """Stand still until a test moves the time."""
+
+    now_s: float = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+    def advance(self, seconds: float) -> None:
+        """Move the time forward."""
+        self.now_s += seconds
+
+
+class RecordingTimer(LeaseTimer):
+    """Remember the deadline, so that a test can see when the kernel would act."""
+
+    def __init__(self) -> None:
+        self.deadline_s: float | None = None
+
+    def arm(self, pool: str, deadline_s: float) -> None:
+        """Remember the deadline."""
+        self.deadline_s = deadline_s
+
+    def disarm(self, pool: str) -> None:
+        """Forget the deadline."""
+        self.deadline_s = None
+
+
+class FakeEngine(EngineClient):
+    """Take orders in memory and note each one with its fencing number.
+
+    ``delay_next`` holds the next order back until ``deliver_late`` is called, as a
+    packet under way does; ``lose_next_answer`` takes the order but loses the answer.
+    """
+
+    def __init__(self, name: str, *, checks_fencing: bool = True) -> None:
+        self.checks_fencing = checks_fencing
+        self.delay_next = False
+        self.lose_next_answer = False
+        self.unreachable = False
+        self.taken: list[Order] = []
+        self.conflicts: list[tuple[str, str]] = []
+        self._late: list[Order] = []
+        self.reported = EngineState(
+            name, "run-1", Role.MIXED, ("m",), (), "1", 0, None, None, None, 0
+        )
+
+    def state(self) -> EngineState:
+        """Return the state."""
+        if self.unreachable:
+            raise EngineFailure("unreachable", sent=False)
+        return self.reported
+
+    def order(self, order: Order, *, timeout_s: float) -> OrderOutcome:
+        """Take an order, unless a fault is set."""
+        if self.unreachable:
+            return OrderUnknown(order.order_id, "unreachable")
+        if self.delay_next:
+            self.delay_next = False
+            self._late.append(order)
+            return OrderUnknown(order.order_id, "timed out")
+        outcome = self._take(order)
+        if self.lose_next_answer:
+            self.lose_next_answer = False
+            return OrderUnknown(order.order_id, "answer lost")
+        return outcome
+
+    def deliver_late(self) -> list[OrderOutcome]:
+        """Let the orders arrive that were held back."""
+        late, self._late = self._late, []
+        return [self._take(order) for order in late]
+
+    def drop_late(self) -> None:
+        """Lose the orders that were held back."""
+        self._late.clear()
+
+    def finish(self, status: str = "done") -> None:
+        """End the open order."""
+        self.reported = replace(
+            self.reported,
+            open_order_id=None,
+            last_order_id=self.reported.open_order_id,
+            last_order_status=status,
+        )
+
+    def restart(self) -> None:
+        """Start again without memory of orders."""
+        self.reported = replace(
+            self.reported,
+            incarnation="run-2",
+            fencing=0,
+            open_order_id=None,
+            last_order_id=None,
+            last_order_status=None,
+        )
+
+    def _take(self, order: Order) -> OrderOutcome:
+        state = self.reported
+        if order.order_id in (state.open_order_id, state.last_order_id):
+            return OrderAccepted(order.order_id)
+        if self.checks_fencing and order.fencing < state.fencing:
+            return OrderRefused(order.order_id, "old fencing number")
+        if state.open_order_id is not None:
+            self.conflicts.append((state.open_order_id, order.order_id))
+            if self.checks_fencing:
+                return OrderRefused(order.order_id, "another order is open")
+        self.taken.append(order)
+        fencing = max(state.fencing, order.fencing)
+        self.reported = replace(state, open_order_id=order.order_id, fencing=fencing)
+        return OrderAccepted(order.order_id)
+
+    def generate(self, call: GenerateCall) -> Iterator[StreamEvent]:
+        """Fail, since these tests send no work."""
+        raise EngineFailure("not an inference test", sent=False)
+
+    def resume(self, stream_id: str, *, offset: int) -> Iterator[StreamEvent]:
+        """Fail, since these tests send no work."""
+        raise EngineFailure("not an inference test", sent=False)
+
+    def cancel(self, request_id: str) -> None:
+        """Ignore the call."""
+
+    def load(self) -> LoadReport:
+        """Fail, since these tests send no work."""
+        raise EngineFailure("not an inference test", sent=False)
+
+    def cache_events(self, *, since: int) -> CacheEventBatch:
+        """Return no events."""
+        return CacheEventBatch((), since, False)
+
+    def export_kv(self, request_id: str) -> bytes:
+        """Fail, since these tests send no work."""
+        raise EngineFailure("not an inference test", sent=False)
+
+    def import_kv(self, blob: bytes) -> str:
+        """Fail, since these tests send no work."""
+        raise EngineFailure("not an inference test", sent=False)
+
+
+class ListPlanner(OrderPlanner):
+    """Plan a fixed list of orders, one after the other."""
+
+    def __init__(self, planned: list[PlannedOrder]) -> None:
+        self.planned = planned
+        self.outcomes: list[IssueOutcome] = []
+
+    def plan(self, *, now_s: float) -> PlannedOrder | None:
+        """Return the next order."""
+        return self.planned[0] if self.planned else None
+
+    def note_outcome(self, planned: PlannedOrder, outcome: IssueOutcome) -> None:
+        """Go on to the next order."""
+        self.outcomes.append(outcome)
+        self.planned.pop(0)
+
+
+_numbers = itertools.count(1)
+
+
+def build_planned_order(engine: str = "e1", role: str = "prefill") -> PlannedOrder:
+    """Return an order that changes a role."""
+    reason = f"test {next(_numbers)}"
+    return PlannedOrder(engine, "run-1", "change_role", {"role": role}, reason)
+
+
+@dataclass
+class AuthorityFixture:
+    """Hold one controller with its fakes; several may share a state and a clock."""
+
+    clock: ManualClock
+    state: KeyValueState
+    engines: dict[str, FakeEngine]
+    holder: str = "c1"
+    checks_fencing: bool = True
+    timer: RecordingTimer = field(default_factory=RecordingTimer)
+
+    def __post_init__(self) -> None:
+        self.store = MemoryStore(
+            state=self.state, clock=self.clock, sleep=self.clock.advance
+        )
+        self.lease = AuthorityLease(
+            self.store,
+            LEASE_KEY,
+            pool=POOL,
+            holder=self.holder,
+            lease_s=LEASE_S,
+            timer=self.timer,
+        )
+        self.issuer = OrderIssuer(
+            self.store,
+            RECORD_KEY,
+            holder=self.holder,
+            authority=lambda now_s: self.lease.check(now_s=now_s),
+            client_of=self.engines.get,
+            order_deadline_s=ORDER_DEADLINE_S,
+            lease_s=LEASE_S,
+            checks_fencing=self.checks_fencing,
+            clock_s=self.clock,
+        )
+        self.planner = ListPlanner([])
+        self.controller = PoolController(
+            pool=POOL, lease=self.lease, issuer=self.issuer, planner=self.planner
+        )
+
+    def acquire(self) -> bool:
+        """Try once to acquire the lease."""
+        return self.lease.try_acquire(now_s=self.clock()) is not None
+
+    def step(self) -> IssueOutcome | None:
+        """Do one round of the control loop."""
+        return self.controller.step(now_s=self.clock(), now_unix_s=self.clock())
+
+
+def build_pair(
+    *, checks_fencing: bool = True
+) -> tuple[AuthorityFixture, AuthorityFixture, FakeEngine]:
+    """Return two controllers over one store and one engine ``e1``."""
+    clock = ManualClock()
+    state = KeyValueState(clock=clock)
+    engine = FakeEngine("e1", checks_fencing=checks_fencing)
+    first, second = (
+        AuthorityFixture(clock, state, {"e1": engine}, holder, checks_fencing)
+        for holder in ("c1", "c2")
+    )
+    return first, second, engine
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
@@ -74,5 +74,10 @@
             print(f"slow test: {event.test.id()} took {elapsed_s:.1f} s")
 
     def testOutcome(self, event: TestOutcomeEvent) -> None:
-        """Count the outcome: passed, failed, error, skipped or subtest."""
-        OUTCOMES[event.outcome] += 1
+        """Count the outcome: passed, failed, error or skipped.
+
+        A failed subtest is reported with an outcome of its own and the failure's
+        traceback.
+        """
+        failed_subtest = event.outcome == "subtest" and event.exc_info is not None
+        OUTCOMES["failed" if failed_subtest else event.outcome] += 1
