--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/audit/records.py
@@ -0,0 +1,113 @@
+"""Audit records, their sources and the filter over them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from persimmonyoke.errors import PlatformUnavailable, ProtocolError
+from persimmonyoke.internal.observability import part_logger
+
+MAX_RECORDS = 200
+"""Bound on the records that one source reads for one search."""
+
+log = part_logger("audit")
+
+
+@dataclass(frozen=True)
+class AuditRecord:
+    """Say who changed what, when and why.
+
+    ``kind`` names the sort of change, such as ``preset_edit`` or ``order``; ``subject``
+    is the preset, pool or engine. ``before`` and ``after`` are readable text.
+    """
+
+    unix_s: float
+    actor: str
+    kind: str
+    subject: str
+    reason: str
+    before: str
+    after: str
+
+
+class AuditSource(ABC):
+    """Read the records that one part of the system keeps."""
+
+    @property
+    @abstractmethod
+    def name(self) -> str:
+        """Return the name under which a failure of this source is reported."""
+
+    @abstractmethod
+    def records(self, *, limit: int) -> Iterable[AuditRecord]:
+        """Return the newest records; raise ``PlatformUnavailable``."""
+
+
+@dataclass(frozen=True)
+class AuditFilter:
+    """Select records; ``None`` accepts all values. ``text`` is searched in any field.
+
+    ``since_unix_s`` is included, ``until_unix_s`` is not.
+    """
+
+    actor: str | None = None
+    kind: str | None = None
+    subject: str | None = None
+    since_unix_s: float | None = None
+    until_unix_s: float | None = None
+    text: str | None = None
+    limit: int = 50
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.limit <= MAX_RECORDS:
+            raise ValueError(f"limit is {self.limit}; accepted: 1 to {MAX_RECORDS}")
+
+    def accepts(self, record: AuditRecord) -> bool:
+        """Say whether a record is selected."""
+        return (
+            self.actor in (None, record.actor)
+            and self.kind in (None, record.kind)
+            and self.subject in (None, record.subject)
+            and (self.since_unix_s is None or record.unix_s >= self.since_unix_s)
+            and (self.until_unix_s is None or record.unix_s < self.until_unix_s)
+            and self._holds_text(record)
+        )
+
+    def _holds_text(self, record: AuditRecord) -> bool:
+        if self.text is None:
+            return True
+        fields = (
+            record.actor,
+            record.kind,
+            record.subject,
+            record.reason,
+            record.before,
+            record.after,
+        )
+        return any(self.text.casefold() in field.casefold() for field in fields)
+
+
+@dataclass(frozen=True)
+class AuditAnswer:
+    """Hold the selected records, newest first, and the sources that failed."""
+
+    records: tuple[AuditRecord, ...]
+    missing_sources: tuple[str, ...]
+
+
+def search_audit(sources: Iterable[AuditSource], chosen: AuditFilter) -> AuditAnswer:
+    """Return the newest selected records of all sources.
+
+    A source that fails is named in the answer, so that its absence is not taken for
+    an absence of changes.
+    """
+    found: list[AuditRecord] = []
+    missing = []
+    for source in sources:
+        try:
+            found.extend(filter(chosen.accepts, source.records(limit=MAX_RECORDS)))
+        except (PlatformUnavailable, ProtocolError) as error:
+            log.warning("audit source {} failed: {}", source.name, error)
+            missing.append(source.name)
+    found.sort(key=lambda record: record.unix_s, reverse=True)
+    return AuditAnswer(tuple(found[: chosen.limit]), tuple(missing))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/operators/__init__.py
@@ -0,0 +1,6 @@
+"""HTTP interface of the operators."""
+
+from persimmonyoke.internal.operators.app import operators_app
+from persimmonyoke.internal.operators.backend import HostRevision, OperatorBackend
+
+__all__ = ["HostRevision", "OperatorBackend", "operators_app"]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/operators/tests/test_operators.py
@@ -0,0 +1,172 @@
+"""Tests of the operator interface over a loopback socket."""
+
+import json
+import unittest
+from typing import Any
+
+import urllib3
+
+from persimmonyoke.internal.audit import ConfigurationAudit
+from persimmonyoke.internal.operators import (
+    HostRevision,
+    OperatorBackend,
+    operators_app,
+)
+from persimmonyoke.internal.presets import ConfigurationView, RevisionLog
+from persimmonyoke_testing.builders_presets import derived_text, preset_text
+from persimmonyoke_testing.builders_settings import (
+    OPERATOR_TOKEN,
+    OPERATOR_TOKEN_DIGEST,
+)
+from persimmonyoke_testing.loopback_server import LoopbackServer
+from persimmonyoke_testing.memory_store import MemoryStore
+
+
+class OperatorsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = MemoryStore()
+        revisions = RevisionLog(self.store, firm="kente", settle_s=0.3)
+        self.view = ConfigurationView()
+        self.accepted = []
+        self.hosts = [HostRevision("accra-a-1", 1), HostRevision("tema-b-1", 0)]
+        backend = OperatorBackend(
+            revisions=revisions,
+            view=self.view,
+            hosts=lambda: self.hosts,
+            audit_sources=(ConfigurationAudit(revisions),),
+            on_accepted=self.accepted.append,
+        )
+        app = operators_app(backend, token_digest=OPERATOR_TOKEN_DIGEST)
+        self.server = LoopbackServer(app)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.http = urllib3.PoolManager(retries=False)
+        text = preset_text("base")
+        self.change(action="create", preset="base", text=text, base_number=0)
+
+    def call(
+        self, method: str, path: str, body: Any = None, token: str = OPERATOR_TOKEN
+    ) -> tuple[int, Any]:
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        answer = self.http.request(
+            method,
+            f"{self.server.url}/operators{path}",
+            body=None if body is None else raw,
+            headers=headers,
+        )
+        return answer.status, json.loads(answer.data)
+
+    def change(self, **fields: Any) -> tuple[int, Any]:
+        return self.call("POST", "/changes", {"reason": "test", **fields})
+
+    def error(self, answer: tuple[int, Any]) -> tuple[int, str]:
+        return answer[0], answer[1]["error"]["code"]
+
+    def test_every_path_refuses_a_missing_and_a_wrong_token(self):
+        # One unguarded path would let anyone choose what is in force.
+        for method, path in (
+            ("GET", "/presets"),
+            ("GET", "/presets/base"),
+            ("POST", "/changes"),
+            ("GET", "/history"),
+            ("GET", "/status"),
+            ("GET", "/audit"),
+        ):
+            with self.subTest(path=path):
+                missing = self.call(method, path, token="")
+                self.assertEqual(self.error(missing), (401, "missing_key"))
+                wrong = self.call(method, path, token="wrong")
+                self.assertEqual(self.error(wrong), (401, "wrong_key"))
+
+    def test_an_accepted_change_is_in_force_here_and_handed_to_the_peers(self):
+        # Waiting for the watch would delay it by the time of the store.
+        text = derived_text("peak")
+        self.change(action="create", preset="peak", text=text, base_number=1)
+        status, body = self.change(action="choose", preset="peak", base_number=2)
+        self.assertEqual((status, body), (200, {"revision": 3}))
+        self.assertEqual(self.view.preset.name, "peak")
+        self.assertEqual([r.number for r in self.accepted], [1, 2, 3])
+        listed = self.call("GET", "/presets")[1]
+        self.assertEqual(listed["active"], "peak")
+        self.assertEqual(self.call("GET", "/presets/peak")[1]["text"], text)
+
+    def test_a_conflict_shows_what_the_other_operator_changed(self):
+        # Without the difference the operator would overwrite it unseen.
+        edited = preset_text("base", goodput_weight=2.0)
+        self.change(action="edit", preset="base", text=edited, base_number=1)
+        answer = self.change(action="choose", preset="base", base_number=1)
+        self.assertEqual(self.error(answer), (409, "conflict"))
+        details = answer[1]["error"]["details"]
+        self.assertEqual(details["difference"], ["~ base: goodput_weight: 1 -> 2"])
+
+    def test_refusals_use_the_closed_list_and_name_the_field(self):
+        # A client can't react to an error that it can't tell from others.
+        valid = {"action": "choose", "preset": "base", "base_number": 1}
+        cases = (
+            (self.change(**valid, force=True), 400, "unknown_field", "force"),
+            (
+                self.change(**{**valid, "action": "drop"}),
+                400,
+                "invalid_value",
+                "action",
+            ),
+            (
+                self.change(**{**valid, "base_number": "1"}),
+                400,
+                "invalid_value",
+                "base_number",
+            ),
+            (self.change(**{**valid, "preset": "gone"}), 400, "invalid_value", None),
+            (self.call("POST", "/changes", b"{"), 400, "malformed_body", None),
+            (
+                self.call("POST", "/changes", b" " * 1_100_000),
+                413,
+                "body_too_large",
+                None,
+            ),
+            (self.call("GET", "/presets/gone"), 400, "invalid_value", "preset"),
+            (self.call("GET", "/audit?limit=0"), 400, "invalid_value", "limit"),
+            (self.call("GET", "/audit?since=now"), 400, "invalid_value", "since"),
+            (self.call("GET", "/history?page=2"), 400, "unknown_field", "page"),
+            (self.call("GET", "/engines/llm-1"), 404, "unknown_path", None),
+            (self.call("DELETE", "/presets/base"), 405, "wrong_method", None),
+        )
+        for answer, status, code, param in cases:
+            with self.subTest(code=code, param=param):
+                self.assertEqual(self.error(answer), (status, code))
+                self.assertEqual(answer[1]["error"]["param"], param)
+                self.assertEqual(answer[1]["error"]["ran"], "not_run")
+
+    def test_an_outage_refuses_changes_and_still_shows_what_is_in_force(self):
+        # Operators look at the state most often during an outage.
+        self.store.faults.down = True
+        answer = self.change(action="choose", preset="base", base_number=1)
+        self.assertEqual(self.error(answer), (503, "store_unavailable"))
+        shown = self.call("GET", "/presets/base")[1]
+        self.assertEqual(shown["source"], "memory")
+        self.assertEqual(self.call("GET", "/status")[0], 200)
+        audit = self.call("GET", "/audit")[1]
+        self.assertEqual(audit["missing_sources"], ["configuration"])
+
+    def test_an_unknown_outcome_is_not_reported_as_refused(self):
+        # "Not run" would make the operator repeat a change that may be stored.
+        self.store.faults.lose_requests = 1_000
+        answer = self.change(action="choose", preset="base", base_number=1)
+        self.assertEqual(self.error(answer), (409, "outcome_unknown"))
+        self.assertEqual(answer[1]["error"]["ran"], "unknown")
+
+    def test_the_status_counts_the_live_hosts_that_report_the_revision(self):
+        # An operator who sees only this host takes a change for complete too early.
+        status = self.call("GET", "/status")[1]
+        self.assertEqual((status["hosts_in_force"], status["live_hosts"]), (1, 2))
+        self.hosts[1] = HostRevision("tema-b-1", 1)
+        self.assertEqual(self.call("GET", "/status")[1]["hosts_in_force"], 2)
+
+    def test_history_and_audit_show_who_changed_what_and_why(self):
+        # The log of revisions is the only record of a change.
+        self.change(action="choose", preset="base", base_number=1, author="kofi")
+        history = self.call("GET", "/history?limit=1")[1]["revisions"]
+        self.assertEqual([entry["author"] for entry in history], ["kofi"])
+        found = self.call("GET", "/audit?actor=kofi&kind=preset_choose")[1]["records"]
+        self.assertEqual(len(found), 1)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
@@ -127,6 +127,11 @@
         """Return the store, with its calls counted for the configuration."""
         return self._store
 
+    @property
+    def firm(self) -> str:
+        """Return the firm whose configuration this is."""
+        return self._firm
+
     @property
     def prefix(self) -> str:
         """Return the prefix of the keys of all revisions."""
