Add the command line of the operators

Cause: operators create, edit and choose presets and look at the state from a shell. Commands stand in a registry to which demo and bench can be added.

--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/check_command.py
@@ -0,0 +1,64 @@
+"""Command that checks a settings file or a preset without a running node."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from persimmonyoke.errors import InvalidDocumentError
+from persimmonyoke.internal.presets import parse_preset
+from persimmonyoke.internal.settings import SettingsRole, load_settings
+from persimmonyoke_cli.failures import CommandFailed, UsageError
+
+
+def check(file: Path, *, role: SettingsRole | None = None) -> None:
+    """Check a settings file or a preset and name every fault.
+
+    A file with a table [process] holds settings. The base of a preset is read from
+    the same folder.
+
+    :param file: TOML file
+    :param role: process that reads the settings; default: controller for a file with
+        a table [controller] and without [listen], otherwise entry
+    """
+    values = _parsed(file)
+    try:
+        if "process" in values:
+            chosen = role or _role(values)
+            load_settings(file, chosen)
+            print(f"{file}: valid settings ({chosen.value})")
+        else:
+            parse_preset(file.stem, _texts(file, values))
+            print(f"{file}: valid preset")
+    except InvalidDocumentError as error:
+        raise CommandFailed(str(error)) from error
+
+
+def _parsed(file: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(_text(file))
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        raise CommandFailed(f"{file} is not valid TOML: {error}") from error
+
+
+def _text(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"{file} can't be read: {error}") from error
+
+
+def _role(values: dict[str, Any]) -> SettingsRole:
+    if "controller" in values and "listen" not in values:
+        return SettingsRole.CONTROLLER
+    return SettingsRole.ENTRY
+
+
+def _texts(file: Path, values: dict[str, Any]) -> dict[str, str]:
+    """Return the text of the preset and of its base, if there is a file of it."""
+    texts = {file.stem: _text(file)}
+    base = values.get("base")
+    if isinstance(base, str) and Path(base).name == base:
+        base_file = file.with_name(f"{base}.toml")
+        if base_file.is_file():
+            texts.setdefault(base, _text(base_file))
+    return texts
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
@@ -0,0 +1,27 @@
+"""Sub-commands of ``persimmonyoke``.
+
+A command is a function whose keyword-only arguments become options; a mapping holds
+the commands of a group.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from persimmonyoke_cli import check_command, preset_commands, status_commands
+
+Command = Callable[..., Any]
+
+COMMANDS: dict[str, Command | dict[str, Command]] = {
+    "preset": {
+        "list": preset_commands.list_presets,
+        "show": preset_commands.show,
+        "create": preset_commands.create,
+        "edit": preset_commands.edit,
+        "choose": preset_commands.choose,
+        "history": preset_commands.history,
+        "diff": preset_commands.diff,
+    },
+    "status": status_commands.status,
+    "audit": status_commands.audit,
+    "check": check_command.check,
+}
