--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
@@ -19,6 +19,12 @@
 class _Handler(WSGIHandler):
     """Give the application its socket, so that it can break the connection."""
 
+    def handle(self) -> None:
+        # Headers and body are written separately; with Nagle's algorithm the body
+        # waits up to 40 ms for the delayed acknowledgement of the headers.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ[SOCKET_KEY] = self.socket
