Add peer links, dissemination, host view and caller addresses

Cause: hosts must spread revisions, leaving marks and suspects while the key-value service is down, and callers need addresses of live hosts.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Links between entry hosts, dissemination, host views and caller addresses."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/addresses.py
@@ -0,0 +1,93 @@
+"""Choice of the entry hosts that a caller is told to use."""
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from persimmonyoke.internal.invariants import Invariant, check_invariant
+from persimmonyoke.internal.membership.hosts import HostInfo, HostView
+
+MAX_ADDRESSES = 4
+DEFAULT_MAX_AGE_S = 10.0
+OVERLOADED_SHARE = 0.95
+# Load of a host that has not reported one yet. A low value would send every caller to
+# a host that has just started.
+UNKNOWN_LOAD_SHARE = 0.5
+# Least weight of a host that is not overloaded: loads are up to seconds old, so a host
+# that reports 0.94 may have room already.
+MIN_SPARE_SHARE = 0.05
+# Spare share of the caller's own zone at which all of its callers stay in the zone.
+# Below it, a growing part goes first to other zones; a hard limit would move all
+# callers of a zone at once.
+ZONE_COMFORT_SHARE = 0.25
+
+
+@dataclass(frozen=True)
+class AddressAnswer:
+    """Tell a caller which addresses to use, best first, and for how long."""
+
+    addresses: tuple[str, ...]
+    max_age_s: float
+
+
+def choose_addresses(
+    view: HostView,
+    *,
+    caller_zone: str,
+    load_by_host: Mapping[str, float],
+    now_s: float,
+    rng: random.Random,
+    max_age_s: float = DEFAULT_MAX_AGE_S,
+    max_addresses: int = MAX_ADDRESSES,
+) -> AddressAnswer:
+    """Draw addresses at random, weighted by spare capacity, own zone first.
+
+    ``load_by_host`` maps hosts to the share of their capacity in use. Draining and
+    silent hosts are left out, overloaded ones too unless all hosts are overloaded.
+    """
+    hosts = _usable_hosts(view, now_s)
+    spare = {host.name: _spare_share(host.name, load_by_host) for host in hosts}
+    open_hosts = [host for host in hosts if spare[host.name] > 0.0] or hosts
+    own = [host for host in open_hosts if host.availability_zone == caller_zone]
+    other = [host for host in open_hosts if host.availability_zone != caller_zone]
+    drawn = _draw(own, spare, rng) + _draw(other, spare, rng)
+    if own and other and rng.random() >= _stay_probability(own, spare):
+        drawn = _draw(other, spare, rng) + _draw(own, spare, rng)
+    chosen = drawn[:max_addresses]
+    check_invariant(
+        not any(view.is_leaving(host.name) for host in chosen),
+        Invariant.NO_NEW_WORK_WHEN_LEAVING,
+        "an address answer names a leaving host",
+    )
+    return AddressAnswer(tuple(host.callers_address for host in chosen), max_age_s)
+
+
+def _usable_hosts(view: HostView, now_s: float) -> list[HostInfo]:
+    return [
+        host
+        for host in view.live_hosts(now_s)
+        if host.callers_address and not view.is_silent(host.name, now_s)
+    ]
+
+
+def _spare_share(name: str, load_by_host: Mapping[str, float]) -> float:
+    load = load_by_host.get(name, UNKNOWN_LOAD_SHARE)
+    if load >= OVERLOADED_SHARE:
+        return 0.0
+    return max(MIN_SPARE_SHARE, 1.0 - load)
+
+
+def _stay_probability(own: Sequence[HostInfo], spare: Mapping[str, float]) -> float:
+    mean = sum(spare[host.name] for host in own) / len(own)
+    return min(1.0, mean / ZONE_COMFORT_SHARE)
+
+
+def _draw(
+    hosts: Sequence[HostInfo], spare: Mapping[str, float], rng: random.Random
+) -> list[HostInfo]:
+    # Weighted sampling without replacement (Efraimidis and Spirakis): the host with
+    # the smallest exponential variate of rate weight comes first.
+    def arrival(host: HostInfo) -> float:
+        return rng.expovariate(max(spare[host.name], MIN_SPARE_SHARE))
+
+    return sorted(hosts, key=arrival)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/codec.py
@@ -0,0 +1,91 @@
+"""CBOR form of the messages, checked field by field."""
+
+from collections.abc import Mapping
+from dataclasses import MISSING, astuple, fields, is_dataclass
+from typing import Any
+
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.membership.fields import check_field
+from persimmonyoke.internal.membership.messages import (
+    MAX_MESSAGE_BYTES,
+    MESSAGE_TYPES,
+    Message,
+)
+
+PROTOCOL_VERSION = 1
+MAX_DEPTH = 6
+_TYPE_NAMES = {kind: name for name, kind in MESSAGE_TYPES.items()}
+
+
+def _refuse_tag(*_: Any) -> None:
+    raise ProtocolError("CBOR tags are not accepted")
+
+
+# The decoder's built-in tags build dates, regular expressions, big numbers and shared
+# references; none of them belongs to a message, and some cost far more than their size.
+_REFUSED_TAGS = dict.fromkeys((*range(0, 64), *range(100, 1100), 43000), _refuse_tag)
+
+
+def decode_plain(data: bytes) -> Any:
+    """Decode one CBOR value of plain types; raise ``ProtocolError`` on any other."""
+    try:
+        return cbor2.loads(
+            data,
+            tag_hook=_refuse_tag,
+            semantic_decoders=_REFUSED_TAGS,
+            max_depth=MAX_DEPTH,
+            allow_indefinite=False,
+            allow_duplicate_keys=False,
+            strict_hashable_types=True,
+        )
+    except (cbor2.CBORError, ValueError, TypeError, OverflowError) as error:
+        raise ProtocolError(f"message is not valid CBOR: {error}") from None
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [list(astuple(i)) if is_dataclass(i) else i for i in value]
+    return value
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message; raise ``ProtocolError`` if a field breaks its limit."""
+    document: dict[str, Any] = {"v": PROTOCOL_VERSION, "t": _TYPE_NAMES[type(message)]}
+    for declared in fields(message):
+        value = check_field(declared, getattr(message, declared.name))
+        document[declared.name] = _plain(value)
+    return cbor2.dumps(document)
+
+
+def decode(data: bytes, *, max_bytes: int = MAX_MESSAGE_BYTES) -> Message | None:
+    """Decode a message, or return ``None`` for a type that a newer version sends.
+
+    Raises ``ProtocolError`` for a malformed message. Unknown fields are ignored, so
+    that a newer version may add some.
+    """
+    if not isinstance(data, bytes):
+        raise ProtocolError("message is not binary")
+    if len(data) > max_bytes:
+        raise ProtocolError(f"message of {len(data)} bytes is over {max_bytes}")
+    document = decode_plain(data)
+    if not isinstance(document, Mapping):
+        raise ProtocolError("message is not a map")
+    if document.get("v") != PROTOCOL_VERSION:
+        raise ProtocolError(f"protocol version is not {PROTOCOL_VERSION}")
+    name = document.get("t")
+    if not isinstance(name, str):
+        raise ProtocolError("message type is not a string")
+    kind = MESSAGE_TYPES.get(name)
+    return None if kind is None else _build(kind, document)
+
+
+def _build(kind: type[Message], document: Mapping[str, Any]) -> Message:
+    values = {}
+    for declared in fields(kind):
+        if declared.name in document:
+            values[declared.name] = check_field(declared, document[declared.name])
+        elif declared.default is MISSING:
+            raise ProtocolError(f"field {declared.name} is missing")
+    return kind(**values)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/hosts.py
@@ -0,0 +1,169 @@
+"""Join of the host list and the heartbeats into one view of the entry hosts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from persimmonyoke.internal.membership.handshake import NodeIdentity
+from persimmonyoke.internal.membership.messages import HostBeat
+
+SILENT_AFTER_S = 3.0
+FORGET_AFTER_S = 3_600.0
+ENTRY_ROLE = "entry"
+LEAVING_STATE = "leaving"
+
+
+class ListedHost(Protocol):
+    """Describe the fields of a host list entry that membership reads."""
+
+    name: str
+    role: str
+    address: str
+    availability_zone: str
+    state: str
+
+
+@dataclass(frozen=True)
+class HostInfo:
+    """Hold what is known about one entry host."""
+
+    name: str
+    incarnation: str = ""
+    callers_address: str = ""
+    peers_address: str = ""
+    availability_zone: str = ""
+    listed: bool = False
+    listed_leaving: bool = False
+    heard_s: float | None = None
+    beat: HostBeat | None = None
+
+
+class HostView:
+    """Say which hosts are members, silent or leaving.
+
+    A host is a member until both sources, host list and heartbeats, speak against it.
+    A leaving mark from either source is final for the host's incarnation; only a new
+    incarnation of the host is a member again.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: dict[str, HostInfo] = {}
+        self._marks: dict[tuple[str, str], float] = {}
+
+    def merge_host_list(self, entries: Iterable[ListedHost], now_s: float) -> None:
+        """Take over the host list; call this only with a list that was read."""
+        listed = {entry.name: entry for entry in entries if entry.role == ENTRY_ROLE}
+        for name in self._hosts.keys() - listed.keys():
+            self._hosts[name] = replace(
+                self._hosts[name], listed=False, listed_leaving=False
+            )
+        for entry in listed.values():
+            self._merge_entry(entry, now_s)
+        self._forget(now_s)
+
+    def _merge_entry(self, entry: ListedHost, now_s: float) -> None:
+        info = self._hosts.get(entry.name, HostInfo(entry.name))
+        leaving = entry.state == LEAVING_STATE
+        if leaving and not info.listed_leaving and info.incarnation:
+            # The list has no incarnations. The mark holds for the incarnation that is
+            # known at the change, so that a lagging list does not mark its successor.
+            self.note_leaving(entry.name, info.incarnation, now_s)
+        self._hosts[entry.name] = replace(
+            info,
+            listed=True,
+            listed_leaving=leaving,
+            callers_address=entry.address or info.callers_address,
+            availability_zone=entry.availability_zone or info.availability_zone,
+        )
+
+    def note_identity(self, identity: NodeIdentity, now_s: float) -> None:
+        """Note what an authenticated peer says about itself."""
+        info = self._hosts.get(identity.host, HostInfo(identity.host))
+        self._hosts[identity.host] = replace(
+            info,
+            callers_address=identity.callers_address or info.callers_address,
+            peers_address=identity.peers_address or info.peers_address,
+            availability_zone=identity.availability_zone or info.availability_zone,
+        )
+
+    def note_heartbeat(self, beat: HostBeat, now_s: float) -> bool:
+        """Note a beat; return whether it is newer than those before.
+
+        Sequences start at the wall-clock second of the host's start, so that a late
+        beat of an earlier incarnation never replaces one of the current incarnation.
+        """
+        info = self._hosts.get(beat.host, HostInfo(beat.host))
+        if info.beat is not None and beat.sequence <= info.beat.sequence:
+            return False
+        first = not info.incarnation
+        self._hosts[beat.host] = replace(
+            info, incarnation=beat.incarnation, heard_s=now_s, beat=beat
+        )
+        if beat.leaving or (first and info.listed_leaving):
+            self.note_leaving(beat.host, beat.incarnation, now_s)
+        return True
+
+    def note_leaving(self, name: str, incarnation: str, now_s: float) -> None:
+        """Mark an incarnation of a host as leaving, for good."""
+        self._marks.setdefault((name, incarnation), now_s)
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the current incarnation has a leaving mark."""
+        info = self._hosts.get(name)
+        if info is None:
+            return False
+        if not info.incarnation:
+            return info.listed_leaving
+        return (name, info.incarnation) in self._marks
+
+    def is_silent(self, name: str, now_s: float) -> bool:
+        """Return whether no beat of the host came within 3 s."""
+        info = self._hosts.get(name)
+        heard_s = info.heard_s if info else None
+        return heard_s is None or now_s - heard_s >= SILENT_AFTER_S
+
+    def is_member(self, name: str, now_s: float) -> bool:
+        """Return whether the host is used: listed or heard, and not leaving."""
+        info = self._hosts.get(name)
+        if info is None or self.is_leaving(name):
+            return False
+        listed_live = info.listed and not info.listed_leaving
+        return listed_live or not self.is_silent(name, now_s)
+
+    def is_incarnation_dead(self, name: str, incarnation: str, now_s: float) -> bool:
+        """Return whether an incarnation is known to have ended.
+
+        True if a later incarnation was heard, or both sources speak against the host.
+        A paused host may resume, so callers must not treat this as proof that it
+        can't act any more.
+        """
+        info = self._hosts.get(name)
+        if info is None:
+            return True
+        if info.incarnation and info.incarnation != incarnation:
+            return True
+        return not info.listed and self.is_silent(name, now_s)
+
+    def live_hosts(self, now_s: float) -> tuple[HostInfo, ...]:
+        """Return the members by name, silent ones included."""
+        names = sorted(self._hosts)
+        return tuple(self._hosts[n] for n in names if self.is_member(n, now_s))
+
+    def host(self, name: str) -> HostInfo | None:
+        """Return what is known about a host."""
+        return self._hosts.get(name)
+
+    def beats(self) -> tuple[HostBeat, ...]:
+        """Return the newest beat of each host that was ever heard."""
+        return tuple(info.beat for info in self._hosts.values() if info.beat)
+
+    def _forget(self, now_s: float) -> None:
+        for name, info in list(self._hosts.items()):
+            quiet_s = FORGET_AFTER_S if info.heard_s is None else now_s - info.heard_s
+            if not info.listed and quiet_s >= FORGET_AFTER_S:
+                del self._hosts[name]
+        for mark, marked_s in list(self._marks.items()):
+            info = self._hosts.get(mark[0])
+            is_current = info is not None and info.incarnation == mark[1]
+            if not is_current and now_s - marked_s >= FORGET_AFTER_S:
+                del self._marks[mark]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/sendqueue.py
@@ -0,0 +1,97 @@
+"""Bounded queue of the messages that wait to be sent on one link."""
+
+from collections import OrderedDict, deque
+
+from gevent.event import Event
+
+from persimmonyoke.internal.membership.messages import (
+    Digest,
+    Heartbeat,
+    Leaving,
+    Load,
+    Message,
+    RevisionMessage,
+)
+
+MAX_LOADS = 256
+MAX_OTHERS = 512
+# A mark is for good for its incarnation, so the number of marks is bounded by the
+# number of replicas and hosts that leave while a link is stalled (a few seconds).
+MAX_LEAVING_MARKS = 4_096
+
+
+class SendQueue:
+    """Keep what a slow link must send, and drop only what a later message replaces.
+
+    A newer revision, heartbeat or digest replaces an older one of the same link.
+    Loads are dropped oldest first. Other messages are refused when the queue is full,
+    so that their sender knows that they were not sent.
+    """
+
+    def __init__(self) -> None:
+        self._leaving: OrderedDict[tuple[str, str], Leaving] = OrderedDict()
+        self._latest: dict[type[Message], Message] = {}
+        self._others: deque[Message] = deque()
+        self._loads: OrderedDict[str, Load] = OrderedDict()
+        self._ready = Event()
+        self.dropped_loads = 0
+
+    def offer(self, message: Message) -> bool:
+        """Queue a message; return whether it will be sent if the link lives."""
+        accepted = self._store(message)
+        if accepted:
+            self._ready.set()
+        return accepted
+
+    def _store(self, message: Message) -> bool:
+        match message:
+            case Leaving():
+                if len(self._leaving) >= MAX_LEAVING_MARKS:
+                    return False
+                self._leaving[message.name, message.incarnation] = message
+            case RevisionMessage():
+                waiting = self._latest.get(RevisionMessage)
+                if waiting is None or waiting.number <= message.number:
+                    self._latest[RevisionMessage] = message
+            case Heartbeat() | Digest():
+                self._latest[type(message)] = message
+            case Load():
+                self._loads.pop(message.engine, None)
+                self._loads[message.engine] = message
+                if len(self._loads) > MAX_LOADS:
+                    self._loads.popitem(last=False)
+                    self.dropped_loads += 1
+            case _:
+                if len(self._others) >= MAX_OTHERS:
+                    return False
+                self._others.append(message)
+        return True
+
+    def take(self, *, timeout_s: float) -> Message | None:
+        """Return the most urgent message, or ``None`` if none came in time."""
+        if not self._ready.wait(timeout_s):
+            return None
+        message = self._pop()
+        if not len(self):
+            self._ready.clear()
+        return message
+
+    def _pop(self) -> Message | None:
+        if self._leaving:
+            return self._leaving.popitem(last=False)[1]
+        # Heartbeats go before revisions: a large revision on a slow link must not make
+        # the sender look silent.
+        for kind in (Heartbeat, RevisionMessage, Digest):
+            if kind in self._latest:
+                return self._latest.pop(kind)
+        if self._others:
+            return self._others.popleft()
+        return self._loads.popitem(last=False)[1] if self._loads else None
+
+    def __len__(self) -> int:
+        return (
+            len(self._leaving)
+            + len(self._latest)
+            + len(self._others)
+            + len(self._loads)
+        )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_hosts.py
@@ -0,0 +1,117 @@
+"""Tests of the host view and of the addresses for callers."""
+
+import random
+import unittest
+from collections import Counter
+
+from persimmonyoke.internal.membership.addresses import choose_addresses
+from persimmonyoke_testing.builders_membership import (
+    ListedHostStub,
+    beat,
+    heard_view,
+    listed_hosts,
+)
+
+SEED = 11
+
+
+class HostViewTest(unittest.TestCase):
+    def names(self, view, now_s):
+        return [host.name for host in view.live_hosts(now_s)]
+
+    def test_a_host_stays_a_member_until_both_sources_speak_against_it(self):
+        # One lagging or failed source must not remove a live host.
+        view = heard_view(2)
+        view.note_heartbeat(beat("host-0", sequence=2), 9.0)
+        self.assertEqual(self.names(view, 10.0), ["host-0", "host-1"])
+        view.merge_host_list((), 10.0)
+        self.assertEqual(self.names(view, 10.0), ["host-0"])
+
+    def test_a_leaving_mark_is_final_for_the_incarnation(self):
+        # A late heartbeat or list must not bring a draining host back.
+        view = heard_view(2)
+        view.note_leaving("host-0", "i1", 1.0)
+        view.note_heartbeat(beat("host-0", sequence=2), 1.5)
+        view.merge_host_list(listed_hosts(2), 2.0)
+        self.assertEqual(self.names(view, 2.0), ["host-1"])
+        view.note_heartbeat(beat("host-0", sequence=3, incarnation="i2"), 3.0)
+        self.assertEqual(self.names(view, 3.0), ["host-0", "host-1"])
+
+    def test_a_lagging_list_does_not_mark_the_next_incarnation(self):
+        # The list says leaving for seconds after the replacement has started.
+        view = heard_view(1)
+        leaving = (ListedHostStub("host-0", "leaving"),)
+        view.merge_host_list(leaving, 1.0)
+        self.assertEqual(self.names(view, 1.0), [])
+        view.note_heartbeat(beat("host-0", sequence=5, incarnation="i2"), 2.0)
+        view.merge_host_list(leaving, 2.0)
+        self.assertEqual(self.names(view, 2.0), ["host-0"])
+
+    def test_a_late_beat_of_an_earlier_incarnation_is_ignored(self):
+        # Relayed beats may arrive after the host was replaced.
+        view = heard_view(1)
+        view.note_heartbeat(beat("host-0", sequence=9, incarnation="i2"), 1.0)
+        self.assertFalse(view.note_heartbeat(beat("host-0", sequence=8), 1.1))
+        self.assertTrue(view.is_incarnation_dead("host-0", "i1", 1.1))
+        self.assertFalse(view.is_incarnation_dead("host-0", "i2", 1.1))
+
+
+class AddressTest(unittest.TestCase):
+    def draw(self, view, loads, *, rounds=400, zone="accra-a", now_s=0.0):
+        rng = random.Random(SEED)
+        answers = [
+            choose_addresses(
+                view, caller_zone=zone, load_by_host=loads, now_s=now_s, rng=rng
+            ).addresses
+            for _ in range(rounds)
+        ]
+        return Counter(answer[0] for answer in answers if answer), answers
+
+    def test_draining_silent_and_overloaded_hosts_are_left_out(self):
+        view = heard_view(6)
+        view.note_leaving("host-0", "i1", 0.0)
+        for number in (0, 1, 3, 4, 5):
+            view.note_heartbeat(beat(f"host-{number}", sequence=2), 2.0)
+        _, answers = self.draw(view, {"host-3": 0.99}, now_s=4.0)
+        named = set().union(*answers)
+        self.assertEqual(named, {"10.0.0.1", "10.0.0.4", "10.0.0.5"})
+
+    def test_with_all_hosts_overloaded_callers_still_get_addresses(self):
+        # An empty answer would leave callers without any host to be refused by.
+        loads = {f"host-{i}": 1.2 for i in range(3)}
+        firsts, _ = self.draw(heard_view(3), loads)
+        self.assertGreater(len(firsts), 0)
+
+    def test_callers_stay_in_their_zone_until_it_is_nearly_full(self):
+        view = heard_view(6)
+        firsts, _ = self.draw(view, {"host-0": 0.5, "host-3": 0.6})
+        self.assertEqual(set(firsts), {"10.0.0.0", "10.0.0.3"})
+        full = {"host-0": 0.92, "host-3": 0.92}
+        firsts, _ = self.draw(view, {**full, "host-1": 0.2, "host-2": 0.2})
+        own = firsts["10.0.0.0"] + firsts["10.0.0.3"]
+        self.assertGreater(own, 0)
+        self.assertLess(own, 200)
+
+    def test_repeated_feedback_rounds_do_not_swing_callers_to_one_host(self):
+        # Callers that all follow the least-loaded host overload it in the next round.
+        print(f"seed {SEED}")
+        rng = random.Random(SEED)
+        view = heard_view(7)
+        loads = {f"host-{i}": 0.9 if i else 0.0 for i in range(7)}
+        callers, capacity = 700, 200.0
+        worst = []
+        for _ in range(30):
+            counts = Counter()
+            for caller in range(callers):
+                zone = ("accra-a", "tema-b", "kasoa-c")[caller % 3]
+                answer = choose_addresses(
+                    view, caller_zone=zone, load_by_host=loads, now_s=0.0, rng=rng
+                )
+                counts[answer.addresses[0].replace("10.0.0.", "host-")] += 1
+            # A third of the callers ask again in each round; loads follow slowly.
+            loads = {
+                name: load * 2 / 3 + counts[name] / capacity / 3
+                for name, load in loads.items()
+            }
+            worst.append(max(loads.values()) / (sum(loads.values()) / len(loads)))
+        self.assertLess(max(worst[10:]), 1.4)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once."""
