Add claims for calls that run at most once

Cause: a duplicate registration bills twice, and one key for each claim would take two writes a call. Change: claims are kept in shard documents and committed in groups by the shard's owner, with a direct write when the owner does not answer; unknown writes are settled by the attempt id in the document.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -0,0 +1,413 @@
+"""Claims of calls that must run at most once."""
+
+import secrets
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from loguru import logger
+
+from persimmonyoke.errors import ErrorKind, ProtocolError, StoreUnavailable
+from persimmonyoke.internal.invariants import Invariant, check_invariant
+from persimmonyoke.internal.once.document import (
+    MAX_CONTENT_TYPE_CHARS,
+    Action,
+    Effect,
+    EntryState,
+    Operation,
+    Result,
+)
+from persimmonyoke.internal.once.forwarding import (
+    ClaimForwarder,
+    decode_operation,
+    decode_result,
+    encode_operation,
+    encode_result,
+)
+from persimmonyoke.internal.once.outcomes import (
+    Claim,
+    ClaimBodyMismatch,
+    ClaimExpired,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimOutcome,
+    ClaimOutcomeUnknown,
+    ClaimRefused,
+    ClaimReplay,
+    ClaimStoreUnavailable,
+    StoredAnswer,
+)
+from persimmonyoke.internal.once.placement import (
+    SLOT_S,
+    choose_owner,
+    is_timed,
+    place,
+    slot_shard,
+)
+from persimmonyoke.internal.once.writer import ShardWriter, WriterLimits
+from persimmonyoke.internal.platform.store import KeyValueStore
+
+ATTEMPT_BYTES = 16
+# A key far ahead of this host's clock would open a document of its own that is kept
+# beyond the retention time.
+MAX_KEY_AHEAD_S = 300.0
+# Documents are deleted this long after their last key has expired, so that hosts with
+# slow clocks still find them.
+SWEEP_MARGIN_S = 3_600.0
+SWEEP_DOCUMENTS = 4
+MAX_REMEMBERED_ATTEMPTS = 20_000
+WRITER_IDLE_S = 30.0
+# Answers longer than a message are never sent to the owner whole.
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True)
+class ClaimSettings:
+    """Hold the limits of the claims.
+
+    The spacings bound the writes: 33 a second for the active span of UUIDv7 keys, and
+    as many for all other keys together.
+    """
+
+    keep_s: float = 86_400.0
+    claim_timeout_s: float = 2.0
+    forward_timeout_s: float = 0.75
+    finish_timeout_s: float = 2.0
+    retry_for_s: float = 600.0
+    answer_limit_bytes: int = 4_096
+    shard_limit_bytes: int = 900_000
+    timed_spacing_s: float = 0.03
+    hash_spacing_s: float = 0.12
+
+    def __post_init__(self) -> None:
+        for name, value in vars(self).items():
+            if value < 0:
+                raise ValueError(f"{name} must be at least 0, is {value}")
+        if self.answer_limit_bytes > MAX_ANSWER_BYTES:
+            raise ValueError(
+                f"answer_limit_bytes must be at most {MAX_ANSWER_BYTES}, "
+                f"is {self.answer_limit_bytes}"
+            )
+
+
+class _Held(StrEnum):
+    GRANTED = "granted"
+    FINISHED = "finished"
+    RELEASED = "released"
+
+
+class ClaimService:
+    """Grant, finish and release claims for the calls of one host.
+
+    ``live_hosts()`` returns the names of the hosts among which owners are chosen;
+    ``is_dead(host, incarnation)`` says whether an incarnation is known to have ended.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        *,
+        prefix: str,
+        host: str,
+        incarnation: str,
+        live_hosts: Callable[[], Iterable[str]],
+        is_dead: Callable[[str, str], bool],
+        forwarder: ClaimForwarder,
+        settings: ClaimSettings | None = None,
+        clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._host = host
+        self._incarnation = incarnation
+        self._live_hosts = live_hosts
+        self._is_dead = is_dead
+        self._forwarder = forwarder
+        self._settings = settings or ClaimSettings()
+        self._clock = clock
+        self._unix_clock = unix_clock
+        self._writers: dict[str, ShardWriter] = {}
+        self._held: OrderedDict[bytes, _Held] = OrderedDict()
+
+    # Operations of this host's calls
+
+    def claim(
+        self, workspace: str, key: str, body_digest: bytes, *, now_unix_s: float
+    ) -> ClaimOutcome:
+        """Claim the right to run a call; dispatch it only if this is granted."""
+        placement = place(workspace, key)
+        key_unix_s = placement.key_unix_s
+        if key_unix_s is not None and key_unix_s < now_unix_s - self._settings.keep_s:
+            return ClaimExpired()
+        if key_unix_s is not None and key_unix_s > now_unix_s + MAX_KEY_AHEAD_S:
+            reason = f"the key's time is over {MAX_KEY_AHEAD_S:g} s ahead"
+            return ClaimRefused(ErrorKind.INVALID_VALUE, reason)
+        attempt = secrets.token_bytes(ATTEMPT_BYTES)
+        claim = Claim(
+            workspace, key, placement.shard, placement.entry_key, attempt, body_digest
+        )
+        timeout_s = self._settings.claim_timeout_s
+        operation = self._operation(Action.CLAIM, claim, valid_s=timeout_s)
+        result = self._execute(operation, timeout_s=timeout_s)
+        return self._claim_outcome(claim, result)
+
+    def finish(self, claim: Claim, answer: StoredAnswer) -> bool:
+        """Store the answer of a call that ran; return whether it is stored by now.
+
+        If it is not, it is stored in the background once the store answers.
+        """
+        check_invariant(
+            self._held.get(claim.attempt) is _Held.GRANTED,
+            Invariant.AT_MOST_ONCE,
+            f"call with key {claim.key!r} finished without a held claim",
+        )
+        self._remember(claim.attempt, _Held.FINISHED)
+        operation = self._operation(Action.FINISH, claim, answer=self._sized(answer))
+        timeout_s = self._settings.finish_timeout_s
+        result = self._execute(operation, timeout_s=timeout_s)
+        check_invariant(
+            result.effect is not Effect.CONTRADICTED,
+            Invariant.AT_MOST_ONCE,
+            f"call with key {claim.key!r} ran while another attempt held the key",
+        )
+        return result.effect is Effect.STORED
+
+    def release(self, claim: Claim) -> bool:
+        """Give a claim back whose call did not run; return whether it is by now."""
+        check_invariant(
+            self._held.get(claim.attempt) is _Held.GRANTED,
+            Invariant.NOT_RUN_IS_TRUE,
+            f"claim of key {claim.key!r} is released but not held",
+        )
+        self._remember(claim.attempt, _Held.RELEASED)
+        operation = self._operation(Action.RELEASE, claim)
+        timeout_s = self._settings.finish_timeout_s
+        result = self._execute(operation, timeout_s=timeout_s)
+        check_invariant(
+            result.effect is not Effect.CONTRADICTED,
+            Invariant.NOT_RUN_IS_TRUE,
+            f"released call with key {claim.key!r} has an answer",
+        )
+        return result.effect is Effect.RELEASED
+
+    # Operations that other hosts forward
+
+    def handle(self, host: str, payload: bytes) -> bytes:
+        """Execute an operation of another host; raise ``ProtocolError``."""
+        operation = decode_operation(payload)
+        if operation.host != host:
+            raise ProtocolError(f"{host} forwarded an operation of {operation.host}")
+        timeout_s = self._settings.forward_timeout_s
+        deadline_s = self._clock() + timeout_s
+        # The forwarding host takes over when the owner does not settle the operation,
+        # so the owner keeps no operation of others beyond the timeout.
+        writer = self._writer(operation.shard)
+        pending = writer.submit(operation, deadline_s=deadline_s)
+        return encode_result(pending.wait(timeout_s))
+
+    def owner(self, shard: str) -> str:
+        """Return the host that groups the writes of a shard."""
+        return choose_owner(shard, self._live_hosts()) or self._host
+
+    # Retention
+
+    def sweep(self, *, now_unix_s: float) -> int:
+        """Delete a few documents whose keys have all expired; return their number.
+
+        Raises nothing while the store is down; the next sweep goes on.
+        """
+        horizon_s = now_unix_s - self._settings.keep_s - SWEEP_MARGIN_S - SLOT_S
+        oldest_kept = self._prefix + slot_shard(horizon_s)
+        deleted = 0
+        try:
+            found = self._store.list_prefix(f"{self._prefix}t", limit=SWEEP_DOCUMENTS)
+        except StoreUnavailable:
+            return 0
+        for item in found:
+            if item.key >= oldest_kept:
+                break
+            self._store.delete(item.key, expected_revision=item.mod_revision)
+            deleted += 1
+        return deleted
+
+    def busy(self) -> bool:
+        """Return whether operations wait for the store, for a graceful shutdown."""
+        return any(writer.busy for writer in list(self._writers.values()))
+
+    def stop(self) -> None:
+        """End the writers."""
+        for writer in list(self._writers.values()):
+            writer.stop()
+
+    # Execution
+
+    def _operation(
+        self,
+        action: Action,
+        claim: Claim,
+        *,
+        valid_s: float = 0.0,
+        answer: StoredAnswer | None = None,
+    ) -> Operation:
+        created_unix_s = float(self._unix_clock())
+        return Operation(
+            action=action,
+            shard=claim.shard,
+            entry_key=claim.entry_key,
+            attempt=claim.attempt,
+            body_digest=claim.body_digest,
+            host=self._host,
+            incarnation=self._incarnation,
+            created_unix_s=created_unix_s,
+            valid_until_unix_s=created_unix_s + valid_s,
+            answer=answer,
+        )
+
+    def _sized(self, answer: StoredAnswer) -> StoredAnswer:
+        body = answer.body
+        if body is not None and len(body) > self._settings.answer_limit_bytes:
+            body = None
+        content_type = answer.content_type[:MAX_CONTENT_TYPE_CHARS]
+        return StoredAnswer(answer.status, content_type, body, answer.body_digest)
+
+    def _execute(self, operation: Operation, *, timeout_s: float) -> Result:
+        end_s = self._clock() + timeout_s
+        forwarded = self._forward(operation)
+        if forwarded is not None and forwarded.effect is not Effect.UNSETTLED:
+            if forwarded.effect is not Effect.NOT_WRITTEN:
+                return forwarded
+            if operation.action is Action.CLAIM:
+                return forwarded
+        # The owner may still commit an unsettled operation. The same attempt written
+        # here settles it: the document holds an attempt once, whoever wrote it.
+        owner_may_write = forwarded is not None
+        local = self._execute_here(operation, end_s=end_s)
+        if owner_may_write and local.effect is Effect.NOT_WRITTEN:
+            return Result(Effect.UNSETTLED, reason=local.reason)
+        return local
+
+    def _forward(self, operation: Operation) -> Result | None:
+        """Return the owner's result, or ``None`` if the owner did not get it."""
+        owner = self.owner(operation.shard)
+        if owner == self._host:
+            return None
+        try:
+            payload = self._forwarder.forward(
+                owner,
+                encode_operation(operation),
+                timeout_s=self._settings.forward_timeout_s,
+            )
+        except ConnectionError as error:
+            logger.debug("[once] owner {} not reached: {}", owner, error)
+            return None
+        if payload is None:
+            return Result(Effect.UNSETTLED, reason=f"{owner} did not answer")
+        try:
+            return decode_result(payload)
+        except ProtocolError as error:
+            return Result(Effect.UNSETTLED, reason=str(error))
+
+    def _execute_here(self, operation: Operation, *, end_s: float) -> Result:
+        persistent = operation.action is not Action.CLAIM
+        now_s = self._clock()
+        deadline_s = now_s + self._settings.retry_for_s if persistent else end_s
+        writer = self._writer(operation.shard)
+        pending = writer.submit(operation, deadline_s=deadline_s)
+        return pending.wait(end_s - now_s)
+
+    def _writer(self, shard: str) -> ShardWriter:
+        writer = self._writers.get(shard)
+        if writer is None:
+            self._drop_idle_writers()
+            timed = is_timed(shard)
+            settings = self._settings
+            limits = WriterLimits(
+                spacing_s=settings.timed_spacing_s
+                if timed
+                else settings.hash_spacing_s,
+                limit_bytes=settings.shard_limit_bytes,
+                answer_limit_bytes=settings.answer_limit_bytes,
+                keep_s=None if timed else settings.keep_s,
+            )
+            writer = ShardWriter(
+                self._store,
+                self._prefix + shard,
+                limits,
+                clock=self._clock,
+                unix_clock=self._unix_clock,
+            )
+            self._writers[shard] = writer
+        return writer
+
+    def _drop_idle_writers(self) -> None:
+        oldest_s = self._clock() - WRITER_IDLE_S
+        for shard, writer in list(self._writers.items()):
+            if not writer.busy and writer.last_used_s < oldest_s:
+                del self._writers[shard]
+
+    # Outcomes
+
+    def _claim_outcome(self, claim: Claim, result: Result) -> ClaimOutcome:
+        entry = result.entry
+        match result.effect:
+            case Effect.GRANTED:
+                return self._granted(claim, result)
+            case Effect.DONE:
+                return ClaimReplay(entry.answer)
+            case Effect.HELD if self._is_holder_dead(entry.host, entry.incarnation):
+                return ClaimOutcomeUnknown(entry.host)
+            case Effect.HELD:
+                return ClaimInProgress(entry.host)
+            case Effect.MISMATCH:
+                return ClaimBodyMismatch()
+            case Effect.FULL:
+                reason = "the claim shard is full; use UUIDv7 keys or retry later"
+                return ClaimRefused(ErrorKind.OVERLOADED, reason)
+            case Effect.NOT_WRITTEN | Effect.WITHDRAWN:
+                return self._not_run(claim, result)
+            case _:
+                self._withdraw(claim)
+                return self._not_run(claim, result)
+
+    def _is_holder_dead(self, host: str, incarnation: str) -> bool:
+        if host == self._host:
+            return incarnation != self._incarnation
+        return self._is_dead(host, incarnation)
+
+    def _granted(self, claim: Claim, result: Result) -> ClaimOutcome:
+        entry = result.entry
+        holds = check_invariant(
+            entry is not None
+            and entry.state is EntryState.CLAIMED
+            and entry.attempt == claim.attempt
+            and claim.attempt not in self._held,
+            Invariant.AT_MOST_ONCE,
+            f"claim of key {claim.key!r} granted without its own committed attempt",
+        )
+        if not holds:
+            return ClaimInProgress(self._host)
+        self._remember(claim.attempt, _Held.GRANTED)
+        return ClaimGranted(claim)
+
+    def _not_run(self, claim: Claim, result: Result) -> ClaimOutcome:
+        check_invariant(
+            claim.attempt not in self._held,
+            Invariant.NOT_RUN_IS_TRUE,
+            f"claim of key {claim.key!r} was granted and is reported as not run",
+        )
+        return ClaimStoreUnavailable(result.reason or result.effect.value)
+
+    def _withdraw(self, claim: Claim) -> None:
+        """Release an unsettled claim in the background, so that a resend can run."""
+        operation = self._operation(Action.RELEASE, claim)
+        deadline_s = self._clock() + self._settings.retry_for_s
+        self._writer(claim.shard).submit(operation, deadline_s=deadline_s)
+
+    def _remember(self, attempt: bytes, state: _Held) -> None:
+        self._held[attempt] = state
+        self._held.move_to_end(attempt)
+        if len(self._held) > MAX_REMEMBERED_ATTEMPTS:
+            self._held.popitem(last=False)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -0,0 +1,261 @@
+"""Tests of claims against each failure of hosts, links and store."""
+
+import random
+import statistics
+import time
+import unittest
+
+import gevent
+
+from persimmonyoke.errors import ErrorKind, InvariantViolation, ProtocolError
+from persimmonyoke.internal.invariants import MONITOR, Invariant
+from persimmonyoke.internal.once import outcomes as once
+from persimmonyoke.internal.once.forwarding import decode_operation, decode_result
+from persimmonyoke.internal.once.placement import HASH_SHARDS, choose_owner, place
+from persimmonyoke.internal.once.service import ClaimSettings
+from persimmonyoke_testing.builders_once import (
+    PREFIX,
+    QUICK,
+    ClaimCluster,
+    FaultyStore,
+    uuid7,
+)
+
+BODY = b"b" * 32
+ANSWER = once.StoredAnswer.of(201, "application/json", b'{"ok": true}')
+SEED = 7
+
+
+class ClaimTest(unittest.TestCase):
+    def setUp(self):
+        self.cluster = ClaimCluster(3)
+        self.store = self.cluster.store
+        self.key = uuid7(time.time(), random.Random(SEED))
+        self.owner = choose_owner(place("w", self.key).shard, self.cluster.services)
+        self.other = next(h for h in self.cluster.services if h != self.owner)
+
+    def claim(self, host=None, *, key=None, body=BODY):
+        service = self.cluster.services[host or self.other]
+        return service.claim("w", key or self.key, body, now_unix_s=time.time())
+
+    def service(self, host=None):
+        return self.cluster.services[host or self.other]
+
+    def assert_not_run_and_claimable_later(self, outcome):
+        self.assertIsInstance(outcome, once.ClaimStoreUnavailable)
+        self.cluster.heal()
+        self.assertTrue(self.cluster.settle())
+        gevent.sleep(0.05)
+        self.assertIsInstance(self.claim(self.owner), once.ClaimGranted)
+
+    def test_a_resent_call_gets_the_stored_answer_at_any_host(self):
+        # A second run would register the domain twice.
+        granted = self.claim()
+        self.assertTrue(self.service().finish(granted.claim, ANSWER))
+        for host in self.cluster.services:
+            self.assertEqual(self.claim(host), once.ClaimReplay(ANSWER))
+
+    def test_the_same_key_with_another_body_is_refused(self):
+        # The stored answer belongs to another call.
+        granted = self.claim()
+        mismatch = self.claim(self.owner, body=b"c" * 32)
+        self.assertEqual(mismatch, once.ClaimBodyMismatch())
+        self.service().finish(granted.claim, ANSWER)
+        mismatch = self.claim(self.owner, body=b"c" * 32)
+        self.assertEqual(mismatch, once.ClaimBodyMismatch())
+
+    def test_one_of_two_hosts_that_claim_at_once_gets_the_key(self):
+        tasks = [
+            gevent.spawn(self.claim, h) for h in self.cluster.services for _ in "ab"
+        ]
+        outcomes = [task.get() for task in tasks]
+        granted = [o for o in outcomes if isinstance(o, once.ClaimGranted)]
+        self.assertEqual(len(granted), 1)
+        held = [o for o in outcomes if isinstance(o, once.ClaimInProgress)]
+        self.assertEqual(len(held), 5)
+
+    def test_two_owners_at_once_grant_a_key_once(self):
+        # Views of the members differ for a while after each change.
+        self.cluster.confused = set(self.cluster.services)
+        self.test_one_of_two_hosts_that_claim_at_once_gets_the_key()
+
+    def test_a_released_claim_can_be_claimed_again(self):
+        granted = self.claim()
+        self.assertIsInstance(self.claim(self.owner), once.ClaimInProgress)
+        self.assertTrue(self.service().release(granted.claim))
+        self.assertIsInstance(self.claim(self.owner), once.ClaimGranted)
+
+    def test_a_host_that_dies_with_a_claim_leaves_the_outcome_unknown(self):
+        # Its call may have run; a live host's call is only in progress.
+        self.claim()
+        self.assertEqual(self.claim(self.owner), once.ClaimInProgress(self.other))
+        self.cluster.kill(self.other)
+        self.assertEqual(self.claim(self.owner), once.ClaimOutcomeUnknown(self.other))
+
+    def test_a_write_whose_request_or_answer_is_lost_grants_the_claim_once(self):
+        for fault in ("lose_before", "lose_after", "apply_late"):
+            with self.subTest(fault):
+                self.setUp()
+                self.store.script = [getattr(self.store, fault)]
+                self.assertIsInstance(self.claim(), once.ClaimGranted)
+                gevent.sleep(0.03)
+                self.assertIsInstance(self.claim(self.owner), once.ClaimInProgress)
+
+    def test_a_write_that_stays_unknown_is_withdrawn_in_the_background(self):
+        # The late write must neither run the call nor bar its resend for good.
+        for fault in ("lose_after", "apply_late"):
+            with self.subTest(fault):
+                self.setUp()
+
+                def then_go_down(*write, fault=fault):
+                    self.store.is_down = True
+                    return getattr(self.store, fault)(*write)
+
+                self.store.script = [then_go_down]
+                self.assert_not_run_and_claimable_later(self.claim())
+
+    def test_with_the_store_down_claims_are_refused_at_once(self):
+        # A caller must not wait for its deadline to hear that nothing ran.
+        self.store.is_down = True
+        started_s = time.monotonic()
+        outcome = self.claim(self.owner)
+        self.assertLess(time.monotonic() - started_s, QUICK.claim_timeout_s / 2)
+        self.assert_not_run_and_claimable_later(outcome)
+
+    def test_a_slow_store_read_does_not_commit_a_claim_that_was_given_up(self):
+        # Such a claim would bar the key, though its caller heard that it did not run.
+        self.store.latency_s = 0.2
+        outcome = self.claim(self.owner)
+        self.store.latency_s = 0.0
+        self.assert_not_run_and_claimable_later(outcome)
+
+    def test_an_answer_is_stored_after_an_outage(self):
+        granted = self.claim()
+        self.store.is_down = True
+        self.assertFalse(self.service().finish(granted.claim, ANSWER))
+        self.store.is_down = False
+        self.assertTrue(self.cluster.settle())
+        self.assertEqual(self.claim(self.owner), once.ClaimReplay(ANSWER))
+
+    def test_an_owner_that_dies_or_loses_replies_does_not_stop_claims(self):
+        # The forward may have been committed; the direct write must find that out.
+        for loss in ("dead", "reply"):
+            with self.subTest(loss):
+                self.setUp()
+                forwarder = self.service()._forwarder
+                handle = self.cluster.services[self.owner].handle
+
+                def lost(host, payload, *, timeout_s, loss=loss, handle=handle):
+                    if loss == "reply":
+                        handle(self.other, payload)
+                    return None
+
+                forwarder.forward = lost
+                granted = self.claim()
+                self.assertIsInstance(granted, once.ClaimGranted)
+                self.assertIsInstance(self.claim(self.owner), once.ClaimInProgress)
+
+    def test_a_paused_owner_does_not_revive_a_withdrawn_claim(self):
+        # It may commit a forwarded claim long after its claimant gave up.
+        payloads = []
+
+        def paused(host, payload, *, timeout_s):
+            payloads.append(payload)
+            return None
+
+        self.service()._forwarder.forward = paused
+        self.store.is_down = True
+        outcome = self.claim()
+        self.cluster.heal()
+        self.assertTrue(self.cluster.settle())
+        owner = self.service(self.owner)
+        decode_result(owner.handle(self.other, payloads[0]))
+        self.assert_not_run_and_claimable_later(outcome)
+
+    def test_expired_and_future_keys_are_refused(self):
+        rng = random.Random(SEED)
+        old = uuid7(time.time() - QUICK.keep_s - 5, rng)
+        self.assertEqual(self.claim(key=old), once.ClaimExpired())
+        ahead = self.claim(key=uuid7(time.time() + 3600, rng))
+        self.assertEqual(ahead.kind, ErrorKind.INVALID_VALUE)
+
+    def test_a_full_shard_refuses_new_claims_but_stores_answers(self):
+        # The key-value service refuses values over 1 MB, also for answers.
+        settings = ClaimSettings(**{**vars(QUICK), "shard_limit_bytes": 3_000})
+        self.cluster = ClaimCluster(1, settings=settings)
+        service = self.cluster.services["host-0"]
+        results = [self.claim("host-0", key=f"key-{i}") for i in range(300)]
+        refused = [r for r in results if isinstance(r, once.ClaimRefused)]
+        granted = [r for r in results if isinstance(r, once.ClaimGranted)]
+        self.assertEqual({r.kind for r in refused}, {ErrorKind.OVERLOADED})
+        big = once.StoredAnswer.of(200, "text/plain", b"x" * 2_000)
+        self.assertTrue(all(service.finish(g.claim, big) for g in granted))
+        replay = self.claim("host-0", key=granted[0].claim.key)
+        self.assertEqual((replay.answer.status, replay.answer.body), (200, None))
+        stored = self.cluster.store.list_prefix(PREFIX)
+        self.assertEqual(len(stored), HASH_SHARDS)
+        self.assertLess(max(len(item.value) for item in stored), 2 * 3_000)
+
+    def test_sweep_deletes_only_documents_whose_keys_have_expired(self):
+        rng = random.Random(SEED)
+        self.claim(key=uuid7(time.time() - 40_000, rng))
+        self.claim()
+        self.claim(key="plain")
+        later_s = time.time() + 60_000
+        self.assertEqual(self.service().sweep(now_unix_s=later_s), 1)
+        self.assertEqual(self.service().sweep(now_unix_s=later_s), 0)
+        self.assertEqual(len(self.store.list_prefix(PREFIX)), 2)
+
+    def test_a_finished_call_cannot_be_reported_as_not_run(self):
+        granted = self.claim()
+        self.service().finish(granted.claim, ANSWER)
+        with self.assertRaises(InvariantViolation):
+            self.service().release(granted.claim)
+        MONITOR.violations.pop(Invariant.NOT_RUN_IS_TRUE)
+
+    def test_malformed_or_foreign_forwards_are_refused(self):
+        rng = random.Random(SEED)
+        for payload in (b"", b"\x81\x01", rng.randbytes(64)):
+            with self.assertRaises(ProtocolError):
+                decode_operation(payload)
+        payloads = []
+        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
+            payloads.append(payload)
+        )
+        self.claim()
+        with self.assertRaises(ProtocolError):
+            self.service(self.owner).handle("host-9", payloads[0])
+
+
+class ClaimWritesTest(unittest.TestCase):
+    def test_at_200_calls_a_second_claims_take_a_quarter_write_for_each_call(self):
+        # The key-value service's rates grow more slowly than the fleet.
+        for kind in ("uuid7", "plain"):
+            with self.subTest(kind):
+                self._measure(kind)
+
+    def _measure(self, kind):
+        store = FaultyStore(latency_s=0.003)
+        cluster = ClaimCluster(7, store=store, settings=ClaimSettings())
+        cluster.forward_latency_s = 0.001
+        rng = random.Random(SEED)
+        added_s = []
+
+        def call(number):
+            host = cluster.services[f"host-{number % 7}"]
+            key = uuid7(time.time(), rng) if kind == "uuid7" else f"call-{number}"
+            started_s = time.monotonic()
+            granted = host.claim("w", key, BODY, now_unix_s=time.time())
+            added_s.append(time.monotonic() - started_s)
+            gevent.sleep(0.1)
+            host.finish(granted.claim, ANSWER)
+
+        tasks = []
+        for number in range(600):
+            tasks.append(gevent.spawn(call, number))
+            gevent.sleep(rng.expovariate(200))
+        gevent.joinall(tasks, raise_error=True)
+        ratio = store.writes / len(tasks)
+        median_ms = 1000 * statistics.median(added_s)
+        print(f"{kind}: {ratio:.3f} writes a call, claim median {median_ms:.1f} ms")
+        self.assertLessEqual(ratio, 0.25)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/writer.py
@@ -0,0 +1,276 @@
+"""Group commit of one shard."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import AsyncResult
+from loguru import logger
+
+from persimmonyoke.errors import ProtocolError, StoreUnavailable
+from persimmonyoke.internal.once.document import (
+    FINAL_EFFECTS,
+    UNWRITTEN_EFFECTS,
+    Action,
+    Draft,
+    Effect,
+    Operation,
+    Result,
+    ShardDocument,
+)
+from persimmonyoke.internal.platform.store import (
+    EXPECT_ABSENT,
+    KeyValueStore,
+    WriteApplied,
+    WriteConflict,
+)
+
+RETRY_BASE_S = 0.01
+RETRY_MAX_S = 0.2
+# A purge decodes each entry, which takes tens of milliseconds in a large document.
+PURGE_INTERVAL_S = 30.0
+
+
+@dataclass(frozen=True)
+class WriterLimits:
+    """Bound a shard's document and the rate of its commits.
+
+    ``spacing_s`` is the least time between the starts of two commits; an idle shard
+    commits at once. ``keep_s`` is ``None`` for shards that are deleted as a whole.
+    """
+
+    spacing_s: float
+    limit_bytes: int
+    answer_limit_bytes: int
+    keep_s: float | None
+    max_pending: int = 10_000
+
+
+class Pending:
+    """Follow one submitted operation until its result is known."""
+
+    def __init__(self, operation: Operation, *, deadline_s: float) -> None:
+        self.operation = operation
+        self.deadline_s = deadline_s
+        self.written = False
+        self.cancelled = False
+        self._result: AsyncResult = AsyncResult()
+
+    @property
+    def persistent(self) -> bool:
+        """Return whether the operation is retried while the store is down."""
+        return self.operation.action is not Action.CLAIM
+
+    def resolve(self, result: Result) -> None:
+        """Set the result."""
+        self._result.set(result)
+
+    def give_up(self, reason: str) -> None:
+        """Resolve without a known outcome of the store."""
+        effect = Effect.UNSETTLED if self.written else Effect.NOT_WRITTEN
+        self.resolve(Result(effect, reason=reason))
+
+    def wait(self, timeout_s: float) -> Result:
+        """Return the result; a claim that is not settled in time is cancelled."""
+        try:
+            return self._result.get(timeout=max(0.0, timeout_s))
+        except gevent.Timeout:
+            if not self.persistent:
+                self.cancelled = True
+            effect = Effect.UNSETTLED if self.written else Effect.NOT_WRITTEN
+            return Result(effect, reason="the key-value service did not answer in time")
+
+
+class ShardWriter:
+    """Collect operations while a write is out, and commit them in one write.
+
+    A write with an unknown outcome is settled by writing the same operations again at
+    the revision that is read back: if the first write has taken effect, the attempt is
+    in the document; if not, the second write ends its chance to take effect.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        key: str,
+        limits: WriterLimits,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+        unix_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._key = key
+        self._limits = limits
+        self._clock = clock
+        self._unix_clock = unix_clock
+        self._queue: list[Pending] = []
+        self._document: ShardDocument | None = None
+        self._is_fresh = False
+        self._last_commit_s = float("-inf")
+        self._last_purge_s = float("-inf")
+        self._task: gevent.Greenlet | None = None
+        self.last_used_s = clock()
+
+    @property
+    def busy(self) -> bool:
+        """Return whether operations are waiting or being written."""
+        return self._task is not None
+
+    def submit(self, operation: Operation, *, deadline_s: float) -> Pending:
+        """Queue an operation for the next commit."""
+        pending = Pending(operation, deadline_s=deadline_s)
+        self.last_used_s = self._clock()
+        if len(self._queue) >= self._limits.max_pending:
+            pending.give_up("too many operations wait for the key-value service")
+            return pending
+        self._queue.append(pending)
+        if self._task is None:
+            self._task = gevent.spawn(self._run)
+        return pending
+
+    def stop(self) -> None:
+        """End the task; operations that wait stay unsettled."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _run(self) -> None:
+        try:
+            while self._queue:
+                self._commit(self._queue_after_spacing())
+        finally:
+            self._task = None
+
+    def _queue_after_spacing(self) -> list[Pending]:
+        gevent.sleep(
+            max(0.0, self._last_commit_s + self._limits.spacing_s - self._clock())
+        )
+        return self._drain()
+
+    def _drain(self) -> list[Pending]:
+        batch, self._queue = self._queue, []
+        return batch
+
+    def _commit(self, batch: list[Pending]) -> None:
+        failures = 0
+        # A copy from an earlier commit may be behind the writes of other hosts.
+        self._is_fresh = False
+        while batch := self._without_expired(batch):
+            try:
+                settled = self._try_commit(batch)
+            except (StoreUnavailable, ProtocolError) as error:
+                batch = self._keep_after_failed_read(batch, str(error))
+                settled = False
+            if settled:
+                return
+            if self._document is None:
+                # The read or write failed, as opposed to a conflict.
+                failures += 1
+                gevent.sleep(min(RETRY_MAX_S, RETRY_BASE_S * 2 ** min(failures, 8)))
+            batch += self._drain()
+
+    def _without_expired(self, batch: list[Pending]) -> list[Pending]:
+        kept = []
+        for pending in batch:
+            if pending.cancelled or self._clock() >= pending.deadline_s:
+                pending.give_up("the operation's time is over")
+            else:
+                kept.append(pending)
+        return kept
+
+    @staticmethod
+    def _keep_after_failed_read(batch: list[Pending], reason: str) -> list[Pending]:
+        kept = []
+        for pending in batch:
+            if pending.written or pending.persistent:
+                kept.append(pending)
+            else:
+                pending.give_up(reason)
+        return kept
+
+    def _try_commit(self, batch: list[Pending]) -> bool:
+        document = self._load()
+        # The read may have taken long. A claimant that gave up meanwhile was told that
+        # nothing was written, so its operation must not be written from here on.
+        batch[:] = self._without_expired(batch)
+        draft = Draft(
+            document,
+            now_unix_s=self._unix_clock(),
+            limit_bytes=self._limits.limit_bytes,
+            answer_limit_bytes=self._limits.answer_limit_bytes,
+        )
+        if self._purge_is_due(draft):
+            draft.purge(keep_s=self._limits.keep_s)
+        results = [draft.apply(pending.operation) for pending in batch]
+        if draft.changed:
+            return self._write(document, draft, batch, results)
+        if self._is_fresh or all(result.effect in FINAL_EFFECTS for result in results):
+            self._resolve(batch, results)
+            self._is_fresh = False
+            return True
+        self._document = self._load_from_store()
+        return False
+
+    def _purge_is_due(self, draft: Draft) -> bool:
+        now_s = self._clock()
+        if draft.size_bytes <= self._limits.limit_bytes // 2:
+            return False
+        if now_s - self._last_purge_s < PURGE_INTERVAL_S:
+            return False
+        self._last_purge_s = now_s
+        return True
+
+    def _load(self) -> ShardDocument:
+        if self._document is None:
+            self._document = self._load_from_store()
+        return self._document
+
+    def _load_from_store(self) -> ShardDocument:
+        self._document = None
+        current = self._store.get(self._key)
+        self._is_fresh = True
+        if current is None:
+            return ShardDocument(revision=EXPECT_ABSENT)
+        return ShardDocument.decode(current.value, current.mod_revision)
+
+    def _write(
+        self,
+        document: ShardDocument,
+        draft: Draft,
+        batch: list[Pending],
+        results: list[Result],
+    ) -> bool:
+        value = ShardDocument(draft.entries).encode()
+        for pending in batch:
+            pending.written = True
+        self._last_commit_s = self._clock()
+        outcome = self._store.compare_and_swap(
+            self._key, value, expected_revision=document.revision
+        )
+        self._is_fresh = False
+        match outcome:
+            case WriteApplied(revision):
+                self._document = ShardDocument(draft.entries, revision)
+                self._resolve(batch, results)
+                return True
+            case WriteConflict(current) if current is not None:
+                self._document = ShardDocument.decode(
+                    current.value, current.mod_revision
+                )
+                self._is_fresh = True
+            case WriteConflict():
+                self._document = ShardDocument(revision=EXPECT_ABSENT)
+                self._is_fresh = True
+            case unknown:
+                logger.warning("[once] write of {}: {}", self._key, unknown.reason)
+                self._document = None
+        return False
+
+    @staticmethod
+    def _resolve(batch: list[Pending], results: list[Result]) -> None:
+        for pending, result in zip(batch, results, strict=True):
+            if pending.written and result.effect in UNWRITTEN_EFFECTS:
+                # An earlier write with an unknown outcome may still take effect.
+                pending.give_up(result.effect.value)
+            else:
+                pending.resolve(result)
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
@@ -0,0 +1,241 @@
+"""Store fake and builders for the tests of the claims."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+
+from persimmonyoke.errors import StoreUnavailable
+from persimmonyoke.internal.once.forwarding import ClaimForwarder
+from persimmonyoke.internal.once.service import ClaimService, ClaimSettings
+from persimmonyoke.internal.platform.store import (
+    KeyValue,
+    KeyValueStore,
+    WriteApplied,
+    WriteConflict,
+    WriteOutcome,
+    WriteUnknown,
+)
+
+PREFIX = "/persimmonyoke/kente/claims/"
+QUICK = ClaimSettings(
+    claim_timeout_s=0.08,
+    forward_timeout_s=0.03,
+    finish_timeout_s=0.08,
+    timed_spacing_s=0.001,
+    hash_spacing_s=0.001,
+)
+
+
+def uuid7(unix_s: float, rng: random.Random) -> str:
+    """Return a UUIDv7 with the given time."""
+    milliseconds = int(unix_s * 1000)
+    number = milliseconds << 80 | 0x7 << 76 | rng.getrandbits(12) << 64
+    number |= 0b10 << 62 | rng.getrandbits(62)
+    digits = f"{number:032x}"
+    parts = (digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:])
+    return "-".join(parts)
+
+
+@dataclass
+class StoreFaults:
+    """Hold the probabilities of faults of one write, and the reads' failure."""
+
+    lost_before: float = 0.0
+    lost_after: float = 0.0
+    late: float = 0.0
+    late_by_s: float = 0.02
+    failed_read: float = 0.0
+
+
+class FaultyStore(KeyValueStore):
+    """Keep keys in memory, with latency and with faults on request.
+
+    ``script`` holds functions that replace the next writes, oldest first.
+    """
+
+    def __init__(self, *, latency_s: float = 0.0, seed: int = 1) -> None:
+        self.latency_s = latency_s
+        self.faults = StoreFaults()
+        self.is_down = False
+        self.writes = 0
+        self.reads = 0
+        self.script: list[Callable[..., WriteOutcome]] = []
+        self._values: dict[str, KeyValue] = {}
+        self._revision = 0
+        self._rng = random.Random(seed)
+
+    def _delay(self) -> None:
+        gevent.sleep(self.latency_s * self._rng.uniform(0.5, 1.5))
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the value, or fail."""
+        self.reads += 1
+        self._delay()
+        if self.is_down or self._rng.random() < self.faults.failed_read:
+            raise StoreUnavailable("the store is down")
+        return self._values.get(key)
+
+    def list_prefix(
+        self, prefix: str, *, limit: int = 0, newest_first: bool = False
+    ) -> tuple[KeyValue, ...]:
+        """Return the keys under a prefix."""
+        if self.is_down:
+            raise StoreUnavailable("the store is down")
+        keys = sorted(key for key in self._values if key.startswith(prefix))
+        return tuple(self._values[key] for key in keys[: limit or None])
+
+    def compare_and_swap(
+        self, key: str, value: bytes, *, expected_revision: int, lease_id: int = 0
+    ) -> WriteOutcome:
+        """Write, subject to the faults."""
+        self.writes += 1
+        self._delay()
+        if self.script:
+            return self.script.pop(0)(key, value, expected_revision)
+        if self.is_down:
+            return WriteUnknown("the store is down")
+        draw = self._rng.random()
+        faults = self.faults
+        if draw < faults.lost_before:
+            return self.lose_before(key, value, expected_revision)
+        if draw < faults.lost_before + faults.lost_after:
+            return self.lose_after(key, value, expected_revision)
+        if draw < faults.lost_before + faults.lost_after + faults.late:
+            return self.apply_late(key, value, expected_revision)
+        return self.apply(key, value, expected_revision)
+
+    def apply(self, key: str, value: bytes, expected: int) -> WriteOutcome:
+        """Write now, if the key is at the expected revision."""
+        current = self._values.get(key)
+        if (current.mod_revision if current else 0) != expected:
+            return WriteConflict(current)
+        self._revision += 1
+        created = current.create_revision if current else self._revision
+        self._values[key] = KeyValue(key, value, self._revision, created)
+        return WriteApplied(self._revision)
+
+    def lose_before(self, key: str, value: bytes, expected: int) -> WriteOutcome:
+        """Lose the request: it never takes effect."""
+        return WriteUnknown("request lost")
+
+    def lose_after(self, key: str, value: bytes, expected: int) -> WriteOutcome:
+        """Lose the answer: the write has taken effect."""
+        self.apply(key, value, expected)
+        return WriteUnknown("answer lost")
+
+    def apply_late(self, key: str, value: bytes, expected: int) -> WriteOutcome:
+        """Let the write take effect after its caller was told that it is unknown."""
+        gevent.spawn_later(self.faults.late_by_s, self.apply, key, value, expected)
+        return WriteUnknown("timed out")
+
+    def delete(self, key: str, *, expected_revision: int) -> WriteOutcome:
+        """Delete the key if it is at the expected revision."""
+        current = self._values.get(key)
+        if current is None or current.mod_revision != expected_revision:
+            return WriteConflict(current)
+        self._revision += 1
+        del self._values[key]
+        return WriteApplied(self._revision)
+
+    def grant_lease(self, *, ttl_s: float) -> int:
+        """Claims use no leases."""
+        raise NotImplementedError
+
+    def keep_alive(self, lease_id: int) -> float:
+        """Claims use no leases."""
+        raise NotImplementedError
+
+    def revoke(self, lease_id: int) -> None:
+        """Claims use no leases."""
+        raise NotImplementedError
+
+    def watch(self, prefix, *, from_revision, on_event, stop) -> None:
+        """Claims use no watches."""
+        raise NotImplementedError
+
+
+class ClaimCluster:
+    """Run the claim services of several hosts on one store."""
+
+    def __init__(
+        self,
+        count: int,
+        *,
+        store: FaultyStore | None = None,
+        settings: ClaimSettings = QUICK,
+        seed: int = 1,
+    ) -> None:
+        self.store = store or FaultyStore(seed=seed)
+        self.rng = random.Random(seed)
+        self.dead: set[str] = set()
+        self.forward_loss = 0.0
+        self.forward_latency_s = 0.0
+        # Hosts whose view of the members is wrong, so that two owners exist at once.
+        self.confused: set[str] = set()
+        self.settings = settings
+        self.services: dict[str, ClaimService] = {}
+        for index in range(count):
+            self._add(f"host-{index}")
+
+    def _add(self, host: str) -> None:
+        self.services[host] = ClaimService(
+            self.store,
+            prefix=PREFIX,
+            host=host,
+            incarnation=f"{host}-i1",
+            live_hosts=lambda: self._members(host),
+            is_dead=lambda other, incarnation: other in self.dead,
+            forwarder=_ClusterForwarder(self, host),
+            settings=self.settings,
+        )
+
+    def _members(self, host: str) -> tuple[str, ...]:
+        if host in self.confused:
+            return (host,)
+        return tuple(name for name in self.services if name not in self.dead)
+
+    def kill(self, host: str) -> None:
+        """Let a host die: its writers end and it answers no forwards."""
+        self.dead.add(host)
+        self.services[host].stop()
+
+    def heal(self) -> None:
+        """End all faults but the deaths."""
+        self.store.faults = StoreFaults()
+        self.store.is_down = False
+        self.forward_loss = 0.0
+        self.confused = set()
+
+    def settle(self, *, timeout_s: float = 3.0) -> bool:
+        """Wait until no live host has operations waiting."""
+        end_s = time.monotonic() + timeout_s
+        live = [s for name, s in self.services.items() if name not in self.dead]
+        while any(service.busy() for service in live):
+            if time.monotonic() > end_s:
+                return False
+            gevent.sleep(0.002)
+        return True
+
+
+class _ClusterForwarder(ClaimForwarder):
+    """Carry operations between the services; may lose requests and replies."""
+
+    def __init__(self, cluster: ClaimCluster, host: str) -> None:
+        self._cluster = cluster
+        self._host = host
+
+    def forward(self, host: str, payload: bytes, *, timeout_s: float) -> bytes | None:
+        """Call the other service in a task of its own, as a peer link does."""
+        cluster = self._cluster
+        gevent.sleep(cluster.forward_latency_s)
+        if host in cluster.dead or cluster.rng.random() < cluster.forward_loss / 2:
+            gevent.sleep(timeout_s)
+            return None
+        task = gevent.spawn(cluster.services[host].handle, self._host, payload)
+        task.join(timeout=timeout_s)
+        if host in cluster.dead or cluster.rng.random() < cluster.forward_loss / 2:
+            return None
+        return task.value
