--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_peers.py
@@ -98,6 +98,22 @@
             self.assertEqual(cluster.services["host-01"].links(), ())
             self.assertEqual(revisions(cluster), {0, 2})
 
+    def test_a_peer_that_ignores_the_challenge_gets_no_link(self):
+        # A stranger need not care for the listening side's proof.
+        with PeerCluster(1) as cluster:
+            service = cluster.services["host-00"]
+            websocket = connect(f"ws://{service.address}/", legacy=True, proxy=None)
+            identity = NodeIdentity("host-66", "i1")
+            stranger = Authenticator(identity, shared_key=b"another key of 16 bytes")
+            websocket.send(encode(stranger.hello()))
+            websocket.recv(timeout=1)
+            websocket.send(encode(Proof(b"p" * 32)))
+            with self.assertRaises(ConnectionClosed):
+                while True:
+                    websocket.recv(timeout=1)
+            self.assertEqual(service.connected_peers(), frozenset())
+            websocket.close()
+
     def test_a_malformed_message_closes_the_link_and_only_it(self):
         with PeerCluster(2) as cluster:
             cluster.connect()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
@@ -134,11 +134,15 @@
 
 @dataclass(frozen=True)
 class Result:
-    """Hold the result of an operation and the entry that explains it."""
+    """Hold the result of an operation and the entry that explains it.
+
+    ``owner_may_write`` says that the shard's owner may still apply the operation.
+    """
 
     effect: Effect
     entry: Entry | None = None
     reason: str = ""
+    owner_may_write: bool = False
 
 
 @dataclass
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -4,7 +4,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from loguru import logger
@@ -98,6 +98,16 @@
     RELEASED = "released"
 
 
+def _needs_withdrawal(result: Result) -> bool:
+    """Return whether a claim that is not granted may yet take effect.
+
+    It would then bar the key for good, since nobody dispatches its call.
+    """
+    if result.effect in (Effect.GRANTED, Effect.DONE):
+        return False
+    return result.owner_may_write or result.effect in (Effect.UNSETTLED, Effect.STALE)
+
+
 class ClaimService:
     """Grant, finish and release claims for the calls of one host.
 
@@ -152,6 +162,8 @@
         timeout_s = self._settings.claim_timeout_s
         operation = self._operation(Action.CLAIM, claim, valid_s=timeout_s)
         result = self._execute(operation, timeout_s=timeout_s)
+        if _needs_withdrawal(result):
+            self._withdraw(claim)
         return self._claim_outcome(claim, result)
 
     def finish(self, claim: Claim, answer: StoredAnswer) -> bool:
@@ -283,11 +295,8 @@
                 return forwarded
         # The owner may still commit an unsettled operation. The same attempt written
         # here settles it: the document holds an attempt once, whoever wrote it.
-        owner_may_write = forwarded is not None
         local = self._execute_here(operation, end_s=end_s)
-        if owner_may_write and local.effect is Effect.NOT_WRITTEN:
-            return Result(Effect.UNSETTLED, reason=local.reason)
-        return local
+        return replace(local, owner_may_write=forwarded is not None)
 
     def _forward(self, operation: Operation) -> Result | None:
         """Return the owner's result, or ``None`` if the owner did not get it."""
@@ -366,10 +375,7 @@
             case Effect.FULL:
                 reason = "the claim shard is full; use UUIDv7 keys or retry later"
                 return ClaimRefused(ErrorKind.OVERLOADED, reason)
-            case Effect.NOT_WRITTEN | Effect.WITHDRAWN:
-                return self._not_run(claim, result)
             case _:
-                self._withdraw(claim)
                 return self._not_run(claim, result)
 
     def _is_holder_dead(self, host: str, incarnation: str) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -125,6 +125,9 @@
     def test_a_slow_store_read_does_not_commit_a_claim_that_was_given_up(self):
         # Such a claim would bar the key, though its caller heard that it did not run.
         self.store.latency_s = 0.2
+        # A stopped clock rules out that the claim is refused for its age instead.
+        unix_s = time.time()
+        self.service(self.owner)._unix_clock = lambda: unix_s
         outcome = self.claim(self.owner)
         self.store.latency_s = 0.0
         self.assert_not_run_and_claimable_later(outcome)
@@ -172,6 +175,33 @@
         decode_result(owner.handle(self.other, payloads[0]))
         self.assert_not_run_and_claimable_later(outcome)
 
+    def test_a_paused_owner_does_not_commit_the_claim_of_a_dead_host(self):
+        # Nobody would dispatch its call, nor release it.
+        payloads = []
+        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
+            payloads.append(payload)
+        )
+        self.store.is_down = True
+        self.claim()
+        self.cluster.kill(self.other)
+        self.cluster.heal()
+        gevent.sleep(QUICK.claim_timeout_s * 1.5)
+        self.service(self.owner).handle(self.other, payloads[0])
+        self.assertIsInstance(self.claim(self.owner), once.ClaimGranted)
+
+    def test_a_paused_owner_does_not_commit_a_claim_that_found_the_key_held(self):
+        # The holder may release the key before the owner applies the forwarded claim.
+        payloads = []
+        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
+            payloads.append(payload)
+        )
+        held = self.claim(self.owner)
+        self.assertEqual(self.claim(), once.ClaimInProgress(self.owner))
+        self.assertTrue(self.cluster.settle())
+        self.service(self.owner).release(held.claim)
+        self.service(self.owner).handle(self.other, payloads[0])
+        self.assertIsInstance(self.claim(self.owner), once.ClaimGranted)
+
     def test_expired_and_future_keys_are_refused(self):
         rng = random.Random(SEED)
         old = uuid7(time.time() - QUICK.keep_s - 5, rng)
