Add delivery: attempts, resume, suspects, retry budget and stream tokens

Cause: no part carried a generation or service call through failures. Change: the slice internal/delivery.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP surface for callers."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts, retries, resume and quarantine of generations and service calls."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -0,0 +1,447 @@
+"""One generation from its placement on an engine to the end of its answer."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import gevent
+from loguru import logger
+
+from persimmonyoke.errors import ErrorKind, PersimmonyokeError, Ran, RequestError
+from persimmonyoke.internal.delivery.answer import (
+    Answer,
+    AnswerDiverged,
+    DeliveryCount,
+    StreamFault,
+)
+from persimmonyoke.internal.delivery.api import (
+    CallerGone,
+    CompletionRequest,
+    CompletionResult,
+    CompletionSink,
+    NoRoute,
+    RouteChoice,
+)
+from persimmonyoke.internal.delivery.engine_checks import (
+    Verdict,
+    cancel,
+    close,
+    drain,
+    probe,
+)
+from persimmonyoke.internal.delivery.parts import DeliveryParts
+from persimmonyoke.internal.delivery.placement import Placement
+from persimmonyoke.internal.delivery.silence import (
+    DeadlinePassed,
+    SilenceWatch,
+    StreamSilent,
+)
+from persimmonyoke.internal.delivery.suspects import Quarantined
+from persimmonyoke.internal.invariants import Invariant, check_invariant
+from persimmonyoke.internal.upstreams.api import (
+    EngineFailure,
+    GenerateCall,
+    Phase,
+    StreamEvent,
+    Upstream,
+)
+
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 5.0
+
+
+@dataclass(frozen=True)
+class _Step:
+    """Describe the next attempt; ``resumes`` counts those on the same engine."""
+
+    choice: RouteChoice
+    resume_stream: str | None = None
+    resumes: int = 0
+
+    @property
+    def engine(self) -> Upstream:
+        return self.choice.engine
+
+
+class _Broken(Exception):
+    """Say why an attempt ended without the whole answer."""
+
+    def __init__(
+        self, reason: str, engine: Upstream, *, sent: bool = True, refused: bool = False
+    ) -> None:
+        super().__init__(reason)
+        self.engine = engine
+        self.ran_nothing = refused or not sent
+
+
+@dataclass
+class Generation:
+    """Run one request through as many attempts as the retry budget allows."""
+
+    parts: DeliveryParts
+    request: CompletionRequest
+    sink: CompletionSink
+    _running_on: Upstream | None = None
+    # Whether an engine may have run a part of the request; ``_sent_before`` is the
+    # value to return to if the current attempt turns out not to have run.
+    _sent: bool = False
+    _sent_before: bool = False
+    _attempts: int = 0
+
+    def __post_init__(self) -> None:
+        self._placement = Placement(self.parts, self.request)
+        self._answer = Answer(
+            self.request.request_id,
+            self.sink,
+            self.parts.counts,
+            resume=self.request.resume,
+        )
+
+    def run(self) -> CompletionResult:
+        """Deliver the whole answer; raises ``RequestError`` with a truthful ``ran``."""
+        try:
+            return self._run()
+        except CallerGone:
+            raise self._error(
+                ErrorKind.CALLER_GONE, "the caller closed the connection"
+            ) from None
+        except DeadlinePassed:
+            raise self._error(
+                ErrorKind.DEADLINE_EXCEEDED, "the deadline of the request has passed"
+            ) from None
+        except AnswerDiverged as error:
+            raise self._error(ErrorKind.STREAM_LOST, str(error)) from error
+        finally:
+            self._cancel_running()
+            self._placement.end_isolation()
+
+    def _run(self) -> CompletionResult:
+        self._check_quarantine()
+        self.parts.budget.note_first_attempt(self.parts.clock())
+        step = self._first_step()
+        while True:
+            self._check_deadline()
+            step = step or self._place()
+            try:
+                reason = self._attempt(step)
+            except _Broken as broken:
+                step = self._recover(step, broken)
+                continue
+            self._running_on = None
+            self.parts.suspects.note_completed(
+                self.request.content_digest, self.parts.clock()
+            )
+            return CompletionResult(
+                finish_reason=reason,
+                output_tokens=self._answer.delivered.offset,
+                engine=step.engine.name,
+                attempts=self._attempts,
+            )
+
+    def _first_step(self) -> _Step | None:
+        resume = self.request.resume
+        if resume is None:
+            return None
+        engine = self.parts.engines.find(resume.engine)
+        if engine is None:
+            return None
+        if resume.incarnation and engine.incarnation not in ("", resume.incarnation):
+            return None
+        return _Step(RouteChoice(engine), resume_stream=resume.stream_id)
+
+    def _place(self) -> _Step:
+        if self.request.prompt is None:
+            raise self._error(
+                ErrorKind.STREAM_LOST,
+                "the engine no longer holds the stream; resend the request body with "
+                "Last-Event-ID to continue it",
+            )
+        self._answer.restart_if_start_is_unknown()
+        choice = self._placement.choose(self._answer.generated.offset)
+        if isinstance(choice, NoRoute):
+            raise self._error(choice.kind, choice.reason, choice.retry_after_s)
+        if isinstance(choice, Quarantined):
+            raise self._quarantined(choice)
+        return _Step(choice)
+
+    # Attempts
+
+    def _attempt(self, step: _Step) -> str:
+        """Return the finish reason; raises ``_Broken``."""
+        parts = self.parts
+        self._attempts += 1
+        self._sent_before, self._sent = self._sent, True
+        self._answer.begin_attempt(step.engine, stream_id=step.resume_stream)
+        dispatch = parts.router.note_dispatch(
+            step.choice,
+            self._placement.query(self._answer.generated.offset),
+            now_s=parts.clock(),
+        )
+        try:
+            if step.resume_stream is not None:
+                return self._resume(step)
+            return self._generate(step)
+        finally:
+            parts.router.note_completion(dispatch, now_s=parts.clock())
+
+    def _resume(self, step: _Step) -> str:
+        self.parts.counts[DeliveryCount.RESUMES] += 1
+        client = self.parts.engines.client(step.engine, fresh=True)
+        offset = self._answer.generated.offset
+        idle_s = self._inter_idle_s(step.choice) * 2 ** (step.resumes + 1)
+        return self._read(
+            lambda: client.resume(step.resume_stream, offset=offset),
+            step.choice,
+            first_idle_s=idle_s,
+        )
+
+    def _generate(self, step: _Step) -> str:
+        kv_handle = None
+        if step.choice.prefill_engine is not None:
+            kv_handle = self._prefill(step.choice)
+        client = self.parts.engines.client(step.engine)
+        phase = Phase.BOTH if kv_handle is None else Phase.DECODE
+        call = self._call(phase, kv_handle)
+        return self._read(
+            lambda: client.generate(call),
+            step.choice,
+            first_idle_s=self._first_idle_s(step.choice),
+        )
+
+    def _call(self, phase: Phase, kv_handle: str | None) -> GenerateCall:
+        request = self.request
+        return GenerateCall(
+            request_id=request.request_id,
+            model=request.model,
+            adapter=request.adapter,
+            prompt=request.prompt or "",
+            prefix_text=self._answer.prefix_text,
+            prefix_tokens=self._answer.generated.offset,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            phase=phase,
+            kv_handle=kv_handle,
+        )
+
+    def _prefill(self, choice: RouteChoice) -> str | None:
+        """Compute the prompt on the prefill engine and move its KV cache.
+
+        Returns the handle, or ``None`` if the cache could not be moved, so that the
+        decode engine computes the prompt itself.
+        """
+        prefill = choice.prefill_engine
+        client = self.parts.engines.client(prefill)
+        self._running_on = prefill
+        watch = SilenceWatch(
+            self.parts.clock,
+            idle_s=self._first_idle_s(choice),
+            deadline_s=self.request.deadline_s,
+        )
+        try:
+            with watch:
+                watch.waiting = True
+                # Events of a prefill-only call carry no part of the answer.
+                for _ in client.generate(self._call(Phase.PREFILL, None)):
+                    pass
+                self._sent_before = True
+                blob = client.export_kv(self.request.request_id)
+        except EngineFailure as failure:
+            raise self._broken(failure, prefill) from failure
+        except PersimmonyokeError as fault:
+            raise _Broken(str(fault), prefill) from fault
+        except StreamSilent:
+            raise _Broken("the prefill took too long", prefill) from None
+        self._running_on = None
+        return self._import(choice.engine, blob)
+
+    def _import(self, engine: Upstream, blob: bytes) -> str | None:
+        try:
+            with gevent.Timeout(self.parts.options.min_first_idle_s):
+                return self.parts.engines.client(engine).import_kv(blob)
+        except (EngineFailure, gevent.Timeout) as failure:
+            self._log("the KV cache was not moved to {}: {}", engine.name, failure)
+            return None
+
+    def _read(
+        self,
+        open_stream: Callable[[], Iterator[StreamEvent]],
+        choice: RouteChoice,
+        *,
+        first_idle_s: float,
+    ) -> str:
+        engine = self._running_on = choice.engine
+        watch = SilenceWatch(
+            self.parts.clock, idle_s=first_idle_s, deadline_s=self.request.deadline_s
+        )
+        events: Iterator[StreamEvent] = iter(())
+        finished = False
+        try:
+            with watch:
+                watch.waiting = True
+                events = open_stream()
+                reason = self._pump(events, watch, choice)
+            finished = True
+            return reason
+        except EngineFailure as failure:
+            raise self._broken(failure, engine) from failure
+        except StreamSilent:
+            self.parts.counts[DeliveryCount.SILENCES] += 1
+            raise _Broken("no event within the idle timeout", engine) from None
+        except (StreamFault, PersimmonyokeError) as fault:
+            raise _Broken(str(fault), engine) from fault
+        finally:
+            if finished:
+                # The client reads the end of the response and keeps the connection.
+                self.parts.spawn(drain, self.parts, events)
+            else:
+                close(events)
+
+    def _pump(
+        self, events: Iterator[StreamEvent], watch: SilenceWatch, choice: RouteChoice
+    ) -> str:
+        clock = self.parts.clock
+        deadline_s = self.request.deadline_s
+        take = self._answer.take
+        first = True
+        while True:
+            watch.last_event_s = now_s = clock()
+            if now_s >= deadline_s:
+                raise DeadlinePassed
+            watch.waiting = True
+            event = next(events, None)
+            watch.waiting = False
+            if event is None:
+                raise StreamFault("the stream ended without a finish reason")
+            reason = take(event)
+            if reason is not None:
+                return reason
+            if first:
+                first = False
+                watch.last_event_s = clock()
+                watch.set_idle(self._inter_idle_s(choice))
+
+    def _first_idle_s(self, choice: RouteChoice) -> float:
+        options = self.parts.options
+        expected_s = options.first_idle_factor * choice.expected_first_token_s
+        return max(options.min_first_idle_s, expected_s)
+
+    def _inter_idle_s(self, choice: RouteChoice) -> float:
+        options = self.parts.options
+        expected_s = options.inter_idle_factor * choice.expected_inter_token_s
+        return max(options.min_inter_idle_s, expected_s)
+
+    def _broken(self, failure: EngineFailure, engine: Upstream) -> _Broken:
+        broken = _Broken(
+            str(failure), engine, sent=failure.sent, refused=failure.refused
+        )
+        if broken.ran_nothing:
+            self._sent = self._sent_before
+            self._running_on = None
+        return broken
+
+    # Recovery
+
+    def _recover(self, step: _Step, broken: _Broken) -> _Step | None:
+        """Return the next step, or ``None`` to place the request again."""
+        engine = broken.engine
+        self.parts.counts[DeliveryCount.BREAKS] += 1
+        self._log("attempt {} on {} broke: {}", self._attempts, engine.name, broken)
+        is_resume = step.resume_stream is not None
+        was_running = is_resume or not broken.ran_nothing
+        verdict = probe(self.parts, engine) if was_running else None
+        if verdict is Verdict.CRASHED:
+            self._note_crash(engine)
+        self._spend_retry(broken)
+        can_resume = (
+            verdict is Verdict.ALIVE
+            and engine is step.engine
+            and not broken.ran_nothing
+            and self._answer.stream_id is not None
+            and step.resumes < self.parts.options.max_resumes_on_engine
+        )
+        if can_resume:
+            return _Step(step.choice, self._answer.stream_id, step.resumes + 1)
+        self.parts.counts[DeliveryCount.CONTINUATIONS] += 1
+        lost_stream = is_resume and broken.ran_nothing and verdict is Verdict.ALIVE
+        self._leave(engine, lost_stream=lost_stream)
+        return None
+
+    def _leave(self, engine: Upstream, *, lost_stream: bool) -> None:
+        # An engine that only lost the stream can still generate; any other engine is
+        # left out, also because the cancellation may overtake a new attempt there.
+        if not lost_stream:
+            self._placement.exclude(engine.name)
+        self._cancel_running()
+        self._placement.end_isolation()
+
+    def _note_crash(self, engine: Upstream) -> None:
+        self.parts.counts[DeliveryCount.CRASHES] += 1
+        self._running_on = None
+        self.parts.suspects.note_crash(
+            self.request.content_digest,
+            engine.name,
+            self.parts.clock(),
+            incarnation=engine.incarnation,
+        )
+        self._check_quarantine()
+
+    def _spend_retry(self, broken: _Broken) -> None:
+        now_s = self.parts.clock()
+        too_many = self._attempts >= self.parts.options.max_attempts
+        if not too_many and self.parts.budget.try_spend(now_s):
+            return
+        self.parts.counts[DeliveryCount.GIVEN_UP] += 1
+        wait_s = self.parts.budget.seconds_until_available(now_s)
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        if self._answer.received_any:
+            kind = ErrorKind.STREAM_LOST
+        elif self._sent:
+            kind = ErrorKind.UPSTREAM_FAILED
+        else:
+            kind = ErrorKind.UPSTREAM_UNAVAILABLE
+        message = f"engine {broken.engine.name} failed and no retry is left"
+        raise self._error(kind, message, retry_after_s)
+
+    # Checks and errors
+
+    def _check_deadline(self) -> None:
+        if self.parts.clock() >= self.request.deadline_s:
+            raise DeadlinePassed
+
+    def _check_quarantine(self) -> None:
+        status = self._placement.status()
+        if isinstance(status, Quarantined):
+            raise self._quarantined(status)
+
+    def _quarantined(self, status: Quarantined) -> RequestError:
+        return self._error(
+            ErrorKind.QUARANTINED,
+            "this request was running on several engines when they crashed",
+            status.until_s - self.parts.clock(),
+        )
+
+    def _error(
+        self, kind: ErrorKind, message: str, retry_after_s: float | None = None
+    ) -> RequestError:
+        ran = Ran.NOT_RUN
+        if self._answer.received_any or self.request.resume is not None:
+            ran = Ran.RAN
+        elif self._sent:
+            ran = Ran.UNKNOWN
+        check_invariant(
+            ran is not Ran.NOT_RUN or not self._sent,
+            Invariant.NOT_RUN_IS_TRUE,
+            f"request {self.request.request_id} was sent to an engine",
+        )
+        return RequestError(kind, message, ran=ran, retry_after_s=retry_after_s)
+
+    def _cancel_running(self) -> None:
+        """Stop the work on the engine without making the caller wait for it."""
+        engine, self._running_on = self._running_on, None
+        if engine is not None:
+            self.parts.counts[DeliveryCount.CANCELS] += 1
+            self.parts.spawn(cancel, self.parts, engine, self.request.request_id)
+
+    def _log(self, message: str, *arguments: object) -> None:
+        logger.info(
+            "[delivery] request {}: " + message, self.request.request_id, *arguments
+        )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/engine_checks.py
@@ -0,0 +1,70 @@
+"""Probe, cancellation and end of a stream of one engine."""
+
+from collections.abc import Iterator
+from enum import Enum, auto
+
+import gevent
+from loguru import logger
+
+from persimmonyoke.errors import PersimmonyokeError
+from persimmonyoke.internal.delivery.parts import DeliveryParts
+from persimmonyoke.internal.upstreams.api import (
+    EngineFailure,
+    StreamEvent,
+    Upstream,
+)
+
+
+class Verdict(Enum):
+    """Say what a probe over a new connection showed."""
+
+    ALIVE = auto()
+    CRASHED = auto()
+    UNREACHABLE = auto()
+
+
+def probe(parts: DeliveryParts, engine: Upstream) -> Verdict:
+    """Ask an engine over a new connection before it is held to have failed."""
+    client = parts.engines.client(engine, fresh=True)
+    try:
+        with gevent.Timeout(parts.options.probe_timeout_s):
+            state = client.state()
+    except EngineFailure as failure:
+        return Verdict.CRASHED if failure.crashed else Verdict.UNREACHABLE
+    except (gevent.Timeout, PersimmonyokeError):
+        return Verdict.UNREACHABLE
+    restarted = engine.incarnation not in ("", state.incarnation)
+    return Verdict.CRASHED if restarted else Verdict.ALIVE
+
+
+def cancel(parts: DeliveryParts, engine: Upstream, request_id: str) -> None:
+    """Stop the work of a request on an engine as far as the engine can be reached."""
+    try:
+        with gevent.Timeout(parts.options.cancel_timeout_s):
+            parts.engines.client(engine, fresh=True).cancel(request_id)
+    except (EngineFailure, PersimmonyokeError, gevent.Timeout) as failure:
+        logger.info(
+            "[delivery] request {}: cancelling on {} failed: {}",
+            request_id,
+            engine.name,
+            failure,
+        )
+
+
+def drain(parts: DeliveryParts, events: Iterator[StreamEvent]) -> None:
+    """Let a client read the end of a finished response and keep its connection."""
+    try:
+        with gevent.Timeout(parts.options.drain_timeout_s):
+            next(events, None)
+    except (EngineFailure, PersimmonyokeError, gevent.Timeout):
+        # The whole answer has been delivered already.
+        pass
+    finally:
+        close(events)
+
+
+def close(events: Iterator[StreamEvent]) -> None:
+    """Disconnect a stream; an iterator that is no generator may have nothing open."""
+    close_method = getattr(events, "close", None)
+    if close_method is not None:
+        close_method()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -0,0 +1,138 @@
+"""Choice of an engine for a request, with isolation of suspects."""
+
+import gevent
+
+from persimmonyoke.internal.delivery.api import (
+    CompletionRequest,
+    NoRoute,
+    RouteChoice,
+    RouteQuery,
+)
+from persimmonyoke.internal.delivery.parts import DeliveryParts
+from persimmonyoke.internal.delivery.silence import DeadlinePassed
+from persimmonyoke.internal.delivery.suspects import (
+    ISOLATION_SETTLE_S,
+    Clear,
+    Quarantined,
+    SuspectStatus,
+)
+
+ISOLATION_POLL_S = 0.02
+# Reservations of lost hosts end by time without a change being counted.
+ISOLATION_POLLS = 25
+
+
+class Placement:
+    """Place one request, again after each engine that failed it."""
+
+    def __init__(self, parts: DeliveryParts, request: CompletionRequest) -> None:
+        self._parts = parts
+        self._request = request
+        self._excluded: set[str] = set()
+        self._isolated_on: str | None = None
+
+    def exclude(self, engine: str) -> None:
+        """Leave an engine out of further choices."""
+        self._excluded.add(engine)
+
+    def choose(self, prefix_tokens: int) -> RouteChoice | NoRoute | Quarantined:
+        """Choose an engine; a suspect waits until it has one without other suspects.
+
+        Raises ``DeadlinePassed``.
+        """
+        while True:
+            self._check_deadline()
+            status = self.status()
+            if isinstance(status, Quarantined):
+                return status
+            choice = self._try_choose(prefix_tokens, not isinstance(status, Clear))
+            if choice is not None:
+                return choice
+            self._wait_for_change()
+
+    def status(self) -> SuspectStatus:
+        """Return whether the request is clear, a suspect or quarantined."""
+        return self._parts.suspects.status(
+            self._request.content_digest, self._parts.clock()
+        )
+
+    def query(
+        self, prefix_tokens: int, excluded: frozenset[str] = frozenset()
+    ) -> RouteQuery:
+        """Describe the request to the router."""
+        request = self._request
+        return RouteQuery(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            model=request.model,
+            adapter=request.adapter,
+            prompt=request.prompt or "",
+            prompt_tokens=request.prompt_tokens,
+            prefix_tokens=prefix_tokens,
+            max_tokens=request.max_tokens,
+            priority=request.priority,
+            deadline_s=request.deadline_s,
+            excluded=excluded,
+        )
+
+    def end_isolation(self) -> None:
+        """Let other suspects use the engine that was reserved for this request."""
+        if self._isolated_on is not None:
+            self._parts.suspects.end_isolation(
+                self._request.content_digest, self._isolated_on
+            )
+            self._isolated_on = None
+
+    def _try_choose(
+        self, prefix_tokens: int, is_suspect: bool
+    ) -> RouteChoice | NoRoute | None:
+        """Return ``None`` if a suspect has to wait for an engine."""
+        now_s = self._parts.clock()
+        excluded = frozenset(self._excluded)
+        reserved = frozenset()
+        if is_suspect:
+            reserved = self._parts.suspects.isolated_engines(now_s)
+        query = self.query(prefix_tokens, excluded | reserved)
+        choice = self._parts.router.choose(query, now_s=now_s)
+        if isinstance(choice, NoRoute):
+            return None if reserved - excluded else choice
+        if not is_suspect:
+            return choice
+        return self._isolate(choice)
+
+    def _isolate(self, choice: RouteChoice) -> RouteChoice | None:
+        suspects = self._parts.suspects
+        digest, engine = self._request.content_digest, choice.engine.name
+        reserved = suspects.try_isolate(
+            digest,
+            engine,
+            now_s=self._parts.clock(),
+            until_s=self._request.deadline_s,
+        )
+        if not reserved:
+            return None
+        self._isolated_on = engine
+        gevent.sleep(ISOLATION_SETTLE_S)
+        if suspects.holds_isolation(digest, engine, self._parts.clock()):
+            # A prefill engine would be a second engine that the suspect can crash.
+            return RouteChoice(
+                choice.engine,
+                expected_first_token_s=choice.expected_first_token_s,
+                expected_inter_token_s=choice.expected_inter_token_s,
+            )
+        self.end_isolation()
+        return None
+
+    def _wait_for_change(self) -> None:
+        """Wait until a reservation may have ended; choosing again at once is costly."""
+        suspects = self._parts.suspects
+        version = suspects.version
+        for _ in range(ISOLATION_POLLS):
+            gevent.sleep(ISOLATION_POLL_S)
+            self._check_deadline()
+            if suspects.version != version:
+                return
+
+    def _check_deadline(self) -> None:
+        if self._parts.clock() >= self._request.deadline_s:
+            raise DeadlinePassed
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -0,0 +1,341 @@
+"""Requests that were running on engines when those crashed, and their quarantine.
+
+A crash makes every request on the engine a suspect. Suspects are retried one at a time
+for each engine, so that the next crash names one request, which is then quarantined.
+A crash that a quarantined request explains no longer speaks against the others.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+DEFAULT_HOLD_S = 600.0
+DEFAULT_SUSPECT_TTL_S = 600.0
+DEFAULT_MAX_RECORDS = 10_000
+CRASHES_TO_QUARANTINE = 2
+# Peers hear of an isolation within milliseconds; after this time a conflict between
+# two hosts that chose the same engine at once is visible to both.
+ISOLATION_SETTLE_S = 0.05
+# Without an incarnation, observations of one crash by several requests arrive within
+# the idle timeout of each other.
+SAME_CRASH_WINDOW_S = 5.0
+
+
+@dataclass(frozen=True)
+class Clear:
+    """Say that nothing speaks against a request."""
+
+
+@dataclass(frozen=True)
+class Suspect:
+    """Say that the request was running on an engine that crashed."""
+
+    crashes: int
+
+
+@dataclass(frozen=True)
+class Quarantined:
+    """Say that the request crashed engines repeatedly; it is refused until then."""
+
+    until_s: float
+
+
+SuspectStatus = Clear | Suspect | Quarantined
+
+
+@dataclass(frozen=True)
+class Isolation:
+    """Reserve an engine for one suspect until it ends or ``until_s`` passes."""
+
+    engine: str
+    digest: bytes
+    host: str
+    since_s: float
+    until_s: float
+
+    @property
+    def precedence(self) -> tuple[bytes, str]:
+        """Order conflicting reservations in the same way on every host."""
+        return (self.digest, self.host)
+
+
+@dataclass(frozen=True)
+class SuspectNotice:
+    """Tell peers what changed about one digest; durations replace clock readings.
+
+    ``crashes`` names engines with their incarnations. ``isolated_on`` is the engine
+    that ``host`` reserves for the digest, or ``None`` if it reserves none.
+    """
+
+    digest: bytes
+    host: str
+    crashes: frozenset[str] = frozenset()
+    cleared: bool = False
+    quarantine_left_s: float = 0.0
+    isolated_on: str | None = None
+    isolation_left_s: float = 0.0
+
+
+@dataclass
+class _Record:
+    crashes: set[str] = field(default_factory=set)
+    last_crash_s: float = 0.0
+    quarantined_until_s: float = 0.0
+
+
+class SuspectRegister:
+    """Hold suspects, isolations and quarantine of one entry node, bounded.
+
+    ``on_change`` receives a notice for the peers after each change made here.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        *,
+        hold_s: float = DEFAULT_HOLD_S,
+        suspect_ttl_s: float = DEFAULT_SUSPECT_TTL_S,
+        max_records: int = DEFAULT_MAX_RECORDS,
+        on_change: Callable[[SuspectNotice], None] | None = None,
+    ) -> None:
+        if hold_s <= 0:
+            raise ValueError(f"hold_s must be positive, not {hold_s}")
+        if max_records < 1:
+            raise ValueError(f"max_records must be at least 1, not {max_records}")
+        self.host = host
+        self.hold_s = hold_s
+        self._suspect_ttl_s = suspect_ttl_s
+        self._max_records = max_records
+        self._on_change = on_change
+        self._records: OrderedDict[bytes, _Record] = OrderedDict()
+        self._isolations: dict[tuple[str, str], Isolation] = {}
+        self._explained: OrderedDict[str, None] = OrderedDict()
+        self.quarantined_total = 0
+        # Counts changes, so that waiting suspects can see cheaply that one happened.
+        self.version = 0
+
+    def note_crash(
+        self, digest: bytes, engine: str, now_s: float, *, incarnation: str = ""
+    ) -> SuspectStatus:
+        """Count a crash of an engine that was running the request."""
+        self.status(digest, now_s)
+        record = self._record(digest)
+        event = self._crash_event(record, engine, incarnation, now_s)
+        record.last_crash_s = now_s
+        if event not in record.crashes:
+            self.version += 1
+            record.crashes.add(event)
+            self._quarantine_if_proven(record, now_s)
+            self._publish(digest, record, now_s)
+        return self.status(digest, now_s)
+
+    def status(self, digest: bytes, now_s: float) -> SuspectStatus:
+        """Return what is known of a request by now."""
+        record = self._records.get(digest)
+        if record is None:
+            return Clear()
+        if record.quarantined_until_s > now_s:
+            return Quarantined(record.quarantined_until_s)
+        expired = now_s - record.last_crash_s > self._suspect_ttl_s
+        if record.quarantined_until_s or expired:
+            del self._records[digest]
+            return Clear()
+        unexplained = sum(event not in self._explained for event in record.crashes)
+        return Suspect(unexplained) if unexplained else Clear()
+
+    def note_completed(self, digest: bytes, now_s: float) -> None:
+        """Clear a suspect whose answer was completed."""
+        record = self._records.get(digest)
+        if record is None or record.quarantined_until_s > now_s:
+            return
+        del self._records[digest]
+        self.version += 1
+        if self._on_change is not None:
+            self._on_change(SuspectNotice(digest, self.host, cleared=True))
+
+    def try_isolate(
+        self, digest: bytes, engine: str, *, now_s: float, until_s: float
+    ) -> bool:
+        """Reserve the engine for the suspect unless it or the engine is reserved."""
+        self._drop_ended_isolations(now_s)
+        for isolation in self._isolations.values():
+            if isolation.engine == engine or isolation.digest == digest:
+                return False
+        isolation = Isolation(engine, digest, self.host, now_s, until_s)
+        self._isolations[(self.host, engine)] = isolation
+        self._publish_isolation(digest, engine, until_s - now_s)
+        return True
+
+    def holds_isolation(self, digest: bytes, engine: str, now_s: float) -> bool:
+        """Return whether the reservation has precedence over those of other hosts."""
+        self._drop_ended_isolations(now_s)
+        own = self._isolations.get((self.host, engine))
+        if own is None or own.digest != digest:
+            return False
+        return all(
+            own.precedence <= other.precedence
+            for other in self._isolations.values()
+            if other.engine == engine or other.digest == digest
+        )
+
+    def end_isolation(self, digest: bytes, engine: str) -> None:
+        """Give the reservation of this host up."""
+        isolation = self._isolations.get((self.host, engine))
+        if isolation is not None and isolation.digest == digest:
+            del self._isolations[(self.host, engine)]
+            self.version += 1
+            self._publish_isolation(digest, None, 0.0)
+
+    def isolated_engines(self, now_s: float) -> frozenset[str]:
+        """Return the engines that are reserved for a suspect."""
+        self._drop_ended_isolations(now_s)
+        return frozenset(item.engine for item in self._isolations.values())
+
+    def is_isolated(self, digest: bytes, now_s: float) -> bool:
+        """Return whether a host is running the suspect in isolation."""
+        self._drop_ended_isolations(now_s)
+        return any(item.digest == digest for item in self._isolations.values())
+
+    def merge(self, notice: SuspectNotice, now_s: float) -> None:
+        """Take over what a peer says; merging a notice twice changes nothing."""
+        self.version += 1
+        self._merge_isolation(notice, now_s)
+        if notice.cleared:
+            self._merge_cleared(notice.digest, now_s)
+            return
+        if not notice.crashes and notice.quarantine_left_s <= 0:
+            return
+        record = self._record(notice.digest)
+        if not notice.crashes <= record.crashes:
+            record.last_crash_s = now_s
+            record.crashes |= notice.crashes
+        if notice.quarantine_left_s > 0:
+            until_s = now_s + notice.quarantine_left_s
+            record.quarantined_until_s = max(record.quarantined_until_s, until_s)
+            self._explain(record)
+        else:
+            self._quarantine_if_proven(record, now_s)
+
+    def notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
+        """Return everything known, for a peer that has just started."""
+        self._drop_ended_isolations(now_s)
+        isolations = {
+            item.digest: item
+            for item in self._isolations.values()
+            if item.host == self.host
+        }
+        digests = list(dict.fromkeys([*self._records, *isolations]))
+        return tuple(
+            self._notice(digest, isolations.get(digest), now_s) for digest in digests
+        )
+
+    def forget_host(self, host: str) -> None:
+        """Drop the reservations of a host that is gone."""
+        for key in [key for key in self._isolations if key[0] == host]:
+            del self._isolations[key]
+        self.version += 1
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def _record(self, digest: bytes) -> _Record:
+        record = self._records.get(digest)
+        if record is None:
+            record = self._records[digest] = _Record()
+        self._records.move_to_end(digest)
+        while len(self._records) > self._max_records:
+            self._records.popitem(last=False)
+        return record
+
+    def _crash_event(
+        self, record: _Record, engine: str, incarnation: str, now_s: float
+    ) -> str:
+        if incarnation:
+            return f"{engine}@{incarnation}"
+        recent = now_s - record.last_crash_s <= SAME_CRASH_WINDOW_S
+        if recent:
+            for event in record.crashes:
+                if event.startswith(f"{engine}@"):
+                    return event
+        return f"{engine}@{self.host}:{now_s:.3f}"
+
+    def _quarantine_if_proven(self, record: _Record, now_s: float) -> None:
+        if record.quarantined_until_s > now_s:
+            self._explain(record)
+            return
+        unexplained = sum(event not in self._explained for event in record.crashes)
+        if unexplained < CRASHES_TO_QUARANTINE:
+            return
+        self.quarantined_total += 1
+        record.quarantined_until_s = now_s + self.hold_s
+        self._explain(record)
+
+    def _explain(self, record: _Record) -> None:
+        for event in record.crashes:
+            self._explained[event] = None
+        while len(self._explained) > self._max_records:
+            self._explained.popitem(last=False)
+
+    def _merge_cleared(self, digest: bytes, now_s: float) -> None:
+        record = self._records.get(digest)
+        if record is not None and record.quarantined_until_s <= now_s:
+            del self._records[digest]
+
+    def _merge_isolation(self, notice: SuspectNotice, now_s: float) -> None:
+        if notice.host == self.host:
+            return
+        for key, item in list(self._isolations.items()):
+            if key[0] == notice.host and item.digest == notice.digest:
+                del self._isolations[key]
+        if notice.isolated_on is not None and notice.isolation_left_s > 0:
+            until_s = now_s + notice.isolation_left_s
+            self._isolations[(notice.host, notice.isolated_on)] = Isolation(
+                notice.isolated_on, notice.digest, notice.host, now_s, until_s
+            )
+
+    def _drop_ended_isolations(self, now_s: float) -> None:
+        for key, item in list(self._isolations.items()):
+            if item.until_s <= now_s:
+                del self._isolations[key]
+
+    def _notice(
+        self, digest: bytes, isolation: Isolation | None, now_s: float
+    ) -> SuspectNotice:
+        record = self._records.get(digest) or _Record()
+        return SuspectNotice(
+            digest=digest,
+            host=self.host,
+            crashes=frozenset(record.crashes),
+            quarantine_left_s=max(0.0, record.quarantined_until_s - now_s),
+            isolated_on=isolation.engine if isolation else None,
+            isolation_left_s=max(0.0, isolation.until_s - now_s) if isolation else 0.0,
+        )
+
+    def _publish(self, digest: bytes, record: _Record, now_s: float) -> None:
+        if self._on_change is None:
+            return
+        own = next(
+            (
+                item
+                for item in self._isolations.values()
+                if item.host == self.host and item.digest == digest
+            ),
+            None,
+        )
+        self._on_change(self._notice(digest, own, now_s))
+
+    def _publish_isolation(
+        self, digest: bytes, engine: str | None, left_s: float
+    ) -> None:
+        if self._on_change is None:
+            return
+        record = self._records.get(digest)
+        self._on_change(
+            SuspectNotice(
+                digest=digest,
+                host=self.host,
+                crashes=frozenset(record.crashes) if record else frozenset(),
+                isolated_on=engine,
+                isolation_left_s=left_s,
+            )
+        )
