Cover delivery by tests and number isolation notices

Change: the finish reason is checked first; reservations carry a number per host and other notices say nothing about them.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/answer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/answer.py
@@ -115,6 +115,9 @@
             if aligned is None:
                 return None
             event = aligned
+        reason = event.finish_reason
+        if reason is not None and reason not in COMPLETE_FINISH_REASONS:
+            raise StreamFault(f"the engine ended the stream early: {reason!r}")
         self.received_any = True
         data = event.text.encode("utf-8", "surrogatepass")
         if generated is not self.delivered:
@@ -125,7 +128,9 @@
         else:
             self._append(data, event.offset, event.tokens)
         self._sink.deliver(event, self.delivered)
-        return self._finish(event)
+        if reason is not None:
+            self._check_whole(event)
+        return reason
 
     def _append(self, data: bytes, offset: int, tokens: int) -> None:
         generated = self.generated
@@ -133,19 +138,13 @@
         self._pieces.append(data)
         generated.advance(data, tokens)
 
-    def _finish(self, event: StreamEvent) -> str | None:
-        reason = event.finish_reason
-        if reason is None:
-            return None
-        if reason not in COMPLETE_FINISH_REASONS:
-            raise StreamFault(f"the engine ended the stream early: {reason!r}")
+    def _check_whole(self, last: StreamEvent) -> None:
         check_invariant(
-            event.request_id == self._request_id
-            and event.offset + event.tokens == self.delivered.offset,
+            last.request_id == self._request_id
+            and last.offset + last.tokens == self.delivered.offset,
             Invariant.WHOLE_ANSWER_TO_OWN_CALLER,
             f"request {self._request_id} ended at token {self.delivered.offset}",
         )
-        return reason
 
     def _check_stream(self, event: StreamEvent) -> None:
         own_request = event.request_id == self._request_id
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -5,6 +5,7 @@
 A crash that a quarantined request explains no longer speaks against the others.
 """
 
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -50,7 +51,6 @@
     engine: str
     digest: bytes
     host: str
-    since_s: float
     until_s: float
 
     @property
@@ -64,7 +64,9 @@
     """Tell peers what changed about one digest; durations replace clock readings.
 
     ``crashes`` names engines with their incarnations. ``isolated_on`` is the engine
-    that ``host`` reserves for the digest, or ``None`` if it reserves none.
+    that ``host`` reserves for the digest, or gives up if ``isolation_left_s`` is 0;
+    ``None`` says nothing about reservations. ``number`` grows with each notice of a
+    host, since notices that pass through several peers can overtake each other.
     """
 
     digest: bytes
@@ -74,6 +76,7 @@
     quarantine_left_s: float = 0.0
     isolated_on: str | None = None
     isolation_left_s: float = 0.0
+    number: int = 0
 
 
 @dataclass
@@ -109,6 +112,9 @@
         self._on_change = on_change
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
         self._isolations: dict[tuple[str, str], Isolation] = {}
+        self._isolation_numbers: dict[tuple[str, str], int] = {}
+        # The wall clock keeps the numbers growing over a restart of the host.
+        self._number = int(time.time() * 1000)
         self._explained: OrderedDict[str, None] = OrderedDict()
         self.quarantined_total = 0
         # Counts changes, so that waiting suspects can see cheaply that one happened.
@@ -126,7 +132,7 @@
             self.version += 1
             record.crashes.add(event)
             self._quarantine_if_proven(record, now_s)
-            self._publish(digest, record, now_s)
+            self._publish(digest, now_s)
         return self.status(digest, now_s)
 
     def status(self, digest: bytes, now_s: float) -> SuspectStatus:
@@ -151,7 +157,10 @@
         del self._records[digest]
         self.version += 1
         if self._on_change is not None:
-            self._on_change(SuspectNotice(digest, self.host, cleared=True))
+            notice = SuspectNotice(
+                digest, self.host, cleared=True, number=self._next_number()
+            )
+            self._on_change(notice)
 
     def try_isolate(
         self, digest: bytes, engine: str, *, now_s: float, until_s: float
@@ -161,7 +170,7 @@
         for isolation in self._isolations.values():
             if isolation.engine == engine or isolation.digest == digest:
                 return False
-        isolation = Isolation(engine, digest, self.host, now_s, until_s)
+        isolation = Isolation(engine, digest, self.host, until_s)
         self._isolations[(self.host, engine)] = isolation
         self._publish_isolation(digest, engine, until_s - now_s)
         return True
@@ -184,7 +193,7 @@
         if isolation is not None and isolation.digest == digest:
             del self._isolations[(self.host, engine)]
             self.version += 1
-            self._publish_isolation(digest, None, 0.0)
+            self._publish_isolation(digest, engine, 0.0)
 
     def isolated_engines(self, now_s: float) -> frozenset[str]:
         """Return the engines that are reserved for a suspect."""
@@ -199,7 +208,8 @@
     def merge(self, notice: SuspectNotice, now_s: float) -> None:
         """Take over what a peer says; merging a notice twice changes nothing."""
         self.version += 1
-        self._merge_isolation(notice, now_s)
+        if notice.isolated_on is not None and notice.host != self.host:
+            self._merge_isolation(notice, notice.isolated_on, now_s)
         if notice.cleared:
             self._merge_cleared(notice.digest, now_s)
             return
@@ -233,9 +243,13 @@
         """Drop the reservations of a host that is gone."""
         for key in [key for key in self._isolations if key[0] == host]:
             del self._isolations[key]
+        for key in [key for key in self._isolation_numbers if key[0] == host]:
+            del self._isolation_numbers[key]
         self.version += 1
 
-    def __len__(self) -> int:
+    @property
+    def size(self) -> int:
+        """Return the number of digests with a record."""
         return len(self._records)
 
     def _record(self, digest: bytes) -> _Record:
@@ -281,17 +295,20 @@
         if record is not None and record.quarantined_until_s <= now_s:
             del self._records[digest]
 
-    def _merge_isolation(self, notice: SuspectNotice, now_s: float) -> None:
-        if notice.host == self.host:
+    def _merge_isolation(
+        self, notice: SuspectNotice, engine: str, now_s: float
+    ) -> None:
+        key = (notice.host, engine)
+        if notice.number <= self._isolation_numbers.get(key, -1):
             return
-        for key, item in list(self._isolations.items()):
-            if key[0] == notice.host and item.digest == notice.digest:
-                del self._isolations[key]
-        if notice.isolated_on is not None and notice.isolation_left_s > 0:
+        self._isolation_numbers[key] = notice.number
+        if notice.isolation_left_s > 0:
             until_s = now_s + notice.isolation_left_s
-            self._isolations[(notice.host, notice.isolated_on)] = Isolation(
-                notice.isolated_on, notice.digest, notice.host, now_s, until_s
+            self._isolations[key] = Isolation(
+                engine, notice.digest, notice.host, until_s
             )
+        else:
+            self._isolations.pop(key, None)
 
     def _drop_ended_isolations(self, now_s: float) -> None:
         for key, item in list(self._isolations.items()):
@@ -309,24 +326,18 @@
             quarantine_left_s=max(0.0, record.quarantined_until_s - now_s),
             isolated_on=isolation.engine if isolation else None,
             isolation_left_s=max(0.0, isolation.until_s - now_s) if isolation else 0.0,
+            number=self._next_number(),
         )
 
-    def _publish(self, digest: bytes, record: _Record, now_s: float) -> None:
-        if self._on_change is None:
-            return
-        own = next(
-            (
-                item
-                for item in self._isolations.values()
-                if item.host == self.host and item.digest == digest
-            ),
-            None,
-        )
-        self._on_change(self._notice(digest, own, now_s))
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
 
-    def _publish_isolation(
-        self, digest: bytes, engine: str | None, left_s: float
-    ) -> None:
+    def _publish(self, digest: bytes, now_s: float) -> None:
+        if self._on_change is not None:
+            self._on_change(self._notice(digest, None, now_s))
+
+    def _publish_isolation(self, digest: bytes, engine: str, left_s: float) -> None:
         if self._on_change is None:
             return
         record = self._records.get(digest)
@@ -337,5 +348,6 @@
                 crashes=frozenset(record.crashes) if record else frozenset(),
                 isolated_on=engine,
                 isolation_left_s=left_s,
+                number=self._next_number(),
             )
         )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -0,0 +1,170 @@
+"""Tests of the isolation and quarantine of requests that crash engines."""
+
+import time
+import unittest
+
+import gevent
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.delivery.suspects import (
+    Clear,
+    Quarantined,
+    Suspect,
+    SuspectRegister,
+)
+from persimmonyoke_testing.builders_delivery import (
+    FakeEngine,
+    FakeFleet,
+    Fault,
+    RecordingSink,
+    answer_text,
+    build_delivery,
+    build_request,
+)
+
+POISON, INNOCENT = b"poison", b"innocent"
+
+
+class SuspectRegisterTest(unittest.TestCase):
+    def test_a_second_crash_quarantines_and_clears_those_it_explains(self):
+        # Innocent requests of the first crash must not wait for isolation any longer.
+        register = SuspectRegister("a")
+        register.note_crash(POISON, "e1", 1.0, incarnation="1")
+        register.note_crash(INNOCENT, "e1", 1.0, incarnation="1")
+        self.assertEqual(register.status(INNOCENT, 1.0), Suspect(1))
+        status = register.note_crash(POISON, "e2", 2.0, incarnation="1")
+        self.assertIsInstance(status, Quarantined)
+        self.assertEqual(register.status(INNOCENT, 2.0), Clear())
+
+    def test_one_crash_seen_by_two_requests_with_one_digest_counts_once(self):
+        # Two callers with the same prompt would be quarantined by a single crash.
+        register = SuspectRegister("a")
+        for _ in range(2):
+            register.note_crash(POISON, "e1", 1.0, incarnation="1")
+            register.note_crash(INNOCENT, "e1", 1.0)
+        self.assertEqual(register.status(POISON, 1.0), Suspect(1))
+        self.assertEqual(register.status(INNOCENT, 1.0), Suspect(1))
+
+    def test_completion_clears_a_suspect_here_and_at_the_peers(self):
+        # A request that once met a crash would be isolated for ever.
+        peer = SuspectRegister("b")
+        register = SuspectRegister("a", on_change=lambda n: peer.merge(n, 1.0))
+        register.note_crash(INNOCENT, "e1", 1.0, incarnation="1")
+        self.assertEqual(peer.status(INNOCENT, 1.0), Suspect(1))
+        register.note_completed(INNOCENT, 2.0)
+        self.assertEqual(register.status(INNOCENT, 2.0), Clear())
+        self.assertEqual(peer.status(INNOCENT, 2.0), Clear())
+
+    def test_crashes_seen_by_two_hosts_add_up(self):
+        # A request that is resent at another host would crash two engines at each.
+        peer = SuspectRegister("b")
+        register = SuspectRegister("a", on_change=lambda n: peer.merge(n, 1.0))
+        register.note_crash(POISON, "e1", 1.0, incarnation="1")
+        status = peer.note_crash(POISON, "e2", 1.0, incarnation="1")
+        self.assertIsInstance(status, Quarantined)
+
+    def test_quarantine_ends_after_the_hold_time(self):
+        # The cause may have been repaired in the meantime.
+        register = SuspectRegister("a", hold_s=10)
+        for engine in ("e1", "e2"):
+            register.note_crash(POISON, engine, 1.0, incarnation="1")
+        self.assertIsInstance(register.status(POISON, 10.9), Quarantined)
+        self.assertEqual(register.status(POISON, 11.1), Clear())
+
+    def test_two_hosts_that_reserve_an_engine_at_once_agree_on_one(self):
+        # Two suspects on one engine would both be blamed for its crash.
+        first, second = SuspectRegister("a"), SuspectRegister("b")
+        self.assertTrue(first.try_isolate(POISON, "e1", now_s=1.0, until_s=9.0))
+        self.assertTrue(second.try_isolate(INNOCENT, "e1", now_s=1.0, until_s=9.0))
+        for notice in first.notices(1.0):
+            second.merge(notice, 1.0)
+        for notice in second.notices(1.0):
+            first.merge(notice, 1.0)
+        holders = [
+            first.holds_isolation(POISON, "e1", 1.0),
+            second.holds_isolation(INNOCENT, "e1", 1.0),
+        ]
+        self.assertEqual(sorted(holders), [False, True])
+
+    def test_notices_that_overtake_each_other_leave_the_newest_reservation(self):
+        # A reservation that a late notice removes lets two suspects share an engine.
+        notices = []
+        register = SuspectRegister("a", on_change=notices.append)
+        register.try_isolate(POISON, "e1", now_s=1.0, until_s=9.0)
+        register.end_isolation(POISON, "e1")
+        register.try_isolate(INNOCENT, "e1", now_s=1.0, until_s=9.0)
+        register.note_crash(INNOCENT, "e2", 1.0, incarnation="1")
+        peer = SuspectRegister("b")
+        for notice in reversed(notices):
+            peer.merge(notice, 1.0)
+        self.assertEqual(peer.isolated_engines(1.0), {"e1"})
+        self.assertTrue(peer.is_isolated(INNOCENT, 1.0))
+        self.assertFalse(peer.is_isolated(POISON, 1.0))
+
+    def test_the_register_is_bounded(self):
+        # Callers choose the digests, so an unbounded table could fill the memory.
+        register = SuspectRegister("a", max_records=10)
+        for number in range(100):
+            register.note_crash(b"%d" % number, "e1", 1.0, incarnation="1")
+        self.assertEqual(register.size, 10)
+
+
+class CrashingRequestTest(unittest.TestCase):
+    def setUp(self):
+        self.engines = [FakeEngine(f"e{n}", token_s=0.002) for n in range(5)]
+        for engine in self.engines:
+            engine.script = self.crash_on_poison
+        self.fleet = FakeFleet(self.engines, shown_dead=False)
+        self.registers = [
+            SuspectRegister(f"h{n}", on_change=self.publish) for n in range(3)
+        ]
+        self.hosts = [
+            build_delivery(self.fleet, suspects=register) for register in self.registers
+        ]
+
+    def publish(self, notice):
+        gevent.spawn_later(0.005, self.deliver_notice, notice)
+
+    def deliver_notice(self, notice):
+        for register in self.registers:
+            if register.host != notice.host:
+                register.merge(notice, time.monotonic())
+
+    def crash_on_poison(self, engine, call, offset):
+        if call.prompt != "poison" or offset < 3:
+            return None
+        gevent.spawn_later(0.02, self.restart, engine)
+        return Fault.DIE
+
+    def restart(self, engine):
+        engine.alive = True
+
+    def run_innocent(self, host, number):
+        sink = RecordingSink()
+        prompt = f"innocent {number}"
+        request = build_request(prompt, max_tokens=30, request_id=prompt)
+        try:
+            self.hosts[host].complete(request, sink)
+        except RequestError as error:
+            return (error.kind, error.message)
+        return sink.text == answer_text(prompt, 30)
+
+    def test_a_request_resent_five_times_crashes_at_most_two_engines(self):
+        # Each crash takes an engine and its cache away from everyone else.
+        innocents = [
+            gevent.spawn(self.run_innocent, number % 3, number) for number in range(30)
+        ]
+        gevent.sleep(0.01)
+        kinds = []
+        for resend in range(6):
+            request = build_request("poison", request_id=f"p{resend}")
+            try:
+                self.hosts[resend % 3].complete(request, RecordingSink())
+            except RequestError as error:
+                kinds.append(error.kind)
+            gevent.sleep(0.01)
+        self.assertEqual(kinds, [ErrorKind.QUARANTINED] * 6)
+        gevent.joinall(innocents, timeout=20)
+        outcomes = [greenlet.value for greenlet in innocents]
+        self.assertEqual(outcomes, [True] * 30)
+        self.assertLessEqual(self.fleet.crashes, 2)
