--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/exchange.py
@@ -0,0 +1,139 @@
+"""One HTTP exchange: its request id, its body and the ways to answer it."""
+
+import io
+from collections.abc import Callable, Sequence
+
+import gevent
+from loguru import logger
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.callers.api import CallerLimits
+from persimmonyoke.internal.callers.error_answers import error_body, status_line
+from persimmonyoke.internal.delivery.api import CallerGone
+
+ENVIRON_KEY = "persimmonyoke.exchange"
+Headers = Sequence[tuple[str, str]]
+
+
+class ReceiveTimedOut(gevent.Timeout):
+    """Report that a request was not received within its deadline."""
+
+
+class Exchange:
+    """Answer one request exactly once, whole or as a stream.
+
+    ``start_response`` is the one of the server; the one given to bottle ignores a
+    second start, so that a handler can write a stream by itself.
+    """
+
+    def __init__(
+        self,
+        environ: dict,
+        start_response: Callable,
+        *,
+        request_id: str,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self.environ = environ
+        self.request_id = request_id
+        self.started = False
+        self._start_response = start_response
+        self._is_draining = is_draining
+        self._input_abandoned = False
+        self._write: Callable[[bytes], None] | None = None
+
+    def header(self, name: str) -> str | None:
+        """Return a request header."""
+        if name == "Content-Type":
+            return self.environ.get("CONTENT_TYPE")
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+    def read_body(self, limits: CallerLimits) -> bytes:
+        """Read the body; raises ``RequestError`` and gives up the rest of the input."""
+        receiving = self.environ["persimmonyoke.receiving"]
+        try:
+            body = self._read(limits.body_bytes)
+        except ReceiveTimedOut as timeout:
+            if timeout is not receiving:
+                raise
+            self._abandon_input()
+            raise RequestError(
+                ErrorKind.REQUEST_TIMEOUT,
+                f"the request was not received within {limits.receive_s} s",
+            ) from None
+        except OSError as error:
+            self._abandon_input()
+            raise RequestError(
+                ErrorKind.MALFORMED_BODY, "the body does not follow its framing"
+            ) from error
+        receiving.close()
+        return body
+
+    def _read(self, limit: int) -> bytes:
+        declared = int(self.environ.get("CONTENT_LENGTH") or 0)
+        chunked = "HTTP_TRANSFER_ENCODING" in self.environ
+        body = b""
+        if declared <= limit and (declared or chunked):
+            body = self._read_up_to(limit + 1)
+        if declared > limit or len(body) > limit:
+            self._abandon_input()
+            raise RequestError(
+                ErrorKind.BODY_TOO_LARGE, f"the body is longer than {limit} bytes"
+            )
+        return body
+
+    def _read_up_to(self, size: int) -> bytes:
+        stream = self.environ["wsgi.input"]
+        parts = io.BytesIO()
+        while parts.tell() < size:
+            data = stream.read(size - parts.tell())
+            if not data:
+                break
+            parts.write(data)
+        return parts.getvalue()
+
+    def _abandon_input(self) -> None:
+        self._input_abandoned = True
+        self.environ["persimmonyoke.abandon_input"]()
+
+    def start_response(
+        self, status: str, headers: Headers, exc_info: object = None
+    ) -> Callable[[bytes], None]:
+        """Start the answer with the headers that every answer has."""
+        if self.started:
+            return self._write
+        self.started = True
+        complete = [*headers]
+        if not any(name == "X-Request-Id" for name, _ in complete):
+            complete.append(("X-Request-Id", self.request_id))
+        if self._input_abandoned or self._is_draining():
+            complete.append(("Connection", "close"))
+        self._write = self._start_response(status, complete)
+        return self._write
+
+    def start_stream(self) -> None:
+        """Start a stream of server-sent events."""
+        self.start_response(
+            "200 OK",
+            [("Content-Type", "text/event-stream"), ("Cache-Control", "no-store")],
+        )
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a started answer; raises ``CallerGone``."""
+        try:
+            self._write(data)
+        except OSError:
+            raise CallerGone from None
+
+    def fail(self, error: RequestError) -> list[bytes]:
+        """Answer with an error that is met before the answer has started."""
+        logger.info(
+            "[callers] request {}: refused with {} ({}): {}",
+            self.request_id,
+            error.kind.value,
+            error.ran.value,
+            error.message,
+        )
+        body, headers = error_body(error, self.request_id)
+        self.start_response(status_line(error.answer.status), headers)
+        return [body]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
@@ -0,0 +1,327 @@
+"""HTTP server for callers with limits that apply before authentication."""
+
+import socket
+import time
+from collections.abc import Callable
+from http.client import HTTPException
+
+import gevent
+from gevent import pywsgi
+from loguru import logger
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.callers.api import CallerLimits, CallerServices
+from persimmonyoke.internal.callers.app import CallerApp, new_request_id
+from persimmonyoke.internal.callers.error_answers import raw_response
+from persimmonyoke.internal.callers.exchange import ReceiveTimedOut
+
+# Closing a socket with unread input resets the connection, which can destroy the
+# error answer before the caller reads it; so the input is read for a moment.
+LINGER_S = 1.0
+LINGER_BYTES = 65_536
+OVERLOADED_RETRY_S = 1.0
+WAIT_POLL_S = 0.05
+# An idle connection is closed at shutdown only if its caller has not used it for this
+# long, so that a request that is on its way is still answered.
+IDLE_GRACE_S = 1.0
+
+
+class _HeaderTooLarge(ValueError):
+    """Report a request line or header section over the limit."""
+
+
+class _LimitedLines:
+    """Bound the bytes that the lines of one request head take together."""
+
+    def __init__(self, readline: Callable[[int], bytes], limit: int) -> None:
+        self._readline = readline
+        self._left = limit
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read one line; raises ``_HeaderTooLarge``."""
+        line = self._readline(self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise _HeaderTooLarge
+        return line
+
+
+class CallerHandler(pywsgi.WSGIHandler):
+    """Serve one connection of a caller."""
+
+    server: "_ConnectionServer"
+    _receiving: gevent.Timeout | None = None
+    _abandoned = False
+    _line_reader: _LimitedLines | None = None
+    busy = False
+    idle_since_s = 0.0
+
+    def handle(self) -> None:
+        """Serve the connection unless there are too many."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        server = self.server
+        if len(server.connections) >= server.limits.max_connections:
+            self._refuse(
+                RequestError(
+                    ErrorKind.OVERLOADED,
+                    "this host has too many connections",
+                    retry_after_s=OVERLOADED_RETRY_S,
+                )
+            )
+            self.socket.close()
+            return
+        server.connections.add(self)
+        try:
+            super().handle()
+        finally:
+            server.connections.discard(self)
+
+    def handle_one_request(self) -> object:
+        """Wait for a request and serve it within the limits."""
+        limits = self.server.limits
+        if not self._wait_for_request(limits.keep_alive_s):
+            return None
+        self.busy = True
+        self.socket.settimeout(limits.send_s)
+        self._receiving = ReceiveTimedOut(limits.receive_s)
+        self._receiving.start()
+        try:
+            return super().handle_one_request()
+        except ReceiveTimedOut:
+            self._refuse(
+                RequestError(
+                    ErrorKind.REQUEST_TIMEOUT,
+                    f"the request was not received within {limits.receive_s} s",
+                )
+            )
+            return None
+        finally:
+            self._receiving.close()
+            if self._abandoned:
+                self._linger()
+            self.idle_since_s = time.monotonic()
+            self.busy = False
+
+    def _wait_for_request(self, timeout_s: float) -> bool:
+        self.idle_since_s = time.monotonic()
+        self.socket.settimeout(timeout_s)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            # Closed by either side, or idle for too long.
+            return False
+
+    def read_requestline(self) -> str:
+        """Read the request line within the limit of the whole head."""
+        self._line_reader = _LimitedLines(
+            self.rfile.readline, self.server.limits.header_bytes
+        )
+        try:
+            return self._line_reader.readline().decode("latin-1")
+        except _HeaderTooLarge:
+            self._refuse(self._header_too_large())
+            return ""
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the request line and headers; raises ``ValueError``."""
+        # The base class reads the headers from ``rfile``.
+        rfile, self.rfile = self.rfile, self._line_reader
+        try:
+            super().read_request(raw_requestline)
+        finally:
+            self.rfile = rfile
+        self._check_framing()
+        return True
+
+    def _check_framing(self) -> None:
+        # Each of these lets two readers of the connection disagree on where a request
+        # ends.
+        if self.request_version == "HTTP/0.9" or self.headers.defects:
+            raise ValueError("malformed request head")
+        lengths = self.headers.get_all("content-length", [])
+        encodings = self.headers.get_all("transfer-encoding", [])
+        if len(lengths) > 1 or len(encodings) > 1 or (lengths and encodings):
+            raise ValueError("ambiguous body length")
+        if encodings and encodings[0].strip().lower() != "chunked":
+            raise ValueError("unknown transfer encoding")
+        if lengths and not lengths[0].strip().isdecimal():
+            raise ValueError("malformed body length")
+
+    def get_environ(self) -> dict:
+        """Add what the application needs from the connection."""
+        environ = super().get_environ()
+        environ["persimmonyoke.receiving"] = self._receiving
+        environ["persimmonyoke.abandon_input"] = self._abandon_input
+        environ["persimmonyoke.descriptor"] = self.socket.fileno()
+        environ["persimmonyoke.raw_path"] = self.path
+        return environ
+
+    def _abandon_input(self) -> None:
+        self._abandoned = True
+        self.close_connection = True
+        self.wsgi_input = _NoInput()
+
+    def _handle_client_error(self, ex: Exception) -> None:
+        if isinstance(ex, _HeaderTooLarge | HTTPException):
+            self._refuse(self._header_too_large())
+        elif isinstance(ex, ValueError):
+            logger.debug("[callers] malformed request: {}", ex)
+            self._refuse(
+                RequestError(ErrorKind.INVALID_VALUE, "the HTTP request is malformed")
+            )
+
+    def _header_too_large(self) -> RequestError:
+        limit = self.server.limits.header_bytes
+        return RequestError(
+            ErrorKind.HEADER_TOO_LARGE,
+            f"the request line and headers are longer than {limit} bytes",
+        )
+
+    def _refuse(self, error: RequestError) -> None:
+        """Answer a request that never reaches the application."""
+        request_id = new_request_id()
+        logger.info(
+            "[callers] request {}: refused with {}", request_id, error.kind.value
+        )
+        self.server.app.errors[error.kind] += 1
+        try:
+            self.socket.sendall(raw_response(error, request_id))
+        except OSError:
+            return
+        self._linger()
+
+    def _linger(self) -> None:
+        self._abandoned = False
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            with gevent.Timeout(LINGER_S, False):
+                while self.socket.recv(LINGER_BYTES):
+                    pass
+        except OSError:
+            # The caller has closed the connection, so there is nothing to wait for.
+            pass
+
+    def _log_error(self, kind, error, traceback) -> None:
+        if isinstance(error, OSError):
+            logger.debug("[callers] a connection broke: {}", error)
+            return
+        logger.opt(exception=(kind, error, traceback)).error(
+            "[callers] a connection failed"
+        )
+
+    def log_request(self) -> None:
+        """Leave the log to the application, which knows the request id."""
+
+
+class _NoInput:
+    """Stand for input that is given up instead of being read to its end."""
+
+    def _discard(self) -> None:
+        pass
+
+
+class _ServerLog:
+    """Pass messages of the server on to the log."""
+
+    def write(self, message: str) -> None:
+        logger.debug("[callers] {}", message.strip())
+
+    def flush(self) -> None:
+        pass
+
+
+class _ConnectionServer(pywsgi.WSGIServer):
+    """Accept connections and hold what their handlers share."""
+
+    handler_class = CallerHandler
+
+    def __init__(
+        self, address: tuple[str, int], app: CallerApp, limits: CallerLimits
+    ) -> None:
+        self.app = app
+        self.limits = limits
+        self.connections: set[CallerHandler] = set()
+        super().__init__(
+            address,
+            app,
+            log=None,
+            error_log=_ServerLog(),
+            # Without a name the server looks its own address up by DNS.
+            environ={"SERVER_NAME": address[0]},
+        )
+
+
+class CallerServer:
+    """Serve callers on one address and support a graceful shutdown."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        services: CallerServices,
+        *,
+        limits: CallerLimits | None = None,
+    ) -> None:
+        limits = limits or CallerLimits()
+        self._draining = False
+        self.app = CallerApp(services, limits, is_draining=lambda: self._draining)
+        self._wsgi = _ConnectionServer(address, self.app, limits)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address that is listened on."""
+        return self._wsgi.address
+
+    @property
+    def connections(self) -> set[CallerHandler]:
+        """Return the open connections."""
+        return self._wsgi.connections
+
+    @property
+    def requests_in_progress(self) -> int:
+        """Return how many requests are being received or answered."""
+        return sum(handler.busy for handler in self.connections)
+
+    def start(self) -> None:
+        """Start to accept connections."""
+        self._wsgi.start()
+
+    def drain(self) -> None:
+        """Ask callers to go elsewhere: answers close their connections."""
+        self._draining = True
+
+    def close_listener(self) -> None:
+        """Stop accepting connections; open ones go on."""
+        self._wsgi.stop_accepting()
+        self._wsgi.socket.close()
+
+    def wait_idle(self, deadline_s: float) -> bool:
+        """Wait until all requests have ended; return whether they did in time.
+
+        ``deadline_s`` is a duration. Connections without a request are closed.
+        """
+        end_s = time.monotonic() + deadline_s
+        while time.monotonic() < end_s:
+            self._close_idle_connections()
+            if not self.connections:
+                return True
+            gevent.sleep(WAIT_POLL_S)
+        return not self.connections
+
+    def stop(self) -> None:
+        """Close the listener and cut what is still open."""
+        self._wsgi.stop(timeout=0)
+        for handler in list(self.connections):
+            self._shut(handler)
+
+    def _close_idle_connections(self) -> None:
+        now_s = time.monotonic()
+        for handler in list(self.connections):
+            if not handler.busy and now_s - handler.idle_since_s >= IDLE_GRACE_S:
+                self._shut(handler)
+
+    def _shut(self, handler: CallerHandler) -> None:
+        try:
+            handler.socket.shutdown(socket.SHUT_RDWR)
+        except (OSError, AttributeError):
+            # The handler closes its socket at the same time.
+            pass
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/sinks.py
@@ -0,0 +1,95 @@
+"""Sinks that turn the events of an answer into a body or into a stream."""
+
+from collections.abc import Callable
+
+import orjson
+
+from persimmonyoke.errors import RequestError
+from persimmonyoke.internal.callers.error_answers import (
+    error_object,
+    retry_after_with_jitter,
+)
+from persimmonyoke.internal.callers.exchange import Exchange
+from persimmonyoke.internal.callers.frames import AnswerFrame, Usage, encode_text
+from persimmonyoke.internal.delivery.api import (
+    Clock,
+    CompletionSink,
+    TextProgress,
+)
+from persimmonyoke.internal.delivery.stream_token import TokenIssuer
+from persimmonyoke.internal.upstreams.api import StreamEvent, Upstream
+
+
+class BodySink(CompletionSink):
+    """Collect the text of an answer that is not streamed."""
+
+    def __init__(self) -> None:
+        self._texts: list[str] = []
+
+    @property
+    def text(self) -> str:
+        """Return the text so far."""
+        return "".join(self._texts)
+
+    def begin_stream(self, upstream: Upstream, stream_id: str) -> None:
+        """Ignore where the events come from."""
+
+    def deliver(self, event: StreamEvent, progress: TextProgress) -> None:
+        """Keep the text of the event."""
+        self._texts.append(event.text)
+
+
+class StreamSink(CompletionSink):
+    """Write each event as a server-sent event with a signed token as its id.
+
+    The answer starts with the first event, so that a request that fails before it
+    gets an error status.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        frame: AnswerFrame,
+        make_issuer: Callable[[Upstream, str], TokenIssuer],
+        *,
+        unix_clock: Clock,
+    ) -> None:
+        self._exchange = exchange
+        self._frame = frame
+        self._make_issuer = make_issuer
+        self._unix_clock = unix_clock
+        self._before, self._after = frame.text_parts()
+        self._issue = None
+        self._opening = frame.opening()
+
+    def begin_stream(self, upstream: Upstream, stream_id: str) -> None:
+        """Issue further tokens for this stream."""
+        self._issue = self._make_issuer(upstream, stream_id).issue
+
+    def deliver(self, event: StreamEvent, progress: TextProgress) -> None:
+        """Write the event; its token names the position after it."""
+        text = event.text
+        if not text:
+            return
+        token = self._issue(progress, now_unix_s=self._unix_clock())
+        chunk = b"".join((b"id: ", token, self._before, encode_text(text), self._after))
+        if self._opening:
+            chunk, self._opening = self._opening + chunk, b""
+        if not self._exchange.started:
+            self._exchange.start_stream()
+        self._exchange.write(chunk)
+
+    def finish(self, finish_reason: str, usage: Usage) -> None:
+        """End the stream of a whole answer."""
+        if not self._exchange.started:
+            self._exchange.start_stream()
+        closing = self._frame.closing(finish_reason, usage)
+        self._exchange.write(self._opening + closing)
+
+    def fail(self, error: RequestError) -> None:
+        """End a started stream with an error in place of its rest."""
+        retry_after_s = error.retry_after_s
+        if retry_after_s is not None:
+            retry_after_s = retry_after_with_jitter(retry_after_s)
+        content = error_object(error, self._exchange.request_id, retry_after_s)
+        self._exchange.write(b"data: " + orjson.dumps(content) + b"\n\n")
