--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_server.py
@@ -1,13 +1,20 @@
 """Tests of streams, resumption, service calls and shutdown over HTTP."""
 
 import json
+import socket
 import unittest
+from dataclasses import replace
 
 import gevent
 
 from persimmonyoke.errors import ErrorKind
-from persimmonyoke.internal.upstreams.api import ServiceAnswer, ServiceOutcomeUnknown
+from persimmonyoke.internal.upstreams.api import (
+    ServiceAnswer,
+    ServiceOutcomeUnknown,
+    StreamEvent,
+)
 from persimmonyoke_testing.builders_callers import (
+    FAST_LIMITS,
     build_request_bytes,
     open_connection,
     parse_events,
@@ -119,6 +126,31 @@
         self.assertEqual(data.count(b"[DONE]"), 2)
 
 
+class SlowReaderTest(HostTestCase):
+    def test_a_caller_that_stops_reading_is_given_up(self):
+        # Unread streams would hold engines, memory and connections without end.
+        limits = replace(FAST_LIMITS, send_s=0.3)
+        host = self.start(build_fleet(count=1), limits=limits)
+        host.fleet.engines["e0"].generate = self.endless
+        body = {**BODY, "max_tokens": 16_000}
+        connection = socket.socket()
+        self.addCleanup(connection.close)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.connect(host.server.address)
+        connection.sendall(build_request_bytes("POST", PATH, body=body))
+        with gevent.Timeout(10):
+            while not host.gate.released_tokens:
+                gevent.sleep(0.05)
+        self.assertEqual(host.server.app.errors[ErrorKind.CALLER_GONE], 1)
+        host.delivery.wait_background(1.0)
+        self.assertEqual(len(host.fleet.engines["e0"].cancelled), 1)
+
+    def endless(self, call):
+        text = "x" * 10_000
+        for offset in range(call.max_tokens):
+            yield StreamEvent(call.request_id, "stream", offset, text, 1)
+
+
 class ServiceTest(HostTestCase):
     def test_a_service_call_passes_path_query_body_and_answer(self):
         host = self.start()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
@@ -184,6 +184,11 @@
                 self._check_before_dispatch(lost)
                 break
             tried.add(replica.name)
+            check_invariant(
+                repeatable or lost is None,
+                Invariant.AT_MOST_ONCE,
+                f"call {request.call.request_id} may have run already",
+            )
             outcome = self._call(request, replica, left_s)
             if isinstance(outcome, ServiceAnswer):
                 return outcome
@@ -191,7 +196,13 @@
                 lost = outcome
                 if not repeatable:
                     break
-        return lost or outcome
+        result = lost or outcome
+        check_invariant(
+            lost is None or not isinstance(result, ServiceNotSent),
+            Invariant.NOT_RUN_IS_TRUE,
+            f"call {request.call.request_id} may have run",
+        )
+        return result
 
     def _call(
         self, request: ServiceRequest, replica: Upstream, left_s: float
