Choose engines and services by a score in seconds

Cause: routing has to weigh queues, cached prefixes and KV transfer while load reports and cache events arrive late or are lost.

Change: choose_engine, choose_service, PrefixIndex and prompt_pieces, with a model of hosts and engines for the tests.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/__init__.py
@@ -0,0 +1,44 @@
+"""Choice of engines and plain services for a request, without I/O."""
+
+from persimmonyoke.internal.routing.costs import TransferCosts
+from persimmonyoke.internal.routing.engines import (
+    EngineChoice,
+    NoEngine,
+    NoEngineReason,
+    RouteRequest,
+    RoutingPolicy,
+    choose_engine,
+)
+from persimmonyoke.internal.routing.load import LoadEstimate, LoadSource
+from persimmonyoke.internal.routing.pieces import (
+    PIECE_TOKENS,
+    count_tokens,
+    prompt_pieces,
+)
+from persimmonyoke.internal.routing.prefix_index import PrefixIndex
+from persimmonyoke.internal.routing.services import (
+    NoReplica,
+    ServiceChoice,
+    ServiceRoute,
+    choose_service,
+)
+
+__all__ = [
+    "PIECE_TOKENS",
+    "EngineChoice",
+    "LoadEstimate",
+    "LoadSource",
+    "NoEngine",
+    "NoEngineReason",
+    "NoReplica",
+    "PrefixIndex",
+    "RouteRequest",
+    "RoutingPolicy",
+    "ServiceChoice",
+    "ServiceRoute",
+    "TransferCosts",
+    "choose_engine",
+    "choose_service",
+    "count_tokens",
+    "prompt_pieces",
+]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/prefix_index.py
@@ -0,0 +1,139 @@
+"""Index of the prompt pieces that engines are expected to hold in their caches."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from persimmonyoke.internal.upstreams.api import CacheEventBatch
+
+# About 200 bytes for each pair of piece and engine: 40,000 pairs stay near 8 MB of
+# the 32 MB that a node may use for control.
+DEFAULT_MAX_ENTRIES = 40_000
+DEFAULT_MAX_AGE_S = 600.0
+# Events lost in a gap may have been evictions. Caches evict the least recently used
+# pieces first, so a gap drops only entries that were not used for as long as the pieces
+# that this engine evicted lately, and at most for this long.
+GAP_KEEP_S = 60.0
+EVICTION_AGE_WEIGHT = 0.05
+
+
+class PrefixIndex:
+    """Map prompt pieces to the engines that hold them, in bounded memory.
+
+    An entry is a pair of piece and engine. It is dropped when the engine reports the
+    eviction, when it was not used for ``max_age_s``, when a gap makes its state
+    uncertain, or as the least recently used piece once there are ``max_entries``.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_entries: int = DEFAULT_MAX_ENTRIES,
+        max_age_s: float = DEFAULT_MAX_AGE_S,
+        gap_keep_s: float = GAP_KEEP_S,
+    ) -> None:
+        if max_entries < 1:
+            raise ValueError(f"max_entries must be at least 1, not {max_entries}")
+        if max_age_s <= 0 or gap_keep_s < 0:
+            raise ValueError(
+                "max_age_s must be positive and gap_keep_s not negative, not "
+                f"{max_age_s} and {gap_keep_s}"
+            )
+        self._max_entries = max_entries
+        self._max_age_s = max_age_s
+        self._gap_keep_s = gap_keep_s
+        self._holders: OrderedDict[bytes, dict[str, float]] = OrderedDict()
+        self._oldest_valid_s: dict[str, float] = {}
+        self._eviction_age_s: dict[str, float] = {}
+        self._entries = 0
+
+    def __len__(self) -> int:
+        return self._entries
+
+    def note_dispatch(self, engine: str, pieces: Sequence[bytes], now_s: float) -> None:
+        """Record that this host sent a prompt, which the engine now caches."""
+        for piece in pieces:
+            self._touch(piece, engine, now_s)
+
+    def note_events(self, engine: str, batch: CacheEventBatch, now_s: float) -> None:
+        """Apply a batch of cache events; a gap drops entries of uncertain state."""
+        if batch.gap:
+            keep_s = self._eviction_age_s.get(engine, self._gap_keep_s)
+            self._oldest_valid_s[engine] = now_s - keep_s
+        for event in batch.events:
+            if event.stored:
+                self._touch(event.piece, engine, now_s)
+            else:
+                self._note_eviction(event.piece, engine, now_s)
+
+    def forget_engine(self, engine: str) -> None:
+        """Drop all entries of an engine that restarted or left."""
+        emptied = []
+        for piece, holders in self._holders.items():
+            if holders.pop(engine, None) is not None:
+                self._entries -= 1
+            if not holders:
+                emptied.append(piece)
+        for piece in emptied:
+            del self._holders[piece]
+        self._oldest_valid_s.pop(engine, None)
+        self._eviction_age_s.pop(engine, None)
+
+    def matched_pieces(self, engine: str, pieces: Sequence[bytes], now_s: float) -> int:
+        """Return how many leading pieces the engine is expected to hold.
+
+        A digest covers all pieces before it, so the last known piece counts even if
+        the events of earlier ones were lost.
+        """
+        for index in range(len(pieces) - 1, -1, -1):
+            if self._holds(pieces[index], engine, now_s):
+                return index + 1
+        return 0
+
+    def holders(self, pieces: Sequence[bytes], now_s: float) -> dict[str, int]:
+        """Return each engine that holds a leading piece, with the matched number."""
+        found: dict[str, int] = {}
+        for index in range(len(pieces) - 1, -1, -1):
+            for engine in self._holders.get(pieces[index], ()):
+                if engine not in found and self._holds(pieces[index], engine, now_s):
+                    found[engine] = index + 1
+        return found
+
+    def _holds(self, piece: bytes, engine: str, now_s: float) -> bool:
+        touched_s = self._holders.get(piece, {}).get(engine)
+        if touched_s is None:
+            return False
+        oldest_s = max(
+            now_s - self._max_age_s, self._oldest_valid_s.get(engine, touched_s)
+        )
+        return touched_s >= oldest_s
+
+    def _touch(self, piece: bytes, engine: str, now_s: float) -> None:
+        holders = self._holders.setdefault(piece, {})
+        if engine not in holders:
+            self._entries += 1
+        holders[engine] = now_s
+        self._holders.move_to_end(piece)
+        self._trim(now_s)
+
+    def _note_eviction(self, piece: bytes, engine: str, now_s: float) -> None:
+        """Drop the entry and learn how long the engine's cache keeps unused pieces."""
+        holders = self._holders.get(piece, {})
+        touched_s = holders.pop(engine, None)
+        if touched_s is None:
+            return
+        age_s = self._eviction_age_s.get(engine, self._gap_keep_s)
+        age_s += EVICTION_AGE_WEIGHT * (now_s - touched_s - age_s)
+        self._eviction_age_s[engine] = min(age_s, self._gap_keep_s)
+        self._entries -= 1
+        if not holders:
+            del self._holders[piece]
+
+    def _trim(self, now_s: float) -> None:
+        """Remove the least recently used pieces that are too old or too many."""
+        while self._holders:
+            oldest = next(iter(self._holders.values()))
+            expired = max(oldest.values()) < now_s - self._max_age_s
+            if not expired and self._entries <= self._max_entries:
+                return
+            _, removed = self._holders.popitem(last=False)
+            self._entries -= len(removed)
