--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
@@ -161,7 +161,7 @@
     def test_lost_cache_events_show_as_gaps(self):
         # A lost eviction that nobody notices leaves a wrong entry in the index.
         timing = EngineTiming(cache_event_delay_s=0.0, time_scale=0.02)
-        _, client = self.start(cache_event_loss=0.5, timing=timing, seed=3)
+        engine, client = self.start(cache_event_loss=0.5, timing=timing, seed=3)
         prompt = prompt_of(PIECE_TOKENS * 12)
         self.text(client, generate_call(prompt=prompt, max_tokens=1))
         batch = client.cache_events(since=0)
@@ -169,6 +169,7 @@
         self.assertTrue(0 < len(batch.events) < 12)
         self.assertTrue(batch.gap)
         self.assertFalse(client.cache_events(since=12).gap)
+        self.assertTrue(engine.core.read_cache_events(0)["gap"])
 
 
 class OrderTest(EngineCase):
