--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
@@ -114,6 +114,7 @@
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
         settle_s: float = SETTLE_S,
+        settle_pause_s: float = SETTLE_PAUSE_S,
     ) -> None:
         self._store = store.for_purpose(Purpose.CONFIG)
         self._firm = firm
@@ -121,6 +122,7 @@
         self._clock = clock
         self._sleep = sleep
         self._settle_s = settle_s
+        self._settle_pause_s = settle_pause_s
 
     @property
     def store(self) -> KeyValueStore:
@@ -257,9 +259,9 @@
                 case _:
                     # The key was deleted between the comparison and now.
                     raise ProtocolError(f"{attempt.key} conflicts but is absent")
-            if self._clock() + SETTLE_PAUSE_S > deadline_s:
+            if self._clock() + self._settle_pause_s > deadline_s:
                 break
-            self._sleep(SETTLE_PAUSE_S)
+            self._sleep(self._settle_pause_s)
         if attempt.may_be_written:
             return Unsettled(attempt.revision)
         raise StoreUnavailable("the revision was not written")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_propagation.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_propagation.py
@@ -37,7 +37,7 @@
             )
             task.start()
             self.addCleanup(task.join, 5)
-        # Cleanups run in reverse order, so the tasks are stopped before they are joined.
+        # Cleanups run in reverse order: the tasks are stopped, then joined.
         self.addCleanup(stop.set)
 
     def new_store(self) -> EtcdGatewayStore:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_revisions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_revisions.py
@@ -102,7 +102,8 @@
 
     def new_log(self, settle_s: float = 10.0) -> tuple[MemoryStore, RevisionLog]:
         store = MemoryStore(state=self.state)
-        return store, RevisionLog(store, firm=FIRM, settle_s=settle_s)
+        log = RevisionLog(store, firm=FIRM, settle_s=settle_s, settle_pause_s=0.02)
+        return store, log
 
     def propose(self, action, preset, text=None, *, base_number):
         outcome = self.log.propose(
