Use a restarted engine again when no other is left

Cause: a crashed engine was left out for the rest of a request, so a crash and a stall of two engines ended the answer. Change: crashed engines come back into the choice once no other is left; engines that may still run the request do not.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/completions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/completions.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from persimmonyoke.errors import ErrorKind, Ran, RequestError
 from persimmonyoke.internal.callers.api import (
     AdmissionRequest,
@@ -93,6 +95,12 @@
             return self._new_job(exchange, parsed, preset, workspace)
         if token.origin.chat is not chat:
             raise _invalid_token("the token belongs to another path")
+        logger.info(
+            "[callers] request {}: resumes {} at token {}",
+            exchange.request_id,
+            token.origin.request_id,
+            token.offset,
+        )
         parsed = self._parse(body, preset, chat=chat) if body else None
         return self._resumed_job(token, parsed, preset, workspace)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_server.py
@@ -201,6 +201,20 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(answer.error["ran"], "unknown")
 
+    def test_an_unexpected_exception_within_a_stream_does_not_look_like_its_end(self):
+        # A stream that is closed properly would pass for a whole answer.
+        host = self.start()
+        for engine in host.fleet.engines.values():
+            engine.script = lambda e, call, offset: 1 // (offset - 3) and None
+        request = build_request_bytes("POST", PATH, body=BODY)
+        with open_connection(host, request) as connection:
+            data = b""
+            while part := connection.recv(65_536):
+                data += part
+        self.assertIn(b"id: ", data)
+        self.assertNotIn(b"[DONE]", data)
+        self.assertFalse(data.endswith(b"0\r\n\r\n"))
+
 
 class ShutdownTest(HostTestCase):
     def test_a_drained_server_finishes_its_streams_and_closes_idle_connections(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -257,7 +257,7 @@
         try:
             with gevent.Timeout(self.parts.options.min_first_idle_s):
                 return self.parts.engines.client(engine).import_kv(blob)
-        except (EngineFailure, gevent.Timeout) as failure:
+        except (EngineFailure, PersimmonyokeError, gevent.Timeout) as failure:
             self._log("the KV cache was not moved to {}: {}", engine.name, failure)
             return None
 
@@ -362,14 +362,10 @@
             return _Step(step.choice, self._answer.stream_id, step.resumes + 1)
         self.parts.counts[DeliveryCount.CONTINUATIONS] += 1
         lost_stream = is_resume and broken.ran_nothing and verdict is Verdict.ALIVE
-        self._leave(engine, lost_stream=lost_stream)
-        return None
-
-    def _leave(self, engine: Upstream, *, lost_stream: bool) -> None:
-        # An engine that only lost the stream can still generate; any other engine is
-        # left out, also because the cancellation may overtake a new attempt there.
         if not lost_stream:
-            self._placement.exclude(engine.name)
+            # An engine that only lost the stream can still generate.
+            crashed = verdict is Verdict.CRASHED
+            self._placement.exclude(engine.name, crashed=crashed)
         self._cancel_running()
         self._placement.end_isolation()
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -29,11 +29,14 @@
         self._parts = parts
         self._request = request
         self._excluded: set[str] = set()
+        self._crashed: set[str] = set()
         self._isolated_on: str | None = None
 
-    def exclude(self, engine: str) -> None:
-        """Leave an engine out of further choices."""
+    def exclude(self, engine: str, *, crashed: bool = False) -> None:
+        """Leave an engine out of further choices, a crashed one as long as possible."""
         self._excluded.add(engine)
+        if crashed:
+            self._crashed.add(engine)
 
     def choose(self, prefix_tokens: int) -> RouteChoice | NoRoute | Quarantined:
         """Choose an engine; a suspect waits until it has one without other suspects.
@@ -95,7 +98,15 @@
         query = self.query(prefix_tokens, excluded | reserved)
         choice = self._parts.router.choose(query, now_s=now_s)
         if isinstance(choice, NoRoute):
-            return None if reserved - excluded else choice
+            if reserved - excluded:
+                return None
+            if self._crashed:
+                # A crashed engine may have restarted. One that may still run this
+                # request is never tried again: its cancellation is on the way.
+                self._excluded -= self._crashed
+                self._crashed.clear()
+                return self._try_choose(prefix_tokens, is_suspect)
+            return choice
         if not is_suspect:
             return choice
         return self._isolate(choice)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
@@ -188,6 +188,18 @@
         self.assertEqual(error.ran, Ran.RAN)
         self.assertLessEqual(fleet.crashes, 2)
 
+    def test_a_restarted_engine_is_used_again_when_no_other_is_left(self):
+        # With two engines, one crash and one stall would otherwise end the answer.
+        fleet = build_fleet(2)
+        e0, e1 = fleet.engines.values()
+        e0.script = fail_once(Fault.DIE, 2)
+        e1.script = fail_once(Fault.STALL_ENGINE, 4)
+        e0_restart = gevent.spawn_later(0.1, setattr, e0, "alive", True)
+        sink = RecordingSink()
+        build_delivery(fleet).complete(build_request(max_tokens=WORDS), sink)
+        e0_restart.join()
+        self.assertEqual(sink.text, WHOLE)
+
     def test_engines_that_refuse_connections_give_not_run(self):
         # No byte was written, so the caller may safely send the request again.
         fleet = build_fleet(2)
