Quote and cut the caller's text in messages

Cause: a path with an encoded line break reached the log unquoted. Change: paths, field names and model ids are quoted and cut.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/app.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/app.py
@@ -34,6 +34,7 @@
 NOT_READY_RETRY_S = 1.0
 REQUEST_ID_BYTES = 12
 MAX_KEY_CHARACTERS = 255
+MAX_QUOTED_CHARACTERS = 200
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "If-Match")
 # Headers of one connection, or set by this server for its own connection.
@@ -138,7 +139,8 @@
         return app
 
     def _routing_error(self, error: bottle.HTTPError) -> None:
-        path = bottle.request.path
+        # Quoted and cut, since a path may hold line breaks and goes into the log.
+        path = repr(bottle.request.path)[:MAX_QUOTED_CHARACTERS]
         if error.status_code == 405:
             raise RequestError(
                 ErrorKind.WRONG_METHOD,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/parsing.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/parsing.py
@@ -12,6 +12,7 @@
 DEFAULT_COMPLETION_TOKENS = 16
 DEFAULT_CHAT_TOKENS = 256
 ADAPTER_SEPARATOR = ":"
+MAX_QUOTED_CHARACTERS = 100
 NUMBER, STRING, BOOLEAN, OBJECT, ARRAY, ANY = (
     (int, float),
     (str,),
@@ -116,7 +117,9 @@
 def unknown_model(model_id: str) -> RequestError:
     """Return the error for a model id that no engine pool serves."""
     return RequestError(
-        ErrorKind.UNKNOWN_MODEL, f"there is no model {model_id!r}", param="model"
+        ErrorKind.UNKNOWN_MODEL,
+        f"there is no model {model_id[:MAX_QUOTED_CHARACTERS]!r}",
+        param="model",
     )
 
 
@@ -197,7 +200,9 @@
             continue
         if name not in ignored:
             raise RequestError(
-                ErrorKind.UNKNOWN_FIELD, f"unknown field {name!r}", param=name
+                ErrorKind.UNKNOWN_FIELD,
+                f"unknown field {name[:MAX_QUOTED_CHARACTERS]!r}",
+                param=name,
             )
         if value is not None:
             _check_type(name, value, ignored[name])
@@ -268,7 +273,7 @@
         if name not in STREAM_OPTIONS:
             raise RequestError(
                 ErrorKind.UNKNOWN_FIELD,
-                f"unknown field {name!r} in stream_options",
+                f"unknown field {name[:MAX_QUOTED_CHARACTERS]!r} in stream_options",
                 param=f"stream_options.{name}",
             )
         if value is not None:
@@ -306,7 +311,7 @@
         if name not in MESSAGE_FIELDS:
             raise RequestError(
                 ErrorKind.UNKNOWN_FIELD,
-                f"unknown field {name!r} in {path}",
+                f"unknown field {name[:MAX_QUOTED_CHARACTERS]!r} in {path}",
                 param=f"{path}.{name}",
             )
     role = message.get("role")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_bad_input.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/tests/test_bad_input.py
@@ -132,6 +132,15 @@
         body = {**GOOD_CHAT, "tools": [], "response_format": {"type": "text"}}
         self.assertEqual(send(self.host, "POST", CHAT, body=body).status, 200)
 
+    def test_text_of_a_caller_is_quoted_and_cut_in_messages(self):
+        # Messages go into the log, where a line break could forge another entry.
+        answer = send(self.host, "GET", "/a%0ab")
+        self.assertNotIn("\n", answer.error["message"])
+        body = {**GOOD, "x\n" * 5000: 1}
+        answer = send(self.host, "POST", COMPLETIONS, body=body)
+        self.assertLess(len(answer.error["message"]), 500)
+        self.assertNotIn("\n", answer.error["message"])
+
     def test_a_sender_slower_than_the_receive_deadline_is_refused(self):
         # A few slow senders could otherwise hold all connections.
         head = build_request_bytes("POST", COMPLETIONS, body=GOOD)
