--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/messages.py
@@ -121,12 +121,16 @@
 
 @dataclass(frozen=True)
 class Suspect(Message):
-    """Carry what is known about a request that may crash engines."""
+    """Carry what is known about a request that may crash engines.
+
+    ``payload`` holds the details, encoded by their owner.
+    """
 
     digest: bytes = blob(max_bytes=DIGEST_BYTES, min_bytes=1)
     crashes: int = integer()
     isolated: bool = flag()
     quarantined_until_unix_s: float = number(default=0.0)
+    payload: bytes = blob(max_bytes=8_192, default=b"")
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of the processes from the slices."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
@@ -0,0 +1,110 @@
+"""Gate of delivery over the claims, with a truthful error for each outcome."""
+
+import time
+from collections import Counter
+from collections.abc import Callable
+
+from persimmonyoke.errors import ErrorKind, Ran
+from persimmonyoke.internal.delivery.api import (
+    GateGranted,
+    GateOutcome,
+    GateOutcomeUnknown,
+    GateRefused,
+    GateReplay,
+)
+from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.once.outcomes import (
+    Claim,
+    ClaimBodyMismatch,
+    ClaimExpired,
+    ClaimGranted,
+    ClaimInProgress,
+    ClaimOutcomeUnknown,
+    ClaimRefused,
+    ClaimReplay,
+    ClaimStoreUnavailable,
+    StoredAnswer,
+)
+from persimmonyoke.internal.once.service import ClaimService
+from persimmonyoke.internal.upstreams.api import ServiceAnswer
+
+STORE_RETRY_S = 2.0
+IN_PROGRESS_RETRY_S = 1.0
+CONTENT_TYPE = "Content-Type"
+
+log = part_logger("once")
+
+
+class ClaimServiceGate:
+    """Translate between delivery and the claim service."""
+
+    def __init__(
+        self, claims: ClaimService, *, unix_clock: Callable[[], float] = time.time
+    ) -> None:
+        self._claims = claims
+        self._unix_clock = unix_clock
+        self.outcomes: Counter[str] = Counter()
+
+    def claim(
+        self, workspace: str, key: str, body_digest: bytes, *, now_s: float
+    ) -> GateOutcome:
+        """Commit a claim; only ``GateGranted`` allows a dispatch."""
+        outcome = self._claims.claim(
+            workspace, key, body_digest, now_unix_s=self._unix_clock()
+        )
+        self.outcomes[type(outcome).__name__] += 1
+        match outcome:
+            case ClaimGranted(claim):
+                return GateGranted(claim)
+            case ClaimReplay(answer):
+                return _replay(answer)
+            case ClaimOutcomeUnknown():
+                return GateOutcomeUnknown()
+            case ClaimInProgress(host):
+                # Another attempt holds the key and may run the call at this moment.
+                return GateRefused(
+                    ErrorKind.CALL_IN_PROGRESS,
+                    f"a call with this key is in progress at {host}",
+                    ran=Ran.UNKNOWN,
+                    retry_after_s=IN_PROGRESS_RETRY_S,
+                )
+            case ClaimBodyMismatch():
+                return GateRefused(
+                    ErrorKind.KEY_REUSED, "the key was used for a different call"
+                )
+            case ClaimExpired():
+                return GateRefused(
+                    ErrorKind.KEY_EXPIRED,
+                    "the key is older than the time for which outcomes are kept",
+                    ran=Ran.UNKNOWN,
+                )
+            case ClaimStoreUnavailable(reason):
+                return GateRefused(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"the call could not be claimed: {reason}",
+                    retry_after_s=STORE_RETRY_S,
+                )
+            case ClaimRefused(kind, reason):
+                return GateRefused(kind, reason)
+
+    def finish(self, claim: object, answer: ServiceAnswer) -> None:
+        """Store the answer of a claimed call."""
+        if not isinstance(claim, Claim):
+            return
+        types = (v for n, v in answer.headers.items() if n.lower() == "content-type")
+        stored = StoredAnswer.of(answer.status, next(types, ""), answer.body)
+        if not self._claims.finish(claim, stored):
+            log.warning("answer of key {!r} is not stored yet", claim.key)
+
+    def release(self, claim: object) -> None:
+        """Give up a claim whose call did not run."""
+        if isinstance(claim, Claim) and not self._claims.release(claim):
+            log.warning("claim of key {!r} is not released yet", claim.key)
+
+
+def _replay(answer: StoredAnswer) -> GateOutcome:
+    if answer.body is None:
+        # The answer was too long to be stored; a replica may still know it.
+        return GateOutcomeUnknown()
+    headers = {CONTENT_TYPE: answer.content_type} if answer.content_type else {}
+    return GateReplay(ServiceAnswer(answer.status, headers, answer.body))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -0,0 +1,277 @@
+"""Controller: holds authority over the engine pools of one firm."""
+
+import random
+import secrets
+import threading
+import time
+from dataclasses import dataclass
+
+import gevent
+
+from persimmonyoke.internal.authority.controller import OrderPlanner, PoolController
+from persimmonyoke.internal.authority.lease import AuthorityLease
+from persimmonyoke.internal.authority.orders import OrderIssuer
+from persimmonyoke.internal.authority.timer import (
+    KernelLeaseTimer,
+    LeaseTimer,
+    NoTimer,
+)
+from persimmonyoke.internal.membership.dissemination import PeerHandlers
+from persimmonyoke.internal.membership.handshake import NodeIdentity
+from persimmonyoke.internal.membership.hosts import HostView
+from persimmonyoke.internal.membership.messages import Load
+from persimmonyoke.internal.membership.peers import PeerService
+from persimmonyoke.internal.membership.peers import PeerSettings as LinkSettings
+from persimmonyoke.internal.node.configuration import ConfigurationKeeper
+from persimmonyoke.internal.node.drains import MAX_DRAIN_S, drain_message
+from persimmonyoke.internal.node.endpoints import split_address
+from persimmonyoke.internal.node.fleet_view import FleetView
+from persimmonyoke.internal.node.offered_load import OfferedLoad
+from persimmonyoke.internal.node.order_audit import authority_key, order_key
+from persimmonyoke.internal.node.planners import (
+    ChainedPlanner,
+    DrainingPlanner,
+    ModelPlanner,
+)
+from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.platform import (
+    EtcdGatewayStore,
+    HttpHostList,
+    HttpWeightStore,
+    Purpose,
+    RateBudget,
+)
+from persimmonyoke.internal.presets import (
+    ConfigurationView,
+    ModelSpec,
+    PoolKind,
+    PoolPolicy,
+    Preset,
+    Revision,
+)
+from persimmonyoke.internal.settings import Settings
+from persimmonyoke.internal.upstreams.api import EngineClient, Upstream
+
+DEFAULT_LISTEN = "127.0.0.1:0"
+REPEAT_DRAIN_S = 2.0
+
+log = part_logger("controller")
+
+
+@dataclass
+class RunningPool:
+    """Hold the control loop of one pool and its tasks."""
+
+    policy: PoolPolicy
+    controller: PoolController
+    planner: DrainingPlanner
+    stop: threading.Event
+    tasks: tuple[gevent.Greenlet, ...]
+
+
+class ControllerNode:
+    """Run one pool controller for each engine pool of the preset in force."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        poll_interval_s: float = 1.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.name = settings.process.name
+        self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
+        self._rng = rng or random.Random()
+        self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
+        self.store = EtcdGatewayStore(settings.platform.key_value, budget=self.budget)
+        self.view = ConfigurationView()
+        self.host_view = HostView()
+        self.offered = OfferedLoad()
+        self.fleet = FleetView(
+            HttpHostList(settings.platform.host_list),
+            self.host_view,
+            port_offset=settings.peers.port_offset,
+            poll_interval_s=poll_interval_s,
+            rng=self._rng,
+        )
+        self._configuration = ConfigurationKeeper(
+            self.store, self.view, firm=settings.process.firm
+        )
+        self.peers = self._build_peers()
+        self._timer = self._build_timer()
+        weights = settings.platform.weight_store
+        self._weights = HttpWeightStore(weights) if weights else None
+        self.pools: dict[str, RunningPool] = {}
+        self._announcements = 0
+        self._tasks: list[gevent.Greenlet] = []
+        self._stopping = False
+        self.view.subscribe(self._take_preset)
+
+    def _build_peers(self) -> PeerService:
+        process = self.settings.process
+        host, port = split_address(self.settings.listen.peers or DEFAULT_LISTEN)
+        identity = NodeIdentity(
+            host=self.name,
+            incarnation=self.incarnation,
+            availability_zone=process.availability_zone,
+        )
+        return PeerService(
+            LinkSettings(
+                identity=identity,
+                shared_key=self.settings.peers.shared_key.encode(),
+                listen_host=host,
+                listen_port=port,
+            ),
+            self.host_view,
+            PeerHandlers(
+                revision=self._configuration.take_from_peer,
+                load=self._take_load,
+                leaving=self.fleet.take_mark,
+            ),
+            rng=self._rng,
+        )
+
+    def _build_timer(self) -> LeaseTimer:
+        if self.settings.controller.kernel_timer:
+            return KernelLeaseTimer()
+        return NoTimer()
+
+    # Life
+
+    def start(self) -> None:
+        """Run until stopped; pools start with the first configuration."""
+        self.peers.start()
+        self._configuration.start(self.peers)
+        self.fleet.start(self.peers, on_list=lambda: None)
+        self._tasks = [gevent.spawn(self._repeat_drains)]
+        log.info("{} started", self.name)
+
+    def shutdown(self) -> bool:
+        """Release all leases and end; return whether this succeeded in time."""
+        self._stopping = True
+        tasks = [task for pool in self.pools.values() for task in pool.tasks]
+        for pool in self.pools.values():
+            pool.stop.set()
+        gevent.joinall(tasks, timeout=self.settings.shutdown.hard_limit_s)
+        finished = all(task.dead for task in tasks)
+        self.stop()
+        log.info("{} has ended", self.name)
+        return finished
+
+    def stop(self) -> None:
+        """End at once, without releasing the leases."""
+        self._stopping = True
+        for pool in self.pools.values():
+            gevent.killall(pool.tasks, block=False)
+        self.pools.clear()
+        gevent.killall(self._tasks, block=False)
+        self._configuration.stop()
+        self.fleet.stop()
+        self.peers.stop()
+
+    # Pools
+
+    def _take_preset(self, revision: Revision, preset: Preset) -> None:
+        self.fleet.take_preset(revision, preset)
+        if self._stopping:
+            return
+        wanted = {
+            pool.name: pool
+            for pool in preset.pools.values()
+            if pool.kind is PoolKind.ENGINE
+        }
+        for name, running in list(self.pools.items()):
+            policy = wanted.get(name)
+            if policy is None or _needs_restart(running.policy, policy):
+                running.stop.set()
+                del self.pools[name]
+        for name, policy in wanted.items():
+            if name in self.pools:
+                self.pools[name].policy = policy
+            else:
+                self.pools[name] = self._start_pool(policy)
+
+    def _start_pool(self, policy: PoolPolicy) -> RunningPool:
+        pool, limits = policy.name, self.settings.controller
+        firm = self.settings.process.firm
+        store = self.store.for_purpose(Purpose.AUTHORITY)
+        lease = AuthorityLease(
+            store,
+            authority_key(firm, pool),
+            pool=pool,
+            holder=self.name,
+            lease_s=limits.lease_s,
+            timer=self._timer,
+        )
+        issuer = OrderIssuer(
+            store,
+            order_key(firm, pool),
+            holder=self.name,
+            authority=lambda now_s: lease.check(now_s=now_s),
+            client_of=self._client_of,
+            order_deadline_s=limits.order_deadline_s,
+            lease_s=limits.lease_s,
+            checks_fencing=policy.checks_fencing,
+        )
+        planner = DrainingPlanner(
+            ChainedPlanner(self._planners(pool)), announce=lambda: self._announce(pool)
+        )
+        controller = PoolController(
+            pool=pool, lease=lease, issuer=issuer, planner=planner
+        )
+        stop = threading.Event()
+        tasks = (
+            gevent.spawn(controller.hold_lease, stop),
+            gevent.spawn(controller.work, stop),
+        )
+        return RunningPool(policy, controller, planner, stop, tasks)
+
+    def _planners(self, pool: str) -> tuple[OrderPlanner, ...]:
+        models = ModelPlanner(
+            engines=lambda: self._staying(pool),
+            models=lambda: self._models(pool),
+            client_of=self.fleet.clients.engine,
+            weights=self._weights,
+        )
+        return (models,)
+
+    def _staying(self, pool: str) -> tuple[Upstream, ...]:
+        engines = self.fleet.directory.engines(pool, time.monotonic())
+        return tuple(engine for engine in engines if not engine.leaving)
+
+    def _models(self, pool: str) -> tuple[ModelSpec, ...]:
+        preset = self.view.preset
+        policy = preset.pools.get(pool) if preset else None
+        return policy.models if policy else ()
+
+    def _client_of(self, engine: str) -> EngineClient | None:
+        upstream = self.fleet.directory.find(engine, time.monotonic())
+        return self.fleet.clients.engine(upstream) if upstream else None
+
+    # Messages
+
+    def _take_load(self, host: str, message: Load) -> None:
+        self.offered.note(message, time.monotonic())
+
+    def _announce(self, pool: str) -> None:
+        running = self.pools.get(pool)
+        if running is None:
+            return
+        self._announcements += 1
+        drained = running.planner.drained(time.monotonic())
+        left = dict.fromkeys(drained, MAX_DRAIN_S)
+        message = drain_message(pool, self.incarnation, self._announcements, left)
+        self.peers.broadcast(message)
+
+    def _repeat_drains(self) -> None:
+        """Repeat announcements, for hosts that started or lost a link since."""
+        while True:
+            gevent.sleep(REPEAT_DRAIN_S)
+            for pool, running in list(self.pools.items()):
+                if running.planner.drained(time.monotonic()):
+                    self._announce(pool)
+
+
+def _needs_restart(old: PoolPolicy, new: PoolPolicy) -> bool:
+    return old.checks_fencing != new.checks_fencing
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/drains.py
@@ -0,0 +1,75 @@
+"""Announcements that an engine is about to change, so that it gets no new work."""
+
+from collections import OrderedDict
+from collections.abc import Mapping
+
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.membership.codec import decode_plain
+from persimmonyoke.internal.membership.messages import Roles
+
+# An announcement is repeated while its order is open; this bounds the time for which
+# an engine stays without work after its controller has died.
+MAX_DRAIN_S = 15.0
+MAX_SENDERS = 64
+
+
+def drain_message(
+    pool: str, sender: str, number: int, drained: Mapping[str, float]
+) -> Roles:
+    """Return the message that lists the engines to leave out, with the time left.
+
+    ``sender`` is the incarnation of the controller and ``number`` grows with each of
+    its messages, so that repeated messages differ: peers drop those they have seen.
+    """
+    left = {engine: float(left_s) for engine, left_s in sorted(drained.items())}
+    return Roles(pool=pool, payload=cbor2.dumps([sender, number, left]))
+
+
+class DrainView:
+    """Know which engines a controller is about to change."""
+
+    def __init__(self) -> None:
+        self._until_s: dict[str, dict[str, float]] = {}
+        self._numbers: OrderedDict[tuple[str, str], int] = OrderedDict()
+
+    def note(self, host: str, message: Roles, now_s: float) -> None:
+        """Take the list of one pool, which replaces the one before.
+
+        Raises ``ProtocolError``.
+        """
+        match decode_plain(message.payload):
+            case [str(sender), int(number), dict(left)] if all(
+                isinstance(value, float) for value in left.values()
+            ):
+                if not self._is_newer(message.pool, sender, number):
+                    return
+                self._until_s[message.pool] = {
+                    str(engine): now_s + min(left_s, MAX_DRAIN_S)
+                    for engine, left_s in left.items()
+                }
+            case _:
+                raise ProtocolError("roles message is malformed")
+
+    def _is_newer(self, pool: str, sender: str, number: int) -> bool:
+        """Note the number; say whether no later message of the sender came before."""
+        key = (pool, sender)
+        if number <= self._numbers.get(key, 0):
+            return False
+        self._numbers[key] = number
+        self._numbers.move_to_end(key)
+        if len(self._numbers) > MAX_SENDERS:
+            self._numbers.popitem(last=False)
+        return True
+
+    def is_draining(self, engine: str, now_s: float) -> bool:
+        """Return whether an engine gets no new work for now."""
+        return any(
+            until_s.get(engine, 0.0) > now_s for until_s in self._until_s.values()
+        )
+
+    def draining(self, now_s: float) -> tuple[str, ...]:
+        """Return the engines that get no new work for now."""
+        names = {name for until_s in self._until_s.values() for name in until_s}
+        return tuple(sorted(n for n in names if self.is_draining(n, now_s)))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
@@ -0,0 +1,190 @@
+"""Router of delivery over the decisions of routing and the load view."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from persimmonyoke.errors import ErrorKind
+from persimmonyoke.internal.delivery.api import NoRoute, RouteChoice, RouteQuery
+from persimmonyoke.internal.presets import PoolKind, Preset
+from persimmonyoke.internal.routing import (
+    EngineChoice,
+    NoEngine,
+    PrefixIndex,
+    RouteRequest,
+    choose_engine,
+)
+from persimmonyoke.internal.upstreams.api import Upstream
+from persimmonyoke.internal.upstreams.clients import UpstreamClients
+from persimmonyoke.internal.upstreams.directory import Directory
+from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
+from persimmonyoke.internal.upstreams.load_view import DispatchId, LoadView
+from persimmonyoke.internal.upstreams.pieces import prompt_pieces
+
+NO_ROUTE_RETRY_S = 1.0
+
+
+@dataclass(frozen=True)
+class PlannedRoute(RouteChoice):
+    """Keep what the choice learnt of the prompt for the dispatch."""
+
+    pieces: tuple[bytes, ...] = ()
+    cached_tokens: int = 0
+
+
+@dataclass
+class OfferedTokens:
+    """Count the tokens that callers asked one pool for, since the start."""
+
+    prefill: int = 0
+    output: int = 0
+    requests: int = 0
+
+
+class EngineRouter:
+    """Choose engines of the preset in force and account for their load.
+
+    ``is_draining`` says whether a controller has announced an order for an engine.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        load: LoadView,
+        prefixes: PrefixIndex,
+        preset: Callable[[], Preset | None],
+        availability_zone: str,
+        region: str,
+        is_draining: Callable[[str, float], bool],
+        rng: Random,
+    ) -> None:
+        self._directory = directory
+        self._load = load
+        self._prefixes = prefixes
+        self._preset = preset
+        self._zone = availability_zone
+        self._region = region
+        self._is_draining = is_draining
+        self._rng = rng
+        self.offered: dict[str, OfferedTokens] = {}
+        self.no_route: Counter[str] = Counter()
+
+    def pool_of(self, model: str) -> str | None:
+        """Return the engine pool that serves a model in the preset in force."""
+        preset = self._preset()
+        for pool in preset.pools.values() if preset else ():
+            if pool.kind is PoolKind.ENGINE and model in {m.name for m in pool.models}:
+                return pool.name
+        return None
+
+    def candidates(self, pool: str, now_s: float) -> tuple[Upstream, ...]:
+        """Return the engines of a pool that no controller is about to change."""
+        engines = self._directory.engines(pool, now_s)
+        open_engines = tuple(
+            engine for engine in engines if not self._is_draining(engine.name, now_s)
+        )
+        # An announcement never makes a pool unavailable as a whole.
+        return open_engines or engines
+
+    def choose(self, query: RouteQuery, *, now_s: float) -> RouteChoice | NoRoute:
+        """Choose an engine outside ``query.excluded``."""
+        pool = self.pool_of(query.model)
+        if pool is None:
+            return NoRoute(
+                ErrorKind.UNKNOWN_MODEL,
+                f"no pool serves {query.model!r}",
+                NO_ROUTE_RETRY_S,
+            )
+        pieces = prompt_pieces(query.prompt)
+        request = RouteRequest(
+            model=query.model,
+            prompt_tokens=query.prompt_tokens + query.prefix_tokens,
+            output_tokens=max(1, query.max_tokens - query.prefix_tokens),
+            pieces=pieces,
+            adapter=query.adapter,
+            availability_zone=self._zone,
+            region=self._region,
+            exclude=query.excluded,
+        )
+        choice = choose_engine(
+            request,
+            self.candidates(pool, now_s),
+            self._load,
+            self._prefixes,
+            now_s=now_s,
+            rng=self._rng,
+        )
+        if isinstance(choice, NoEngine):
+            self.no_route[choice.reason.value] += 1
+            reason = f"no engine of {pool}: {choice.reason.value}"
+            return NoRoute(ErrorKind.UPSTREAM_UNAVAILABLE, reason, NO_ROUTE_RETRY_S)
+        return self._route(choice, pieces)
+
+    def _route(self, choice: EngineChoice, pieces: tuple[bytes, ...]) -> PlannedRoute:
+        preset = self._preset()
+        paired = choice.decode_engine is not None
+        return PlannedRoute(
+            engine=choice.decode_engine if paired else choice.engine,
+            prefill_engine=choice.engine if paired else None,
+            expected_first_token_s=max(choice.first_token_s, choice.score_s),
+            expected_inter_token_s=preset.deadlines.inter_token_s if preset else 0.034,
+            pieces=pieces,
+            cached_tokens=choice.cached_tokens,
+        )
+
+    def note_dispatch(
+        self, choice: RouteChoice, query: RouteQuery, *, now_s: float
+    ) -> tuple[DispatchId, ...]:
+        """Count a dispatch at the engine, or at both engines of a pair."""
+        self._directory.check_dispatch(choice.engine, now_s)
+        if isinstance(choice, PlannedRoute):
+            pieces, cached = choice.pieces, choice.cached_tokens
+        else:
+            pieces, cached = prompt_pieces(query.prompt), 0
+        prefill = max(0, query.prompt_tokens + query.prefix_tokens - cached)
+        output = max(1, query.max_tokens - query.prefix_tokens)
+        first = choice.prefill_engine or choice.engine
+        self._prefixes.note_dispatch(first.name, pieces, now_s)
+        note = self._load.note_dispatch
+        if choice.prefill_engine is None:
+            return (note(choice.engine.name, prefill, output, now_s),)
+        return (
+            note(choice.prefill_engine.name, prefill, 0, now_s),
+            note(choice.engine.name, 0, output, now_s),
+        )
+
+    def note_completion(self, dispatch: object, *, now_s: float) -> None:
+        """Count the end of an attempt, whether it succeeded or not."""
+        for dispatch_id in dispatch:
+            self._load.note_completion(dispatch_id, now_s)
+
+    def note_offered(self, pool: str, prefill: int, output: int) -> None:
+        """Count the work of a request when it arrives, admitted or not."""
+        offered = self.offered.setdefault(pool, OfferedTokens())
+        offered.prefill += prefill
+        offered.output += output
+        offered.requests += 1
+
+
+class DirectoryEngines:
+    """Give delivery the engines of the directory and their clients."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        clients: UpstreamClients,
+        clock: Callable[[], float],
+    ) -> None:
+        self._directory = directory
+        self._clients = clients
+        self._clock = clock
+
+    def find(self, name: str) -> Upstream | None:
+        """Return the engine, or ``None`` if it is unknown."""
+        return self._directory.find(name, self._clock())
+
+    def client(self, engine: Upstream, *, fresh: bool = False) -> HttpEngineClient:
+        """Return a client; a fresh one opens a new connection for its next call."""
+        return self._clients.engine(engine, fresh=fresh)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -0,0 +1,404 @@
+"""Entry node: serves callers and operators of one firm on one host."""
+
+import random
+import secrets
+import time
+
+import gevent
+
+from persimmonyoke.internal.audit import ConfigurationAudit
+from persimmonyoke.internal.callers.api import CallerLimits, CallerServices
+from persimmonyoke.internal.callers.server import CallerServer
+from persimmonyoke.internal.delivery.delivery import Delivery
+from persimmonyoke.internal.delivery.parts import DeliveryOptions
+from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.delivery.stream_token import StreamTokenSigner
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
+from persimmonyoke.internal.invariants import Invariant, check_invariant
+from persimmonyoke.internal.membership.addresses import (
+    AddressAnswer,
+    choose_addresses,
+)
+from persimmonyoke.internal.membership.dissemination import PeerHandlers
+from persimmonyoke.internal.membership.handshake import NodeIdentity
+from persimmonyoke.internal.membership.hosts import HostView
+from persimmonyoke.internal.membership.messages import Leaving, Roles
+from persimmonyoke.internal.membership.peers import PeerService
+from persimmonyoke.internal.membership.peers import PeerSettings as LinkSettings
+from persimmonyoke.internal.node.admission_gate import PoolAdmission
+from persimmonyoke.internal.node.claim_gate import ClaimServiceGate
+from persimmonyoke.internal.node.configuration import ConfigurationKeeper
+from persimmonyoke.internal.node.drains import DrainView
+from persimmonyoke.internal.node.endpoints import join_address, split_address
+from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
+from persimmonyoke.internal.node.entry_metrics import entry_metrics
+from persimmonyoke.internal.node.fleet_view import FleetView
+from persimmonyoke.internal.node.host_list_loop import entry_hosts
+from persimmonyoke.internal.node.offered_load import offered_message
+from persimmonyoke.internal.node.operator_server import OperatorServer
+from persimmonyoke.internal.node.order_audit import OrderAudit
+from persimmonyoke.internal.node.pool_capacity import PoolCapacity
+from persimmonyoke.internal.node.replicas import ReplicaPool
+from persimmonyoke.internal.node.suspect_notices import SuspectExchange
+from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.once.forwarding import PeerClaimForwarder
+from persimmonyoke.internal.once.service import ClaimService
+from persimmonyoke.internal.operators import (
+    HostRevision,
+    OperatorBackend,
+    operators_app,
+)
+from persimmonyoke.internal.operators.app import MAX_BODY_BYTES
+from persimmonyoke.internal.platform import (
+    EtcdGatewayStore,
+    HttpHostList,
+    Purpose,
+    RateBudget,
+)
+from persimmonyoke.internal.presets import (
+    ConfigurationView,
+    PoolKind,
+    Preset,
+    Revision,
+    RevisionLog,
+)
+from persimmonyoke.internal.settings import Settings
+
+REFRESH_INTERVAL_S = 0.25
+OFFERED_INTERVAL_S = 1.0
+SWEEP_INTERVAL_S = 60.0
+CLAIM_POLL_S = 0.05
+MAX_LOAD_PERCENT = 10_000
+
+log = part_logger("node")
+
+
+class EntryNode:
+    """Wire the slices of one entry host together and run them."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        delivery_options: DeliveryOptions | None = None,
+        poll_interval_s: float = 1.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.name = settings.process.name
+        self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
+        self._rng = rng or random.Random()
+        self._tasks: list[gevent.Greenlet] = []
+        self._leaving = False
+        self.callers_address = split_address(settings.listen.callers)
+        self.operators_address = split_address(settings.listen.operators)
+        self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
+        self.store = EtcdGatewayStore(settings.platform.key_value, budget=self.budget)
+        self.view = ConfigurationView()
+        self.host_view = HostView()
+        self.drains = DrainView()
+        self.fleet = FleetView(
+            HttpHostList(settings.platform.host_list),
+            self.host_view,
+            port_offset=settings.peers.port_offset,
+            poll_interval_s=poll_interval_s,
+            rng=self._rng,
+        )
+        self._configuration = ConfigurationKeeper(
+            self.store, self.view, firm=settings.process.firm
+        )
+        self._build_delivery(delivery_options)
+        self._build_servers()
+        self.view.subscribe(self._take_preset)
+
+    # Construction
+
+    def _build_peers(self) -> PeerService:
+        process, peers = self.settings.process, self.settings.peers
+        host, port = split_address(self.settings.listen.peers)
+        identity = NodeIdentity(
+            host=self.name,
+            incarnation=self.incarnation,
+            availability_zone=process.availability_zone,
+            callers_address=join_address(self.callers_address),
+            peers_address=f"{host}:{port}",
+        )
+        return PeerService(
+            LinkSettings(
+                identity=identity,
+                shared_key=peers.shared_key.encode(),
+                listen_host=host,
+                listen_port=port,
+            ),
+            self.host_view,
+            PeerHandlers(
+                revision=self._configuration.take_from_peer,
+                suspect=self._suspect_exchange.receive,
+                suspects=self._suspect_exchange.known,
+                leaving=self.fleet.take_mark,
+                roles=self._take_roles,
+                claim=lambda source, payload: self.claims.handle(source, payload),
+            ),
+            rng=self._rng,
+        )
+
+    def _build_delivery(self, options: DeliveryOptions | None) -> None:
+        process, clock = self.settings.process, time.monotonic
+        self._suspect_exchange = SuspectExchange(lambda m: self.peers.broadcast(m))
+        self.suspects = SuspectRegister(
+            self.name, on_change=self._suspect_exchange.publish
+        )
+        self._suspect_exchange.register = self.suspects
+        self.peers = self._build_peers()
+        self.claims = ClaimService(
+            self.store.for_purpose(Purpose.CLAIMS),
+            prefix=f"/persimmonyoke/{process.firm}/claims/",
+            host=self.name,
+            incarnation=self.incarnation,
+            live_hosts=self._claim_hosts,
+            is_dead=self._is_dead,
+            forwarder=PeerClaimForwarder(self.peers),
+        )
+        self.gate = ClaimServiceGate(self.claims)
+        fleet = self.fleet
+        self.router = EngineRouter(
+            directory=fleet.directory,
+            load=fleet.load,
+            prefixes=fleet.prefixes,
+            preset=lambda: self.view.preset,
+            availability_zone=process.availability_zone,
+            region=process.region,
+            is_draining=self.drains.is_draining,
+            rng=self._rng,
+        )
+        self.retry_budget = RetryBudget()
+        self.delivery = Delivery(
+            router=self.router,
+            engines=DirectoryEngines(fleet.directory, fleet.clients, clock),
+            services=ReplicaPool(
+                directory=fleet.directory,
+                clients=fleet.clients,
+                availability_zone=process.availability_zone,
+                clock=clock,
+                rng=self._rng,
+            ),
+            gate=self.gate,
+            budget=self.retry_budget,
+            suspects=self.suspects,
+            options=options,
+        )
+        self.admission = PoolAdmission(
+            preset=lambda: self.view.preset,
+            pool_of=self.router.pool_of,
+            note_offered=self.router.note_offered,
+            capacity=PoolCapacity(
+                fleet.directory, fleet.load, live_hosts=self._live_host_count
+            ),
+            clock=clock,
+            rng=self._rng,
+        )
+
+    def _build_servers(self) -> None:
+        settings = self.settings
+        revisions = RevisionLog(self.store, firm=settings.process.firm)
+        services = CallerServices(
+            configuration=self.view,
+            admission=self.admission,
+            delivery=self.delivery,
+            addresses=self.addresses,
+            render_metrics=lambda: self.metrics.render(),
+            tokens=StreamTokenSigner(settings.streams.signing_key.encode()),
+        )
+        limits = settings.limits
+        self.callers = CallerServer(
+            self.callers_address,
+            services,
+            limits=CallerLimits(
+                body_bytes=limits.body_bytes,
+                header_bytes=limits.header_bytes,
+                receive_s=limits.receive_s,
+            ),
+        )
+        orders = OrderAudit(
+            self.store, firm=settings.process.firm, pools=self._engine_pools
+        )
+        backend = OperatorBackend(
+            revisions=revisions,
+            view=self.view,
+            hosts=self._host_revisions,
+            audit_sources=(ConfigurationAudit(revisions), orders),
+            extra_status=self._extra_status,
+        )
+        app = operators_app(backend, token_digest=settings.operators.token_digest)
+        self.operators = OperatorServer(
+            self.operators_address,
+            app,
+            receive_s=limits.receive_s,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        self.metrics = entry_metrics(self)
+
+    # Life
+
+    @property
+    def callers_url(self) -> str:
+        """Return the base URL for callers."""
+        return f"http://{join_address(self.callers_address)}"
+
+    @property
+    def operators_url(self) -> str:
+        """Return the base URL for operators."""
+        return f"http://{join_address(self.operators_address)}"
+
+    def start(self) -> None:
+        """Serve; callers get ``not_ready`` until a configuration is known."""
+        self.callers.start()
+        self.operators.start()
+        self.peers.start()
+        self._configuration.start(self.peers)
+        self.fleet.start(self.peers, on_list=self.admission.refresh)
+        self._tasks = [
+            gevent.spawn(self._refresh_periodically),
+            gevent.spawn(self._offer_periodically),
+            gevent.spawn(self._sweep_periodically),
+        ]
+        log.info("{} serves callers at {}", self.name, self.callers_url)
+
+    def shutdown(self) -> bool:
+        """Leave without interrupting a request; return whether all ended in time."""
+        limits = self.settings.shutdown
+        end_s = time.monotonic() + limits.hard_limit_s
+        log.info("{} is leaving", self.name)
+        self._announce_leaving()
+        gevent.sleep(limits.max_age_s + limits.margin_s)
+        self.callers.close_listener()
+        finished = self.callers.wait_idle(_left_s(end_s))
+        finished &= self.delivery.wait_background(_left_s(end_s))
+        while self.claims.busy() and _left_s(end_s) > CLAIM_POLL_S:
+            gevent.sleep(CLAIM_POLL_S)
+        check_invariant(
+            finished,
+            Invariant.GRACEFUL_SHUTDOWN_COMPLETES,
+            f"{self.callers.requests_in_progress} requests at the hard limit",
+        )
+        self.stop()
+        log.info("{} has left", self.name)
+        return finished
+
+    def stop(self) -> None:
+        """End at once; open requests are cut."""
+        gevent.killall(self._tasks, block=False)
+        self.callers.stop()
+        self.operators.stop()
+        self._configuration.stop()
+        self.fleet.stop()
+        self.claims.stop()
+        self.peers.stop()
+
+    def _announce_leaving(self) -> None:
+        self._leaving = True
+        self.peers.dissemination.leaving = True
+        self.peers.broadcast(Leaving(self.name, self.incarnation))
+        self.peers.dissemination.beat()
+        self.callers.drain()
+
+    # What other parts ask for
+
+    def addresses(self, availability_zone: str | None) -> AddressAnswer:
+        """Return the entry hosts that a caller should use."""
+        now_s = time.monotonic()
+        loads = {beat.host: beat.load_percent / 100 for beat in self.host_view.beats()}
+        return choose_addresses(
+            self.host_view,
+            caller_zone=availability_zone or self.settings.process.availability_zone,
+            load_by_host=loads,
+            now_s=now_s,
+            rng=self._rng,
+            max_age_s=self.settings.shutdown.max_age_s,
+        )
+
+    def _live_host_count(self) -> int:
+        now_s = time.monotonic()
+        hosts = entry_hosts(self.host_view, now_s)
+        live = [h for h in hosts if not self.host_view.is_silent(h.name, now_s)]
+        return max(1, len(live))
+
+    def _claim_hosts(self) -> list[str]:
+        """Return the hosts among which owners of claims are chosen.
+
+        A silent host would delay each of its claims by the forward timeout.
+        """
+        now_s = time.monotonic()
+        hosts = entry_hosts(self.host_view, now_s)
+        names = {h.name for h in hosts if not self.host_view.is_silent(h.name, now_s)}
+        if not self._leaving:
+            names.add(self.name)
+        return sorted(names) or [self.name]
+
+    def _is_dead(self, host: str, incarnation: str) -> bool:
+        now_s = time.monotonic()
+        return self.host_view.is_incarnation_dead(host, incarnation, now_s)
+
+    def _host_revisions(self) -> list[HostRevision]:
+        hosts = entry_hosts(self.host_view, time.monotonic())
+        numbers = {h.name: h.beat.revision if h.beat else 0 for h in hosts}
+        numbers[self.name] = self.view.number
+        return [HostRevision(name, number) for name, number in numbers.items()]
+
+    def _engine_pools(self) -> list[str]:
+        preset = self.view.preset
+        pools = preset.pools.values() if preset else ()
+        return [pool.name for pool in pools if pool.kind is PoolKind.ENGINE]
+
+    def _extra_status(self) -> dict:
+        now_s = time.monotonic()
+        engines = [
+            {
+                "name": engine.name,
+                "pool": engine.pool,
+                "role": engine.role.value,
+                "leaving": engine.leaving,
+                "draining": self.drains.is_draining(engine.name, now_s),
+            }
+            for engine in self.fleet.engines(now_s)
+        ]
+        return {"engines": engines, "store_calls": sum(self.budget.calls.values())}
+
+    # Changes from outside
+
+    def _take_preset(self, revision: Revision, preset: Preset) -> None:
+        self.fleet.take_preset(revision, preset)
+        self.retry_budget.share = preset.retry.budget_share
+        self.suspects.hold_s = preset.quarantine_hold_s
+        self.admission.refresh()
+
+    def _take_roles(self, host: str, message: Roles) -> None:
+        self.drains.note(host, message, time.monotonic())
+
+    # Background work
+
+    def _refresh_periodically(self) -> None:
+        while True:
+            gevent.sleep(REFRESH_INTERVAL_S)
+            self.admission.refresh()
+            percent = int(100 * self.admission.load_share())
+            self.peers.dissemination.load_percent = min(percent, MAX_LOAD_PERCENT)
+
+    def _offer_periodically(self) -> None:
+        while True:
+            gevent.sleep(OFFERED_INTERVAL_S)
+            if self.router.offered:
+                totals = dict(self.router.offered)
+                self.peers.broadcast(
+                    offered_message(self.name, self.incarnation, totals)
+                )
+
+    def _sweep_periodically(self) -> None:
+        while True:
+            # Jitter keeps the hosts from deleting the same documents together.
+            gevent.sleep(SWEEP_INTERVAL_S * self._rng.uniform(0.5, 1.5))
+            self.claims.sweep(now_unix_s=time.time())
+
+
+def _left_s(end_s: float) -> float:
+    return max(0.0, end_s - time.monotonic())
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/offered_load.py
@@ -0,0 +1,97 @@
+"""Messages with the work that callers offered to one host, for the controllers."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.membership.codec import decode_plain
+from persimmonyoke.internal.membership.messages import Load
+
+# Names of load messages that hold offered work instead of an engine's report.
+OFFERED_PREFIX = "offered/"
+# A host that is gone for this long no longer counts.
+FORGET_AFTER_S = 60.0
+
+
+@dataclass(frozen=True)
+class PoolTotals:
+    """Hold the work offered to one pool since the start of its host."""
+
+    prefill_tokens: int
+    output_tokens: int
+    requests: int
+
+
+def offered_message(host: str, incarnation: str, totals: Mapping) -> Load:
+    """Return the message with the totals of each pool."""
+    pools = {
+        name: [pool.prefill, pool.output, pool.requests]
+        for name, pool in sorted(totals.items())
+    }
+    payload = cbor2.dumps([incarnation, pools])
+    return Load(engine=f"{OFFERED_PREFIX}{host}", payload=payload)
+
+
+def read_offered(message: Load) -> tuple[str, str, dict[str, PoolTotals]] | None:
+    """Return host, incarnation and totals; ``None`` for another kind of load.
+
+    Raises ``ProtocolError``.
+    """
+    if not message.engine.startswith(OFFERED_PREFIX):
+        return None
+    match decode_plain(message.payload):
+        case [str(incarnation), dict(pools)]:
+            host = message.engine.removeprefix(OFFERED_PREFIX)
+            return host, incarnation, {n: _totals(v) for n, v in pools.items()}
+    raise ProtocolError("offered load is malformed")
+
+
+def _totals(fields: object) -> PoolTotals:
+    match fields:
+        case [int(prefill), int(output), int(requests)]:
+            return PoolTotals(prefill, output, requests)
+    raise ProtocolError("totals of a pool are malformed")
+
+
+class OfferedLoad:
+    """Add up the increases of all hosts' totals, for one controller.
+
+    A host that restarts begins anew at zero, so only increases within one incarnation
+    count.
+    """
+
+    def __init__(self) -> None:
+        self._last: dict[str, tuple[str, float, dict[str, PoolTotals]]] = {}
+        self._sums: dict[str, PoolTotals] = {}
+
+    def note(self, message: Load, now_s: float) -> bool:
+        """Take a message; return whether it held offered work."""
+        read = read_offered(message)
+        if read is None:
+            return False
+        host, incarnation, totals = read
+        previous = self._last.get(host)
+        if previous is not None and previous[0] == incarnation:
+            for pool, total in totals.items():
+                self._add(pool, total, previous[2].get(pool, PoolTotals(0, 0, 0)))
+        self._last[host] = (incarnation, now_s, totals)
+        for name, (_, heard_s, _) in list(self._last.items()):
+            if now_s - heard_s > FORGET_AFTER_S:
+                del self._last[name]
+        return True
+
+    def totals(self, pool: str) -> PoolTotals:
+        """Return the work offered to a pool by all hosts since this process began."""
+        return self._sums.get(pool, PoolTotals(0, 0, 0))
+
+    def _add(self, pool: str, total: PoolTotals, before: PoolTotals) -> None:
+        summed = self.totals(pool)
+        # A message that was overtaken would count negative.
+        self._sums[pool] = PoolTotals(
+            summed.prefill_tokens
+            + max(0, total.prefill_tokens - before.prefill_tokens),
+            summed.output_tokens + max(0, total.output_tokens - before.output_tokens),
+            summed.requests + max(0, total.requests - before.requests),
+        )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -0,0 +1,125 @@
+"""HTTP server of the operator interface with limits on slow senders."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent import pywsgi
+from gevent.pool import Pool
+
+from persimmonyoke.internal.observability import part_logger
+
+MAX_CONNECTIONS = 64
+
+log = part_logger("operators")
+
+
+class ReceiveTimeout(gevent.Timeout):
+    """End a connection that did not send its request in time."""
+
+
+class OperatorHandler(pywsgi.WSGIHandler):
+    """Bound the time from the wait for a request to the end of its body."""
+
+    _receiving: gevent.Timeout | None = None
+
+    def handle_one_request(self) -> object:
+        """Serve one request; a slow sender loses its connection."""
+        self._receiving = ReceiveTimeout(self.server.receive_s)
+        self._receiving.start()
+        try:
+            return super().handle_one_request()
+        except ReceiveTimeout:
+            return None
+        finally:
+            self._receiving.close()
+
+    def get_environ(self) -> dict:
+        """Read the whole body while the timeout runs, then end the timeout."""
+        environ = super().get_environ()
+        environ["persimmonyoke.received"] = self._receiving.close
+        return environ
+
+
+class _ReadBodyFirst:
+    """Read a body of bounded size before the application runs."""
+
+    def __init__(self, app: Callable, max_body_bytes: int) -> None:
+        self._app = app
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(self, environ: dict, start_response: Callable) -> object:
+        """Serve one request."""
+        source = environ["wsgi.input"]
+        body = source.read(self._max_body_bytes + 1)
+        environ["persimmonyoke.received"]()
+        environ["wsgi.input"] = _Body(body)
+        return self._app(environ, start_response)
+
+
+class _Body:
+    """Give the application a body that was read already."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    def read(self, size: int = -1) -> bytes:
+        """Return the next bytes."""
+        size = len(self._data) if size is None or size < 0 else size
+        part, self._data = self._data[:size], self._data[size:]
+        return part
+
+    def _discard(self) -> None:
+        return None
+
+
+class _Server(pywsgi.WSGIServer):
+    handler_class = OperatorHandler
+
+    def __init__(
+        self, address: tuple[str, int], app: Callable, *, receive_s: float
+    ) -> None:
+        self.receive_s = receive_s
+        super().__init__(
+            address,
+            app,
+            log=None,
+            error_log=_ServerLog(),
+            spawn=Pool(MAX_CONNECTIONS),
+            environ={"SERVER_NAME": address[0]},
+        )
+
+
+class _ServerLog:
+    def write(self, message: str) -> None:
+        log.debug("{}", message.strip())
+
+    def flush(self) -> None:
+        return None
+
+
+class OperatorServer:
+    """Serve the operator interface on one address."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        app: Callable,
+        *,
+        receive_s: float,
+        max_body_bytes: int,
+    ) -> None:
+        reader = _ReadBodyFirst(app, max_body_bytes)
+        self._server = _Server(address, reader, receive_s=receive_s)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address that is listened on."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Accept connections."""
+        self._server.start()
+
+    def stop(self, *, timeout_s: float = 0.0) -> None:
+        """Close the listener and end the requests after a timeout."""
+        self._server.stop(timeout=timeout_s)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/pool_capacity.py
@@ -0,0 +1,74 @@
+"""Capacity of each pool and this host's share of it."""
+
+from collections.abc import Callable
+
+from persimmonyoke.internal.routing.costs import (
+    FALLBACK_MAX_SEQUENCES,
+    FALLBACK_PREFILL_TOKENS_PER_S,
+    engine_load,
+)
+from persimmonyoke.internal.upstreams.api import Role, Upstream
+from persimmonyoke.internal.upstreams.directory import Directory
+from persimmonyoke.internal.upstreams.load_view import LoadView
+
+# Callers are not spread evenly over the hosts, so each host may use more than an equal
+# share; the deadline test at arrival bounds what all hosts admit together.
+SLACK = 1.5
+CALLS_PER_REPLICA = 64
+MIN_LIMIT = 4
+# Typical length of the answer that has to end before a slot comes free.
+SLOT_OUTPUT_TOKENS = 128
+
+
+class PoolCapacity:
+    """Derive limits and waits from the directory and the load view.
+
+    ``live_hosts`` returns the number of entry hosts that share the pools.
+    """
+
+    def __init__(
+        self, directory: Directory, load: LoadView, *, live_hosts: Callable[[], int]
+    ) -> None:
+        self._directory = directory
+        self._load = load
+        self._live_hosts = live_hosts
+
+    def host_share(self, now_s: float) -> float:
+        """Return this host's equal share of the limits of a workspace."""
+        return 1.0 / max(1, self._live_hosts())
+
+    def limit(self, pool: str, now_s: float) -> int:
+        """Return how many requests this host may have in flight in a pool."""
+        engines = _staying(self._directory.engines(pool, now_s))
+        slots = sum(
+            self._load.estimate(engine.name, now_s).max_sequences
+            or FALLBACK_MAX_SEQUENCES
+            for engine in engines
+            if engine.role is not Role.PREFILL
+        )
+        replicas = _staying(self._directory.services(pool, now_s))
+        slots += CALLS_PER_REPLICA * len(replicas)
+        return max(MIN_LIMIT, int(SLACK * slots * self.host_share(now_s)))
+
+    def wait_s(self, pool: str, now_s: float) -> float:
+        """Return the expected wait at the engine with the shortest one."""
+        waits = []
+        for engine in _staying(self._directory.engines(pool, now_s)):
+            if engine.role is Role.DECODE:
+                continue
+            load = engine_load(self._load.estimate(engine.name, now_s))
+            excess = max(0.0, load.running_sequences + 1 - load.max_sequences)
+            slot_s = SLOT_OUTPUT_TOKENS / load.decode_tokens_per_s
+            waits.append(load.prefill_wait_s + excess * slot_s)
+        return min(waits, default=0.0)
+
+    def first_token_s(self, pool: str, prompt_tokens: int) -> float:
+        """Return the time to the first token on an idle engine without a cache hit."""
+        engines = self._directory.engines(pool, 0.0)
+        rates = [self._load.estimate(e.name, 0.0).prefill_tokens_per_s for e in engines]
+        rate = max(rates, default=0.0) or FALLBACK_PREFILL_TOKENS_PER_S
+        return prompt_tokens / rate
+
+
+def _staying(upstreams: tuple[Upstream, ...]) -> list[Upstream]:
+    return [upstream for upstream in upstreams if not upstream.leaving]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/replicas.py
@@ -0,0 +1,110 @@
+"""Replicas of plain services for delivery."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from persimmonyoke.internal.routing import (
+    ServiceChoice,
+    ServiceRoute,
+    choose_service,
+)
+from persimmonyoke.internal.upstreams.api import (
+    ServiceAnswer,
+    ServiceCall,
+    ServiceClient,
+    ServiceOutcome,
+    Upstream,
+)
+from persimmonyoke.internal.upstreams.clients import UpstreamClients
+from persimmonyoke.internal.upstreams.directory import Directory
+
+
+@dataclass(frozen=True)
+class CallsInFlight:
+    """Estimate a replica's load by the calls that this host has in flight."""
+
+    running_sequences: float
+    queued_prefill_tokens: float = 0.0
+    age_s: float = 0.0
+    prefill_tokens_per_s: float = 0.0
+    decode_tokens_per_s: float = 0.0
+    max_sequences: int = 0
+
+
+class CallCounts:
+    """Count the calls in flight at each replica."""
+
+    def __init__(self) -> None:
+        self.in_flight: Counter[str] = Counter()
+
+    def estimate(self, name: str, now_s: float) -> CallsInFlight:
+        """Return the estimate for one replica."""
+        return CallsInFlight(float(self.in_flight[name]))
+
+
+class CountingClient(ServiceClient):
+    """Count a call as in flight while it runs."""
+
+    def __init__(self, client: ServiceClient, name: str, counts: CallCounts) -> None:
+        self._client = client
+        self._name = name
+        self._counts = counts
+
+    def call(self, call: ServiceCall, *, timeout_s: float) -> ServiceOutcome:
+        """Send one call and return its outcome."""
+        self._counts.in_flight[self._name] += 1
+        try:
+            return self._client.call(call, timeout_s=timeout_s)
+        finally:
+            self._counts.in_flight[self._name] -= 1
+
+    def outcome(self, idempotency_key: str) -> ServiceAnswer | None:
+        """Return the stored answer of an earlier call; raises ``ConnectionError``."""
+        return self._client.outcome(idempotency_key)
+
+
+class ReplicaPool:
+    """Choose replicas by the calls in flight."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        clients: UpstreamClients,
+        availability_zone: str,
+        clock: Callable[[], float],
+        rng: Random,
+    ) -> None:
+        self._directory = directory
+        self._clients = clients
+        self._zone = availability_zone
+        self._clock = clock
+        self._rng = rng
+        self._counts = CallCounts()
+
+    def choose(
+        self, pool: str, excluded: frozenset[str], *, now_s: float
+    ) -> Upstream | None:
+        """Return a replica outside ``excluded``, or ``None``."""
+        route = ServiceRoute(availability_zone=self._zone, exclude=excluded)
+        candidates = self._directory.services(pool, now_s)
+        choice = choose_service(
+            route, candidates, self._counts, now_s=now_s, rng=self._rng
+        )
+        if not isinstance(choice, ServiceChoice):
+            return None
+        # The choice leaves marked replicas out, so this only asserts the invariant.
+        if not self._directory.check_dispatch(choice.replica, now_s):
+            return None
+        return choice.replica
+
+    def replicas(self, pool: str, *, now_s: float) -> tuple[Upstream, ...]:
+        """Return all replicas that may hold the outcome of an earlier call."""
+        return self._directory.services(pool, now_s)
+
+    def client(self, replica: Upstream) -> ServiceClient:
+        """Return a client of the replica."""
+        client = self._clients.service(replica)
+        return CountingClient(client, replica.name, self._counts)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/routing/__init__.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/__init__.py
@@ -10,11 +10,6 @@
     choose_engine,
 )
 from persimmonyoke.internal.routing.load import LoadEstimate, LoadSource
-from persimmonyoke.internal.routing.pieces import (
-    PIECE_TOKENS,
-    count_tokens,
-    prompt_pieces,
-)
 from persimmonyoke.internal.routing.prefix_index import PrefixIndex
 from persimmonyoke.internal.routing.services import (
     NoReplica,
@@ -22,6 +17,11 @@
     ServiceRoute,
     choose_service,
 )
+from persimmonyoke.internal.upstreams.pieces import (
+    PIECE_TOKENS,
+    count_tokens,
+    prompt_pieces,
+)
 
 __all__ = [
     "PIECE_TOKENS",
--- a/packages/persimmonyoke/src/persimmonyoke/internal/routing/engines.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/engines.py
@@ -18,9 +18,9 @@
     engine_load,
 )
 from persimmonyoke.internal.routing.load import LoadSource
-from persimmonyoke.internal.routing.pieces import PIECE_TOKENS
 from persimmonyoke.internal.routing.prefix_index import PrefixIndex
 from persimmonyoke.internal.upstreams.api import Role, Upstream
+from persimmonyoke.internal.upstreams.pieces import PIECE_TOKENS
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/settings/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/settings/model.py
@@ -44,10 +44,16 @@
 
 @dataclass(frozen=True)
 class PeerSettings:
-    """Hold the key that peers share and addresses to try besides the host list."""
+    """Hold the key that peers share and how their addresses are derived.
+
+    The host list holds the address for callers only. Each entry host listens for peers
+    on the same IP address, ``port_offset`` above its port for callers. ``addresses``
+    are tried besides the host list.
+    """
 
     shared_key: str = field(repr=False)
     addresses: tuple[str, ...] = ()
+    port_offset: int = 100
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/settings/parser.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/settings/parser.py
@@ -152,7 +152,13 @@
     for address in addresses:
         if not is_address(address):
             table.fault("addresses", f"invalid address {address!r}", ADDRESS_ACCEPTED)
-    return PeerSettings(shared_key=_read_shared_key(table, folder), addresses=addresses)
+    return PeerSettings(
+        shared_key=_read_shared_key(table, folder),
+        addresses=addresses,
+        port_offset=table.integer(
+            "port_offset", default=100, minimum=1, maximum=65_535
+        ),
+    )
 
 
 def _read_shared_key(table: Table, folder: Path) -> str:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/pieces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/pieces.py
@@ -3,9 +3,16 @@
 from hashlib import blake2b
 
 PIECE_TOKENS = 2_000
+# 16 bytes keep the index small; a collision only costs a wrong estimate of a cache
+# hit, never a wrong answer.
 PIECE_DIGEST_BYTES = 16
 
 
+def count_tokens(text: str) -> int:
+    """Return the number of whitespace-separated tokens."""
+    return len(text.split())
+
+
 def prompt_pieces(prompt: str) -> tuple[bytes, ...]:
     """Return the chained digests of the complete pieces of a prompt.
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from persimmonyoke_cli import check_command, preset_commands, status_commands
+from persimmonyoke_cli import (
+    check_command,
+    demo_command,
+    preset_commands,
+    status_commands,
+)
 
 Command = Callable[..., Any]
 
@@ -24,4 +29,5 @@
     "status": status_commands.status,
     "audit": status_commands.audit,
     "check": check_command.check,
+    "demo": demo_command.demo,
 }
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
@@ -39,7 +39,11 @@
     """Run a simulated engine until stopped; usable as a context manager."""
 
     def __init__(
-        self, settings: EngineSettings | None = None, **changes: object
+        self,
+        settings: EngineSettings | None = None,
+        *,
+        port: int = 0,
+        **changes: object,
     ) -> None:
         """Prepare an engine; ``changes`` replace fields of the settings."""
         base = settings or EngineSettings()
@@ -53,7 +57,7 @@
         )
         self.core: EngineCore | None = None
         self._server: LoopbackServer | None = None
-        self._port = 0
+        self._port = port
         self._starts = itertools.count(1)
         self._watcher: gevent.Greenlet | None = None
         self._boot_id = f"{time.time_ns():x}"[-8:]
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/service.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/service.py
@@ -92,6 +92,7 @@
         keeps_outcomes: bool = True,
         outcomes: OrderedDict[str, StoredOutcome] | None = None,
         record: ServiceRecord | None = None,
+        port: int = 0,
     ) -> None:
         self.name = name
         self.pool = pool
@@ -101,7 +102,7 @@
         self.record = record if record is not None else ServiceRecord()
         self._outcomes = outcomes if outcomes is not None else OrderedDict()
         self._server: LoopbackServer | None = None
-        self._port = 0
+        self._port = port
 
     def __enter__(self) -> "ServiceStandIn":
         self.start()
