--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
@@ -0,0 +1,209 @@
+"""Callers and processes for tests against a whole deployment."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import gevent
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from persimmonyoke_testing.firms import Firm
+
+CONNECT_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 20.0
+EXIT_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def new_pool() -> urllib3.PoolManager:
+    """Return a client that never repeats a call by itself."""
+    timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+    return urllib3.PoolManager(retries=False, timeout=timeout)
+
+
+class CallerStream:
+    """Read a streamed completion as a caller does, event by event."""
+
+    def __init__(
+        self,
+        url: str,
+        firm: Firm,
+        *,
+        prompt: str,
+        max_tokens: int,
+        last_event_id: str | None = None,
+    ) -> None:
+        headers = {
+            "Authorization": f"Bearer {firm.workspace_key}",
+            "Content-Type": "application/json",
+        }
+        if last_event_id is not None:
+            headers["Last-Event-ID"] = last_event_id
+        body = {
+            "model": firm.model,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        self.last_event_id = last_event_id
+        self.text = ""
+        self.finished = False
+        self._answer = new_pool().request(
+            "POST",
+            f"{url}/v1/completions",
+            body=json.dumps(body).encode(),
+            headers=headers,
+            preload_content=False,
+        )
+        self.status = self._answer.status
+        self._lines = self._read_lines()
+
+    def read(self, events: int | None = None) -> str:
+        """Read some events, or all up to the end; return the text so far."""
+        taken = 0
+        for line in self._lines:
+            if line.startswith("id: "):
+                pending_id = line.removeprefix("id: ")
+            elif line == "data: [DONE]":
+                self.finished = True
+                break
+            elif line.startswith("data: "):
+                text = _event_text(line.removeprefix("data: "))
+                self.text += text
+                if text:
+                    self.last_event_id = pending_id
+                    taken += 1
+                if taken == events:
+                    break
+        return self.text
+
+    def close(self) -> None:
+        """Disconnect."""
+        self._answer.close()
+
+    def _read_lines(self) -> Iterator[str]:
+        rest = b""
+        try:
+            for part in self._answer.stream(1024, decode_content=False):
+                *lines, rest = (rest + part).split(b"\n")
+                yield from (line.decode() for line in lines)
+        except (HTTPError, OSError):
+            # The host was killed; the caller goes on at another one.
+            return
+
+
+def _event_text(data: str) -> str:
+    choices = json.loads(data).get("choices", ())
+    return "".join(choice.get("text") or "" for choice in choices)
+
+
+@dataclass(frozen=True)
+class CallAnswer:
+    """Hold the answer of one call."""
+
+    status: int
+    headers: Any
+    body: bytes
+
+    @property
+    def json(self) -> Any:
+        """Return the parsed body."""
+        return json.loads(self.body)
+
+
+def call(
+    method: str,
+    url: str,
+    *,
+    key: str,
+    body: Any = None,
+    headers: dict[str, str] | None = None,
+) -> CallAnswer:
+    """Make one call with a bearer key."""
+    answer = new_pool().request(
+        method,
+        url,
+        body=None if body is None else json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {key}", **(headers or {})},
+    )
+    return CallAnswer(answer.status, answer.headers, answer.data)
+
+
+def call_service(url: str, firm: Firm, *, key: str, body: Any) -> CallAnswer:
+    """Make one call of the firm's service that must run at most once."""
+    return call(
+        "POST",
+        f"{url}/services/{firm.service_pool}/calls",
+        key=firm.workspace_key,
+        body=body,
+        headers={"Idempotency-Key": key, "Content-Type": "application/json"},
+    )
+
+
+class NodeProcess:
+    """Run ``persimmonyoke-node`` as a process of its own."""
+
+    def __init__(self, role: str, settings: Path) -> None:
+        command = [sys.executable, "-m", "persimmonyoke_node", role, str(settings)]
+        self.log_path = settings.with_suffix(".log")
+        with self.log_path.open("ab") as log_file:
+            self._process = subprocess.Popen(command, stderr=log_file)
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._process.pid
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        self._process.send_signal(number)
+
+    def wait(self, timeout_s: float = EXIT_TIMEOUT_S) -> int:
+        """Wait for the end; return the exit status, negative for a signal."""
+        return self._process.wait(timeout_s)
+
+    def end(self) -> None:
+        """Kill the process if it still runs."""
+        if self._process.poll() is None:
+            self._process.kill()
+            self._process.wait(EXIT_TIMEOUT_S)
+
+    def log(self) -> str:
+        """Return what the process has logged."""
+        return self.log_path.read_text(encoding="utf-8")
+
+
+def wait_healthy(urls: Iterable[str], *, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Wait until each host answers that it is healthy; raises ``TimeoutError``."""
+    end_s = time.monotonic() + timeout_s
+    for url in urls:
+        while not _is_healthy(url):
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"{url} is not healthy after {timeout_s:g} s")
+            gevent.sleep(POLL_S)
+
+
+def _is_healthy(url: str) -> bool:
+    try:
+        return new_pool().request("GET", f"{url}/health").status == 200
+    except (HTTPError, OSError):
+        return False
+
+
+@contextmanager
+def paused(process: NodeProcess) -> Iterator[None]:
+    """Stop a process with SIGSTOP and let it go on afterwards."""
+    process.send(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        process.send(signal.SIGCONT)
