--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_examples.py
@@ -0,0 +1,28 @@
+"""Tests of the files under ``examples``."""
+
+import tempfile
+import unittest
+from contextlib import redirect_stdout
+from io import StringIO
+from pathlib import Path
+
+from persimmonyoke_cli.__main__ import main
+from persimmonyoke_testing.deployment_settings import write_examples
+from persimmonyoke_testing.firms import EXAMPLES, FIRMS
+
+
+class ExamplesTest(unittest.TestCase):
+    def test_the_check_command_accepts_every_example(self):
+        files = sorted(EXAMPLES.rglob("*.toml"))
+        self.assertGreaterEqual(len(files), 24)
+        for file in files:
+            with self.subTest(file.name), redirect_stdout(StringIO()):
+                self.assertEqual(main(["check", str(file)]), 0)
+
+    def test_the_settings_are_those_that_the_simulators_expect(self):
+        # Files with other ports than platform_process would not find the platform.
+        for name, firm in FIRMS.items():
+            with tempfile.TemporaryDirectory() as folder:
+                for written in write_examples(firm, Path(folder)):
+                    kept = EXAMPLES / name / written.name
+                    self.assertEqual(kept.read_bytes(), written.read_bytes())
