--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_failures.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_failures.py
@@ -62,9 +62,7 @@
         self.assertEqual(error["code"], "store_unavailable")
         self.assertEqual(error["ran"], "not_run")
         self.assertIn("Retry-After", refused.headers)
-        self.assertEqual(
-            stream.read(), expected_text("outage", LONG_ANSWER_TOKENS)
-        )
+        self.assertEqual(stream.read(), expected_text("outage", LONG_ANSWER_TOKENS))
         record = self.deployment.platform.service_record
         self.assertEqual(record.runs_by_key[key], 0)
         fresh = self.stream(2, "begun in the outage", max_tokens=4)
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_processes.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_processes.py
@@ -47,8 +47,8 @@
             self.folder, entries=count, controllers=0
         )
         processes = [self.start("entry", path) for path in files]
-        hosts = self.deployment.platform.host_list._hosts
-        urls = [f"http://{hosts[path.stem].address}" for path in files]
+        listed = self.deployment.platform.host_list
+        urls = [f"http://{listed.address_of(path.stem)}" for path in files]
         wait_healthy(urls)
         return processes, urls
 
@@ -93,9 +93,7 @@
 
     def test_a_controller_paused_past_its_lease_is_ended_and_succeeded(self):
         # A controller that resumes after its lease could send a conflicting order.
-        _, files = self.deployment.write_settings(
-            self.folder, entries=0, controllers=2
-        )
+        _, files = self.deployment.write_settings(self.folder, entries=0, controllers=2)
         first = self.start("controller", files[0])
         self.wait_holder("controller-1")
         second = self.start("controller", files[1])
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
@@ -48,9 +48,7 @@
         chat = client.chat.completions.create(
             model=self.firm.model, messages=messages, max_completion_tokens=7
         )
-        self.assertEqual(
-            chat.choices[0].message.content, expected_text(CHAT_PROMPT, 7)
-        )
+        self.assertEqual(chat.choices[0].message.content, expected_text(CHAT_PROMPT, 7))
         stream = client.chat.completions.create(
             model=self.firm.model,
             messages=messages,
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/platform_standins.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/platform_standins.py
@@ -51,6 +51,10 @@
         self._hosts[host.name] = host
         self._take_snapshot()
 
+    def address_of(self, name: str) -> str:
+        """Return the address of a host; raise ``KeyError`` if it is not listed."""
+        return self._hosts[name].address
+
     def remove(self, name: str) -> None:
         """Remove a host."""
         self._hosts.pop(name, None)
