--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/__main__.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/__main__.py
@@ -17,7 +17,7 @@
     CommandFailed,
     UsageError,
 )
-from persimmonyoke_cli.registry import COMMANDS
+from persimmonyoke_cli.registry import commands_for
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -25,7 +25,10 @@
     argv = list(sys.argv[1:] if arguments is None else arguments)
     try:
         result = defopt.run(
-            COMMANDS, argv=argv, argparse_kwargs={"prog": "persimmonyoke"}, short={}
+            commands_for(argv),
+            argv=argv,
+            argparse_kwargs={"prog": "persimmonyoke"},
+            short={},
         )
     except UsageError as error:
         return _fail(error, EXIT_USAGE)
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -0,0 +1,36 @@
+"""Names of the benches and the modules that hold them."""
+
+import importlib
+from collections.abc import Callable, Sequence
+
+from persimmonyoke_cli.bench.framework import command
+
+# The help texts are here so that a list of the benches imports none of them.
+BENCHES: dict[str, str] = {}
+
+
+def bench_commands(argv: Sequence[str]) -> dict[str, Callable[..., int]]:
+    """Return a command for each bench; only the one that argv names is imported."""
+    called = argv[1] if len(argv) > 1 and argv[0] == "bench" else None
+    return {
+        name: command(load(name)) if name == called else _described(name, text)
+        for name, text in BENCHES.items()
+    }
+
+
+def load(name: str):
+    """Import the module of a bench and return its definition."""
+    module = importlib.import_module(
+        f"persimmonyoke_cli.bench.{name.replace('-', '_')}"
+    )
+    return module.BENCH
+
+
+def _described(name: str, text: str) -> Callable[..., int]:
+    """Return a command that only shows in the list of the benches."""
+
+    def described() -> int:
+        raise AssertionError(f"bench {name} was not imported")
+
+    described.__doc__ = text
+    return described
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
@@ -4,10 +4,11 @@
 the commands of a group.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from persimmonyoke_cli import check_command, preset_commands, status_commands
+from persimmonyoke_cli.bench.catalogue import bench_commands
 
 Command = Callable[..., Any]
 
@@ -25,3 +26,8 @@
     "audit": status_commands.audit,
     "check": check_command.check,
 }
+
+
+def commands_for(argv: Sequence[str]) -> dict[str, Command | dict[str, Command]]:
+    """Return the commands, with the options of the bench that argv names."""
+    return {**COMMANDS, "bench": bench_commands(argv)}
