Turn the measurement of the peer topologies into bench spreading

Cause: the script measured no load reports, no watches and no busiest host. Change: bench spreading compares full mesh, bounded degree and one watch for each host, idle and with 183 load reports of 12 bytes a second, over several worker processes, since a full mesh of 60 hosts needs more than one core. Replaces measure_mesh.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/topology.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/topology.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 
 # In a full mesh of 60 hosts each host takes 4.1% of a core, over the 2.1% that all
-# control work may take; a bounded mesh takes 1.7% (persimmonyoke_testing.measure_mesh).
+# control work may take; a bounded mesh takes 1.7% (bench spreading).
 FULL_MESH_HOSTS = 8
 DEFAULT_OWN_ZONE_LINKS = 1
 DEFAULT_OTHER_ZONE_LINKS = 2
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -6,7 +6,9 @@
 from persimmonyoke_cli.bench.framework import command
 
 # The help texts are here so that a list of the benches imports none of them.
-BENCHES: dict[str, str] = {}
+BENCHES: dict[str, str] = {
+    "spreading": "Compare ways of spreading revisions and load reports.",
+}
 
 
 def bench_commands(argv: Sequence[str]) -> dict[str, Callable[..., int]]:
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/spreading_worker.py
@@ -0,0 +1,265 @@
+"""Worker process of ``bench spreading``: runs some of the hosts.
+
+Reads one command a line from standard input and answers each with one JSON line.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+import random
+import sys
+import threading
+import time
+from abc import ABC, abstractmethod
+from typing import Any
+
+import gevent
+from gevent import socket as gevent_socket
+from loguru import logger
+
+from persimmonyoke.internal.membership.dissemination import PeerHandlers
+from persimmonyoke.internal.membership.messages import Load
+from persimmonyoke.internal.membership.peers import PeerAddress
+from persimmonyoke.internal.membership.topology import BoundedDegree, FullMesh
+from persimmonyoke.internal.platform import EtcdGatewayStore, RateBudget, WatchEvent
+from persimmonyoke_testing.builders_membership import PeerCluster, wait_until
+
+TOPOLOGIES = {"full": FullMesh, "bounded": BoundedDegree}
+WATCH_PREFIX = "/persimmonyoke/kente/"
+REVISION_KEY = WATCH_PREFIX + "config/current"
+LOAD_BYTES = 12
+REPORT_INTERVAL_S = 1.0
+SILENT_SHARE = 0.05
+SETTLE_TIMEOUT_S = 25.0
+REACH_TIMEOUT_S = 20.0
+
+
+class Traffic:
+    """Count the bytes that all sockets of the process send and receive."""
+
+    def __init__(self) -> None:
+        self.total_bytes = 0
+        kind = gevent_socket.socket
+        for name in ("send", "recv", "recv_into"):
+            setattr(kind, name, self._counting(getattr(kind, name)))
+
+    def _counting(self, call: Any) -> Any:
+        def counted(sock: Any, *arguments: Any, **options: Any) -> Any:
+            result = call(sock, *arguments, **options)
+            self.total_bytes += result if isinstance(result, int) else len(result)
+            return result
+
+        return counted
+
+
+class Hosts(ABC):
+    """Hosts of one process, which spread revisions and load reports."""
+
+    def __init__(self, names: list[str], *, seed: int) -> None:
+        self.names = names
+        self.rng = random.Random(f"{seed}/{names[0]}")
+        self.loads_received = 0
+
+    @abstractmethod
+    def host_bytes(self) -> list[int]:
+        """Return the bytes of each host so far, both ways, as its links count."""
+
+    @abstractmethod
+    def has_revision(self, number: int) -> bool:
+        """Return whether each host of this process has the revision."""
+
+    def wait_settled(self) -> bool:
+        """Wait until each host hears each other; return whether that came true."""
+        return True
+
+    def silence(self) -> None:
+        """Let 5% of the links drop all that they are given."""
+
+    def report_loads(self, engines: list[str]) -> None:
+        """Start to spread a report of each engine in each interval."""
+
+    def publish(self, number: int, size_bytes: int) -> None:
+        """Spread a revision from the first host, if it belongs to this process."""
+
+    def close(self) -> None:
+        """Stop the hosts."""
+
+
+class MeshHosts(Hosts):
+    """Hosts that are peers of each other."""
+
+    def __init__(self, names: list[str], *, topology: str, seed: int) -> None:
+        super().__init__(names, seed=seed)
+        self.cluster = PeerCluster(0, topology=TOPOLOGIES[topology], seed=seed)
+        for name in names:
+            self.cluster.add(name, handlers=PeerHandlers(load=self._note_load))
+        self.services = list(self.cluster.services.values())
+        self.members: dict[str, PeerAddress] = {}
+        # A link that ended keeps its bytes in the count of its host.
+        self.links: dict[int, tuple[str, Any]] = {}
+
+    def _note_load(self, host: str, message: Load) -> None:
+        self.loads_received += 1
+
+    def host_bytes(self) -> list[int]:
+        """Return the bytes of the messages of each host's links."""
+        totals = dict.fromkeys(self.names, 0)
+        for service in self.services:
+            for link in service.links():
+                self.links[id(link)] = (service.identity.host, link)
+        for name, link in self.links.values():
+            totals[name] += link.sent_bytes + link.received_bytes
+        return list(totals.values())
+
+    def connect(self, addresses: dict[str, list[str]]) -> None:
+        """Tell each host its members."""
+        self.members = {n: PeerAddress(*address) for n, address in addresses.items()}
+        for service in self.services:
+            service.set_members(self.members)
+
+    def wait_settled(self) -> bool:
+        """Wait until each host of this process hears each member."""
+        return wait_until(self._is_settled, timeout_s=SETTLE_TIMEOUT_S)
+
+    def _is_settled(self) -> bool:
+        now_s = time.monotonic()
+        views = [service.view for service in self.services]
+        return all(not v.is_silent(n, now_s) for v in views for n in self.members)
+
+    def silence(self) -> None:
+        """Let 5% of the links drop all that they are given."""
+        links = [link for s in self.services for link in s.links()]
+        for link in self.rng.sample(links, max(1, round(SILENT_SHARE * len(links)))):
+            link.queue.offer = lambda message: True
+
+    def report_loads(self, engines: list[str]) -> None:
+        """Spread the reports of the engines that each host polls."""
+        for service in self.services:
+            index = int(service.identity.host.rsplit("-", 1)[1])
+            own = engines[index :: len(self.members)]
+            gevent.spawn(self._report, service, own)
+
+    def _report(self, service: Any, engines: list[str]) -> None:
+        gevent.sleep(self.rng.uniform(0.0, REPORT_INTERVAL_S))
+        while True:
+            for engine in engines:
+                service.broadcast(Load(engine, self.rng.randbytes(LOAD_BYTES)))
+            gevent.sleep(REPORT_INTERVAL_S)
+
+    def has_revision(self, number: int) -> bool:
+        """Return whether each host of this process has the revision."""
+        found = [s.dissemination.revision.number for s in self.services]
+        return min(found) >= number
+
+    def publish(self, number: int, size_bytes: int) -> None:
+        """Spread a revision from the first host, if it belongs to this process."""
+        if self.names[0].endswith("-00"):
+            payload = self.rng.randbytes(size_bytes)
+            self.services[0].publish_revision(number, payload)
+
+    def close(self) -> None:
+        """Stop the hosts."""
+        gevent.joinall([gevent.spawn(s.stop) for s in self.services], timeout=2.0)
+
+
+class WatchingHosts(Hosts):
+    """Hosts that each watch the key-value service and have no peers."""
+
+    def __init__(self, names: list[str], *, url: str, seed: int) -> None:
+        super().__init__(names, seed=seed)
+        self.revisions = dict.fromkeys(names, 0)
+        self.traffic = Traffic()
+        for name in names:
+            gevent.spawn(self._watch, name, url)
+
+    def _watch(self, name: str, url: str) -> None:
+        store = EtcdGatewayStore(url, budget=RateBudget(calls_per_s=1_000.0))
+
+        def note(event: Any) -> None:
+            if not isinstance(event, WatchEvent) or event.key_value is None:
+                return
+            if event.key == REVISION_KEY:
+                self.revisions[name] = int(event.key_value.value[:10])
+            else:
+                self.loads_received += 1
+
+        store.watch(
+            WATCH_PREFIX, from_revision=1, on_event=note, stop=threading.Event()
+        )
+
+    def host_bytes(self) -> list[int]:
+        """Return the mean of the process for each host, since each watches the same."""
+        return [self.traffic.total_bytes // len(self.names)] * len(self.names)
+
+    def has_revision(self, number: int) -> bool:
+        """Return whether each host of this process has the revision."""
+        return min(self.revisions.values()) >= number
+
+
+def sample(hosts: Hosts, sample_s: float) -> dict[str, Any]:
+    """Return what the hosts of this process use over a time."""
+    before = hosts.host_bytes()
+    loads, processor_s = hosts.loads_received, time.process_time()
+    started_s = time.monotonic()
+    gevent.sleep(sample_s)
+    elapsed_s = time.monotonic() - started_s
+    after = hosts.host_bytes()
+    return {
+        "bytes_per_s": [
+            (b - a) / elapsed_s for a, b in zip(before, after, strict=True)
+        ],
+        "core_share": (time.process_time() - processor_s) / elapsed_s,
+        "loads_per_s": (hosts.loads_received - loads) / elapsed_s,
+    }
+
+
+def spread(hosts: Hosts, number: int, size_bytes: int) -> dict[str, Any]:
+    """Publish a revision and return when the last host of this process had it."""
+    hosts.silence()
+    started_s = time.time()
+    hosts.publish(number, size_bytes)
+    timeout_s = REACH_TIMEOUT_S
+    reached = wait_until(lambda: hosts.has_revision(number), timeout_s=timeout_s)
+    return {"started_s": started_s, "ended_s": time.time(), "reached": reached}
+
+
+def answer(hosts: Hosts, command: dict[str, Any]) -> Any:
+    """Run one command of the parent process."""
+    match command["do"]:
+        case "connect":
+            hosts.connect(command["members"])
+        case "settle":
+            return hosts.wait_settled()
+        case "sample":
+            return sample(hosts, command["seconds"])
+        case "loads":
+            hosts.report_loads(command["engines"])
+        case "spread":
+            return spread(hosts, command["number"], command["size_bytes"])
+    return None
+
+
+def main() -> None:
+    """Run hosts until standard input ends."""
+    logger.remove()
+    setup = json.loads(sys.argv[1])
+    names, seed, topology = setup["names"], setup["seed"], setup["topology"]
+    if topology == "watch":
+        hosts: Hosts = WatchingHosts(names, url=setup["url"], seed=seed)
+        first: Any = {}
+    else:
+        hosts = MeshHosts(names, topology=topology, seed=seed)
+        addresses = hosts.cluster.addresses()
+        first = {n: [a.address, a.availability_zone] for n, a in addresses.items()}
+    print(json.dumps(first), flush=True)
+    # A blocking read in the main thread would stop the hosts between two commands.
+    threadpool = gevent.get_hub().threadpool
+    while line := threadpool.apply(sys.stdin.readline):
+        print(json.dumps(answer(hosts, json.loads(line))), flush=True)
+    hosts.close()
+
+
+if __name__ == "__main__":
+    main()
