Add bench capacity and send equal load reports by increments of their slots

Change: bench capacity fits figures over at least four sizes by least squares with an intercept and extrapolates them; load reports of one length share it and name their slots by increments; fields at their defaults are left out of messages.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/codec.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/codec.py
@@ -61,6 +61,9 @@
     document: dict[str, Any] = {"v": PROTOCOL_VERSION, "t": _TYPE_NAMES[type(message)]}
     for declared in _FIELDS[type(message)]:
         value = check_field(declared, getattr(message, declared.name))
+        if declared.default is not MISSING and value == declared.default:
+            # The receiver fills in defaults; most beats and loads come without names.
+            continue
         document[declared.name] = _plain(value)
     return cbor2.dumps(document)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/messages.py
@@ -26,6 +26,7 @@
 MAX_CLAIM_BYTES = 128 * 1024
 MAX_BEATS = 512
 MAX_PACKED_LOADS = 512
+MAX_PACKED_PAYLOAD_BYTES = 255
 MAX_PACKED_BYTES = 64 * 1024
 MAX_SLOT = 2**16 - 1
 MAX_ORIGINS = 512
@@ -154,8 +155,9 @@
 
 @dataclass(frozen=True)
 class PackedLoads(Message):
-    """Carry load reports of several engines as ``packing`` packs them."""
+    """Carry load reports of equal length as ``packing`` packs them."""
 
+    length: int = integer(maximum=MAX_PACKED_PAYLOAD_BYTES)
     names: tuple[SlotName, ...] = records(SlotName, max_count=MAX_PACKED_LOADS)
     reports: bytes = blob(default=b"", max_bytes=MAX_PACKED_BYTES)
 
@@ -235,12 +237,12 @@
     "challenge": Challenge,
     "proof": Proof,
     "heartbeat": Heartbeat,
-    "packed_heartbeat": PackedHeartbeat,
+    "beats": PackedHeartbeat,
     "revision": RevisionMessage,
     "digest": Digest,
     "pull": Pull,
     "load": Load,
-    "packed_loads": PackedLoads,
+    "loads": PackedLoads,
     "prune": Prune,
     "graft": Graft,
     "suspect": Suspect,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/packing.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/packing.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.membership.messages import (
     MAX_PACKED_BYTES,
     MAX_PACKED_LOADS,
+    MAX_PACKED_PAYLOAD_BYTES,
     Heartbeat,
     HostBeat,
     Load,
@@ -23,9 +24,9 @@
 # slot, load_percent, increment of the sequence
 _BEAT = struct.Struct(">HHB")
 MAX_INCREMENT = 255
-# slot and length of the payload that follows
-_LOAD = struct.Struct(">HB")
-MAX_PACKED_PAYLOAD_BYTES = 255
+# A report starts with the increment of its slot over the report before; an increment
+# of 0 announces a whole slot number.
+_SLOT = struct.Struct(">H")
 # A link's table starts anew when this many names have had a slot, so that a fleet that
 # is replaced over and over doesn't fill it.
 MAX_SLOTS = 4_096
@@ -125,32 +126,40 @@
     def pack(self, loads: Iterable[Load]) -> list[Load | PackedLoads]:
         """Return the messages to send next; long payloads stay single messages."""
         messages: list[Load | PackedLoads] = []
-        names: list[SlotName] = []
-        parts: list[bytes] = []
-        size_bytes = 0
+        by_length: dict[int, list[Load]] = {}
         for load in loads:
             if len(load.payload) > MAX_PACKED_PAYLOAD_BYTES:
                 messages.append(load)
-                continue
-            part_bytes = _LOAD.size + len(load.payload)
-            full = size_bytes + part_bytes > MAX_PACKED_BYTES
-            if full or len(parts) >= MAX_PACKED_LOADS:
-                messages.append(PackedLoads(tuple(names), b"".join(parts)))
-                names, parts, size_bytes = [], [], 0
+            else:
+                by_length.setdefault(len(load.payload), []).append(load)
+        for length, group in by_length.items():
+            count = min(MAX_PACKED_LOADS, MAX_PACKED_BYTES // (length + 3))
+            for start in range(0, len(group), count):
+                messages.append(self._message(length, group[start : start + count]))
+        return messages
+
+    def _message(self, length: int, loads: list[Load]) -> PackedLoads:
+        if len(self._slots) + len(loads) > MAX_SLOTS:
+            self._slots.clear()
+        names = []
+        slotted = []
+        for load in loads:
             slot = self._slots.get(load.engine)
             if slot is None:
-                if len(self._slots) >= MAX_SLOTS:
-                    # The names of this message would lose their slots, so it ends here.
-                    messages.append(PackedLoads(tuple(names), b"".join(parts)))
-                    names, parts, size_bytes = [], [], 0
-                    self._slots.clear()
                 slot = self._slots[load.engine] = len(self._slots)
                 names.append(SlotName(slot, load.engine))
-            parts.append(_LOAD.pack(slot, len(load.payload)) + load.payload)
-            size_bytes += part_bytes
-        if parts:
-            messages.append(PackedLoads(tuple(names), b"".join(parts)))
-        return messages
+            slotted.append((slot, load.payload))
+        parts = []
+        previous = -1
+        for slot, payload in sorted(slotted):
+            increment = slot - previous
+            if 0 < increment <= MAX_INCREMENT:
+                parts.append(bytes((increment,)))
+            else:
+                parts.append(b"\0" + _SLOT.pack(slot))
+            parts.append(payload)
+            previous = slot
+        return PackedLoads(length, tuple(names), b"".join(parts))
 
 
 class LoadUnpacker:
@@ -163,16 +172,21 @@
         """Return the reports; raise ``ProtocolError`` for malformed content."""
         for item in packed.names:
             self._names[_checked_slot(item.slot)] = item.name
-        loads, data, start = [], packed.reports, 0
+        loads, data, length = [], packed.reports, packed.length
+        start, slot = 0, -1
         while start < len(data):
-            if start + _LOAD.size > len(data):
-                raise ProtocolError("packed loads are cut off")
-            slot, length = _LOAD.unpack_from(data, start)
-            start += _LOAD.size
-            payload = data[start : start + length]
+            increment = data[start]
+            start += 1
+            if increment:
+                slot += increment
+            else:
+                if start + _SLOT.size > len(data):
+                    raise ProtocolError("packed loads are cut off")
+                (slot,) = _SLOT.unpack_from(data, start)
+                start += _SLOT.size
             name = self._names.get(slot)
-            if name is None or len(payload) != length:
+            if name is None or start + length > len(data):
                 raise ProtocolError("packed loads are cut off or have an unknown slot")
-            loads.append(Load(name, payload))
+            loads.append(Load(name, data[start : start + length]))
             start += length
         return loads
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_packing.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_packing.py
@@ -74,9 +74,9 @@
         for same in (b"123", b"\0\x07\0\0\1"):
             with self.assertRaises(ProtocolError):
                 BeatUnpacker().unpack(PackedHeartbeat((), same))
-        for reports in (b"\0", b"\0\0\5abc", b"\0\0\1a"):
+        for reports in (b"\1", b"\0", b"\0\0\5abc", b"\1abc"):
             with self.assertRaises(ProtocolError):
-                LoadUnpacker().unpack(PackedLoads((), reports))
+                LoadUnpacker().unpack(PackedLoads(3, (), reports))
 
 
 class SourceChoiceTest(unittest.TestCase):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/topology.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/topology.py
@@ -49,8 +49,8 @@
 
     Each host opens a link to its successor and gets one from its predecessor, so all
     have the same number of links. With links chosen by rendezvous hash, the busiest
-    of 60 hosts had twice as many as the mean and sent 1.6 times as much. A host that
-    comes or goes changes only its neighbours on each ring.
+    of 60 hosts sent 1.6 times as much as the mean. A host that comes or goes changes
+    only its neighbours on each ring.
     """
 
     def __init__(self, *, rings: int = DEFAULT_RINGS) -> None:
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/engine_worker.py
@@ -0,0 +1,24 @@
+"""Worker process that runs a simulated engine until standard input ends."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+
+import gevent
+from loguru import logger
+
+from persimmonyoke_testing.engine import EngineStandIn
+
+
+def main() -> None:
+    """Print the engine's address and run it."""
+    logger.remove()
+    with EngineStandIn() as engine:
+        print(engine.address, flush=True)
+        gevent.get_hub().threadpool.apply(sys.stdin.read)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/fit.py
@@ -0,0 +1,89 @@
+"""Least-squares fit of a figure against a size, and its extrapolation."""
+
+import math
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+MIN_SIZES = 4
+MIN_TIMED_S = 0.03
+TRIALS = 3
+
+
+@dataclass(frozen=True)
+class Fit:
+    """Hold a straight line; ``residual`` is the RMS error as a share of the mean."""
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the figure that the line gives for a size."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """Fit a line with intercept; raise ``ValueError`` for fewer than four sizes."""
+    if len(sizes) != len(values):
+        raise ValueError(f"{len(sizes)} sizes but {len(values)} values")
+    if len(set(sizes)) < MIN_SIZES:
+        raise ValueError(f"sizes are {list(sizes)}; accepted: {MIN_SIZES} or more")
+    slope, intercept = statistics.linear_regression(sizes, values)
+    squares = [
+        (value - intercept - slope * size) ** 2
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    mean = abs(statistics.fmean(values))
+    error = math.sqrt(statistics.fmean(squares))
+    return Fit(slope, intercept, error / mean if mean else error)
+
+
+@dataclass(frozen=True)
+class Series:
+    """Hold a figure measured at several sizes and the sizes to extrapolate to."""
+
+    name: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    targets: tuple[float, ...]
+
+    def figures(self) -> dict[str, float]:
+        """Return the fit and the figure at each target size."""
+        fit = fit_line(self.sizes, self.values)
+        figures = {
+            f"{self.name}_slope": fit.slope,
+            f"{self.name}_intercept": fit.intercept,
+            f"{self.name}_residual": fit.residual,
+        }
+        for size in self.targets:
+            figures[f"{self.name}_at_{size:g}"] = fit.at(size)
+        return figures
+
+
+def cpu_s(call: Callable[[], Any]) -> float:
+    """Return the processor time of a call, the least of several trials."""
+    best = math.inf
+    for _ in range(TRIALS):
+        count, started_s = 0, time.process_time()
+        while (elapsed_s := time.process_time() - started_s) < MIN_TIMED_S:
+            call()
+            count += 1
+        best = min(best, elapsed_s / count)
+    return best
+
+
+def allocated_bytes(build: Callable[[], Any]) -> int:
+    """Return the memory that the result of a call holds."""
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        held = build()
+        after, _ = tracemalloc.get_traced_memory()
+        del held
+        return after - before
+    finally:
+        tracemalloc.stop()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/spreading_worker.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/spreading_worker.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -210,13 +211,22 @@
             (b - a) / elapsed_s for a, b in zip(before, after, strict=True)
         ],
         "core_share": (time.process_time() - processor_s) / elapsed_s,
+        "pss_kb": pss_kb(),
         "loads_per_s": (hosts.loads_received - loads) / elapsed_s,
     }
 
 
-def spread(hosts: Hosts, number: int, size_bytes: int) -> dict[str, Any]:
+def pss_kb() -> int:
+    """Return the proportional set size of this process."""
+    text = Path("/proc/self/smaps_rollup").read_text("utf-8")
+    return next(int(row.split()[1]) for row in text.splitlines() if "Pss:" in row)
+
+
+def spread(hosts: Hosts, command: dict[str, Any]) -> dict[str, Any]:
     """Publish a revision and return when the last host of this process had it."""
-    hosts.silence()
+    number, size_bytes = command["number"], command["size_bytes"]
+    if command.get("silent", True):
+        hosts.silence()
     started_s = time.time()
     hosts.publish(number, size_bytes)
     timeout_s = REACH_TIMEOUT_S
@@ -236,7 +246,7 @@
         case "loads":
             hosts.report_loads(command["engines"])
         case "spread":
-            return spread(hosts, command["number"], command["size_bytes"])
+            return spread(hosts, command)
     return None
 
 
