--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
@@ -4,7 +4,7 @@
 the commands of a group.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from persimmonyoke_cli import (
@@ -13,6 +13,7 @@
     preset_commands,
     status_commands,
 )
+from persimmonyoke_cli.bench.catalogue import bench_commands
 
 Command = Callable[..., Any]
 
@@ -31,3 +32,8 @@
     "check": check_command.check,
     "demo": demo_command.demo,
 }
+
+
+def commands_for(argv: Sequence[str]) -> dict[str, Command | dict[str, Command]]:
+    """Return the commands, with the options of the bench that argv names."""
+    return {**COMMANDS, "bench": bench_commands(argv)}
