Add bench control

Cause: the cost of control of the two binaries was not measured. Change: bench control runs engines, an entry process and a controller process and measures processor share, TCP bytes both ways and PSS under idle, ordinary and peak load. set_members computes the topology only when the members have changed.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/peers.py
@@ -173,15 +173,20 @@
     def set_members(self, members: Mapping[str, PeerAddress]) -> None:
         """Set the hosts to choose peers from; the own name is ignored."""
         own = self.identity.host
-        self._members = {n: address for n, address in members.items() if n != own}
-        zones = {n: address.availability_zone for n, address in self._members.items()}
-        zones[own] = self.identity.availability_zone
-        # The topology hashes and sorts all members. Each peer's task looks at the
-        # result many times, which took most of the processor time at 60 hosts.
-        self._topology_peers = self._topology.peers(own, zones)
+        others = {n: address for n, address in members.items() if n != own}
+        if others != self._members:
+            self._members = others
+            self._topology_peers = self._choose_peers()
         for name in self._wanted_peers():
             self._ensure_task(name)
 
+    def _choose_peers(self) -> frozenset[str]:
+        # The topology hashes and sorts all members. Each peer's task looks at the
+        # result many times, which took most of the processor time at 60 hosts.
+        zones = {n: address.availability_zone for n, address in self._members.items()}
+        zones[self.identity.host] = self.identity.availability_zone
+        return self._topology.peers(self.identity.host, zones)
+
     def links(self) -> tuple[Link, ...]:
         """Return the newest link of each connected peer."""
         return tuple(links[-1] for links in self._links.values() if links)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_packing.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_packing.py
@@ -79,6 +79,24 @@
                 LoadUnpacker().unpack(PackedLoads(3, (), reports))
 
 
+class CountingTopology(BoundedDegree):
+    calls = 0
+
+    def peers(self, host, members):
+        CountingTopology.calls += 1
+        return super().peers(host, members)
+
+
+class MembersTest(unittest.TestCase):
+    def test_the_topology_is_computed_only_when_the_members_change(self):
+        """Guards against hashing all members at each look of each peer's task."""
+        with PeerCluster(3, topology=CountingTopology) as cluster:
+            cluster.connect()
+            cluster.connect()
+            gevent.sleep(1.0)
+            self.assertEqual(CountingTopology.calls, 3)
+
+
 class SourceChoiceTest(unittest.TestCase):
     def test_surplus_links_are_pruned_and_grafted_when_a_source_is_lost(self):
         """Guards against an origin that no link brings any more."""
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -7,6 +7,7 @@
 
 # The help texts are here so that a list of the benches imports none of them.
 BENCHES: dict[str, str] = {
+    "control": "Measure the control cost of an entry and a controller process.",
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/tests/test_process_probe.py
@@ -0,0 +1,32 @@
+"""Tests of the probe of child processes."""
+
+import os
+import socket
+import unittest
+
+from persimmonyoke_cli.bench.process_probe import TcpBytes, cpu_s, pss_mb
+
+
+class ProcessProbeTest(unittest.TestCase):
+    def test_bytes_of_a_connection_count_in_both_ways(self):
+        """Guards against a cost of control that leaves out one direction."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+        probe = TcpBytes(os.getpid())
+        before = probe.update()
+        near.sendall(b"x" * 10_000)
+        received = 0
+        while received < 10_000:
+            received += len(far.recv(10_000))
+        after = probe.update()
+        probe.close()
+        for sock in (listener, near, far):
+            sock.close()
+        self.assertAlmostEqual(after[0] - before[0], 10_000, delta=10)
+        self.assertAlmostEqual(after[1] - before[1], 10_000, delta=10)
+
+    def test_processor_time_and_memory_of_a_process_are_above_zero(self):
+        """Guards against a target that is met since nothing was read."""
+        self.assertGreater(cpu_s(os.getpid()), 0)
+        self.assertGreater(pss_mb(os.getpid()), 1)
