Archive used keys by hash and store outcomes found at the upstream

Cause: keys that are not UUIDv7 lived in 4 documents of 900 kB, about 25,000 live claims; at 200 calls/s these were full within minutes and callers were refused. An outcome found for a dead holder could not be stored, and finish delayed the answer. Change: entries move to 160 segments of 6-byte fingerprints; the write that removes them names the segment's revision, so a stale copy is recognised. ClaimService.learn stores an outcome and never replaces a different one; finish_later stores an answer in the background. Spacing of commits 27 ms (was 30) and 100 ms (was 120).

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/archive.py
@@ -0,0 +1,234 @@
+"""Archive of used keys, for shards whose keys carry no time."""
+
+import time
+from bisect import bisect_left
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+from loguru import logger
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.membership.codec import decode_plain
+from persimmonyoke.internal.once.document import Entry, EntryState, ShardDocument
+from persimmonyoke.internal.platform.store import (
+    EXPECT_ABSENT,
+    KeyValueStore,
+    WriteApplied,
+)
+
+SEGMENT_VERSION = 1
+# 4 shards of 40 segments hold 24 million fingerprints in values of 900 kB, which is
+# 277 calls a second over a day.
+SEGMENTS = 40
+# With the bits that choose shard and segment, 55 bits tell keys apart. At 17 million
+# keys, one new key in 2 billion is taken for a used one and refused.
+FINGERPRINT_BYTES = 6
+# A run is dropped as a whole; each adds this much to the retention time.
+RUN_S = 3_600
+# Answers stay in the shard's document at least this long, so that prompt resends get
+# them; the second bound holds while the document is over three quarters full.
+MIN_ANSWER_S = 20.0
+MIN_ANSWER_CROWDED_S = 2.0
+# An open claim is archived only after the time in which its holder retries to store
+# or release it.
+MIN_OPEN_S = 900.0
+# Bounds the entries that one commit decodes to find some to move.
+SEGMENTS_TRIED = 4
+
+
+def segment_of(entry_key: bytes) -> int:
+    """Return the segment of an entry; the first byte chooses the shard."""
+    return entry_key[1] % SEGMENTS
+
+
+def fingerprint(entry_key: bytes) -> bytes:
+    """Return the part of the key that a segment keeps."""
+    return entry_key[2 : 2 + FINGERPRINT_BYTES]
+
+
+class _Records:
+    """View a sorted run of fingerprints as a sequence."""
+
+    def __init__(self, run: bytes) -> None:
+        self._run = run
+
+    def __len__(self) -> int:
+        return len(self._run) // FINGERPRINT_BYTES
+
+    def __getitem__(self, index: int) -> bytes:
+        start = index * FINGERPRINT_BYTES
+        return self._run[start : start + FINGERPRINT_BYTES]
+
+
+@dataclass(frozen=True)
+class ArchiveSegment:
+    """Hold sorted fingerprints by the span of time in which they were archived."""
+
+    runs: dict[int, bytes] = field(default_factory=dict)
+    revision: int = EXPECT_ABSENT
+
+    def __contains__(self, record: bytes) -> bool:
+        for run in self.runs.values():
+            records = _Records(run)
+            index = bisect_left(records, record)
+            if index < len(records) and records[index] == record:
+                return True
+        return False
+
+    def with_added(
+        self, added: Iterable[bytes], *, now_unix_s: float, keep_s: float
+    ) -> "ArchiveSegment":
+        """Return the segment with more fingerprints and without expired runs."""
+        oldest_unix_s = now_unix_s - keep_s
+        runs = {
+            number: run
+            for number, run in self.runs.items()
+            if (number + 1) * RUN_S >= oldest_unix_s
+        }
+        current = int(now_unix_s // RUN_S)
+        records = _Records(runs.get(current, b""))
+        merged = {*(records[i] for i in range(len(records))), *added}
+        runs[current] = b"".join(sorted(merged))
+        return ArchiveSegment(runs, self.revision)
+
+    def encode(self) -> bytes:
+        """Return the value to store."""
+        plain = {"v": SEGMENT_VERSION, "r": list(self.runs.items())}
+        return cbor2.dumps(plain)
+
+    @classmethod
+    def decode(cls, value: bytes, revision: int) -> "ArchiveSegment":
+        """Return the segment of a stored value; raise ``ProtocolError``."""
+        plain: Any = decode_plain(value)
+        if not isinstance(plain, dict) or plain.get("v") != SEGMENT_VERSION:
+            raise ProtocolError("claim archive has an unknown version")
+        return cls(dict(plain["r"]), revision)
+
+
+@dataclass(frozen=True)
+class Move:
+    """Name entries that a segment holds by now, and the segment's revision."""
+
+    segment: int
+    entry_keys: tuple[bytes, ...]
+    revision: int
+
+
+class ShardArchive:
+    """Read and extend the segments of one shard.
+
+    The shard's document names the revision that each segment must have at least. An
+    entry leaves the document in the same write that names the revision which holds its
+    fingerprint, so a copy of a segment is valid for a document or known to be too old.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        shard_key: str,
+        *,
+        keep_s: float,
+        limit_bytes: int,
+        unix_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._shard_key = shard_key
+        self._keep_s = keep_s
+        self._limit_bytes = limit_bytes
+        self._unix_clock = unix_clock
+        self._copies: dict[int, ArchiveSegment] = {}
+        self._next_segment = 0
+
+    def used(
+        self, document: ShardDocument, entry_keys: Iterable[bytes]
+    ) -> frozenset[bytes]:
+        """Return the archived ones of some keys.
+
+        Raises ``StoreUnavailable`` or ``ProtocolError`` if a segment can't be read.
+        """
+        found = set()
+        for entry_key in entry_keys:
+            number = segment_of(entry_key)
+            required = document.archived.get(number)
+            if required is None:
+                continue
+            if fingerprint(entry_key) in self._at_least(number, required):
+                found.add(entry_key)
+        return frozenset(found)
+
+    def move_some(self, document: ShardDocument) -> Move | None:
+        """Archive old entries of one segment if the document is half full.
+
+        Raises ``StoreUnavailable`` or ``ProtocolError`` if the segment can't be read.
+        """
+        size_bytes = document.size_bytes
+        if size_bytes <= self._limit_bytes // 2:
+            return None
+        crowded = size_bytes > self._limit_bytes * 3 // 4
+        min_answer_s = MIN_ANSWER_CROWDED_S if crowded else MIN_ANSWER_S
+        for _ in range(SEGMENTS_TRIED):
+            number = self._next_segment
+            self._next_segment = (number + 1) % SEGMENTS
+            keys = self._movable(document, number, min_answer_s)
+            if keys:
+                return self._append(document, number, keys)
+        return None
+
+    def _movable(
+        self, document: ShardDocument, number: int, min_answer_s: float
+    ) -> tuple[bytes, ...]:
+        now_unix_s = self._unix_clock()
+        min_age_s = {EntryState.DONE: min_answer_s, EntryState.CLAIMED: MIN_OPEN_S}
+        movable = []
+        for key, data in document.entries.items():
+            if segment_of(key) != number:
+                continue
+            entry = Entry.decode(data)
+            least_s = min_age_s.get(entry.state)
+            if least_s is not None and now_unix_s - entry.claimed_unix_s >= least_s:
+                movable.append(key)
+        return tuple(movable)
+
+    def _append(
+        self, document: ShardDocument, number: int, keys: tuple[bytes, ...]
+    ) -> Move | None:
+        base = self._at_least(number, document.archived.get(number, EXPECT_ABSENT))
+        grown = base.with_added(
+            map(fingerprint, keys), now_unix_s=self._unix_clock(), keep_s=self._keep_s
+        )
+        value = grown.encode()
+        if len(value) > self._limit_bytes:
+            # The entries stay in the document, which refuses new claims once it is
+            # full; forgetting used keys instead could run a call twice.
+            logger.warning("[once] segment {} of {} is full", number, self._shard_key)
+            return None
+        outcome = self._store.compare_and_swap(
+            self._segment_key(number), value, expected_revision=base.revision
+        )
+        if not isinstance(outcome, WriteApplied):
+            self._copies.pop(number, None)
+            return None
+        self._copies[number] = ArchiveSegment(grown.runs, outcome.revision)
+        return Move(number, keys, outcome.revision)
+
+    def _at_least(self, number: int, required: int) -> ArchiveSegment:
+        copy = self._copies.get(number)
+        if copy is not None and copy.revision >= required:
+            return copy
+        current = self._store.get(self._segment_key(number))
+        if current is None:
+            copy = ArchiveSegment()
+        else:
+            copy = ArchiveSegment.decode(current.value, current.mod_revision)
+        if copy.revision < required:
+            raise ProtocolError(
+                f"segment {number} of {self._shard_key} is at revision "
+                f"{copy.revision}, its document names {required}"
+            )
+        self._copies[number] = copy
+        return copy
+
+    def _segment_key(self, number: int) -> str:
+        return f"{self._shard_key}/{number:02d}"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
@@ -10,7 +10,7 @@
 from persimmonyoke.internal.membership.codec import decode_plain
 from persimmonyoke.internal.once.outcomes import StoredAnswer
 
-DOCUMENT_VERSION = 1
+DOCUMENT_VERSION = 2
 # CBOR heads of an entry's key and value.
 ENTRY_OVERHEAD_BYTES = 6
 # A released entry only has to outlive late operations of its own attempt, which
@@ -73,6 +73,7 @@
     CLAIM = "claim"
     FINISH = "finish"
     RELEASE = "release"
+    LEARN = "learn"
 
 
 @dataclass(frozen=True)
@@ -114,6 +115,7 @@
     HELD = "held"
     MISMATCH = "mismatch"
     WITHDRAWN = "withdrawn"
+    ARCHIVED = "archived"
     FULL = "full"
     STALE = "stale"
     STORED = "stored"
@@ -126,7 +128,15 @@
 
 # Results that stay true whatever other hosts write later. The others must come from a
 # read or commit of this moment, not from a copy.
-FINAL_EFFECTS = frozenset({Effect.DONE, Effect.STORED, Effect.STALE, Effect.WITHDRAWN})
+FINAL_EFFECTS = frozenset(
+    {
+        Effect.DONE,
+        Effect.STORED,
+        Effect.STALE,
+        Effect.WITHDRAWN,
+        Effect.ARCHIVED,
+    }
+)
 
 # Results that say nothing about an earlier write of the same operation.
 UNWRITTEN_EFFECTS = frozenset({Effect.STALE, Effect.FULL})
@@ -145,12 +155,27 @@
     owner_may_write: bool = False
 
 
+def needs_withdrawal(result: Result) -> bool:
+    """Return whether a claim that is not granted may yet take effect.
+
+    It would then bar the key for good, since nobody dispatches its call.
+    """
+    if result.effect in (Effect.GRANTED, Effect.DONE):
+        return False
+    return result.owner_may_write or result.effect in (Effect.UNSETTLED, Effect.STALE)
+
+
 @dataclass
 class ShardDocument:
-    """Hold the encoded entries of a shard at one revision of its key."""
+    """Hold the encoded entries of a shard at one revision of its key.
+
+    ``archived`` maps each segment of the archive to the least revision at which it
+    completes this document.
+    """
 
     entries: dict[bytes, bytes] = field(default_factory=dict)
     revision: int = 0
+    archived: dict[int, int] = field(default_factory=dict)
 
     @property
     def size_bytes(self) -> int:
@@ -162,7 +187,9 @@
 
     def encode(self) -> bytes:
         """Return the value to store."""
-        return cbor2.dumps({"v": DOCUMENT_VERSION, "e": self.entries})
+        archived = list(self.archived.items())
+        plain = {"v": DOCUMENT_VERSION, "e": self.entries, "a": archived}
+        return cbor2.dumps(plain)
 
     @classmethod
     def decode(cls, value: bytes, revision: int) -> "ShardDocument":
@@ -170,7 +197,7 @@
         plain: Any = decode_plain(value)
         if not isinstance(plain, dict) or plain.get("v") != DOCUMENT_VERSION:
             raise ProtocolError("claim shard has an unknown version")
-        return cls(plain["e"], revision)
+        return cls(plain["e"], revision, dict(plain["a"]))
 
 
 class Draft:
@@ -183,7 +210,11 @@
         now_unix_s: float,
         limit_bytes: int,
         answer_limit_bytes: int,
+        archived_keys: frozenset[bytes] = frozenset(),
     ) -> None:
+        self._base = base
+        self._archived_keys = archived_keys
+        self.archived = dict(base.archived)
         self.entries = dict(base.entries)
         self.changed = False
         self._now_unix_s = now_unix_s
@@ -202,6 +233,8 @@
                 return self._finish(operation, entry)
             case Action.RELEASE:
                 return self._release(operation, entry)
+            case Action.LEARN:
+                return self._learn(operation, entry)
 
     def _claim(self, operation: Operation, entry: Entry | None) -> Result:
         own = entry is not None and entry.attempt == operation.attempt
@@ -214,6 +247,8 @@
                 return Result(Effect.MISMATCH, entry)
             done = entry.state is EntryState.DONE
             return Result(Effect.DONE if done else Effect.HELD, entry)
+        if operation.entry_key in self._archived_keys:
+            return Result(Effect.ARCHIVED)
         if self._now_unix_s > operation.valid_until_unix_s:
             return Result(Effect.STALE)
         if self.size_bytes >= self._limit_bytes:
@@ -251,6 +286,32 @@
             operation, replace(entry, withdrawn=withdrawn), Effect.RELEASED
         )
 
+    def _learn(self, operation: Operation, entry: Entry | None) -> Result:
+        if entry is None:
+            entry = operation.entry(EntryState.CLAIMED)
+        if entry.body_digest != operation.body_digest:
+            return Result(Effect.MISMATCH, entry)
+        if entry.state is EntryState.RELEASED:
+            return Result(Effect.CONTRADICTED, entry)
+        if entry.state is EntryState.DONE:
+            same = entry.answer.agrees_with(operation.answer)
+            return Result(Effect.STORED if same else Effect.CONTRADICTED, entry)
+        # The holder keeps its attempt, so that its own late answer is no contradiction.
+        answer = self._bounded(operation.answer)
+        done = replace(entry, state=EntryState.DONE, answer=answer)
+        return self._put(operation, done, Effect.STORED)
+
+    def discard_archived(
+        self, segment: int, entry_keys: tuple[bytes, ...], revision: int
+    ) -> None:
+        """Drop entries that a segment of the archive holds at a revision."""
+        for key in entry_keys:
+            # An entry that an operation has just changed stays for the next move.
+            if self.entries.get(key) == self._base.entries.get(key):
+                self._discard(key)
+        self.archived[segment] = revision
+        self.changed = True
+
     def _put(self, operation: Operation, entry: Entry, effect: Effect) -> Result:
         data = entry.encode()
         self._discard(operation.entry_key)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/outcomes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/outcomes.py
@@ -23,6 +23,12 @@
         """Return the answer with the digest of its body."""
         return cls(status, content_type, body, hashlib.sha256(body).digest())
 
+    def agrees_with(self, other: "StoredAnswer | None") -> bool:
+        """Return whether both are the answer of one run, with or without the body."""
+        if other is None:
+            return False
+        return (self.status, self.body_digest) == (other.status, other.body_digest)
+
 
 @dataclass(frozen=True)
 class Claim:
@@ -68,7 +74,10 @@
 
 @dataclass(frozen=True)
 class ClaimOutcomeUnknown:
-    """Say that a host which has ended held the key and may have run the call."""
+    """Say that the call may have run, at a host that has ended or long ago.
+
+    ``host`` is empty if only the key's fingerprint is kept.
+    """
 
     host: str
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from gevent.pool import Group
 from loguru import logger
 
 from persimmonyoke.errors import ErrorKind, ProtocolError, StoreUnavailable
@@ -18,6 +19,7 @@
     EntryState,
     Operation,
     Result,
+    needs_withdrawal,
 )
 from persimmonyoke.internal.once.forwarding import (
     ClaimForwarder,
@@ -67,8 +69,8 @@
 class ClaimSettings:
     """Hold the limits of the claims.
 
-    The spacings bound the writes: 33 a second for the active span of UUIDv7 keys, and
-    as many for all other keys together.
+    The spacings bound the writes: 37 a second for the active span of UUIDv7 keys, and
+    40 for all other keys together.
     """
 
     keep_s: float = 86_400.0
@@ -78,8 +80,8 @@
     retry_for_s: float = 600.0
     answer_limit_bytes: int = 4_096
     shard_limit_bytes: int = 900_000
-    timed_spacing_s: float = 0.03
-    hash_spacing_s: float = 0.12
+    timed_spacing_s: float = 0.027
+    hash_spacing_s: float = 0.1
 
     def __post_init__(self) -> None:
         for name, value in vars(self).items():
@@ -98,16 +100,6 @@
     RELEASED = "released"
 
 
-def _needs_withdrawal(result: Result) -> bool:
-    """Return whether a claim that is not granted may yet take effect.
-
-    It would then bar the key for good, since nobody dispatches its call.
-    """
-    if result.effect in (Effect.GRANTED, Effect.DONE):
-        return False
-    return result.owner_may_write or result.effect in (Effect.UNSETTLED, Effect.STALE)
-
-
 class ClaimService:
     """Grant, finish and release claims for the calls of one host.
 
@@ -141,6 +133,7 @@
         self._unix_clock = unix_clock
         self._writers: dict[str, ShardWriter] = {}
         self._held: OrderedDict[bytes, _Held] = OrderedDict()
+        self._tasks = Group()
 
     # Operations of this host's calls
 
@@ -162,7 +155,7 @@
         timeout_s = self._settings.claim_timeout_s
         operation = self._operation(Action.CLAIM, claim, valid_s=timeout_s)
         result = self._execute(operation, timeout_s=timeout_s)
-        if _needs_withdrawal(result):
+        if needs_withdrawal(result):
             self._withdraw(claim)
         return self._claim_outcome(claim, result)
 
@@ -205,6 +198,39 @@
         )
         return result.effect is Effect.RELEASED
 
+    def finish_later(self, claim: Claim, answer: StoredAnswer) -> None:
+        """Store the answer of a call that ran without waiting for the store."""
+        self._tasks.spawn(self.finish, claim, answer)
+
+    def learn(
+        self,
+        workspace: str,
+        key: str,
+        body_digest: bytes,
+        answer: StoredAnswer,
+        *,
+        now_unix_s: float,
+    ) -> bool:
+        """Store an outcome found at the upstream; return whether it is stored by now.
+
+        A different stored answer is never replaced.
+        """
+        placement = place(workspace, key)
+        key_unix_s = placement.key_unix_s
+        if key_unix_s is not None and key_unix_s < now_unix_s - self._settings.keep_s:
+            # The key's document may be deleted; it must not be created again.
+            return False
+        attempt = secrets.token_bytes(ATTEMPT_BYTES)
+        claim = Claim(
+            workspace, key, placement.shard, placement.entry_key, attempt, body_digest
+        )
+        operation = self._operation(Action.LEARN, claim, answer=self._sized(answer))
+        timeout_s = self._settings.finish_timeout_s
+        result = self._execute(operation, timeout_s=timeout_s)
+        if result.effect in (Effect.CONTRADICTED, Effect.MISMATCH):
+            logger.error("[once] outcome found for key {} contradicts its claim", key)
+        return result.effect is Effect.STORED
+
     # Operations that other hosts forward
 
     def handle(self, host: str, payload: bytes) -> bytes:
@@ -247,10 +273,12 @@
 
     def busy(self) -> bool:
         """Return whether operations wait for the store, for a graceful shutdown."""
-        return any(writer.busy for writer in list(self._writers.values()))
+        writing = any(writer.busy for writer in list(self._writers.values()))
+        return writing or len(self._tasks) > 0
 
     def stop(self) -> None:
-        """End the writers."""
+        """End the writers and background tasks."""
+        self._tasks.kill(block=False)
         for writer in list(self._writers.values()):
             writer.stop()
 
@@ -372,6 +400,8 @@
                 return ClaimInProgress(entry.host)
             case Effect.MISMATCH:
                 return ClaimBodyMismatch()
+            case Effect.ARCHIVED:
+                return ClaimOutcomeUnknown("")
             case Effect.FULL:
                 reason = "the claim shard is full; use UUIDv7 keys or retry later"
                 return ClaimRefused(ErrorKind.OVERLOADED, reason)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/writer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/writer.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from persimmonyoke.errors import ProtocolError, StoreUnavailable
+from persimmonyoke.internal.once.archive import Move, ShardArchive
 from persimmonyoke.internal.once.document import (
     FINAL_EFFECTS,
     UNWRITTEN_EFFECTS,
@@ -104,6 +105,15 @@
         self._limits = limits
         self._clock = clock
         self._unix_clock = unix_clock
+        self._archive: ShardArchive | None = None
+        if limits.keep_s is not None:
+            self._archive = ShardArchive(
+                store,
+                key,
+                keep_s=limits.keep_s,
+                limit_bytes=limits.limit_bytes,
+                unix_clock=unix_clock,
+            )
         self._queue: list[Pending] = []
         self._document: ShardDocument | None = None
         self._is_fresh = False
@@ -190,7 +200,8 @@
 
     def _try_commit(self, batch: list[Pending]) -> bool:
         document = self._load()
-        # The read may have taken long. A claimant that gave up meanwhile was told that
+        archived_keys, move = self._consult_archive(document, batch)
+        # The reads may have taken long. A claimant that gave up meanwhile was told that
         # nothing was written, so its operation must not be written from here on.
         batch[:] = self._without_expired(batch)
         draft = Draft(
@@ -198,10 +209,13 @@
             now_unix_s=self._unix_clock(),
             limit_bytes=self._limits.limit_bytes,
             answer_limit_bytes=self._limits.answer_limit_bytes,
+            archived_keys=archived_keys,
         )
         if self._purge_is_due(draft):
             draft.purge(keep_s=self._limits.keep_s)
         results = [draft.apply(pending.operation) for pending in batch]
+        if move is not None:
+            draft.discard_archived(move.segment, move.entry_keys, move.revision)
         if draft.changed:
             return self._write(document, draft, batch, results)
         if self._is_fresh or all(result.effect in FINAL_EFFECTS for result in results):
@@ -211,6 +225,17 @@
         self._document = self._load_from_store()
         return False
 
+    def _consult_archive(
+        self, document: ShardDocument, batch: list[Pending]
+    ) -> tuple[frozenset[bytes], Move | None]:
+        if self._archive is None:
+            return frozenset(), None
+        operations = [pending.operation for pending in batch]
+        used = self._archive.used(
+            document, [o.entry_key for o in operations if o.action is Action.CLAIM]
+        )
+        return used, self._archive.move_some(document)
+
     def _purge_is_due(self, draft: Draft) -> bool:
         now_s = self._clock()
         if draft.size_bytes <= self._limits.limit_bytes // 2:
@@ -240,7 +265,7 @@
         batch: list[Pending],
         results: list[Result],
     ) -> bool:
-        value = ShardDocument(draft.entries).encode()
+        value = ShardDocument(draft.entries, archived=draft.archived).encode()
         for pending in batch:
             pending.written = True
         self._last_commit_s = self._clock()
@@ -250,7 +275,7 @@
         self._is_fresh = False
         match outcome:
             case WriteApplied(revision):
-                self._document = ShardDocument(draft.entries, revision)
+                self._document = ShardDocument(draft.entries, revision, draft.archived)
                 self._resolve(batch, results)
                 return True
             case WriteConflict(current) if current is not None:
