Test forwarded claims over real peer links

Cause: PeerClaimForwarder ran in no test. Change: three hosts in one process on loopback links; the owner dies during a forward at four moments, and a link stalls without closing.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_forwarding.py
@@ -0,0 +1,85 @@
+"""Tests of forwarded claims over real peer links."""
+
+import random
+import time
+import unittest
+from dataclasses import replace
+
+import gevent
+
+from persimmonyoke.internal.once import outcomes as once
+from persimmonyoke.internal.once.placement import choose_owner, place
+from persimmonyoke_testing.builders_membership import StallingProxy, wait_until
+from persimmonyoke_testing.builders_once import (
+    QUICK,
+    FaultyStore,
+    LinkedClaimCluster,
+    uuid7,
+)
+
+BODY = b"b" * 32
+ANSWER = once.StoredAnswer.of(201, "application/json", b'{"ok": true}')
+SEED = 5
+SETTINGS = replace(
+    QUICK, claim_timeout_s=2.0, forward_timeout_s=0.3, finish_timeout_s=2.0
+)
+
+
+class LinkedForwardTest(unittest.TestCase):
+    def setUp(self):
+        self.store = FaultyStore()
+        self.cluster = LinkedClaimCluster(3, store=self.store, settings=SETTINGS)
+        self.addCleanup(self.cluster.__exit__)
+        self.key = uuid7(time.time(), random.Random(SEED))
+        hosts = self.cluster.services
+        self.owner = choose_owner(place("w", self.key).shard, hosts)
+        self.caller, self.third = (host for host in hosts if host != self.owner)
+
+    def connect(self, *, through=None):
+        self.cluster.peers.connect(through=through)
+        self.assertTrue(wait_until(self.cluster.peers.linked))
+
+    def claim(self, host):
+        service = self.cluster.services[host]
+        return service.claim("w", self.key, BODY, now_unix_s=time.time())
+
+    def assert_granted_once(self, outcome):
+        self.assertIsInstance(outcome, once.ClaimGranted)
+        second = self.claim(self.third)
+        self.assertEqual(second, once.ClaimInProgress(self.caller))
+        service = self.cluster.services[self.caller]
+        self.assertTrue(service.finish(outcome.claim, ANSWER))
+        self.assertEqual(self.claim(self.third), once.ClaimReplay(ANSWER))
+
+    def test_claims_and_answers_of_other_hosts_are_written_by_the_owner(self):
+        # Direct writes of each host would exceed the store's rate.
+        self.connect()
+        self.assert_granted_once(self.claim(self.caller))
+        self.assertEqual(self.cluster.handled, [self.owner] * 4)
+
+    def test_an_owner_that_dies_during_a_forward_leaves_one_grant(self):
+        # Its write may or may not have taken effect; the caller must find out.
+        for delay_s in (0.0, 0.01, 0.05, 0.09):
+            with self.subTest(delay_s):
+                self.doCleanups()
+                self.setUp()
+                self.connect()
+                self.store.latency_s = 0.04
+                task = gevent.spawn(self.claim, self.caller)
+                self.assertTrue(wait_until(lambda: self.cluster.handled))
+                gevent.sleep(delay_s)
+                self.cluster.kill(self.owner)
+                self.assert_granted_once(task.get(timeout=5))
+
+    def test_a_stalled_link_delays_a_claim_by_the_forward_timeout_at_most(self):
+        # The connection stays open, so only the timeout tells that nothing arrives.
+        address = self.cluster.peers.services[self.owner].address
+        proxy = StallingProxy(address)
+        self.addCleanup(proxy.close)
+        self.connect(through={self.owner: proxy.address})
+        proxy.stall()
+        started_s = time.monotonic()
+        outcome = self.claim(self.caller)
+        elapsed_s = time.monotonic() - started_s
+        self.assertLess(elapsed_s, 2 * SETTINGS.forward_timeout_s)
+        self.assert_granted_once(outcome)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
@@ -8,7 +8,8 @@
 import gevent
 
 from persimmonyoke.errors import StoreUnavailable
-from persimmonyoke.internal.once.forwarding import ClaimForwarder
+from persimmonyoke.internal.membership.dissemination import PeerHandlers
+from persimmonyoke.internal.once.forwarding import ClaimForwarder, PeerClaimForwarder
 from persimmonyoke.internal.once.service import ClaimService, ClaimSettings
 from persimmonyoke.internal.platform.store import (
     KeyValue,
@@ -18,6 +19,7 @@
     WriteOutcome,
     WriteUnknown,
 )
+from persimmonyoke_testing.builders_membership import PeerCluster
 
 PREFIX = "/persimmonyoke/kente/claims/"
 QUICK = ClaimSettings(
@@ -239,3 +241,45 @@
         if host in cluster.dead or cluster.rng.random() < cluster.forward_loss / 2:
             return None
         return task.value
+
+
+class LinkedClaimCluster:
+    """Run claim services that forward over real peer links on loopback."""
+
+    def __init__(
+        self, count: int, *, store: FaultyStore, settings: ClaimSettings = QUICK
+    ) -> None:
+        self.services: dict[str, ClaimService] = {}
+        self.handled: list[str] = []
+        names = [f"host-{index:02d}" for index in range(count)]
+        handlers = {name: PeerHandlers(claim=self._handler(name)) for name in names}
+        self.peers = PeerCluster(count, handlers=handlers)
+        for name in names:
+            self.services[name] = ClaimService(
+                store,
+                prefix=PREFIX,
+                host=name,
+                incarnation=f"{name}-i1",
+                live_hosts=lambda: names,
+                is_dead=lambda host, incarnation: False,
+                forwarder=PeerClaimForwarder(self.peers.services[name]),
+                settings=settings,
+            )
+
+    def _handler(self, name: str) -> Callable[[str, bytes], bytes]:
+        def handle(host: str, payload: bytes) -> bytes:
+            self.handled.append(name)
+            return self.services[name].handle(host, payload)
+
+        return handle
+
+    def kill(self, name: str) -> None:
+        """Let a host die: its writers end and its links close."""
+        self.services[name].stop()
+        self.peers.services[name].stop()
+
+    def __enter__(self) -> "LinkedClaimCluster":
+        return self
+
+    def __exit__(self, *exit_info: object) -> None:
+        self.peers.__exit__(*exit_info)
