Build the store fake of the claims on MemoryStore

Cause: builders_once.py repeated keys, revisions and leases of MemoryStore. Change: FaultyStore extends MemoryStore and keeps only latency, scripted and random faults and late writes. The number of schedules is set by PERSIMMONYOKE_CLAIM_SCHEDULES.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
@@ -17,7 +17,7 @@
     PREFIX,
     QUICK,
     ClaimCluster,
-    StoreFaults,
+    RandomFaults,
     uuid7,
 )
 
@@ -81,7 +81,7 @@
         # Copies of segments and documents are then stale, and writes settle late.
         print(f"archive schedule with seed {SEED}")
         self.cluster.confused = set(self.cluster.services)
-        self.cluster.store.faults = StoreFaults(0.05, 0.05, 0.05, 0.02, 0.02)
+        self.cluster.store.random_faults = RandomFaults(0.05, 0.05, 0.05, 0.02, 0.02)
         keys = [f"call-{number}" for number in range(KEYS)] * 2
         # Close repetitions find the key in the document, distant ones in the archive.
         outcomes = self.run_calls(keys)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -108,7 +108,7 @@
                 self.setUp()
 
                 def then_go_down(*write, fault=fault):
-                    self.store.is_down = True
+                    self.store.faults.down = True
                     return getattr(self.store, fault)(*write)
 
                 self.store.script = [then_go_down]
@@ -116,7 +116,7 @@
 
     def test_with_the_store_down_claims_are_refused_at_once(self):
         # A caller must not wait for its deadline to hear that nothing ran.
-        self.store.is_down = True
+        self.store.faults.down = True
         started_s = time.monotonic()
         outcome = self.claim(self.owner)
         self.assertLess(time.monotonic() - started_s, QUICK.claim_timeout_s / 2)
@@ -134,9 +134,9 @@
 
     def test_an_answer_is_stored_after_an_outage(self):
         granted = self.claim()
-        self.store.is_down = True
+        self.store.faults.down = True
         self.assertFalse(self.service().finish(granted.claim, ANSWER))
-        self.store.is_down = False
+        self.store.faults.down = False
         self.assertTrue(self.cluster.settle())
         self.assertEqual(self.claim(self.owner), once.ClaimReplay(ANSWER))
 
@@ -167,7 +167,7 @@
             return None
 
         self.service()._forwarder.forward = paused
-        self.store.is_down = True
+        self.store.faults.down = True
         outcome = self.claim()
         self.cluster.heal()
         self.assertTrue(self.cluster.settle())
@@ -181,7 +181,7 @@
         self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
             payloads.append(payload)
         )
-        self.store.is_down = True
+        self.store.faults.down = True
         self.claim()
         self.cluster.kill(self.other)
         self.cluster.heal()
@@ -285,7 +285,7 @@
             tasks.append(gevent.spawn(call, number))
             gevent.sleep(rng.expovariate(200))
         gevent.joinall(tasks, raise_error=True)
-        ratio = store.writes / len(tasks)
+        ratio = store.counts.writes / len(tasks)
         median_ms = 1000 * statistics.median(added_s)
         print(f"{kind}: {ratio:.3f} writes a call, claim median {median_ms:.1f} ms")
         self.assertLessEqual(ratio, 0.25)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_schedules.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_schedules.py
@@ -1,5 +1,6 @@
 """Randomised schedules of claims under faults of hosts, links and store."""
 
+import os
 import random
 import time
 import unittest
@@ -9,10 +10,11 @@
 from gevent.pool import Pool
 
 from persimmonyoke.internal.once import outcomes as once
-from persimmonyoke_testing.builders_once import ClaimCluster, StoreFaults, uuid7
+from persimmonyoke_testing.builders_once import ClaimCluster, RandomFaults, uuid7
 
 FIRST_SEED = 1_000
 SCHEDULES = 400
+COUNT_VARIABLE = "PERSIMMONYOKE_CLAIM_SCHEDULES"
 ANSWER = once.StoredAnswer.of(200, "text/plain", b"ran")
 
 
@@ -35,7 +37,9 @@
 
     def inject(self):
         rate = self.rng.choice((0.0, 0.1, 0.25))
-        self.cluster.store.faults = StoreFaults(rate, rate, rate, 0.02, rate / 2)
+        self.cluster.store.random_faults = RandomFaults(
+            rate, rate, rate, 0.02, rate / 2
+        )
         self.cluster.store.latency_s = self.rng.choice((0.0, 0.002, 0.02))
         self.cluster.forward_loss = self.rng.choice((0.0, 0.3, 1.0))
         if self.rng.random() < 0.3:
@@ -59,9 +63,9 @@
 
     def outage(self):
         if self.rng.random() < 0.4:
-            self.cluster.store.is_down = True
+            self.cluster.store.faults.down = True
             gevent.sleep(0.1)
-            self.cluster.store.is_down = False
+            self.cluster.store.faults.down = False
 
     def call(self):
         gevent.sleep(self.rng.uniform(0, 0.15))
@@ -101,8 +105,9 @@
     def test_random_faults_never_run_a_call_twice_nor_lose_a_free_key(self):
         # Two runs register a domain twice. A key that never ran, with every host
         # alive, must be claimable again: a refusal as not run was true and settled.
-        print(f"schedules with seeds {FIRST_SEED} to {FIRST_SEED + SCHEDULES - 1}")
-        Pool(25).map(self.check, range(FIRST_SEED, FIRST_SEED + SCHEDULES))
+        count = int(os.environ.get(COUNT_VARIABLE, SCHEDULES))
+        print(f"schedules with seeds {FIRST_SEED} to {FIRST_SEED + count - 1}")
+        Pool(25).map(self.check, range(FIRST_SEED, FIRST_SEED + count))
 
     def check(self, seed):
         schedule = Schedule(seed)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
@@ -13,13 +13,11 @@
 from persimmonyoke.internal.once.service import ClaimService, ClaimSettings
 from persimmonyoke.internal.platform.store import (
     KeyValue,
-    KeyValueStore,
-    WriteApplied,
-    WriteConflict,
     WriteOutcome,
     WriteUnknown,
 )
 from persimmonyoke_testing.builders_membership import PeerCluster
+from persimmonyoke_testing.memory_store import MemoryStore
 
 PREFIX = "/persimmonyoke/kente/claims/"
 QUICK = ClaimSettings(
@@ -42,7 +40,7 @@
 
 
 @dataclass
-class StoreFaults:
+class RandomFaults:
     """Hold the probabilities of faults of one write, and the reads' failure."""
 
     lost_before: float = 0.0
@@ -52,21 +50,17 @@
     failed_read: float = 0.0
 
 
-class FaultyStore(KeyValueStore):
-    """Keep keys in memory, with latency and with faults on request.
+class FaultyStore(MemoryStore):
+    """Add latency, late writes and random faults to the store in memory.
 
     ``script`` holds functions that replace the next writes, oldest first.
     """
 
     def __init__(self, *, latency_s: float = 0.0, seed: int = 1) -> None:
+        super().__init__(sleep=gevent.sleep)
         self.latency_s = latency_s
-        self.faults = StoreFaults()
-        self.is_down = False
-        self.writes = 0
-        self.reads = 0
+        self.random_faults = RandomFaults()
         self.script: list[Callable[..., WriteOutcome]] = []
-        self._values: dict[str, KeyValue] = {}
-        self._revision = 0
         self._rng = random.Random(seed)
 
     def _delay(self) -> None:
@@ -74,50 +68,36 @@
 
     def get(self, key: str) -> KeyValue | None:
         """Return the value, or fail."""
-        self.reads += 1
         self._delay()
-        if self.is_down or self._rng.random() < self.faults.failed_read:
-            raise StoreUnavailable("the store is down")
-        return self._values.get(key)
-
-    def list_prefix(
-        self, prefix: str, *, limit: int = 0, newest_first: bool = False
-    ) -> tuple[KeyValue, ...]:
-        """Return the keys under a prefix."""
-        if self.is_down:
-            raise StoreUnavailable("the store is down")
-        keys = sorted(key for key in self._values if key.startswith(prefix))
-        return tuple(self._values[key] for key in keys[: limit or None])
+        if self._rng.random() < self.random_faults.failed_read:
+            raise StoreUnavailable("the read failed")
+        return super().get(key)
 
     def compare_and_swap(
         self, key: str, value: bytes, *, expected_revision: int, lease_id: int = 0
     ) -> WriteOutcome:
         """Write, subject to the faults."""
-        self.writes += 1
         self._delay()
         if self.script:
             return self.script.pop(0)(key, value, expected_revision)
-        if self.is_down:
-            return WriteUnknown("the store is down")
         draw = self._rng.random()
-        faults = self.faults
-        if draw < faults.lost_before:
-            return self.lose_before(key, value, expected_revision)
-        if draw < faults.lost_before + faults.lost_after:
-            return self.lose_after(key, value, expected_revision)
-        if draw < faults.lost_before + faults.lost_after + faults.late:
-            return self.apply_late(key, value, expected_revision)
-        return self.apply(key, value, expected_revision)
+        faults = self.random_faults
+        if not self.faults.down:
+            if draw < faults.lost_before:
+                return self.lose_before(key, value, expected_revision)
+            if draw < faults.lost_before + faults.lost_after:
+                return self.lose_after(key, value, expected_revision)
+            if draw < faults.lost_before + faults.lost_after + faults.late:
+                return self.apply_late(key, value, expected_revision)
+        return super().compare_and_swap(
+            key, value, expected_revision=expected_revision, lease_id=lease_id
+        )
 
     def apply(self, key: str, value: bytes, expected: int) -> WriteOutcome:
         """Write now, if the key is at the expected revision."""
-        current = self._values.get(key)
-        if (current.mod_revision if current else 0) != expected:
-            return WriteConflict(current)
-        self._revision += 1
-        created = current.create_revision if current else self._revision
-        self._values[key] = KeyValue(key, value, self._revision, created)
-        return WriteApplied(self._revision)
+        return self._apply(
+            key, expected, lambda: self.state.put(key, value, lease_id=0)
+        )
 
     def lose_before(self, key: str, value: bytes, expected: int) -> WriteOutcome:
         """Lose the request: it never takes effect."""
@@ -130,34 +110,10 @@
 
     def apply_late(self, key: str, value: bytes, expected: int) -> WriteOutcome:
         """Let the write take effect after its caller was told that it is unknown."""
-        gevent.spawn_later(self.faults.late_by_s, self.apply, key, value, expected)
+        late_by_s = self.random_faults.late_by_s
+        gevent.spawn_later(late_by_s, self.apply, key, value, expected)
         return WriteUnknown("timed out")
 
-    def delete(self, key: str, *, expected_revision: int) -> WriteOutcome:
-        """Delete the key if it is at the expected revision."""
-        current = self._values.get(key)
-        if current is None or current.mod_revision != expected_revision:
-            return WriteConflict(current)
-        self._revision += 1
-        del self._values[key]
-        return WriteApplied(self._revision)
-
-    def grant_lease(self, *, ttl_s: float) -> int:
-        """Claims use no leases."""
-        raise NotImplementedError
-
-    def keep_alive(self, lease_id: int) -> float:
-        """Claims use no leases."""
-        raise NotImplementedError
-
-    def revoke(self, lease_id: int) -> None:
-        """Claims use no leases."""
-        raise NotImplementedError
-
-    def watch(self, prefix, *, from_revision, on_event, stop) -> None:
-        """Claims use no watches."""
-        raise NotImplementedError
-
 
 class ClaimCluster:
     """Run the claim services of several hosts on one store."""
@@ -206,8 +162,8 @@
 
     def heal(self) -> None:
         """End all faults but the deaths."""
-        self.store.faults = StoreFaults()
-        self.store.is_down = False
+        self.store.random_faults = RandomFaults()
+        self.store.faults.down = False
         self.forward_loss = 0.0
         self.confused = set()
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/measure_once.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/measure_once.py
@@ -82,17 +82,22 @@
     cpu_start_s = time.process_time()
     start_s = next_s = time.monotonic()
     for number in range(calls):
+        if number % CALLS_PER_S == 0:
+            # The state keeps all written values for watches, gigabytes in minutes.
+            store.state.compact()
         if number == calls // 2:
-            writes_at_half = store.writes
+            writes_at_half = store.counts.writes
         tasks.append(gevent.spawn(call, number))
         next_s += rng.expovariate(CALLS_PER_S)
         gevent.sleep(max(0.0, next_s - time.monotonic()))
     elapsed_s = time.monotonic() - start_s
     figures.cpu_share = (time.process_time() - cpu_start_s) / elapsed_s
-    figures.second_half_ratio = (store.writes - writes_at_half) / (calls - calls // 2)
+    figures.second_half_ratio = (store.counts.writes - writes_at_half) / (
+        calls - calls // 2
+    )
     gevent.joinall(tasks, raise_error=True)
     cluster.settle()
-    figures.writes_ratio = store.writes / calls
+    figures.writes_ratio = store.counts.writes / calls
     stored = store.list_prefix("")
     figures.largest_value_bytes = max(len(item.value) for item in stored)
     return figures
