--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_forwarding.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent.event import Event
 
+from persimmonyoke.internal.membership.peers import PeerUnanswered
 from persimmonyoke.internal.once import outcomes as once
 from persimmonyoke.internal.once.forwarding import (
     PeerClaimForwarder,
@@ -161,3 +162,19 @@
         gevent.sleep(0)
         self.assertIsNone(forwarder.forward("h", b"claim", timeout_s=1.0))
         self.assertIsNone(task.get(timeout=1))
+
+    def test_each_operation_of_an_unsent_batch_is_reported_as_not_sent(self):
+        # Reported as perhaps sent, each would be withdrawn with a further write.
+        peers = _EchoPeers()
+
+        def refuse(host, payload, *, timeout_s):
+            raise PeerUnanswered("no link", sent=False)
+
+        peers.request = refuse
+        forwarder = PeerClaimForwarder(peers)
+        task = gevent.spawn(forwarder.forward_later, "h", b"answer", timeout_s=1.0)
+        gevent.sleep(0)
+        with self.assertRaises(ConnectionError):
+            forwarder.forward("h", b"claim", timeout_s=1.0)
+        with self.assertRaises(ConnectionError):
+            task.get(timeout=1)
