Prune stored revisions and outlast an unreadable newest one

Cause: revisions were kept for ever as plain CBOR; history(50) read 17 MB. A newest revision that could not be read was polled and logged each second.

Change: a key holds a header and the compressed document (format 2, bounded decompression; format 1 is still read). After an accepted change a pruner replaces old documents by their header and deletes old headers by compare-and-swap, with at most 9 calls. history and audit read headers in pages of 10 numbers. An unreadable newest revision is watched, not polled; operators get UnreadableNewest. A difference no longer parses presets that did not change.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/audit/configuration.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/audit/configuration.py
@@ -1,13 +1,14 @@
 """Audit records of the configuration, read from its revisions."""
 
-from collections.abc import Iterable, Iterator
+import itertools
+from collections.abc import Iterable
 
 from persimmonyoke.internal.audit.records import AuditRecord, AuditSource
 from persimmonyoke.internal.presets import (
     ChangeAction,
-    Revision,
+    HistoryEntry,
     RevisionLog,
-    revision_difference,
+    UnreadableRevision,
 )
 
 
@@ -24,28 +25,26 @@
 
     def records(self, *, limit: int) -> Iterable[AuditRecord]:
         """Return the newest records; raise ``StoreUnavailable``."""
-        # One more, since each record shows the difference to the revision before.
-        history = self._revisions.history(limit + 1)
-        return tuple(self._records(history))[:limit]
+        entries = itertools.islice(self._revisions.entries(), limit)
+        return (_record(entry) for entry in entries)
 
-    def _records(self, history: tuple[Revision, ...]) -> Iterator[AuditRecord]:
-        earlier: tuple[Revision | None, ...] = (*history[1:], None)
-        for revision, before in zip(history, earlier, strict=True):
-            yield _record(revision, before)
 
-
-def _record(revision: Revision, earlier: Revision | None) -> AuditRecord:
-    if revision.action is ChangeAction.CHOOSE:
-        before, after = (earlier.active if earlier else ""), revision.active
+def _record(entry: HistoryEntry) -> AuditRecord:
+    if isinstance(entry, UnreadableRevision):
+        subject = f"revision {entry.number}"
+        return AuditRecord(0.0, "", "unreadable", subject, entry.problem, "", "")
+    if entry.action is ChangeAction.CHOOSE:
+        before, after = entry.active_before, entry.active
     else:
-        before = f"revision {earlier.number}" if earlier else "no configuration"
-        after = "\n".join(revision_difference(earlier, revision))
+        earlier = entry.number - 1
+        before = f"revision {earlier}" if earlier else "no configuration"
+        after = "\n".join(entry.difference)
     return AuditRecord(
-        unix_s=revision.created_unix_s,
-        actor=revision.author,
-        kind=f"preset_{revision.action.value}",
-        subject=revision.preset_name,
-        reason=revision.reason,
+        unix_s=entry.created_unix_s,
+        actor=entry.author,
+        kind=f"preset_{entry.action.value}",
+        subject=entry.preset_name,
+        reason=entry.reason,
         before=before,
         after=after,
     )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
@@ -16,6 +16,7 @@
     WorkspacePolicy,
 )
 from persimmonyoke.internal.presets.parser import check_presets, parse_preset
+from persimmonyoke.internal.presets.retention import Retention
 from persimmonyoke.internal.presets.revision import (
     ChangeAction,
     Revision,
@@ -26,10 +27,14 @@
     Accepted,
     Change,
     Conflict,
+    HistoryEntry,
     ProposeOutcome,
     RevisionLog,
+    UnreadableNewest,
+    UnreadableRevision,
     Unsettled,
 )
+from persimmonyoke.internal.presets.stored_form import RevisionHeader
 from persimmonyoke.internal.presets.view import ConfigurationView, follow_revisions
 
 __all__ = [
@@ -40,15 +45,20 @@
     "ConfigurationView",
     "Conflict",
     "Deadlines",
+    "HistoryEntry",
     "ModelSpec",
     "PoolKind",
     "PoolPolicy",
     "Preset",
     "ProposeOutcome",
+    "Retention",
     "RetryPolicy",
     "Revision",
+    "RevisionHeader",
     "RevisionLog",
     "ServicePolicy",
+    "UnreadableNewest",
+    "UnreadableRevision",
     "Unsettled",
     "WorkspacePolicy",
     "check_presets",
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/difference.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/difference.py
@@ -33,6 +33,11 @@
     """Return what changed from one revision to another, preset by preset."""
     before: Mapping[str, str] = old.presets if old else {}
     after: Mapping[str, str] = new.presets if new else {}
+    changed = {
+        name
+        for name in before.keys() | after.keys()
+        if before.get(name) != after.get(name)
+    }
     lines = []
     active = (old.active if old else None, new.active if new else None)
     if active[0] != active[1]:
@@ -42,7 +47,9 @@
             lines.append(f"- preset {name}")
         elif name not in before:
             lines.append(f"+ preset {name}")
-        else:
+        elif name in changed or any(other in after[name] for other in changed):
+            # Parsing a base for 1,900 workspaces takes 0.2 s; an unchanged text that
+            # names no changed preset as its base has an unchanged meaning.
             lines.extend(_changed_preset(name, before, after))
     if len(lines) > MAX_LINES:
         left_out = len(lines) - MAX_LINES
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
@@ -1,11 +1,14 @@
 """Log of revisions in the key-value service: propose, newest and history."""
 
+import itertools
 import time
 import uuid
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
+import gevent
+
 from persimmonyoke.errors import (
     Fault,
     PresetError,
@@ -26,13 +29,20 @@
 from persimmonyoke.internal.presets.aside import run_aside
 from persimmonyoke.internal.presets.difference import revision_difference
 from persimmonyoke.internal.presets.parser import check_presets
+from persimmonyoke.internal.presets.retention import Pruner, Retention
 from persimmonyoke.internal.presets.revision import (
     MAX_AUTHOR_CHARACTERS,
+    MAX_NUMBER,
     MAX_REASON_CHARACTERS,
     ChangeAction,
     Revision,
-    decode_revision,
-    encode_revision,
+)
+from persimmonyoke.internal.presets.stored_form import (
+    RevisionHeader,
+    StoredForm,
+    decode_stored,
+    encode_stored,
+    header_of,
 )
 
 KEY_ROOT = "/persimmonyoke"
@@ -40,7 +50,13 @@
 """How long a lost answer is settled before the operator is told that it is unknown."""
 
 SETTLE_PAUSE_S = 0.2
+MAX_UNCHECKED_S = 60.0
+"""Far less than the time in which a number can be written, pruned and deleted."""
+
 DEFAULT_HISTORY = 50
+PAGE_NUMBERS = 10
+"""The numbers of a page share all digits of their keys but the last one."""
+
 
 log = part_logger("presets")
 
@@ -84,12 +100,19 @@
 ProposeOutcome = Accepted | Conflict | Unsettled
 
 
+class UnreadableNewest(ProtocolError):
+    """Report that the newest stored revision can't be read by this program."""
+
+
 @dataclass(frozen=True)
-class StoredRevision:
-    """Hold a revision and the store revision of its key."""
+class UnreadableRevision:
+    """Stand in the history for a revision that can't be read."""
+
+    number: int
+    problem: str
 
-    revision: Revision
-    store_revision: int
+
+HistoryEntry = RevisionHeader | UnreadableRevision
 
 
 @dataclass
@@ -99,6 +122,7 @@
     revision: Revision
     key: str
     blob: bytes
+    started_s: float
     may_be_written: bool = field(default=False)
 
 
@@ -115,9 +139,16 @@
         sleep: Callable[[float], None] = time.sleep,
         settle_s: float = SETTLE_S,
         settle_pause_s: float = SETTLE_PAUSE_S,
+        retention: Retention | None = None,
+        run_later: Callable[[Callable[[], None]], object] = gevent.spawn,
     ) -> None:
         self._store = store.for_purpose(Purpose.CONFIG)
         self._firm = firm
+        self._retention = retention or Retention()
+        self._run_later = run_later
+        self._pruner = Pruner(
+            self._store, prefix=self.prefix, retention=self._retention
+        )
         self._unix_clock = unix_clock
         self._clock = clock
         self._sleep = sleep
@@ -144,40 +175,101 @@
         return f"{self.prefix}{number:010d}"
 
     def newest(self) -> Revision | None:
-        """Return the newest revision; raise ``StoreUnavailable``."""
-        stored = self.newest_stored()
-        return stored.revision if stored else None
+        """Return the newest revision.
 
-    def newest_stored(self) -> StoredRevision | None:
-        """Return the newest revision with its store revision.
-
-        Raises ``StoreUnavailable``, and ``ProtocolError`` if it is unreadable.
+        Raises ``StoreUnavailable``, and ``UnreadableNewest`` if it can't be read.
         """
+        found = self.newest_item()
+        return self.decode_newest(found) if found else None
+
+    def newest_item(self) -> KeyValue | None:
+        """Return the newest key as it is stored; raise ``StoreUnavailable``."""
         found = self._store.list_prefix(self.prefix, limit=1, newest_first=True)
-        if not found:
-            return None
-        return StoredRevision(self.decode(found[0]), found[0].mod_revision)
+        return found[0] if found else None
+
+    def decode_newest(self, item: KeyValue) -> Revision:
+        """Return the revision of the newest key; raise ``UnreadableNewest``."""
+        try:
+            return self.decode(item)
+        except ProtocolError as error:
+            raise UnreadableNewest(
+                f"the newest stored revision, {item.key}, can't be read by this "
+                f"program: {error}"
+            ) from error
 
     def get(self, number: int) -> Revision | None:
-        """Return the revision of a number, or ``None``; raise ``StoreUnavailable``."""
+        """Return the revision of a number, or ``None`` if there is none.
+
+        Raises ``StoreUnavailable``, and ``ProtocolError`` if the document is not kept
+        any more or can't be read.
+        """
         found = self._store.get(self.key(number))
         return self.decode(found) if found else None
 
-    def history(self, limit: int = DEFAULT_HISTORY) -> tuple[Revision, ...]:
-        """Return the newest revisions, newest first; raise ``StoreUnavailable``."""
+    def history(self, limit: int = DEFAULT_HISTORY) -> tuple[HistoryEntry, ...]:
+        """Return the headers of the newest revisions, newest first.
+
+        Raises ``StoreUnavailable``. Documents are read in pages of 10 and not kept.
+        """
         if limit < 1:
             raise ValueError(f"limit is {limit}; accepted: 1 or more")
-        found = self._store.list_prefix(self.prefix, limit=limit, newest_first=True)
-        return tuple(self.decode(item) for item in found)
+        return tuple(itertools.islice(self.entries(), limit))
+
+    def entries(self) -> Iterator[HistoryEntry]:
+        """Yield all headers, newest first, with one read for each 10 revisions.
+
+        Raises ``StoreUnavailable``.
+        """
+        newest = self.newest_item()
+        page = self._number(newest.key) // PAGE_NUMBERS if newest else -1
+        while page >= 0:
+            found = self._store.list_prefix(
+                f"{self.prefix}{page:09d}", newest_first=True
+            )
+            if not found:
+                # Numbers have no gaps, so that only deleted ones are below.
+                return
+            yield from map(self._entry, found)
+            page -= 1
+
+    def find_write(self, write_id: str, *, limit: int) -> RevisionHeader | None:
+        """Return the header with a write id among the newest revisions, or ``None``.
+
+        Raises ``StoreUnavailable``.
+        """
+        for entry in itertools.islice(self.entries(), limit):
+            if isinstance(entry, RevisionHeader) and entry.write_id == write_id:
+                return entry
+        return None
 
     def decode(self, item: KeyValue) -> Revision:
         """Return the revision of a stored key; raise ``ProtocolError``."""
-        revision = decode_revision(item.value)
-        if item.key != self.key(revision.number) or revision.firm != self._firm:
+        revision = self.decode_form(item).revision
+        if revision is None:
+            raise ProtocolError(f"of {item.key} only the header is kept")
+        return revision
+
+    def decode_form(self, item: KeyValue, *, with_document: bool = True) -> StoredForm:
+        """Return what a key holds; raise ``ProtocolError``."""
+        form = decode_stored(item.value, with_document=with_document)
+        header = form.header
+        if item.key != self.key(header.number) or header.firm != self._firm:
             raise ProtocolError(
-                f"{item.key} holds revision {revision.number} of {revision.firm}"
+                f"{item.key} holds revision {header.number} of {header.firm}"
             )
-        return revision
+        return form
+
+    def _entry(self, item: KeyValue) -> HistoryEntry:
+        try:
+            return self.decode_form(item, with_document=False).header
+        except ProtocolError as error:
+            return UnreadableRevision(self._number(item.key), str(error))
+
+    def _number(self, key: str) -> int:
+        digits = key.removeprefix(self.prefix)
+        if not (digits.isascii() and digits.isdigit() and int(digits) <= MAX_NUMBER):
+            raise ProtocolError(f"{key} is not the key of a revision")
+        return int(digits)
 
     def propose(self, change: Change, *, base_number: int) -> ProposeOutcome:
         """Append a revision that applies a change to the revision ``base_number``.
@@ -189,7 +281,7 @@
         if (current.number if current else 0) != base_number:
             return self._conflict(base_number, current)
         presets, active = _changed_presets(change, current)
-        return self._append(change, presets, active, base_number)
+        return self._append(change, presets, active, current)
 
     def bootstrap(
         self, presets: Mapping[str, str], *, active: str, author: str, reason: str
@@ -206,19 +298,20 @@
             accepted = ", ".join(sorted(presets))
             raise _refusal("active", f"there is no preset {active!r}", accepted)
         change = Change(ChangeAction.CREATE, active, author, reason)
-        return self._append(change, presets, active, 0)
+        return self._append(change, presets, active, None)
 
     def _append(
         self,
         change: Change,
         presets: Mapping[str, str],
         active: str,
-        base_number: int,
+        base: Revision | None,
     ) -> ProposeOutcome:
+        started_s = self._clock()
         _check_author_and_reason(change)
         run_aside(presets, check_presets, presets)
         revision = Revision(
-            number=base_number + 1,
+            number=base.number + 1 if base else 1,
             firm=self._firm,
             author=change.author,
             reason=change.reason,
@@ -230,10 +323,15 @@
             presets=MappingProxyType(dict(presets)),
         )
         try:
-            blob = encode_revision(revision)
+            blob = run_aside(presets, _encoded, revision, base)
         except ValueError as error:
             raise _refusal("presets", str(error), "smaller presets") from error
-        return self._write(_Attempt(revision, self.key(revision.number), blob))
+        key = self.key(revision.number)
+        outcome = self._write(_Attempt(revision, key, blob, started_s))
+        if isinstance(outcome, Accepted):
+            # A slow store must not delay the answer and the push to the peers.
+            self._run_later(lambda: self._pruner.prune_after(revision.number))
+        return outcome
 
     def _write(self, attempt: _Attempt) -> ProposeOutcome:
         """Create the key, again while the answer is lost.
@@ -248,7 +346,7 @@
             )
             match outcome:
                 case WriteApplied():
-                    return Accepted(attempt.revision)
+                    return self._applied(attempt)
                 case WriteConflict(current=KeyValue() as found):
                     return self._settled_by(attempt, found)
                 case WriteNotApplied(reason=reason):
@@ -266,11 +364,31 @@
             return Unsettled(attempt.revision)
         raise StoreUnavailable("the revision was not written")
 
+    def _applied(self, attempt: _Attempt) -> ProposeOutcome:
+        """Accept a created key unless its number had been pruned before.
+
+        A process that was stopped for days between reading the base and writing
+        creates a number again that was deleted meanwhile.
+        """
+        if self._clock() - attempt.started_s <= MAX_UNCHECKED_S:
+            return Accepted(attempt.revision)
+        number = attempt.revision.number
+        try:
+            newest = self.newest()
+        except (StoreUnavailable, ProtocolError) as error:
+            log.warning("newest revision can't be read: {}", error)
+            return Unsettled(attempt.revision)
+        if newest is not None and newest.number >= number + self._retention.documents:
+            return self._conflict(number - 1, newest)
+        return Accepted(attempt.revision)
+
     def _settled_by(self, attempt: _Attempt, found: KeyValue) -> ProposeOutcome:
-        stored = self.decode(found)
-        if stored.write_id == attempt.revision.write_id:
-            return Accepted(stored)
-        return self._conflict(attempt.revision.number - 1, stored)
+        form = self.decode_form(found)
+        if form.header.write_id == attempt.revision.write_id:
+            return Accepted(attempt.revision)
+        # After a long pause only the header may be left of the other change.
+        current = form.revision or self.newest()
+        return self._conflict(attempt.revision.number - 1, current)
 
     def _conflict(self, base_number: int, current: Revision | None) -> Conflict:
         base = None
@@ -279,9 +397,15 @@
                 base = self.get(base_number)
             except (StoreUnavailable, ProtocolError) as error:
                 log.warning("base of a conflict can't be read: {}", error)
+                problem = f"revision {base_number} can't be compared: {error}"
+                return Conflict(current, (problem,))
         return Conflict(current, revision_difference(base, current))
 
 
+def _encoded(revision: Revision, base: Revision | None) -> bytes:
+    return encode_stored(revision, header_of(revision, base))
+
+
 def _changed_presets(
     change: Change, current: Revision | None
 ) -> tuple[dict[str, str], str]:
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
@@ -0,0 +1,303 @@
+"""Tests of the stored form and of the pruning of old revisions."""
+
+import random
+import threading
+import time
+import unittest
+import zlib
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.presets import (
+    Accepted,
+    ConfigurationView,
+    Conflict,
+    RevisionHeader,
+    RevisionLog,
+    UnreadableNewest,
+    UnreadableRevision,
+    encode_revision,
+    follow_revisions,
+)
+from persimmonyoke.internal.presets.retention import Pruner, Retention
+from persimmonyoke.internal.presets.stored_form import (
+    MAGIC,
+    decode_stored,
+    encode_header,
+    encode_stored,
+    header_of,
+)
+from persimmonyoke_testing.builders_presets import (
+    FIRM,
+    build_change,
+    build_revision,
+    large_preset_text,
+    preset_text,
+)
+from persimmonyoke_testing.key_value_state import KeyValueState
+from persimmonyoke_testing.memory_store import MemoryStore
+
+RETENTION = Retention(documents=4, headers=12)
+CALLS_FOR_A_PRUNE = 9
+SEEDS = range(15)
+
+
+def stored(number: int = 1) -> bytes:
+    """Return the stored form of a revision."""
+    revision = build_revision(number)
+    return encode_stored(revision, header_of(revision))
+
+
+class StoredFormTest(unittest.TestCase):
+    def test_header_and_document_survive_the_round_trip(self):
+        # A field lost on the way would change the audit trail when it is pruned.
+        earlier, revision = build_revision(6), build_revision(7, active="base")
+        header = header_of(revision, earlier)
+        form = decode_stored(encode_stored(revision, header))
+        self.assertEqual((form.header, form.revision), (header, revision))
+        form = decode_stored(encode_header(header))
+        self.assertEqual((form.header, form.revision), (header, None))
+        self.assertEqual(header.active_before, "ordinary")
+        self.assertEqual(
+            decode_stored(encode_revision(revision)).revision,
+            revision,
+            "version 1 is read",
+        )
+
+    def test_1900_workspaces_are_stored_in_a_third(self):
+        # At 340 KB each, 1,500 changes a day would take 510 MB.
+        presets = {"base": large_preset_text(1_900), "ordinary": preset_text()}
+        revision = build_revision(presets=presets)
+        blob = encode_stored(revision, header_of(revision))
+        self.assertLess(len(blob), len(encode_revision(revision)) / 3)
+
+    def test_bombs_newer_versions_and_cut_forms_are_refused(self):
+        # A bomb of 1 MB would fill the memory of each node that watches.
+        valid = stored()
+        start = len(encode_header(header_of(build_revision())))
+        for name, blob in {
+            "bomb": valid[:start] + zlib.compress(bytes(100_000_000)),
+            "newer version": MAGIC + b"\x03" + valid[4:],
+            "unknown kind": valid[:4] + b"X" + valid[5:],
+            "cut": valid[:-1],
+            "followed": valid + b"\x00",
+            "long header": valid[:5] + b"\xff" * 4 + valid[9:],
+            "other document": valid[:start] + stored(2)[start:],
+        }.items():
+            with self.subTest(name), self.assertRaises(ProtocolError):
+                decode_stored(blob)
+
+    @given(st.data())
+    def test_a_damaged_form_is_read_or_refused_but_never_raises_otherwise(self, data):
+        # Another error would end the task that follows the revisions.
+        blob = bytearray(stored())
+        for _ in range(data.draw(st.integers(1, 4))):
+            blob[data.draw(st.integers(0, len(blob) - 1))] = data.draw(
+                st.integers(0, 255)
+            )
+        try:
+            decode_stored(bytes(blob))
+        except ProtocolError:
+            pass
+
+
+class PrunedCase(unittest.TestCase):
+    """Share one store state between logs."""
+
+    def setUp(self) -> None:
+        self.state = KeyValueState()
+        self.store, self.log = self.new_log()
+
+    def new_log(self, **options) -> tuple[MemoryStore, RevisionLog]:
+        store = MemoryStore(state=self.state)
+        options = {"run_later": lambda prune: prune(), **options}
+        log = RevisionLog(store, firm=FIRM, retention=RETENTION, **options)
+        return store, log
+
+    def accept(self, count: int = 1, log: RevisionLog | None = None) -> int:
+        log = log or self.log
+        for _ in range(count):
+            newest = log.newest()
+            number = newest.number if newest else 0
+            asked = build_change("edit" if number else "create")
+            self.assertIsInstance(log.propose(asked, base_number=number), Accepted)
+        return number + 1
+
+    def documents(self) -> list[int]:
+        found = self.store.list_prefix(self.log.prefix)
+        forms = [decode_stored(item.value) for item in found]
+        return [form.header.number for form in forms if form.revision is not None]
+
+
+class RetentionTest(PrunedCase):
+    def test_the_store_holds_the_newest_documents_and_headers_at_bounded_calls(self):
+        # Without the bounds the store fills; with a loop one change spends its rate.
+        self.accept(10)
+        before = {entry.number: entry for entry in self.log.history()}
+        for _ in range(30):
+            counts = self.store.counts
+            called = counts.reads + counts.writes
+            number = self.accept()
+            calls = counts.reads + counts.writes - called
+            # The test and propose read the newest revision, propose writes one.
+            self.assertLessEqual(calls, CALLS_FOR_A_PRUNE + 3)
+            self.assertEqual(
+                self.documents(), list(range(number, number - 4, -1))[::-1]
+            )
+            entries = self.log.history()
+            self.assertEqual(
+                [entry.number for entry in entries],
+                list(range(number, max(0, number - 12), -1)),
+            )
+            for entry in entries:
+                self.assertEqual(before.setdefault(entry.number, entry), entry)
+
+    def test_pruning_that_failed_is_made_up_for_by_later_changes(self):
+        # A crash between two steps would leave a document for weeks.
+        _, broken = self.new_log(run_later=lambda prune: None)
+        self.accept(18, broken)
+        self.accept(40)
+        self.assertEqual(len(self.documents()), 4)
+        self.assertEqual(len(self.log.history(100)), 12)
+
+    def test_two_hosts_with_faults_prune_at_once_and_keep_the_newest(self):
+        # A deleted newest revision would put an older one in force on a fresh node.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.check_pruning_at_once(random.Random(seed))
+
+    def check_pruning_at_once(self, rng: random.Random) -> None:
+        self.state = KeyValueState()
+        self.store, self.log = self.new_log(run_later=lambda prune: None)
+        self.accept(20)
+        tasks = []
+        for _ in range(3):
+            store, log = self.new_log()
+            store.faults.slow_s = rng.uniform(0, 0.002)
+            store.faults.lose_answers = rng.randrange(3)
+            store.faults.lose_requests = rng.randrange(3)
+            pruner = Pruner(store, prefix=log.prefix, retention=RETENTION)
+            numbers = rng.sample(range(14, 21), 5)
+            tasks.append(threading.Thread(target=map_all, args=(pruner, numbers)))
+        for task in tasks:
+            task.start()
+        for task in tasks:
+            task.join()
+        self.assertEqual(self.documents()[-4:], [17, 18, 19, 20])
+        numbers = [entry.number for entry in self.log.history(100)]
+        self.assertEqual(numbers, list(range(20, 20 - len(numbers), -1)))
+        self.assertGreaterEqual(len(numbers), 12)
+
+    def test_a_writer_stopped_for_days_does_not_win_a_deleted_number(self):
+        # Its operator would be told that a change is in force which nobody has.
+        self.accept(3)
+        times_s = iter([0.0, 0.0, *[1e6] * 10])
+        store, log = self.new_log(clock=lambda: next(times_s))
+        write = store.compare_and_swap
+
+        def write_later(key, value, **options):
+            store.compare_and_swap = write
+            self.accept(30)
+            return write(key, value, **options)
+
+        store.compare_and_swap = write_later
+        outcome = log.propose(build_change("edit"), base_number=3)
+        self.assertIsInstance(outcome, Conflict)
+        self.assertEqual(outcome.current.number, 33)
+        self.accept()
+        self.assertNotIn(4, [entry.number for entry in self.log.history(100)])
+
+    def test_a_conflict_with_a_pruned_base_says_so(self):
+        # A difference to nothing would show each preset as new.
+        self.accept(10)
+        outcome = self.log.propose(build_change("edit"), base_number=2)
+        self.assertIsInstance(outcome, Conflict)
+        self.assertIn("only the header is kept", outcome.difference[0])
+
+
+def map_all(pruner: Pruner, numbers: list[int]) -> None:
+    """Prune after each number."""
+    for number in numbers:
+        pruner.prune_after(number)
+
+
+class FollowPrunedTest(PrunedCase):
+    """Follow the revisions while they are pruned."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.view = ConfigurationView()
+        self.client = MemoryStore(state=self.state)
+
+    def follow(self) -> None:
+        seen: list[int] = []
+        self.view.subscribe(lambda revision, preset: seen.append(revision.number))
+        self.seen = seen
+        stop = threading.Event()
+        task = threading.Thread(
+            target=follow_revisions,
+            args=(self.client, self.view, stop),
+            kwargs={"firm": FIRM, "clock": time.monotonic},
+        )
+        task.start()
+        self.addCleanup(task.join, 5)
+        self.addCleanup(stop.set)
+
+    def wait_for(self, number: int) -> None:
+        deadline_s = time.monotonic() + 2.0
+        while self.view.number != number:
+            self.assertLess(time.monotonic(), deadline_s, "not in force in time")
+            time.sleep(0.005)
+        self.assertEqual(self.seen, sorted(set(self.seen)))
+
+    def test_nodes_that_were_away_or_start_fresh_never_go_back(self):
+        # Replaced and deleted keys arrive as events about old numbers.
+        self.accept(2)
+        self.follow()
+        self.wait_for(2)
+        for compact in (False, True):
+            with self.subTest(compact=compact):
+                self.client.faults.down = True
+                time.sleep(0.1)
+                number = self.accept(25)
+                if compact:
+                    self.state.compact()
+                self.client.faults.down = False
+                self.wait_for(number)
+        self.view = ConfigurationView()
+        self.follow()
+        self.wait_for(number)
+
+    def test_an_unreadable_newest_revision_leaves_what_is_in_force(self):
+        # Polling it would spend the store's rate; older ones would be a revert.
+        for name, blob in {"newer": MAGIC + b"\x09" + bytes(20), "bad": b"?"}.items():
+            with self.subTest(name):
+                number = self.accept()
+                self.view = ConfigurationView()
+                self.view.offer(self.log.newest(), now_s=0.0)
+                self.state.put(self.log.key(number + 1), blob)
+                reads = self.client.counts.reads
+                self.follow()
+                time.sleep(0.3)
+                self.assertEqual(self.view.number, number)
+                self.assertLessEqual(self.client.counts.reads - reads, 1)
+                with self.assertRaisesRegex(UnreadableNewest, "can't be read by this"):
+                    self.log.propose(build_change("edit"), base_number=number)
+                kinds = [type(entry) for entry in self.log.history(2)]
+                self.assertEqual(kinds, [UnreadableRevision, RevisionHeader])
+                good = build_revision(number + 2)
+                self.state.put(
+                    self.log.key(number + 2), encode_stored(good, header_of(good))
+                )
+                self.wait_for(number + 2)
+
+    def test_failures_of_the_loop_are_logged_at_a_bounded_rate(self):
+        # Ten lines a second during an outage would hide all others.
+        self.client.faults.down = True
+        with mock.patch("persimmonyoke.internal.presets.view.log.warning") as warning:
+            self.follow()
+            time.sleep(0.5)
+        self.assertEqual(warning.call_count, 1)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/view.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/view.py
@@ -1,5 +1,6 @@
 """The configuration in force on one node, and the loop that keeps it up to date."""
 
+import math
 import random
 from collections.abc import Callable
 from threading import Event
@@ -23,6 +24,9 @@
 MAX_BACKOFF_S = 1.0
 """An accepted configuration has to be in force within 2 s after an outage ends."""
 
+MIN_LOG_PAUSE_S = 5.0
+"""A store that stays down, or holds what can't be read, must not flood the log."""
+
 Subscriber = Callable[[Revision, Preset], None]
 
 log = part_logger("presets")
@@ -134,6 +138,7 @@
         self._view = view
         self._clock = clock
         self._rng = rng
+        self._log = _BoundedLog(clock)
 
     def run(self, stop: Event) -> None:
         """Follow the revisions until ``stop`` is set."""
@@ -148,21 +153,30 @@
         )
 
     def _read_until_success(self, stop: Event) -> int:
-        """Offer the newest revision; return the store revision to watch from."""
+        """Offer the newest revision; return the store revision to watch from.
+
+        A newest revision that can't be read is not polled: what replaces or follows
+        it arrives by the watch.
+        """
         failures = 0
         while not stop.is_set():
             try:
-                stored = self._revisions.newest_stored()
-            except (StoreUnavailable, ProtocolError) as error:
+                found = self._revisions.newest_item()
+            except StoreUnavailable as error:
                 failures += 1
-                log.warning("newest revision can't be read: {}", error)
+                self._log.warning("newest revision can't be read: {}", error)
                 ceiling_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(failures, 10))
                 stop.wait(self._rng.uniform(MIN_BACKOFF_S, ceiling_s))
                 continue
-            if stored is None:
+            if found is None:
                 return 1
-            self._view.offer(stored.revision, now_s=self._clock())
-            return stored.store_revision + 1
+            try:
+                revision = self._revisions.decode_newest(found)
+            except ProtocolError as error:
+                self._log.error("revision {} stays: {}", self._view.number, error)
+            else:
+                self._view.offer(revision, now_s=self._clock())
+            return found.mod_revision + 1
         return 1
 
     def _take(self, notice: WatchNotice, stop: Event) -> None:
@@ -171,13 +185,43 @@
             self._read_until_success(stop)
             return
         if notice.key_value is None:
+            if self._view.revision is None:
+                # What was deleted may have hidden the newest readable revision.
+                self._read_until_success(stop)
             return
         try:
-            revision = self._revisions.decode(notice.key_value)
+            form = self._revisions.decode_form(notice.key_value)
         except ProtocolError as error:
-            log.error("{} is not a revision: {}", notice.key, error)
+            self._log.error("{} is not a revision: {}", notice.key, error)
             return
-        self._view.offer(revision, now_s=self._clock())
+        # A header that replaces an old document changes nothing in force.
+        if form.revision is not None:
+            self._view.offer(form.revision, now_s=self._clock())
+
+
+class _BoundedLog:
+    """Log the failures of the loop, at most one line in ``MIN_LOG_PAUSE_S``."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._logged_s = -math.inf
+
+    def warning(self, message: str, *values: object) -> None:
+        """Log a failure that is expected to pass."""
+        if self._is_due():
+            log.warning(message, *values)
+
+    def error(self, message: str, *values: object) -> None:
+        """Log a failure that an operator has to repair."""
+        if self._is_due():
+            log.error(message, *values)
+
+    def _is_due(self) -> bool:
+        now_s = self._clock()
+        if now_s - self._logged_s < MIN_LOG_PAUSE_S:
+            return False
+        self._logged_s = now_s
+        return True
 
 
 def follow_revisions(
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_presets.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_presets.py
@@ -8,6 +8,7 @@
 import tomli_w
 
 from persimmonyoke.internal.presets import (
+    Change,
     ChangeAction,
     Preset,
     Revision,
@@ -79,6 +80,15 @@
     return Revision(**values)
 
 
+def build_change(
+    action: str, preset: str = "base", *, author: str = "ama", **replaced: Any
+) -> Change:
+    """Return a change; a create or edit has the text of a preset without a base."""
+    kind = ChangeAction(action)
+    text = None if kind is ChangeAction.CHOOSE else preset_text(preset, **replaced)
+    return Change(kind, preset, author, "test", text)
+
+
 def example_presets(firm: str) -> Mapping[str, str]:
     """Return the shipped presets of a firm by name."""
     folder = EXAMPLES_PATH / firm / "presets"
