Wait for one peer before answering an operator; look back by revision

Cause: an accepted revision known only to the store and to the entry node was lost to the others if both failed; an unknown outcome could not be looked up; an unreadable newest revision was reported as an outage.

Change: OperatorBackend(confirmations=..., confirm_s=1.0) waits for the first peer, not at all without live peers, and answers confirmed_by, live_hosts, hosts_in_force and behind. An audit search reads up to 3,000 records lazily (200 before) and names sources that it did not read to the end.

The test of the answer to a change compared it with {"revision": 3}; it now compares all six fields.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/audit/configuration.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/audit/configuration.py
@@ -1,7 +1,8 @@
 """Audit records of the configuration, read from its revisions."""
 
 import itertools
-from collections.abc import Iterable
+import time
+from collections.abc import Callable, Iterator
 
 from persimmonyoke.internal.audit.records import AuditRecord, AuditSource
 from persimmonyoke.internal.presets import (
@@ -15,24 +16,31 @@
 class ConfigurationAudit(AuditSource):
     """Turn each revision into the record of its change."""
 
-    def __init__(self, revisions: RevisionLog) -> None:
+    def __init__(
+        self, revisions: RevisionLog, *, unix_clock: Callable[[], float] = time.time
+    ) -> None:
         self._revisions = revisions
+        self._unix_clock = unix_clock
 
     @property
     def name(self) -> str:
         """Return the name of this source."""
         return "configuration"
 
-    def records(self, *, limit: int) -> Iterable[AuditRecord]:
-        """Return the newest records; raise ``StoreUnavailable``."""
-        entries = itertools.islice(self._revisions.entries(), limit)
-        return (_record(entry) for entry in entries)
+    def records(self, *, limit: int) -> Iterator[AuditRecord]:
+        """Yield the newest records, newest first; raise ``StoreUnavailable``."""
+        newer_s = self._unix_clock()
+        for entry in itertools.islice(self._revisions.entries(), limit):
+            record = _record(entry, newer_s)
+            newer_s = record.unix_s
+            yield record
 
 
-def _record(entry: HistoryEntry) -> AuditRecord:
+def _record(entry: HistoryEntry, newer_s: float) -> AuditRecord:
     if isinstance(entry, UnreadableRevision):
+        # Its time is not known; it was written before the next newer one.
         subject = f"revision {entry.number}"
-        return AuditRecord(0.0, "", "unreadable", subject, entry.problem, "", "")
+        return AuditRecord(newer_s, "", "unreadable", subject, entry.problem, "", "")
     if entry.action is ChangeAction.CHOOSE:
         before, after = entry.active_before, entry.active
     else:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/audit/records.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/audit/records.py
@@ -8,7 +8,13 @@
 from persimmonyoke.internal.observability import part_logger
 
 MAX_RECORDS = 200
-"""Bound on the records that one source reads for one search."""
+"""Bound on the records that one search returns."""
+
+MAX_SEARCHED = 3_000
+"""Bound on the records that one source reads for one search: two days of changes."""
+
+CLOCK_MARGIN_S = 60.0
+"""Hosts stamp their changes by their own clocks, so that times are not quite sorted."""
 
 log = part_logger("audit")
 
@@ -40,7 +46,10 @@
 
     @abstractmethod
     def records(self, *, limit: int) -> Iterable[AuditRecord]:
-        """Return the newest records; raise ``PlatformUnavailable``."""
+        """Return the newest records, newest first; raise ``PlatformUnavailable``.
+
+        A long list is read lazily, page by page.
+        """
 
 
 @dataclass(frozen=True)
@@ -89,10 +98,15 @@
 
 @dataclass(frozen=True)
 class AuditAnswer:
-    """Hold the selected records, newest first, and the sources that failed."""
+    """Hold the selected records, newest first, and what was not searched.
+
+    ``missing_sources`` failed; of ``cut_sources`` the records before the newest
+    ``MAX_SEARCHED`` were not read although fewer than asked for were found.
+    """
 
     records: tuple[AuditRecord, ...]
     missing_sources: tuple[str, ...]
+    cut_sources: tuple[str, ...] = ()
 
 
 def search_audit(sources: Iterable[AuditSource], chosen: AuditFilter) -> AuditAnswer:
@@ -103,11 +117,30 @@
     """
     found: list[AuditRecord] = []
     missing = []
+    cut = []
     for source in sources:
         try:
-            found.extend(filter(chosen.accepts, source.records(limit=MAX_RECORDS)))
+            if _search(source, chosen, found):
+                cut.append(source.name)
         except (PlatformUnavailable, ProtocolError) as error:
             log.warning("audit source {} failed: {}", source.name, error)
             missing.append(source.name)
     found.sort(key=lambda record: record.unix_s, reverse=True)
-    return AuditAnswer(tuple(found[: chosen.limit]), tuple(missing))
+    return AuditAnswer(tuple(found[: chosen.limit]), tuple(missing), tuple(cut))
+
+
+def _search(source: AuditSource, chosen: AuditFilter, found: list[AuditRecord]) -> bool:
+    """Add the newest selected records; return whether the search was cut short."""
+    wanted = chosen.limit
+    searched = 0
+    for record in source.records(limit=MAX_SEARCHED):
+        searched += 1
+        since_s = chosen.since_unix_s
+        if since_s is not None and record.unix_s < since_s - CLOCK_MARGIN_S:
+            return False
+        if chosen.accepts(record):
+            found.append(record)
+            wanted -= 1
+            if not wanted:
+                return False
+    return searched >= MAX_SEARCHED
--- a/packages/persimmonyoke/src/persimmonyoke/internal/operators/app.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/operators/app.py
@@ -40,6 +40,7 @@
     add("GET", "/operators/presets", backend.presets)
     add("GET", "/operators/presets/<name>", backend.preset)
     add("POST", "/operators/changes", lambda: _change(backend))
+    add("GET", "/operators/revisions/<number:int>", backend.revision)
     add("GET", "/operators/history", lambda: _history(backend))
     add("GET", "/operators/status", backend.status)
     add("GET", "/operators/audit", lambda: _audit(backend))
@@ -99,8 +100,9 @@
 
 
 def _history(backend: OperatorBackend) -> Json:
-    _check_query(("limit",))
-    return backend.history(_limit(MAX_HISTORY))
+    _check_query(("limit", "write_id"))
+    write_id = bottle.request.query.get("write_id")
+    return backend.history(_limit(MAX_HISTORY), write_id)
 
 
 def _audit(backend: OperatorBackend) -> Json:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/operators/backend.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/operators/backend.py
@@ -20,13 +20,21 @@
     Change,
     ConfigurationView,
     Conflict,
+    HistoryEntry,
     ProposeOutcome,
     Revision,
+    RevisionHeader,
     RevisionLog,
-    revision_difference,
+    UnreadableRevision,
 )
 
 RETRY_AFTER_S = 2.0
+CONFIRM_S = 1.0
+"""Two heartbeats, which carry the number, are sent and answered in this time."""
+
+CONFIRM_PAUSE_S = 0.02
+LOOK_UP_REVISIONS = 2_000
+"""More than a day of changes; 200 reads for an id that does not exist."""
 
 Json = dict[str, Any]
 log = part_logger("operators")
@@ -45,7 +53,9 @@
 
     ``hosts`` returns the live hosts, this one included, with the revisions they
     report. ``on_accepted`` is called with each revision accepted here, so that peers
-    get it at once.
+    get it at once. ``confirmations`` returns how many peers, this host not included,
+    have said that they hold the revision of a number or a later one; the answer to an
+    accepted change waits up to ``confirm_s`` for the first.
     """
 
     def __init__(
@@ -57,7 +67,10 @@
         audit_sources: Iterable[AuditSource] = (),
         on_accepted: Callable[[Revision], None] | None = None,
         extra_status: Callable[[], Mapping[str, Any]] | None = None,
+        confirmations: Callable[[int], int] | None = None,
+        confirm_s: float = CONFIRM_S,
         clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], None] = time.sleep,
     ) -> None:
         self._revisions = revisions
         self._view = view
@@ -65,22 +78,26 @@
         self._audit_sources = tuple(audit_sources)
         self._on_accepted = on_accepted
         self._extra_status = extra_status
+        self._confirmations = confirmations
+        self._confirm_s = confirm_s
         self._clock = clock
+        self._sleep = sleep
 
     def presets(self) -> Json:
         """Return the names of all presets and the one in force."""
-        revision, source = self._current()
+        revision, source, problem = self._current()
         names = sorted(revision.presets) if revision else []
         return {
             "revision": revision.number if revision else 0,
             "active": revision.active if revision else None,
             "presets": names,
             "source": source,
+            "problem": problem,
         }
 
     def preset(self, name: str) -> Json:
         """Return the text of a preset; raise ``OperatorError`` if there is none."""
-        revision, source = self._current()
+        revision, source, problem = self._current()
         texts = revision.presets if revision else {}
         if revision is None or name not in texts:
             known = ", ".join(sorted(texts)) or "none"
@@ -95,6 +112,7 @@
             "active": revision.active == name,
             "revision": revision.number,
             "source": source,
+            "problem": problem,
         }
 
     def change(self, change: Change, *, base_number: int) -> Json:
@@ -107,22 +125,46 @@
                 str(error),
                 details={"faults": [vars(fault) for fault in error.faults]},
             ) from error
-        except (StoreUnavailable, ProtocolError) as error:
+        except StoreUnavailable as error:
             raise _store_unavailable(error) from error
+        except ProtocolError as error:
+            raise _unreadable(error) from error
         return self._answer(outcome)
 
-    def history(self, limit: int) -> Json:
-        """Return the newest revisions, each with its difference to the one before."""
+    def revision(self, number: int) -> Json:
+        """Return the presets of a revision; raise ``OperatorError`` if not kept."""
+        in_force = self._view.revision
         try:
-            revisions = self._revisions.history(limit + 1)
-        except (StoreUnavailable, ProtocolError) as error:
+            if in_force is not None and in_force.number == number:
+                revision = in_force
+            else:
+                revision = self._revisions.get(number)
+        except StoreUnavailable as error:
             raise _store_unavailable(error) from error
-        earlier: tuple[Revision | None, ...] = (*revisions[1:], None)
-        entries = [
-            _history_entry(revision, before)
-            for revision, before in zip(revisions, earlier, strict=True)
-        ]
-        return {"revisions": entries[:limit]}
+        except ProtocolError as error:
+            problem = f"revision {number} can't be shown: {error}"
+            raise _invalid_number(problem) from error
+        if revision is None:
+            raise _invalid_number(f"there is no revision {number}")
+        return {
+            "revision": revision.number,
+            "active": revision.active,
+            "presets": dict(revision.presets),
+        }
+
+    def history(self, limit: int, write_id: str | None = None) -> Json:
+        """Return the newest revisions, or only the one with a write id."""
+        try:
+            if write_id is None:
+                entries = self._revisions.history(limit)
+            else:
+                found = self._revisions.find_write(write_id, limit=LOOK_UP_REVISIONS)
+                entries = (found,) if found else ()
+        except StoreUnavailable as error:
+            raise _store_unavailable(error) from error
+        except ProtocolError as error:
+            raise _unreadable(error) from error
+        return {"revisions": [_history_entry(entry) for entry in entries]}
 
     def status(self) -> Json:
         """Return the revision in force and how many live hosts report it."""
@@ -148,20 +190,25 @@
         return {
             "records": [vars(record) for record in answer.records],
             "missing_sources": list(answer.missing_sources),
+            "cut_sources": list(answer.cut_sources),
         }
 
-    def _current(self) -> tuple[Revision | None, str]:
-        """Return the newest revision; during an outage, the one in force here."""
+    def _current(self) -> tuple[Revision | None, str, str | None]:
+        """Return the newest revision, its source and why it is not the store.
+
+        The revision in force here stands in while the store is down or holds a newest
+        revision that can't be read.
+        """
         try:
-            return self._revisions.newest(), "store"
+            return self._revisions.newest(), "store", None
         except (StoreUnavailable, ProtocolError) as error:
             log.warning("newest revision can't be read: {}", error)
-            return self._view.revision, "memory"
+            return self._view.revision, "memory", str(error)
 
     def _answer(self, outcome: ProposeOutcome) -> Json:
         if isinstance(outcome, Accepted):
             self._take(outcome.revision)
-            return {"revision": outcome.revision.number}
+            return self._accepted(outcome.revision)
         if isinstance(outcome, Conflict):
             current = outcome.current
             number = current.number if current else 0
@@ -176,11 +223,45 @@
         raise OperatorError(
             ErrorKind.OUTCOME_UNKNOWN,
             f"the store did not tell whether revision {revision.number} was stored; "
-            "look at the history before you repeat the change",
+            f"look up the write id {revision.write_id} in the history before you "
+            "repeat the change",
             ran=Ran.UNKNOWN,
             details={"revision": revision.number, "write_id": revision.write_id},
         )
 
+    def _accepted(self, revision: Revision) -> Json:
+        """Return where an accepted revision has arrived, after a bounded wait."""
+        number = revision.number
+        confirmed_by = self._wait_for_confirmation(number)
+        hosts = sorted(self._hosts(), key=lambda host: host.name)
+        behind = [host.name for host in hosts if host.number < number]
+        return {
+            "revision": number,
+            "write_id": revision.write_id,
+            "confirmed_by": confirmed_by,
+            "live_hosts": len(hosts),
+            "hosts_in_force": len(hosts) - len(behind),
+            "behind": behind,
+        }
+
+    def _wait_for_confirmation(self, number: int) -> int:
+        """Return how many peers hold a revision, once there is one or in time.
+
+        With one, the revision survives the loss of this node while the store is down.
+        """
+        if self._confirmations is None:
+            return 0
+        deadline_s = self._clock() + self._confirm_s
+        while True:
+            confirmed_by = self._confirmations(number)
+            alone = len(tuple(self._hosts())) <= 1
+            if confirmed_by or alone:
+                return confirmed_by
+            if self._clock() >= deadline_s:
+                log.warning("no peer has confirmed revision {}", number)
+                return 0
+            self._sleep(CONFIRM_PAUSE_S)
+
     def _take(self, revision: Revision) -> None:
         log.info(
             "revision {} accepted: {} {} by {}",
@@ -202,14 +283,33 @@
     )
 
 
-def _history_entry(revision: Revision, earlier: Revision | None) -> Json:
+def _unreadable(error: Exception) -> OperatorError:
+    return OperatorError(
+        ErrorKind.INTERNAL,
+        f"{error}; the configuration in force stays. Change it from a host with a "
+        "newer version, or repair the key in the key-value service",
+    )
+
+
+def _invalid_number(problem: str) -> OperatorError:
+    return OperatorError(ErrorKind.INVALID_VALUE, problem, param="revision")
+
+
+def _history_entry(entry: HistoryEntry) -> Json:
+    if isinstance(entry, UnreadableRevision):
+        return {"revision": entry.number, "problem": entry.problem}
+    return _header_entry(entry)
+
+
+def _header_entry(header: RevisionHeader) -> Json:
     return {
-        "revision": revision.number,
-        "created_unix_s": revision.created_unix_s,
-        "author": revision.author,
-        "action": revision.action.value,
-        "preset": revision.preset_name,
-        "active": revision.active,
-        "reason": revision.reason,
-        "difference": list(revision_difference(earlier, revision)),
+        "revision": header.number,
+        "write_id": header.write_id,
+        "created_unix_s": header.created_unix_s,
+        "author": header.author,
+        "action": header.action.value,
+        "preset": header.preset_name,
+        "active": header.active,
+        "reason": header.reason,
+        "difference": list(header.difference),
     }
--- a/packages/persimmonyoke/src/persimmonyoke/internal/operators/tests/test_operators.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/operators/tests/test_operators.py
@@ -1,6 +1,7 @@
 """Tests of the operator interface over a loopback socket."""
 
 import json
+import time
 import unittest
 from typing import Any
 
@@ -21,6 +22,8 @@
 from persimmonyoke_testing.loopback_server import LoopbackServer
 from persimmonyoke_testing.memory_store import MemoryStore
 
+CONFIRM_S = 0.4
+
 
 class OperatorsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -28,6 +31,7 @@
         revisions = RevisionLog(self.store, firm="kente", settle_s=0.3)
         self.view = ConfigurationView()
         self.accepted = []
+        self.confirmations = lambda number: 1
         self.hosts = [HostRevision("accra-a-1", 1), HostRevision("tema-b-1", 0)]
         backend = OperatorBackend(
             revisions=revisions,
@@ -35,6 +39,8 @@
             hosts=lambda: self.hosts,
             audit_sources=(ConfigurationAudit(revisions),),
             on_accepted=self.accepted.append,
+            confirmations=lambda number: self.confirmations(number),
+            confirm_s=CONFIRM_S,
         )
         app = operators_app(backend, token_digest=OPERATOR_TOKEN_DIGEST)
         self.server = LoopbackServer(app)
@@ -69,6 +75,7 @@
             ("GET", "/presets"),
             ("GET", "/presets/base"),
             ("POST", "/changes"),
+            ("GET", "/revisions/1"),
             ("GET", "/history"),
             ("GET", "/status"),
             ("GET", "/audit"),
@@ -84,7 +91,15 @@
         text = derived_text("peak")
         self.change(action="create", preset="peak", text=text, base_number=1)
         status, body = self.change(action="choose", preset="peak", base_number=2)
-        self.assertEqual((status, body), (200, {"revision": 3}))
+        expected = {
+            "revision": 3,
+            "write_id": self.accepted[-1].write_id,
+            "confirmed_by": 1,
+            "live_hosts": 2,
+            "hosts_in_force": 0,
+            "behind": ["accra-a-1", "tema-b-1"],
+        }
+        self.assertEqual((status, body), (200, expected))
         self.assertEqual(self.view.preset.name, "peak")
         self.assertEqual([r.number for r in self.accepted], [1, 2, 3])
         listed = self.call("GET", "/presets")[1]
@@ -126,6 +141,7 @@
                 None,
             ),
             (self.call("GET", "/presets/gone"), 400, "invalid_value", "preset"),
+            (self.call("GET", "/revisions/9"), 400, "invalid_value", "revision"),
             (self.call("GET", "/audit?limit=0"), 400, "invalid_value", "limit"),
             (self.call("GET", "/audit?since=now"), 400, "invalid_value", "since"),
             (self.call("GET", "/history?page=2"), 400, "unknown_field", "page"),
@@ -170,3 +186,58 @@
         self.assertEqual([entry["author"] for entry in history], ["kofi"])
         found = self.call("GET", "/audit?actor=kofi&kind=preset_choose")[1]["records"]
         self.assertEqual(len(found), 1)
+
+    def test_the_answer_waits_for_one_peer_for_a_bounded_time(self):
+        # With the store down and this node dead, only a peer still has the revision.
+        asked_s = []
+
+        def confirmed_late(number: int) -> int:
+            asked_s.append(time.monotonic())
+            return 2 if time.monotonic() > asked_s[0] + CONFIRM_S / 2 else 0
+
+        both = self.hosts
+        cases = (
+            ("late", confirmed_late, both, 2),
+            ("never", lambda number: 0, both, 0),
+            ("alone", lambda number: 0, both[:1], 0),
+            ("no hosts known", lambda number: 0, [], 0),
+        )
+        waited_s = {}
+        for number, case in enumerate(cases, 1):
+            name, self.confirmations, self.hosts, expected = case
+            with self.subTest(name):
+                started_s = time.monotonic()
+                fields = {"action": "choose", "preset": "base"}
+                status, body = self.change(**fields, base_number=number)
+                waited_s[name] = time.monotonic() - started_s
+                self.assertEqual((status, body["confirmed_by"]), (200, expected))
+        self.assertGreaterEqual(waited_s["late"], CONFIRM_S / 2)
+        self.assertGreaterEqual(waited_s["never"], CONFIRM_S)
+        for name in ("late", "alone", "no hosts known"):
+            self.assertLess(waited_s[name], waited_s["never"], name)
+
+    def test_an_unreadable_newest_revision_is_a_clear_error(self):
+        # "Not available, try again" would keep the operator trying for ever.
+        key = "/persimmonyoke/kente/config/0000000002"
+        self.store.state.put(key, b"PYR\x09newer")
+        answer = self.change(action="choose", preset="base", base_number=1)
+        self.assertEqual(self.error(answer), (500, "internal"))
+        self.assertIn("format version 9", answer[1]["error"]["message"])
+        self.assertIn("format version 9", self.call("GET", "/presets")[1]["problem"])
+        entries = self.call("GET", "/history")[1]["revisions"]
+        self.assertIn("format version 9", entries[0]["problem"])
+        self.assertEqual(entries[1]["revision"], 1)
+
+    def test_the_write_id_of_an_unknown_outcome_shows_whether_it_was_stored(self):
+        # Without it the operator can't tell an own change from an equal other one.
+        for lost, found in (("lose_answers", 1), ("lose_requests", 0)):
+            with self.subTest(lost=lost):
+                setattr(self.store.faults, lost, 1_000)
+                newest = self.call("GET", "/presets")[1]["revision"]
+                fields = {"action": "choose", "preset": "base"}
+                answer = self.change(**fields, base_number=newest)
+                setattr(self.store.faults, lost, 0)
+                self.assertEqual(self.error(answer), (409, "outcome_unknown"))
+                write_id = answer[1]["error"]["details"]["write_id"]
+                looked_up = self.call("GET", f"/history?write_id={write_id}")[1]
+                self.assertEqual(len(looked_up["revisions"]), found)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/__main__.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/__main__.py
@@ -13,22 +13,30 @@
 from persimmonyoke_cli.failures import (
     EXIT_FAILED,
     EXIT_OK,
+    EXIT_STATUS_HELP,
+    EXIT_UNKNOWN,
     EXIT_USAGE,
     CommandFailed,
+    OutcomeUnknown,
     UsageError,
 )
 from persimmonyoke_cli.registry import COMMANDS
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Run a sub-command and return the exit status: 0 done, 1 failed, 2 usage."""
+    """Run a sub-command and return the exit status, as the help describes it."""
     argv = list(sys.argv[1:] if arguments is None else arguments)
     try:
         result = defopt.run(
-            COMMANDS, argv=argv, argparse_kwargs={"prog": "persimmonyoke"}, short={}
+            COMMANDS,
+            argv=argv,
+            argparse_kwargs={"prog": "persimmonyoke", "epilog": EXIT_STATUS_HELP},
+            short={},
         )
     except UsageError as error:
         return _fail(error, EXIT_USAGE)
+    except OutcomeUnknown as error:
+        return _fail(error, EXIT_UNKNOWN)
     except (CommandFailed, PersimmonyokeError, OSError) as error:
         return _fail(error, EXIT_FAILED)
     except KeyboardInterrupt:
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/client.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/client.py
@@ -10,7 +10,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from persimmonyoke_cli.failures import CommandFailed, UsageError
+from persimmonyoke.errors import ErrorKind
+from persimmonyoke_cli.failures import CommandFailed, OutcomeUnknown, UsageError
 
 URL_VARIABLE = "PERSIMMONYOKE_URL"
 TOKEN_VARIABLE = "PERSIMMONYOKE_TOKEN"
@@ -46,10 +47,18 @@
         """Return a preset with its text and the revision it was read from."""
         return self.get(f"/presets/{quote(name, safe='')}")
 
-    def change(self, body: Json) -> int:
-        """Propose a change and return the number of the accepted revision."""
+    def revision(self, number: int) -> Json:
+        """Return the presets of a revision whose document is kept."""
+        return self.get(f"/revisions/{number}")
+
+    def change(self, body: Json) -> Json:
+        """Propose a change and return its number and where it has arrived.
+
+        Raises ``OutcomeUnknown`` if the store did not tell whether it was stored.
+        """
         answer = self._call("POST", "/changes", body)
-        return _whole(answer, "revision")
+        _whole(answer, "revision")
+        return answer
 
     def _call(self, method: str, path: str, body: Json | None = None) -> Json:
         url = f"{self._url}/operators{path}"
@@ -64,7 +73,10 @@
             message = f"{url} is no operator interface (status {answer.status})"
             raise CommandFailed(message) from error
         if answer.status != 200:
-            raise CommandFailed(_error_text(parsed, answer.status))
+            text = _error_text(parsed, answer.status)
+            if _code(parsed) == ErrorKind.OUTCOME_UNKNOWN:
+                raise OutcomeUnknown(text)
+            raise CommandFailed(text)
         if not isinstance(parsed, dict):
             raise CommandFailed(f"{url} sent an answer of an unknown form")
         return parsed
@@ -112,6 +124,11 @@
     return "\n".join(lines)
 
 
+def _code(parsed: Any) -> Any:
+    error = parsed.get("error") if isinstance(parsed, dict) else None
+    return error.get("code") if isinstance(error, dict) else None
+
+
 def _whole(answer: Json, key: str) -> int:
     value = answer.get(key)
     if not isinstance(value, int):
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/preset_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/preset_commands.py
@@ -22,6 +22,8 @@
 ) -> None:
     """List the presets; an asterisk marks the one in force.
 
+    Exit status: 0 done, 1 failed, 2 wrong arguments.
+
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
@@ -35,21 +37,32 @@
 def show(
     name: str,
     *,
+    revision: int | None = None,
     url: str | None = None,
     token: str | None = None,
     token_file: Path | None = None,
 ) -> None:
     """Print the text of a preset, and on standard error the revision to edit from.
 
+    Exit status: 0 done, 1 failed, 2 wrong arguments.
+
     :param name: name of the preset
+    :param revision: show the text that the preset had in this revision
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
     """
-    preset = open_client(url, token, token_file).preset(name)
-    force = ", in force" if preset["active"] else ""
-    print(f"revision {preset['revision']}{force}", file=sys.stderr)
-    print(preset["text"], end="")
+    client = open_client(url, token, token_file)
+    if revision is None:
+        preset = client.preset(name)
+        number, text, active = preset["revision"], preset["text"], preset["active"]
+    else:
+        old = client.revision(revision)
+        number, text = revision, _text_of(old, name)
+        active = old["active"] == name
+    force = ", in force" if active else ""
+    print(f"revision {number}{force}", file=sys.stderr)
+    print(text, end="")
 
 
 def create(
@@ -59,24 +72,32 @@
     reason: str,
     author: str | None = None,
     base: int | None = None,
+    wait: bool = False,
     url: str | None = None,
     token: str | None = None,
     token_file: Path | None = None,
 ) -> None:
-    """Create a preset from a TOML file.
+    """Create a preset from a TOML file; all faults of the file are listed.
+
+    Exit status: 0 accepted (with --wait: and in force on all live hosts), 1 refused,
+    failed or not in force in time, 2 wrong arguments, 3 the outcome is unknown: look
+    up the write id with preset history --write-id.
 
     :param name: name of the new preset
     :param file: TOML file, or - for standard input
     :param reason: why the preset is created; kept in the audit trail
     :param author: your name; default: the user name
     :param base: revision that the change builds on; default: the newest one
+    :param wait: wait until all live hosts report the revision in force
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
     """
     client = open_client(url, token, token_file)
     text = _read_text(file)
-    _change(client, "create", name, reason, author, base, text=text)
+    number = _change(client, "create", name, reason, author, base, text=text)
+    if wait:
+        wait_until_in_force(client, number)
 
 
 def edit(
@@ -91,7 +112,11 @@
     token: str | None = None,
     token_file: Path | None = None,
 ) -> None:
-    """Replace the text of a preset.
+    """Replace the text of a preset; all faults of the text are listed.
+
+    Exit status: 0 accepted (with --wait: and in force on all live hosts), 1 refused,
+    failed or not in force in time, 2 wrong arguments, 3 the outcome is unknown: look
+    up the write id with preset history --write-id.
 
     :param name: name of the preset
     :param file: TOML file, or - for standard input
@@ -122,6 +147,10 @@
 ) -> None:
     """Put a preset in force.
 
+    Exit status: 0 accepted (with --wait: and in force on all live hosts), 1 refused,
+    failed or not in force in time, 2 wrong arguments, 3 the outcome is unknown: look
+    up the write id with preset history --write-id.
+
     :param name: name of the preset
     :param reason: why the preset is chosen; kept in the audit trail
     :param author: your name; default: the user name
@@ -140,24 +169,31 @@
 def history(
     *,
     limit: int = 20,
+    write_id: str | None = None,
     url: str | None = None,
     token: str | None = None,
     token_file: Path | None = None,
 ) -> None:
     """Show the newest revisions and what each one changed.
 
+    Exit status: 0 done, 1 failed or no revision has the write id, 2 wrong arguments.
+
     :param limit: number of revisions
+    :param write_id: show only the revision with this write id, to find out whether a
+        change with an unknown outcome was stored
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
     """
-    answer = open_client(url, token, token_file).get("/history", {"limit": limit})
-    for entry in answer["revisions"]:
-        print(
-            f"{entry['revision']}  {time_text(entry['created_unix_s'])}  "
-            f"{entry['author']}  {entry['action']} {entry['preset']}: {entry['reason']}"
+    query = {"limit": limit, "write_id": write_id}
+    answer = open_client(url, token, token_file).get("/history", query)
+    if write_id is not None and not answer["revisions"]:
+        raise CommandFailed(
+            f"no recent revision has the write id {write_id}; a write that is still "
+            "on its way can be stored only while its number is free"
         )
-        print_indented(entry["difference"])
+    for entry in answer["revisions"]:
+        _print_entry(entry)
 
 
 def diff(
@@ -170,19 +206,23 @@
 ) -> None:
     """Show in what two presets differ, with their bases merged in.
 
-    :param old: name of a preset
-    :param new: name of another preset
+    Exit status: 0 done, 1 failed, 2 wrong arguments.
+
+    :param old: name of a preset, NAME@N for its text in revision N, or only N for the
+        other preset in revision N
+    :param new: the same, for the other side
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
     """
     client = open_client(url, token, token_file)
-    names = client.get("/presets")["presets"]
-    texts = {name: client.preset(name)["text"] for name in names}
+    sides = _sides(old, new)
+    texts = {number: _texts(client, number) for _, number in sides}
     try:
-        lines = preset_difference(parse_preset(old, texts), parse_preset(new, texts))
+        before, after = (parse_preset(name, texts[number]) for name, number in sides)
     except PresetError as error:
         raise CommandFailed(str(error)) from error
+    lines = preset_difference(before, after)
     changed = [line for line in lines if not line.startswith(("~ name:", "~ base:"))]
     print("\n".join(changed) if changed else f"{old} and {new} have the same effect")
 
@@ -239,11 +279,57 @@
         "base_number": _newest(client) if base is None else base,
         **fields,
     }
-    number = client.change(body)
+    answer = client.change(body)
+    number = answer["revision"]
     print(f"revision {number} accepted: {action} {name}")
+    print(
+        f"confirmed by {answer['confirmed_by']} other hosts; in force on "
+        f"{answer['hosts_in_force']} of {answer['live_hosts']} live hosts"
+    )
+    if answer["behind"]:
+        print(f"not yet in force on: {', '.join(answer['behind'])}")
     return number
 
 
+def _print_entry(entry: Json) -> None:
+    if "problem" in entry:
+        print(f"{entry['revision']}  can't be read: {entry['problem']}")
+        return
+    print(
+        f"{entry['revision']}  {time_text(entry['created_unix_s'])}  "
+        f"{entry['author']}  {entry['action']} {entry['preset']}: {entry['reason']}"
+    )
+    print_indented([f"write id {entry['write_id']}", *entry["difference"]])
+
+
+def _sides(old: str, new: str) -> tuple[tuple[str, int | None], ...]:
+    """Return preset and revision of both sides; ``None`` is the newest revision."""
+    sides = []
+    for side, other in ((old, new), (new, old)):
+        name, _, number = side.partition("@")
+        if side.isdigit():
+            name, number = other.partition("@")[0], side
+        if name.isdigit() or (number and not number.isdigit()):
+            accepted = "two presets as NAME or NAME@N, or one of them and N"
+            raise UsageError(f"diff of {old!r} and {new!r}; accepted: {accepted}")
+        sides.append((name, int(number) if number else None))
+    return tuple(sides)
+
+
+def _texts(client: OperatorClient, number: int | None) -> dict[str, str]:
+    if number is None:
+        number = _newest(client)
+    return client.revision(number)["presets"]
+
+
+def _text_of(revision: Json, name: str) -> str:
+    if name not in revision["presets"]:
+        known = ", ".join(sorted(revision["presets"]))
+        number = revision["revision"]
+        raise CommandFailed(f"revision {number} has no {name!r}; existing: {known}")
+    return revision["presets"][name]
+
+
 def _newest(client: OperatorClient) -> int:
     return client.get("/presets")["revision"]
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/status_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/status_commands.py
@@ -1,5 +1,6 @@
 """Commands that show the state of a deployment and its past changes."""
 
+import sys
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -13,6 +14,8 @@
 ) -> None:
     """Show the revision in force and the live hosts that report it.
 
+    Exit status: 0 done, 1 failed, 2 wrong arguments.
+
     :param url: base URL of the operator interface of any entry node
     :param token: operator token
     :param token_file: file that holds the operator token
@@ -43,6 +46,9 @@
 ) -> None:
     """Show past changes, newest first.
 
+    Exit status: 0 done, 1 failed or a source of records did not answer, 2 wrong
+    arguments. A note on standard error says when older changes were not searched.
+
     :param actor: only changes of this operator or process
     :param kind: only changes of this kind, such as preset_choose
     :param subject: only changes of this preset, pool or engine
@@ -70,6 +76,9 @@
             f"{record['subject']}: {record['reason']}"
         )
         print_indented([f"before: {record['before']}", *record["after"].splitlines()])
+    if answer["cut_sources"]:
+        cut = ", ".join(answer["cut_sources"])
+        print(f"older changes were not searched: {cut}", file=sys.stderr)
     if answer["missing_sources"]:
         missing = ", ".join(answer["missing_sources"])
         raise CommandFailed(f"the list is not complete; no answer from: {missing}")
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
@@ -19,6 +19,7 @@
 from persimmonyoke.internal.presets import ConfigurationView, RevisionLog
 from persimmonyoke.internal.settings import SettingsRole
 from persimmonyoke_cli.__main__ import main
+from persimmonyoke_cli.registry import COMMANDS
 from persimmonyoke_testing.builders_presets import (
     EXAMPLES_PATH,
     derived_text,
@@ -74,7 +75,7 @@
         return str(path)
 
     def succeed(self, *arguments: str) -> str:
-        if arguments[1] in ("create", "edit", "choose"):
+        if arguments[1:2] and arguments[1] in ("create", "edit", "choose"):
             arguments += ("--reason", "test", "--author", "ama")
         status, output, errors = run(*arguments)
         self.assertEqual(status, 0, errors)
@@ -137,6 +138,78 @@
                 self.assertIn(message, errors)
                 self.assertNotIn("Traceback", errors)
 
+    def test_a_preset_from_standard_input_is_refused_with_all_faults(self):
+        # One fault at a time costs the operator a round for each.
+        text = "name = 'peak'\ncolour = 1\ngoodput_weight = -1\n"
+        with mock.patch("sys.stdin", io.StringIO(text)):
+            status, _, errors = run("preset", "create", "peak", "-", "--reason", "x")
+        self.assertEqual(status, 1)
+        self.assertIn("colour", errors)
+        self.assertIn("goodput_weight", errors)
+
+    def test_old_revisions_are_shown_and_compared(self):
+        # An operator who can't see the old text can't go back to it.
+        edited = self.file(preset_text("base", goodput_weight=2.0))
+        self.succeed("preset", "edit", "base", edited, "--base", "1")
+        old = self.succeed("preset", "show", "base", "--revision", "1")
+        self.assertEqual(old, preset_text("base"))
+        for sides in (("1", "base"), ("base@1", "base"), ("base@1", "base@2")):
+            with self.subTest(sides=sides):
+                self.assertIn("1 -> 2", self.succeed("preset", "diff", *sides))
+        for arguments, expected, message in (
+            (("show", "base", "--revision", "7"), 1, "no revision 7"),
+            (("show", "gone", "--revision", "1"), 1, "existing: base"),
+            (("diff", "1", "2"), 2, "NAME@N"),
+            (("diff", "base@x", "base"), 2, "NAME@N"),
+        ):
+            with self.subTest(arguments=arguments):
+                status, _, errors = run("preset", *arguments)
+                self.assertEqual((status, message in errors), (expected, True), errors)
+
+    def test_an_unknown_outcome_has_its_own_status_and_can_be_looked_up(self):
+        # A script that repeats the change would undo a later one.
+        self.store.faults.lose_answers = 1_000
+        status, _, errors = run("preset", "choose", "base", "--reason", "mine")
+        self.assertEqual(status, 3, errors)
+        write_id = errors.partition("write id ")[2].split()[0]
+        self.store.faults.lose_answers = 0
+        found = self.succeed("preset", "history", "--write-id", write_id)
+        self.assertIn("mine", found)
+        self.assertEqual(run("preset", "history", "--write-id", "none")[0], 1)
+
+    def test_each_audit_filter_reaches_the_search(self):
+        # An option that is not passed on shows the changes of all operators.
+        self.succeed("preset", "create", "peak", self.file(derived_text("peak")))
+        run("preset", "choose", "peak", "--reason", "launch", "--author", "kofi")
+        for options, count in (
+            ((), 3),
+            (("--actor", "kofi"), 1),
+            (("--kind", "preset_create"), 2),
+            (("--subject", "peak"), 2),
+            (("--text", "launch"), 1),
+            (("--limit", "2"), 2),
+            (("--since", "2001-01-01"), 3),
+            (("--since", "2999-01-01"), 0),
+            (("--until", "2001-01-01T00:00+01:00"), 0),
+        ):
+            with self.subTest(options=options):
+                lines = self.succeed("audit", *options).splitlines()
+                self.assertEqual(sum(not x.startswith(" ") for x in lines), count)
+
+    def test_each_help_describes_the_options_and_the_exit_status(self):
+        # Scripts are written by the help.
+        for command in (
+            (),
+            *(("preset", name) for name in COMMANDS["preset"]),
+            ("status",),
+            ("audit",),
+        ):
+            with self.subTest(command=command):
+                status, output, _ = run(*command, "--help")
+                self.assertEqual(status, 0)
+                self.assertIn("Exit status: 0", " ".join(output.split()))
+        self.assertIn("--wait", run("preset", "choose", "--help")[1])
+
     def test_an_incomplete_audit_is_a_failure(self):
         # Status 0 would let a script take the list for the whole truth.
         self.store.faults.down = True
