--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_presets.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_presets.py
@@ -81,12 +81,17 @@
 
 
 def build_change(
-    action: str, preset: str = "base", *, author: str = "ama", **replaced: Any
+    action: str,
+    preset: str = "base",
+    *,
+    author: str = "ama",
+    reason: str = "test",
+    **replaced: Any,
 ) -> Change:
     """Return a change; a create or edit has the text of a preset without a base."""
     kind = ChangeAction(action)
     text = None if kind is ChangeAction.CHOOSE else preset_text(preset, **replaced)
-    return Change(kind, preset, author, "test", text)
+    return Change(kind, preset, author, reason, text)
 
 
 def example_presets(firm: str) -> Mapping[str, str]:
