--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+import tracemalloc
 import unittest
 import zlib
 from unittest import mock
@@ -79,7 +80,7 @@
         valid = stored()
         start = len(encode_header(header_of(build_revision())))
         for name, blob in {
-            "bomb": valid[:start] + zlib.compress(bytes(100_000_000)),
+            "bomb": valid[:start] + zlib.compress(bytes(2_000_000)),
             "newer version": MAGIC + b"\x03" + valid[4:],
             "unknown kind": valid[:4] + b"X" + valid[5:],
             "cut": valid[:-1],
@@ -90,6 +91,16 @@
             with self.subTest(name), self.assertRaises(ProtocolError):
                 decode_stored(blob)
 
+    def test_a_bomb_is_refused_before_it_fills_the_memory(self):
+        # Checking the size only afterwards would allocate all of it.
+        start = len(encode_header(header_of(build_revision())))
+        bomb = stored()[:start] + zlib.compress(bytes(100_000_000))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with self.assertRaises(ProtocolError):
+            decode_stored(bomb)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 10_000_000)
+
     @given(st.data())
     def test_a_damaged_form_is_read_or_refused_but_never_raises_otherwise(self, data):
         # Another error would end the task that follows the revisions.
@@ -113,8 +124,8 @@
 
     def new_log(self, **options) -> tuple[MemoryStore, RevisionLog]:
         store = MemoryStore(state=self.state)
-        options = {"run_later": lambda prune: prune(), **options}
-        log = RevisionLog(store, firm=FIRM, retention=RETENTION, **options)
+        given = {"run_later": lambda prune: prune(), "retention": RETENTION}
+        log = RevisionLog(store, firm=FIRM, **{**given, **options})
         return store, log
 
     def accept(self, count: int = 1, log: RevisionLog | None = None) -> int:
@@ -163,6 +174,18 @@
         self.assertEqual(len(self.documents()), 4)
         self.assertEqual(len(self.log.history(100)), 12)
 
+    def test_a_document_whose_pruning_was_lost_is_replaced_7_changes_later(self):
+        # It would stay until its header is deleted, two weeks later.
+        options = {"retention": Retention(documents=4, headers=100)}
+        _, log = self.new_log(**options)
+        _, broken = self.new_log(**options, run_later=lambda prune: None)
+        self.accept(10, log)
+        self.accept(1, broken)
+        self.accept(6, log)
+        self.assertEqual(self.documents(), [7, 14, 15, 16, 17])
+        self.accept(1, log)
+        self.assertEqual(self.documents(), [15, 16, 17, 18])
+
     def test_two_hosts_with_faults_prune_at_once_and_keep_the_newest(self):
         # A deleted newest revision would put an older one in force on a fresh node.
         for seed in SEEDS:
