--- a/packages/persimmonyoke/src/persimmonyoke/internal/admission/queue.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/admission/queue.py
@@ -120,6 +120,8 @@
     def next_ready(self, now_s: float) -> Admitted | None:
         """Return the next request to dispatch, or ``None`` if it has to wait."""
         self._refuse_late(now_s)
+        if not self._slots.free:
+            return None
         ticket = self._queue.pop(self._may_go)
         if ticket is None:
             return None
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/goodput.py
@@ -0,0 +1,113 @@
+"""Prediction of a pool's goodput for a split into roles."""
+
+from dataclasses import dataclass
+
+from persimmonyoke.internal.presets.model import Deadlines
+from persimmonyoke.internal.roles.split import Split
+
+# Prefill runs in order, so the wait grows with 1 / (1 - utilisation). 95 of 100
+# requests wait less than about three times the mean.
+TAIL_OVER_MEAN = 3.0
+MIN_USABLE = 0.3
+MAX_USABLE = 0.97
+BISECTIONS = 12
+
+
+@dataclass(frozen=True)
+class EngineRates:
+    """Describe one engine of a pool.
+
+    ``mixed_interference`` is the share of an engine's capacity that is lost when it
+    spends half of its time on each phase. ``change_s`` is how long a role change makes
+    an engine unavailable after its drain, and ``sequence_s`` the mean duration of a
+    sequence's decode, which bounds the drain.
+    """
+
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    mixed_interference: float = 0.3
+    change_s: float = 5.0
+    sequence_s: float = 4.0
+    prompt_tokens: float = 2_000.0
+
+    def __post_init__(self) -> None:
+        for name in ("prefill_tokens_per_s", "decode_tokens_per_s"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be positive, not {getattr(self, name)}")
+
+
+@dataclass(frozen=True)
+class OfferedWork:
+    """Hold offered work in engines that it would keep fully busy."""
+
+    prefill_engines: float
+    decode_engines: float
+
+    @property
+    def engines(self) -> float:
+        """Return the sum of both phases."""
+        return self.prefill_engines + self.decode_engines
+
+    @property
+    def prefill_share(self) -> float:
+        """Return the share of prefill, one half without any work."""
+        return self.prefill_engines / self.engines if self.engines > 0 else 0.5
+
+    @classmethod
+    def from_share(cls, engines: float, prefill_share: float) -> "OfferedWork":
+        """Return work of a given size and share of prefill."""
+        return cls(engines * prefill_share, engines * (1 - prefill_share))
+
+
+class GoodputModel:
+    """Predict which share of the offered work meets its deadlines.
+
+    The rest is refused at admission, so an overload lowers the share and not the
+    latency of what is admitted.
+    """
+
+    def __init__(self, rates: EngineRates, deadlines: Deadlines) -> None:
+        self.rates = rates
+        self._usable_prefill = self._usable_prefill_share(deadlines)
+
+    def served_share(self, split: Split, work: OfferedWork) -> float:
+        """Return the largest share of both phases that the split can serve."""
+        if work.engines <= 0:
+            return 1.0
+        if not split.covers_both_phases:
+            return 0.0
+        if self._fits(split, work, 1.0):
+            return 1.0
+        low, high = 0.0, 1.0
+        for _ in range(BISECTIONS):
+            middle = (low + high) / 2
+            if self._fits(split, work, middle):
+                low = middle
+            else:
+                high = middle
+        return low
+
+    def goodput_engines(self, split: Split, work: OfferedWork) -> float:
+        """Return the goodput in units of fully used engines."""
+        return self.served_share(split, work) * work.engines
+
+    def _fits(self, split: Split, work: OfferedWork, share: float) -> bool:
+        """Say whether the mixed engines can take what the others leave over."""
+        prefill = work.prefill_engines * share / self._usable_prefill
+        decode = work.decode_engines * share
+        prefill_left = max(0.0, prefill - split.prefill)
+        decode_left = max(0.0, decode - split.decode)
+        left = prefill_left + decode_left
+        if left <= 0:
+            return True
+        balance = min(prefill_left, decode_left) / left
+        lost_share = 2 * balance * self.rates.mixed_interference
+        return left <= split.mixed * (1 - lost_share)
+
+    def _usable_prefill_share(self, deadlines: Deadlines) -> float:
+        """Return the utilisation at which the tail still meets the first token."""
+        service_s = self.rates.prompt_tokens / self.rates.prefill_tokens_per_s
+        spare_s = max(0.0, deadlines.first_token_s - service_s)
+        # Mean wait of a queue with steady service: service x u / (2 (1 - u)).
+        ratio = 2 * spare_s / (TAIL_OVER_MEAN * service_s)
+        return min(MAX_USABLE, max(MIN_USABLE, ratio / (1 + ratio)))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/mix.py
@@ -0,0 +1,144 @@
+"""Moving averages of the offered work and of how long its mix lasts."""
+
+from dataclasses import dataclass
+from math import exp
+
+from persimmonyoke.internal.roles.goodput import EngineRates, OfferedWork
+
+FAST_S = 8.0
+SLOW_S = 300.0
+# The long-run mix is kept as weights of this many bands of the prefill share, because
+# the mean alone would hide that a pool alternates between two mixes.
+BANDS = 10
+PRIOR_WEIGHT = 0.5
+# A mix counts as changed once its share has moved by about one engine of six.
+CHANGED_SHARE = 0.12
+INITIAL_DURATION_S = 60.0
+DURATION_WEIGHT = 0.3
+MIN_DURATION_S = 2.0
+MAX_DURATION_S = 600.0
+
+
+@dataclass(frozen=True)
+class MixEstimate:
+    """Hold the present work, the long-run work and how long the mix should last.
+
+    ``band_weights`` are the shares of recent time that the prefill share spent in each
+    band of equal width between 0 and 1.
+    """
+
+    fast: OfferedWork
+    slow: OfferedWork
+    expected_duration_s: float
+    band_weights: tuple[float, ...]
+
+    def long_run(self) -> list[tuple[float, OfferedWork]]:
+        """Return the weights of the long-run mixes at the present amount of work."""
+        return [
+            (weight, OfferedWork.from_share(self.fast.engines, (band + 0.5) / BANDS))
+            for band, weight in enumerate(self.band_weights)
+            if weight > 0.01
+        ]
+
+
+class DecayedRate:
+    """Average tokens for each second with exponentially falling weights."""
+
+    def __init__(self, time_s: float) -> None:
+        self._time_s = time_s
+        self._weighted_tokens = 0.0
+
+    def advance(self, elapsed_s: float) -> None:
+        """Let the weights fall."""
+        self._weighted_tokens *= exp(-elapsed_s / self._time_s)
+
+    def add(self, tokens: float) -> None:
+        """Add tokens of this instant."""
+        self._weighted_tokens += tokens
+
+    def per_s(self, observed_s: float) -> float:
+        """Return the rate, corrected for the short time observed at the start."""
+        covered_s = self._time_s * (1 - exp(-max(observed_s, 1.0) / self._time_s))
+        return self._weighted_tokens / covered_s
+
+
+class MixEstimator:
+    """Estimate the mix of a pool from the tokens offered to it, in constant memory."""
+
+    def __init__(self, rates: EngineRates) -> None:
+        self._rates = rates
+        self._prefill = (DecayedRate(FAST_S), DecayedRate(SLOW_S))
+        self._decode = (DecayedRate(FAST_S), DecayedRate(SLOW_S))
+        self._bands = [PRIOR_WEIGHT / BANDS] * BANDS
+        self._start_s: float | None = None
+        self._now_s = 0.0
+        self._reference_share = 0.5
+        self._reference_s = 0.0
+        self._duration_s = INITIAL_DURATION_S
+
+    def note(
+        self, prefill_tokens: float, decode_tokens: float, *, now_s: float
+    ) -> None:
+        """Record work that was offered, whether it was admitted or not."""
+        self._advance(now_s)
+        for rate in self._prefill:
+            rate.add(prefill_tokens)
+        for rate in self._decode:
+            rate.add(decode_tokens)
+
+    def estimate(self, now_s: float) -> MixEstimate:
+        """Return the estimate; a clock that stands still changes nothing."""
+        self._advance(now_s)
+        total = sum(self._bands)
+        fast = self._work(0)
+        if total > 0:
+            weights = tuple(weight / total for weight in self._bands)
+        else:
+            weights = tuple(float(b == _band(fast)) for b in range(BANDS))
+        return MixEstimate(fast, self._work(1), self._expected_duration_s(), weights)
+
+    def _advance(self, now_s: float) -> None:
+        if self._start_s is None:
+            self._start_s = self._now_s = self._reference_s = now_s
+        elapsed_s = now_s - self._now_s
+        if elapsed_s <= 0:
+            return
+        self._now_s = now_s
+        for rate in (*self._prefill, *self._decode):
+            rate.advance(elapsed_s)
+        fast = self._work(0)
+        if fast.engines > 0 and now_s - self._start_s >= FAST_S:
+            self._note_share(fast, elapsed_s)
+
+    def _note_share(self, fast: OfferedWork, elapsed_s: float) -> None:
+        keep = exp(-elapsed_s / SLOW_S)
+        self._bands = [weight * keep for weight in self._bands]
+        self._bands[_band(fast)] += 1 - keep
+        if abs(fast.prefill_share - self._reference_share) < CHANGED_SHARE:
+            return
+        lasted_s = self._now_s - self._reference_s
+        self._duration_s += DURATION_WEIGHT * (lasted_s - self._duration_s)
+        self._reference_share = fast.prefill_share
+        self._reference_s = self._now_s
+
+    def _expected_duration_s(self) -> float:
+        """Return how long the mix should still last.
+
+        A mix that has outlasted the mean is expected to last about as long again.
+        """
+        lasted_s = self._now_s - self._reference_s
+        expected_s = max(self._duration_s, lasted_s)
+        return min(MAX_DURATION_S, max(MIN_DURATION_S, expected_s))
+
+    def _work(self, index: int) -> OfferedWork:
+        observed_s = self._now_s - (self._start_s or 0.0)
+        prefill = self._prefill[index].per_s(observed_s)
+        decode = self._decode[index].per_s(observed_s)
+        return OfferedWork(
+            prefill / self._rates.prefill_tokens_per_s,
+            decode / self._rates.decode_tokens_per_s,
+        )
+
+
+def _band(work: OfferedWork) -> int:
+    return min(BANDS - 1, int(work.prefill_share * BANDS))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/policy.py
@@ -0,0 +1,233 @@
+"""Decision whether an engine of a pool should change its role."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import StrEnum
+
+from persimmonyoke.internal.presets.model import PoolKind, PoolPolicy, Preset
+from persimmonyoke.internal.roles.goodput import (
+    EngineRates,
+    GoodputModel,
+)
+from persimmonyoke.internal.roles.mix import MixEstimate
+from persimmonyoke.internal.roles.split import Split
+from persimmonyoke.internal.upstreams.api import Role
+
+# What a change is weighed over: the present mix while it lasts, then the long-run mix.
+HORIZON_S = 240.0
+# A draining engine still finishes its work and so loses about half of its time.
+DRAIN_LOSS_SHARE = 0.5
+# Gains below this share of the pool are within the error of the model.
+MIN_GAIN_SHARE = 0.01
+RETURN_COST = 2.0
+
+
+@dataclass(frozen=True)
+class EngineRole:
+    """Hold the role and the open work of one engine."""
+
+    name: str
+    role: Role
+    running_sequences: float = 0.0
+    queued_prefill_tokens: float = 0.0
+
+
+@dataclass(frozen=True)
+class PoolState:
+    """Describe a pool; leaving engines are not listed.
+
+    ``change_in_flight`` says that an engine drains or changes its role, or that an
+    order of unknown outcome is open.
+    """
+
+    pool: str
+    engines: tuple[EngineRole, ...]
+    rates: EngineRates
+    change_in_flight: bool = False
+
+    @property
+    def split(self) -> Split:
+        """Return the present split."""
+        return Split.of(engine.role for engine in self.engines)
+
+
+class KeepReason(StrEnum):
+    """Say why no role changes."""
+
+    CHANGE_IN_FLIGHT = "change_in_flight"
+    NO_ENGINES = "no_engines"
+    NO_WORK = "no_work"
+    NO_BETTER_SPLIT = "no_better_split"
+    GAIN_BELOW_COST = "gain_below_cost"
+
+
+@dataclass(frozen=True)
+class ChangeRole:
+    """Drain an engine and give it a role; gain and cost are in engine-seconds."""
+
+    engine: str
+    role: Role
+    gain: float
+    cost: float
+
+
+@dataclass(frozen=True)
+class KeepRoles:
+    """Leave all roles as they are."""
+
+    reason: KeepReason
+
+
+RoleDecision = ChangeRole | KeepRoles
+
+
+class RolePolicy(ABC):
+    """Decide on the roles of one pool, one change at a time."""
+
+    @abstractmethod
+    def decide(
+        self, state: PoolState, mix: MixEstimate, preset: Preset, *, now_s: float
+    ) -> RoleDecision:
+        """Return the change to begin now, or why there is none."""
+
+
+class HysteresisRolePolicy(RolePolicy):
+    """Change a role only if its weighted gain exceeds its weighted cost.
+
+    The gain is counted over the expected duration of the present mix and, for the rest
+    of the horizon, over the long-run mix. A mix that flips faster than a change pays
+    off thus leads to mixed engines, which serve both, instead of to more changes.
+    """
+
+    def decide(
+        self, state: PoolState, mix: MixEstimate, preset: Preset, *, now_s: float
+    ) -> RoleDecision:
+        """Return the change with the largest net gain, if it pays."""
+        if state.change_in_flight:
+            return KeepRoles(KeepReason.CHANGE_IN_FLIGHT)
+        if not state.engines:
+            return KeepRoles(KeepReason.NO_ENGINES)
+        repair = self._repair(state, preset)
+        if repair is not None:
+            return repair
+        if mix.fast.engines <= 0:
+            return KeepRoles(KeepReason.NO_WORK)
+        return self._best_change(state, mix, preset)
+
+    def _repair(self, state: PoolState, preset: Preset) -> ChangeRole | None:
+        """Return the change that a split outside its bounds needs at any cost.
+
+        Such a split serves nothing, or an operator has forbidden it.
+        """
+        policy = pool_policy(preset, state.pool)
+        present = _fault(state.split, policy)
+        if present == 0:
+            return None
+        changes = [
+            change
+            for change in possible_changes(state)
+            if _fault(change.after, policy) < present
+        ]
+        if not changes:
+            return None
+        best = min(
+            changes, key=lambda change: (_fault(change.after, policy), change.lost_s)
+        )
+        return ChangeRole(best.engine, best.role, present, best.lost_s)
+
+    def _best_change(
+        self, state: PoolState, mix: MixEstimate, preset: Preset
+    ) -> RoleDecision:
+        model = GoodputModel(state.rates, preset.deadlines)
+        policy = pool_policy(preset, state.pool)
+        before = _Outlook(model, state.split, mix)
+        least_gain = MIN_GAIN_SHARE * state.split.engines * HORIZON_S
+        best: ChangeRole | None = None
+        found_gain = False
+        for change in possible_changes(state):
+            if _fault(change.after, policy) > 0:
+                continue
+            outlook = _Outlook(model, change.after, mix)
+            gain = outlook.gain_over(before, lost_s=change.lost_s)
+            if gain < least_gain:
+                continue
+            found_gain = True
+            cost = change.lost_s * outlook.changes_needed(before)
+            weighed = (
+                gain * preset.goodput_weight - cost * preset.role_change_weight
+            )
+            if weighed > 0 and (best is None or gain - cost > best.gain - best.cost):
+                best = ChangeRole(change.engine, change.role, gain, cost)
+        if best is not None:
+            return best
+        reason = (
+            KeepReason.GAIN_BELOW_COST if found_gain else KeepReason.NO_BETTER_SPLIT
+        )
+        return KeepRoles(reason)
+
+
+class _Outlook:
+    """Predict the goodput of one split for the present and for the long-run mix."""
+
+    def __init__(self, model: GoodputModel, split: Split, mix: MixEstimate) -> None:
+        self._present = model.goodput_engines(split, mix.fast)
+        self._long_run = sum(
+            weight * model.goodput_engines(split, work)
+            for weight, work in mix.long_run()
+        )
+        self._present_s = min(mix.expected_duration_s, HORIZON_S)
+
+    def gain_over(self, other: "_Outlook", *, lost_s: float) -> float:
+        """Return the engine-seconds gained; none before the change is complete."""
+        present_s = max(0.0, self._present_s - lost_s)
+        rest_s = max(0.0, HORIZON_S - self._present_s)
+        return present_s * (self._present - other._present) + rest_s * (
+            self._long_run - other._long_run
+        )
+
+    def changes_needed(self, other: "_Outlook") -> float:
+        """Return the changes to pay for: two if the long-run mix calls for a return."""
+        return 1.0 if self._long_run > other._long_run else RETURN_COST
+
+
+@dataclass(frozen=True)
+class PossibleChange:
+    """Name a change of one role, its engine, its result and the time that it costs."""
+
+    engine: str
+    role: Role
+    after: Split
+    lost_s: float
+
+
+def possible_changes(state: PoolState) -> list[PossibleChange]:
+    """Return each change of one role, with the engine whose drain costs least."""
+    changes = []
+    for source, target, after in state.split.neighbours():
+        engines = [engine for engine in state.engines if engine.role is source]
+        costs = {engine.name: lost_s(engine, state.rates) for engine in engines}
+        cheapest = min(costs, key=lambda name: (costs[name], name))
+        changes.append(PossibleChange(cheapest, target, after, costs[cheapest]))
+    return changes
+
+
+def lost_s(engine: EngineRole, rates: EngineRates) -> float:
+    """Return the engine-seconds that a change of the engine's role costs."""
+    prefill_s = engine.queued_prefill_tokens / rates.prefill_tokens_per_s
+    # Sequences end one after the other; the last of many takes longer than the mean.
+    decode_s = 0.0
+    if engine.running_sequences > 0:
+        decode_s = rates.sequence_s * (1 + min(1.0, engine.running_sequences / 32))
+    return rates.change_s + DRAIN_LOSS_SHARE * (prefill_s + decode_s)
+
+
+def pool_policy(preset: Preset, pool: str) -> PoolPolicy:
+    """Return the pool's policy; an unlisted pool has no bounds."""
+    known = preset.pools.get(pool)
+    return known or PoolPolicy(name=pool, kind=PoolKind.ENGINE)
+
+
+def _fault(split: Split, policy: PoolPolicy) -> float:
+    """Return how far a split is from being allowed; zero if it is."""
+    uncovered = 0.0 if split.covers_both_phases else 100.0
+    return uncovered + split.bound_violation(policy)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/split.py
@@ -0,0 +1,69 @@
+"""Splits of a pool into roles and the bounds that a preset sets on them."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+from persimmonyoke.internal.presets.model import PoolPolicy
+from persimmonyoke.internal.upstreams.api import Role
+
+
+@dataclass(frozen=True)
+class Split:
+    """Count the engines of each role."""
+
+    prefill: int
+    decode: int
+    mixed: int
+
+    @classmethod
+    def of(cls, roles: Iterable[Role]) -> "Split":
+        """Count roles."""
+        counted = list(roles)
+        return cls(
+            counted.count(Role.PREFILL),
+            counted.count(Role.DECODE),
+            counted.count(Role.MIXED),
+        )
+
+    @property
+    def engines(self) -> int:
+        """Return the number of engines."""
+        return self.prefill + self.decode + self.mixed
+
+    @property
+    def covers_both_phases(self) -> bool:
+        """Say whether some engine runs prefill and some engine runs decode."""
+        return self.mixed > 0 or (self.prefill > 0 and self.decode > 0)
+
+    def without(self, role: Role) -> "Split":
+        """Return the split with one engine of a role less."""
+        return replace(self, **{role.value: getattr(self, role.value) - 1})
+
+    def changed(self, source: Role, target: Role) -> "Split":
+        """Return the split after one engine has changed its role."""
+        moved = {target.value: getattr(self, target.value) + 1}
+        return replace(self.without(source), **moved)
+
+    def neighbours(self) -> Iterator[tuple[Role, Role, "Split"]]:
+        """Yield each change of one engine's role and the split after it."""
+        for source in Role:
+            if getattr(self, source.value) == 0:
+                continue
+            for target in Role:
+                if target is not source:
+                    yield source, target, self.changed(source, target)
+
+    def bound_violation(self, policy: PoolPolicy) -> float:
+        """Return by how many engines the split misses the preset's bounds.
+
+        Shares are of the pool's engines. A bound that is no whole number of engines is
+        met by the nearest split within one engine, so that small pools can meet it.
+        """
+        fewest = int(policy.min_prefill_share * self.engines)
+        most = -int(-policy.max_prefill_share * self.engines // 1)
+        fewest_mixed = int(policy.min_mixed_share * self.engines)
+        return (
+            max(0, fewest - self.prefill)
+            + max(0, self.prefill - most)
+            + max(0, fewest_mixed - self.mixed)
+        )
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the policies that they compare with."""
