--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_decisions.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_decisions.py
@@ -5,7 +5,21 @@
 from random import Random
 
 from persimmonyoke.internal.admission import AdmissionQueue, Ticket
-from persimmonyoke.internal.presets.model import AdmissionPolicy, WorkspacePolicy
+from persimmonyoke.internal.presets.model import (
+    AdmissionPolicy,
+    PoolKind,
+    PoolPolicy,
+    Preset,
+    WorkspacePolicy,
+)
+from persimmonyoke.internal.roles import (
+    EngineRates,
+    EngineRole,
+    MixEstimate,
+    OfferedWork,
+    PoolState,
+    Split,
+)
 from persimmonyoke.internal.routing import RouteRequest
 from persimmonyoke.internal.upstreams.api import (
     CacheEvent,
@@ -97,3 +111,41 @@
         limit=limit,
         rng=Random(seed),
     )
+
+
+RATES = EngineRates(prefill_tokens_per_s=8_000.0, decode_tokens_per_s=1_600.0)
+
+
+def pool_state(split: Split, **changes) -> PoolState:
+    """Return the state of pool ``pool`` with idle engines in a split."""
+    counts = {
+        Role.PREFILL: split.prefill,
+        Role.DECODE: split.decode,
+        Role.MIXED: split.mixed,
+    }
+    roles = [role for role, count in counts.items() for _ in range(count)]
+    members = tuple(
+        EngineRole(f"{role.value}-{number}", role) for number, role in enumerate(roles)
+    )
+    return PoolState(**({"pool": "pool", "engines": members, "rates": RATES} | changes))
+
+
+def steady_mix(
+    engines: float, prefill_share: float, *, expected_duration_s: float = 600.0
+) -> MixEstimate:
+    """Return the estimate of a mix that has always been the same."""
+    work = OfferedWork.from_share(engines, prefill_share)
+    weights = tuple(float(band == int(prefill_share * 10)) for band in range(10))
+    return MixEstimate(work, work, expected_duration_s, weights)
+
+
+def role_preset(
+    *, goodput_weight: float = 1.0, role_change_weight: float = 1.0, **bounds
+) -> Preset:
+    """Return a preset with bounds on the roles of pool ``pool``."""
+    return Preset(
+        "day",
+        goodput_weight=goodput_weight,
+        role_change_weight=role_change_weight,
+        pools={"pool": PoolPolicy("pool", PoolKind.ENGINE, **bounds)},
+    )
