Keep the last engine of a phase in service during role changes

Cause: draining the only prefill engine refuses every request until it is back, and the gain did not count the goodput lost on the way.

Change: such a change is only a last resort of a repair; the goodput lost while the engine is away is taken off the gain.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/roles/policy.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/policy.py
@@ -5,10 +5,7 @@
 from enum import StrEnum
 
 from persimmonyoke.internal.presets.model import PoolKind, PoolPolicy, Preset
-from persimmonyoke.internal.roles.goodput import (
-    EngineRates,
-    GoodputModel,
-)
+from persimmonyoke.internal.roles.goodput import EngineRates, GoodputModel
 from persimmonyoke.internal.roles.mix import MixEstimate
 from persimmonyoke.internal.roles.split import Split
 from persimmonyoke.internal.upstreams.api import Role
@@ -146,8 +143,13 @@
         for change in possible_changes(state):
             if _fault(change.after, policy) > 0:
                 continue
+            # The last engine of a phase would take the whole pool out of service.
+            if not change.during.covers_both_phases:
+                continue
             outlook = _Outlook(model, change.after, mix)
             gain = outlook.gain_over(before, lost_s=change.lost_s)
+            during = model.goodput_engines(change.during, mix.fast)
+            gain -= change.lost_s * max(0.0, before.present - during)
             if gain < least_gain:
                 continue
             found_gain = True
@@ -167,7 +169,7 @@
     """Predict the goodput of one split for the present and for the long-run mix."""
 
     def __init__(self, model: GoodputModel, split: Split, mix: MixEstimate) -> None:
-        self._present = model.goodput_engines(split, mix.fast)
+        self.present = model.goodput_engines(split, mix.fast)
         self._long_run = sum(
             weight * model.goodput_engines(split, work)
             for weight, work in mix.long_run()
@@ -178,7 +180,7 @@
         """Return the engine-seconds gained; none before the change is complete."""
         present_s = max(0.0, self._present_s - lost_s)
         rest_s = max(0.0, HORIZON_S - self._present_s)
-        return present_s * (self._present - other._present) + rest_s * (
+        return present_s * (self.present - other.present) + rest_s * (
             self._long_run - other._long_run
         )
 
@@ -189,11 +191,15 @@
 
 @dataclass(frozen=True)
 class PossibleChange:
-    """Name a change of one role, its engine, its result and the time that it costs."""
+    """Name a change of one role, its engine, its result and the time that it costs.
+
+    ``during`` is what serves while the engine drains and changes.
+    """
 
     engine: str
     source: Role
     role: Role
+    during: Split
     after: Split
     lost_s: float
 
@@ -205,7 +211,10 @@
         engines = [engine for engine in state.engines if engine.role is source]
         costs = {engine.name: lost_s(engine, state.rates) for engine in engines}
         cheapest = min(costs, key=lambda name: (costs[name], name))
-        changes.append(PossibleChange(cheapest, source, target, after, costs[cheapest]))
+        during = state.split.without(source)
+        changes.append(
+            PossibleChange(cheapest, source, target, during, after, costs[cheapest])
+        )
     return changes
 
 
@@ -226,8 +235,16 @@
 
 
 def _repair_rank(change: PossibleChange, policy: PoolPolicy) -> tuple:
-    """Rank repairs by the fault left, then mixed roles, which serve any mix."""
-    return _fault(change.after, policy), change.role is not Role.MIXED, change.lost_s
+    """Rank repairs by the fault left, then by what serves on the way and after.
+
+    Mixed roles come first because they serve any mix.
+    """
+    return (
+        _fault(change.after, policy),
+        not change.during.covers_both_phases,
+        change.role is not Role.MIXED,
+        change.lost_s,
+    )
 
 
 def _fault(split: Split, policy: PoolPolicy) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/roles/tests/test_policy.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/tests/test_policy.py
@@ -99,6 +99,13 @@
         single = decide(pool_state(Split(0, 0, 1)), steady_mix(1.0, 0.8))
         self.assertEqual(single, KeepRoles(KeepReason.NO_BETTER_SPLIT))
 
+    def test_the_last_engine_of_a_phase_is_not_taken_out_of_service(self):
+        # While it drains and changes, the pool would refuse every request.
+        mix = steady_mix(2.0, 0.5)
+        self.assertIsInstance(decide(pool_state(Split(1, 1, 0)), mix), KeepRoles)
+        decision = decide(pool_state(Split(1, 4, 0)), steady_mix(4.0, 0.5))
+        self.assertTrue(decision.engine.startswith("decode"))
+
     def test_an_idle_pool_keeps_its_roles(self):
         # Noise of a few requests would otherwise move engines at night.
         decision = decide(pool_state(Split(2, 4, 0)), steady_mix(0.0, 0.5))
