Test the adapters of the nodes; see models and adapters that orders loaded

Entry nodes read an engine's state only at its start or at a change of role, so a model that an order had loaded was never routed to. The pollers now read the state at every fifth reading, and a request for an adapter goes only to engines that hold it. RolePlanner turns the decisions of a role policy into orders; ControllerNode takes the policy as decide_role and keeps the roles without one.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -4,6 +4,7 @@
 import secrets
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -32,6 +33,8 @@
     ChainedPlanner,
     DrainingPlanner,
     ModelPlanner,
+    RoleChange,
+    RolePlanner,
 )
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.platform import (
@@ -53,6 +56,11 @@
 from persimmonyoke.internal.upstreams.api import EngineClient, Upstream
 
 DEFAULT_LISTEN = "127.0.0.1:0"
+# Roles change over tens of seconds; reading less often halves the processor time.
+POLL_INTERVAL_S = 2.0
+RoleDecider = Callable[["ControllerNode", str, float], RoleChange | None]
+"""Say which role of a pool to change at a time, or ``None`` to keep the roles."""
+
 REPEAT_DRAIN_S = 2.0
 
 log = part_logger("controller")
@@ -76,10 +84,12 @@
         self,
         settings: Settings,
         *,
-        poll_interval_s: float = 1.0,
+        poll_interval_s: float = POLL_INTERVAL_S,
+        decide_role: RoleDecider | None = None,
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
+        self._decide_role = decide_role
         self.name = settings.process.name
         self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
         self._rng = rng or random.Random()
@@ -234,7 +244,14 @@
             client_of=self.fleet.clients.engine,
             weights=self._weights,
         )
-        return (models,)
+        decide_role = self._decide_role
+        if decide_role is None:
+            return (models,)
+        roles = RolePlanner(
+            decide=lambda now_s: decide_role(self, pool, now_s),
+            find=self.fleet.directory.find,
+        )
+        return (models, roles)
 
     def _staying(self, pool: str) -> tuple[Upstream, ...]:
         engines = self.fleet.directory.engines(pool, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
@@ -1,7 +1,7 @@
 """Router of delivery over the decisions of routing and the load view."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -45,7 +45,8 @@
 class EngineRouter:
     """Choose engines of the preset in force and account for their load.
 
-    ``is_draining`` says whether a controller has announced an order for an engine.
+    ``is_draining`` says whether a controller has announced an order for an engine;
+    ``adapters`` holds the adapters that each engine has loaded.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         availability_zone: str,
         region: str,
         is_draining: Callable[[str, float], bool],
+        adapters: Mapping[str, tuple[str, ...]],
         rng: Random,
     ) -> None:
         self._directory = directory
@@ -67,6 +69,7 @@
         self._zone = availability_zone
         self._region = region
         self._is_draining = is_draining
+        self._adapters = adapters
         self._rng = rng
         self.offered: dict[str, OfferedTokens] = {}
         self.no_route: Counter[str] = Counter()
@@ -79,9 +82,14 @@
                 return pool.name
         return None
 
-    def candidates(self, pool: str, now_s: float) -> tuple[Upstream, ...]:
-        """Return the engines of a pool that no controller is about to change."""
+    def candidates(
+        self, pool: str, adapter: str | None, now_s: float
+    ) -> tuple[Upstream, ...]:
+        """Return the engines with the adapter that no controller is about to change."""
         engines = self._directory.engines(pool, now_s)
+        if adapter is not None:
+            loaded = self._adapters
+            engines = tuple(e for e in engines if adapter in loaded.get(e.name, ()))
         open_engines = tuple(
             engine for engine in engines if not self._is_draining(engine.name, now_s)
         )
@@ -110,7 +118,7 @@
         )
         choice = choose_engine(
             request,
-            self.candidates(pool, now_s),
+            self.candidates(pool, query.adapter, now_s),
             self._load,
             self._prefixes,
             now_s=now_s,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -169,6 +169,7 @@
             availability_zone=process.availability_zone,
             region=process.region,
             is_draining=self.drains.is_draining,
+            adapters=fleet.adapters,
             rng=self._rng,
         )
         self.retry_budget = RetryBudget()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/fleet_view.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/fleet_view.py
@@ -47,6 +47,7 @@
         self.prefixes = PrefixIndex()
         self.clients = UpstreamClients()
         self.entries: tuple[HostEntry, ...] = ()
+        self.adapters: dict[str, tuple[str, ...]] = {}
         self._host_view = host_view
         self._port_offset = port_offset
         self._peers: PeerService | None = None
@@ -106,6 +107,9 @@
         self._announce_leaving(now_s)
         engines = self.engines(now_s)
         self._pollers.sync(engines)
+        names = {engine.name for engine in engines}
+        for name in self.adapters.keys() - names:
+            del self.adapters[name]
         self._on_list()
 
     def _announce_leaving(self, now_s: float) -> None:
@@ -131,6 +135,7 @@
 
     def _take_state(self, state: EngineState, now_s: float) -> None:
         self.directory.note_state(state)
+        self.adapters[state.name] = state.adapters
 
     def _take_cache_events(
         self, engine: Upstream, batch: CacheEventBatch, now_s: float
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from persimmonyoke.errors import PlatformUnavailable, ProtocolError
 from persimmonyoke.internal.authority.controller import OrderPlanner, PlannedOrder
@@ -14,6 +15,7 @@
     EngineClient,
     EngineFailure,
     EngineState,
+    Role,
     Upstream,
 )
 
@@ -132,6 +134,60 @@
                 yield "load_adapter", {"model": model.name, "adapter": adapter}, model
 
 
+class RoleChange(Protocol):
+    """Describe a decision to change a role; gain and cost are in engine-seconds."""
+
+    engine: str
+    role: Role
+    gain: float
+    cost: float
+
+
+class RolePlanner(OrderPlanner):
+    """Turn decisions of a role policy into orders.
+
+    ``decide(now_s)`` returns the change to begin now, or ``None`` to keep the roles.
+    ``find`` returns an engine by name.
+    """
+
+    def __init__(
+        self,
+        *,
+        decide: Callable[[float], RoleChange | None],
+        find: Callable[[str, float], Upstream | None],
+    ) -> None:
+        self._decide = decide
+        self._find = find
+        self._retry_at_s = 0.0
+
+    def plan(self, *, now_s: float) -> PlannedOrder | None:
+        """Return the order for the change that the policy wants now."""
+        if now_s < self._retry_at_s:
+            return None
+        change = self._decide(now_s)
+        if change is None:
+            return None
+        engine = self._find(change.engine, now_s)
+        if engine is None or engine.leaving or not engine.incarnation:
+            return None
+        return PlannedOrder(
+            engine=engine.name,
+            incarnation=engine.incarnation,
+            action="change_role",
+            arguments={"role": change.role.value},
+            reason=(
+                f"from {engine.role.value} to {change.role.value}: gain "
+                f"{change.gain:.1f}, cost {change.cost:.1f} engine-seconds"
+            ),
+        )
+
+    def note_outcome(self, planned: PlannedOrder, outcome: IssueOutcome) -> None:
+        """Wait before the next change after an engine refused one."""
+        if isinstance(outcome, OrderNotSent):
+            log.warning("role of {} not changed: {}", planned.engine, outcome.reason)
+            self._retry_at_s = time.monotonic() + RETRY_INTERVAL_S
+
+
 class ChainedPlanner(OrderPlanner):
     """Ask planners in turn; the first that has an order is told its outcome."""
 
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_claim_gate.py
@@ -0,0 +1,69 @@
+"""Tests of the gate that turns outcomes of claims into answers."""
+
+import unittest
+from unittest import mock
+
+from persimmonyoke.errors import ErrorKind, Ran
+from persimmonyoke.internal.delivery.api import (
+    GateGranted,
+    GateOutcomeUnknown,
+    GateRefused,
+    GateReplay,
+)
+from persimmonyoke.internal.node.claim_gate import ClaimServiceGate
+from persimmonyoke.internal.once import outcomes
+from persimmonyoke.internal.once.service import ClaimService
+from persimmonyoke.internal.upstreams.api import ServiceAnswer
+
+CLAIM = outcomes.Claim("w", "k", "0001", b"e", b"a", b"d")
+REFUSALS = (
+    (
+        outcomes.ClaimInProgress("entry-2"),
+        ErrorKind.CALL_IN_PROGRESS,
+        Ran.UNKNOWN,
+    ),
+    (outcomes.ClaimBodyMismatch(), ErrorKind.KEY_REUSED, Ran.NOT_RUN),
+    (outcomes.ClaimExpired(), ErrorKind.KEY_EXPIRED, Ran.UNKNOWN),
+    (
+        outcomes.ClaimStoreUnavailable("down"),
+        ErrorKind.STORE_UNAVAILABLE,
+        Ran.NOT_RUN,
+    ),
+    (
+        outcomes.ClaimRefused(ErrorKind.OVERLOADED, "full"),
+        ErrorKind.OVERLOADED,
+        Ran.NOT_RUN,
+    ),
+)
+
+
+class ClaimServiceGateTest(unittest.TestCase):
+    def setUp(self):
+        self.claims = mock.create_autospec(ClaimService, instance=True)
+        self.gate = ClaimServiceGate(self.claims)
+
+    def claim(self, outcome):
+        self.claims.claim.return_value = outcome
+        return self.gate.claim("w", "k", b"d", now_s=0.0)
+
+    def test_each_refusal_says_truthfully_whether_the_call_ran(self):
+        # A caller that is told not_run falsely sends a second van.
+        for outcome, kind, ran in REFUSALS:
+            with self.subTest(type(outcome).__name__):
+                refused = self.claim(outcome)
+                self.assertIsInstance(refused, GateRefused)
+                self.assertEqual((refused.kind, refused.ran), (kind, ran))
+
+    def test_grants_replays_and_unknown_outcomes_are_passed_on(self):
+        self.assertEqual(self.claim(outcomes.ClaimGranted(CLAIM)), GateGranted(CLAIM))
+        stored = outcomes.StoredAnswer.of(201, "text/plain", b"done")
+        answer = ServiceAnswer(201, {"Content-Type": "text/plain"}, b"done")
+        self.assertEqual(self.claim(outcomes.ClaimReplay(stored)), GateReplay(answer))
+        unknown = self.claim(outcomes.ClaimOutcomeUnknown("entry-2"))
+        self.assertEqual(unknown, GateOutcomeUnknown())
+
+    def test_an_answer_that_was_too_long_to_store_is_asked_of_the_replicas(self):
+        # An empty replay would look like the true answer.
+        stored = outcomes.StoredAnswer(201, "text/plain", None, b"digest")
+        outcome = self.claim(outcomes.ClaimReplay(stored))
+        self.assertEqual(outcome, GateOutcomeUnknown())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/pollers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/pollers.py
@@ -20,6 +20,9 @@
 
 POLL_INTERVAL_S = 1.0
 MAX_BACKOFF_S = 8.0
+# Readings between two of the state. Load reports don't name models, so a model that an
+# order has loaded shows in the state only.
+STATE_EVERY_READINGS = 5
 
 
 @dataclass(frozen=True)
@@ -40,8 +43,9 @@
 class EnginePoller:
     """Read one engine at an interval, and more rarely while it fails.
 
-    The state is read at the start, after each failure and whenever a report names
-    another incarnation or role, since only the state is free of lag.
+    The state is read at the start, after each failure, whenever a report names another
+    incarnation or role, since only the state is free of lag, and at every
+    ``STATE_EVERY_READINGS``-th reading.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         self._cache_incarnation = ""
         self._cache_lost = False
         self._state: EngineState | None = None
+        self._readings_until_state = 0
 
     def run(self) -> None:
         """Poll for ever; end the task by killing its greenlet."""
@@ -77,7 +82,8 @@
     def poll_once(self, now_s: float) -> bool:
         """Read state, load and cache events once; return whether this succeeded."""
         try:
-            if self._state is None:
+            self._readings_until_state -= 1
+            if self._state is None or self._readings_until_state <= 0:
                 self._read_state()
             self._read_load()
             self._read_cache_events()
@@ -105,6 +111,7 @@
 
     def _read_state(self) -> None:
         self._state = self._client.state()
+        self._readings_until_state = STATE_EVERY_READINGS
         if self._state.incarnation != self._cache_incarnation:
             # A new process numbers its events anew and starts with an empty cache.
             self._cache_lost = bool(self._cache_incarnation)
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
@@ -181,6 +181,43 @@
             controller._announce(self.firm.engine_pool)
 
 
+class ModelTest(unittest.TestCase):
+    def test_a_model_that_is_added_to_the_preset_is_loaded_and_served(self):
+        # Entry nodes that never read the models again would refuse it for good.
+        with Deployment("kente", nodes=1, controllers=1, time_scale=0.1) as deployment:
+            node, firm = deployment.entries[0], deployment.firm
+            old = '{ name = "kente-assist"'
+            text = firm.presets()["base"]
+            self.assertIn(old, text)
+            text = text.replace(old, f'{{ name = "kente-lite", version = "1" }}, {old}')
+            answer = call(
+                "POST",
+                f"{node.operators_url}/operators/changes",
+                key=firm.operator_token,
+                body={
+                    "action": "edit",
+                    "preset": "base",
+                    "text": text,
+                    "reason": "new model",
+                    "base_number": 1,
+                },
+            )
+            self.assertEqual(answer.status, 200, answer.body)
+            body = {"model": "kente-lite", "prompt": "x", "max_tokens": 3}
+
+            def is_served():
+                answer = call(
+                    "POST",
+                    f"{node.callers_url}/v1/completions",
+                    key=firm.workspace_key,
+                    body=body,
+                    headers={"Content-Type": "application/json"},
+                )
+                return answer.status == 200
+
+            deployment.wait_until(is_served, timeout_s=15.0)
+
+
 class FirmsTest(unittest.TestCase):
     def test_both_firms_serve_a_stream_and_their_service(self):
         for name, firm in FIRMS.items():
