--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
@@ -14,6 +14,8 @@
     TestOutcomeEvent,
 )
 
+from persimmonyoke.internal.invariants import MONITOR
+
 SLOW_TEST_S = 5.0
 KNOWN_RED_PATH = Path(__file__).resolve().parents[4] / "KNOWN-RED.txt"
 TEST_LINE_PREFIX = "test:"
@@ -64,7 +66,12 @@
         event.suite = kept
 
     def startTest(self, event: StartTestEvent) -> None:
-        """Note when the test started."""
+        """Note when the test started and forget the violations of earlier tests.
+
+        Tests of the invariants violate them on purpose; end-to-end tests assert that
+        none was violated.
+        """
+        MONITOR.violations.clear()
         self._started_s = time.monotonic()
 
     def stopTest(self, event: StopTestEvent) -> None:
