Leave the watch for silence to delivery alone

The engine client of the nodes kept a socket timeout for each event besides delivery's own watch, which cost a timer for each token.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/clients.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/clients.py
@@ -1,11 +1,16 @@
 """Clients of the upstreams, one for each address."""
 
+import math
 from collections.abc import Iterable
 
 from persimmonyoke.internal.upstreams.api import Upstream
 from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
 from persimmonyoke.internal.upstreams.service_client import HttpServiceClient
 
+# Delivery watches its streams for silence itself. A timeout of the socket would cost a
+# timer for each event.
+STREAM_IDLE_TIMEOUT_S = math.inf
+
 
 class UpstreamClients:
     """Keep a client with pooled connections for each upstream in use."""
@@ -19,11 +24,13 @@
         client = self._engines.get(upstream.address)
         if client is None:
             client = self._engines[upstream.address] = HttpEngineClient(
-                upstream.address
+                upstream.address, idle_timeout_s=STREAM_IDLE_TIMEOUT_S
             )
         if not fresh:
             return client
-        unpooled = HttpEngineClient(upstream.address, pooled=False)
+        unpooled = HttpEngineClient(
+            upstream.address, pooled=False, idle_timeout_s=STREAM_IDLE_TIMEOUT_S
+        )
         unpooled.incarnation = client.incarnation or upstream.incarnation
         return unpooled
 
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_whole_path.py
@@ -162,6 +162,17 @@
         offered = {f"http://{address}" for address in answer.json["addresses"]}
         self.assertEqual(offered, set(self.urls))
 
+    def test_the_offered_work_reaches_the_controller(self):
+        # Without it the controller can't see that the mix has changed.
+        controller = self.deployment.controllers[0]
+
+        def has_arrived():
+            CallerStream(self.urls[0], self.firm, prompt="o", max_tokens=2).read()
+            totals = controller.offered.totals(self.firm.engine_pool)
+            return totals.output_tokens > 0 and totals.prefill_tokens > 0
+
+        self.deployment.wait_until(has_arrived, timeout_s=10.0)
+
     def test_a_drained_engine_gets_no_new_work(self):
         # New work would have to wait for the role change, or delay it.
         node, controller = self.deployment.entries[0], self.deployment.controllers[0]
