--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -8,6 +8,7 @@
 # The help texts are here so that a list of the benches imports none of them.
 BENCHES: dict[str, str] = {
     "path": "Measure the time that an entry process adds to the engine's own.",
+    "control": "Measure the control cost of an entry and a controller process.",
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
