Wire claims, confirmations, retention and compressed revisions into the nodes

Cause: callers waited for the stored answer of a claimed call; an outcome found at a replica was not stored; the operator's answer never named a confirming peer; keep_s of the preset had no effect; peers got whole documents, and a node sent a revision back over the link that it came from; the store watch logged up to ten lines a second in an outage. Ruled out: deletion of claims by the preset's keep_s, since hosts with different revisions would disagree on which documents are complete; an extra heartbeat for each revision, since sequences would run ahead of the clock that a restarted host begins at. Change: the gate uses finish_later and learn_later; confirmations count peers whose heartbeats carry the number; keep_s of the preset bounds the accepted age of keys within a fixed time of deletion; peers get encode_stored and take both forms. Figures: a document of 400 workspaces takes less than a third of its bytes on a link (test); an outage of 1.5 s logs two lines.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/hosts.py
@@ -170,6 +170,15 @@
         """Return the newest beat of each host that was ever heard."""
         return tuple(info.beat for info in self._hosts.values() if info.beat)
 
+    def count_with_revision(self, number: int, *, excluding: str, now_s: float) -> int:
+        """Return how many hosts that are heard hold a revision or a later one."""
+        return sum(
+            beat.revision >= number
+            and beat.host != excluding
+            and not self.is_silent(beat.host, now_s)
+            for beat in self.beats()
+        )
+
     def _forget(self, now_s: float) -> None:
         for name, info in list(self._hosts.items()):
             quiet_s = FORGET_AFTER_S if info.heard_s is None else now_s - info.heard_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/membership/tests/test_hosts.py
@@ -47,6 +47,18 @@
         view.merge_host_list(leaving, 2.0)
         self.assertEqual(self.names(view, 2.0), ["host-0"])
 
+    def test_only_other_hosts_that_are_heard_confirm_a_revision(self):
+        # A revision held by this host alone, or by a dead peer, can still be lost.
+        view = heard_view(4)
+        for host, revision in enumerate((7, 6, 8, 7)):
+            beat_7 = beat(f"host-{host}", sequence=2, revision=revision)
+            view.note_heartbeat(beat_7, 9.0 if host < 3 else 4.0)
+
+        def count(number):
+            return view.count_with_revision(number, excluding="host-0", now_s=10.0)
+
+        self.assertEqual([count(number) for number in (6, 7, 9)], [2, 1, 0])
+
     def test_a_late_beat_of_an_earlier_incarnation_is_ignored(self):
         # Relayed beats may arrive after the host was replaced.
         view = heard_view(1)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
@@ -3,6 +3,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from persimmonyoke.errors import ErrorKind, Ran
 from persimmonyoke.internal.delivery.api import (
@@ -35,6 +36,15 @@
 log = part_logger("once")
 
 
+@dataclass(frozen=True)
+class _UnsettledKey:
+    """Name the key of an earlier call whose outcome a replica may know."""
+
+    workspace: str
+    key: str
+    body_digest: bytes
+
+
 class ClaimServiceGate:
     """Translate between delivery and the claim service."""
 
@@ -58,8 +68,12 @@
                 return GateGranted(claim)
             case ClaimReplay(answer):
                 return _replay(answer)
-            case ClaimOutcomeUnknown():
+            case ClaimOutcomeUnknown(""):
+                # Of an archived key the body is not known, so that what a replica
+                # knows may belong to a call with another body.
                 return GateOutcomeUnknown()
+            case ClaimOutcomeUnknown():
+                return GateOutcomeUnknown(_UnsettledKey(workspace, key, body_digest))
             case ClaimInProgress(host):
                 # Another attempt holds the key and may run the call at this moment.
                 return GateRefused(
@@ -88,13 +102,20 @@
                 return GateRefused(kind, reason)
 
     def finish(self, claim: object, answer: ServiceAnswer) -> None:
-        """Store the answer of a claimed call."""
-        if not isinstance(claim, Claim):
-            return
+        """Store the answer of a claimed call, or an outcome found at a replica.
+
+        The caller's answer does not wait for the store: the committed claim alone
+        keeps the call from running again.
+        """
         types = (v for n, v in answer.headers.items() if n.lower() == "content-type")
         stored = StoredAnswer.of(answer.status, next(types, ""), answer.body)
-        if not self._claims.finish(claim, stored):
-            log.warning("answer of key {!r} is not stored yet", claim.key)
+        match claim:
+            case Claim():
+                self._claims.finish_later(claim, stored)
+            case _UnsettledKey(workspace, key, body_digest):
+                self._claims.learn_later(
+                    workspace, key, body_digest, stored, now_unix_s=self._unix_clock()
+                )
 
     def release(self, claim: object) -> None:
         """Give up a claim whose call did not run."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/configuration.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/configuration.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 
 import gevent
 
@@ -13,10 +14,13 @@
     ConfigurationView,
     Preset,
     Revision,
-    decode_revision,
-    encode_revision,
     follow_revisions,
 )
+from persimmonyoke.internal.presets.stored_form import (
+    decode_stored,
+    encode_stored,
+    header_of,
+)
 
 log = part_logger("node")
 
@@ -30,6 +34,7 @@
         self._store = store
         self._view = view
         self._firm = firm
+        self._from_peers: Counter[int] = Counter()
         self._stop = threading.Event()
         self._follower: gevent.Greenlet | None = None
 
@@ -37,7 +42,10 @@
         """Follow the store and spread each revision that is new here."""
 
         def publish(revision: Revision, preset: Preset) -> None:
-            peers.publish_revision(revision.number, encode_revision(revision))
+            # What a peer sent is passed on by the peer service, which leaves out the
+            # link it came from; publishing it here would send it back.
+            if revision.number not in self._from_peers:
+                peers.publish_revision(revision.number, _peer_form(revision))
 
         self._view.subscribe(publish)
         if self._view.revision is not None:
@@ -60,12 +68,29 @@
     def take_from_peer(self, number: int, payload: bytes) -> bool:
         """Offer a peer's revision to the view; return whether it is in force."""
         try:
-            revision = decode_revision(payload)
+            revision = decode_stored(payload).revision
         except ProtocolError as error:
             log.error("a peer sent an invalid revision {}: {}", number, error)
             return False
+        if revision is None:
+            log.error("a peer sent revision {} without its document", number)
+            return False
         if revision.number != number or revision.firm != self._firm:
             log.error("a peer sent revision {} under a wrong name", number)
             return False
-        self._view.offer(revision, now_s=time.monotonic())
+        self._from_peers[number] += 1
+        try:
+            self._view.offer(revision, now_s=time.monotonic())
+        finally:
+            self._from_peers[number] -= 1
+            if not self._from_peers[number]:
+                del self._from_peers[number]
         return self._view.number >= number
+
+
+def _peer_form(revision: Revision) -> bytes:
+    """Return the compressed form, about a quarter of the bytes of the document.
+
+    Its header leaves out the difference, which only the history in the store shows.
+    """
+    return encode_stored(revision, header_of(revision, revision))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -229,6 +229,9 @@
             hosts=self._host_revisions,
             audit_sources=(ConfigurationAudit(revisions), orders),
             extra_status=self._extra_status,
+            confirmations=lambda number: self.host_view.count_with_revision(
+                number, excluding=self.name, now_s=time.monotonic()
+            ),
         )
         app = operators_app(backend, token_digest=settings.operators.token_digest)
         self.operators = OperatorServer(
@@ -371,6 +374,10 @@
         self.fleet.take_preset(revision, preset)
         self.retry_budget.share = preset.retry.budget_share
         self.suspects.hold_s = preset.quarantine_hold_s
+        self.claims.accepted_age_s = preset.once_keep_s
+        if self.claims.accepted_age_s < preset.once_keep_s:
+            limit_s = self.claims.accepted_age_s
+            log.warning("keep_s of [once] is limited to {:g} s", limit_s)
         self.admission.refresh()
 
     def _take_roles(self, host: str, message: Roles) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_claim_gate.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_claim_gate.py
@@ -60,6 +60,25 @@
         answer = ServiceAnswer(201, {"Content-Type": "text/plain"}, b"done")
         self.assertEqual(self.claim(outcomes.ClaimReplay(stored)), GateReplay(answer))
         unknown = self.claim(outcomes.ClaimOutcomeUnknown("entry-2"))
+        self.assertIsInstance(unknown, GateOutcomeUnknown)
+
+    def test_the_caller_does_not_wait_until_an_answer_or_outcome_is_stored(self):
+        # With the store down each answer would come seconds late.
+        answer = ServiceAnswer(201, {"content-type": "text/plain"}, b"done")
+        stored = outcomes.StoredAnswer.of(201, "text/plain", b"done")
+        self.gate.finish(CLAIM, answer)
+        self.claims.finish_later.assert_called_once_with(CLAIM, stored)
+        unknown = self.claim(outcomes.ClaimOutcomeUnknown("entry-2"))
+        self.gate.finish(unknown.claim, answer)
+        self.claims.learn_later.assert_called_once_with(
+            "w", "k", b"d", stored, now_unix_s=mock.ANY
+        )
+        self.claims.finish.assert_not_called()
+        self.claims.learn.assert_not_called()
+
+    def test_nothing_is_learnt_for_an_archived_key(self):
+        # The outcome of another body would be stored under this one.
+        unknown = self.claim(outcomes.ClaimOutcomeUnknown(""))
         self.assertEqual(unknown, GateOutcomeUnknown())
 
     def test_an_answer_that_was_too_long_to_store_is_asked_of_the_replicas(self):
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_configuration.py
@@ -0,0 +1,60 @@
+"""Tests of the exchange of revisions between a node's view and its peers."""
+
+import time
+import unittest
+from unittest import mock
+
+from persimmonyoke.internal.membership.peers import PeerService
+from persimmonyoke.internal.node.configuration import ConfigurationKeeper
+from persimmonyoke.internal.presets import ConfigurationView, encode_revision
+from persimmonyoke_testing.builders_presets import (
+    FIRM,
+    build_revision,
+    large_preset_text,
+)
+from persimmonyoke_testing.memory_store import MemoryStore
+
+
+class ConfigurationKeeperTest(unittest.TestCase):
+    def setUp(self):
+        self.view = ConfigurationView()
+        self.keeper = ConfigurationKeeper(MemoryStore(), self.view, firm=FIRM)
+        self.addCleanup(self.keeper.stop)
+        self.peers = mock.create_autospec(PeerService, instance=True)
+        self.keeper.start(self.peers)
+
+    def published(self):
+        calls = self.peers.publish_revision.call_args_list
+        return [call.args for call in calls]
+
+    def offer(self, revision):
+        self.assertTrue(self.view.offer(revision, now_s=time.monotonic()))
+
+    def test_peers_get_a_quarter_of_the_document_and_can_read_it(self):
+        # Whole documents alone took more bytes than a node may use.
+        presets = {"base": large_preset_text(400)}
+        revision = build_revision(3, presets=presets, active="base")
+        self.offer(revision)
+        ((number, payload),) = self.published()
+        self.assertLess(len(payload), len(encode_revision(revision)) / 3)
+        other = ConfigurationView()
+        keeper = ConfigurationKeeper(MemoryStore(), other, firm=FIRM)
+        self.assertTrue(keeper.take_from_peer(number, payload))
+        self.assertEqual(other.revision, revision)
+
+    def test_a_revision_of_a_peer_is_not_published_a_second_time(self):
+        # It would go back over the link that it came from.
+        self.offer(build_revision(1))
+        ((_, payload),) = self.published()
+        other = ConfigurationView()
+        keeper = ConfigurationKeeper(MemoryStore(), other, firm=FIRM)
+        peers = mock.create_autospec(PeerService, instance=True)
+        keeper.start(peers)
+        self.addCleanup(keeper.stop)
+        self.assertTrue(keeper.take_from_peer(1, payload))
+        peers.publish_revision.assert_not_called()
+
+    def test_a_header_without_its_document_is_not_taken(self):
+        # A node would be counted among those that have the revision in force.
+        self.assertFalse(self.keeper.take_from_peer(1, b"PYR\x02H\x00\x00\x00\x00"))
+        self.assertEqual(self.view.number, 0)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -101,12 +101,25 @@
         self._is_dead = is_dead
         self._forwarder = forwarder
         self._settings = settings or ClaimSettings()
+        self._accepted_age_s = self._settings.keep_s
         self._clock = clock
         self._unix_clock = unix_clock
         self._writers: dict[str, ShardWriter] = {}
         self._held: OrderedDict[bytes, _Held] = OrderedDict()
         self._tasks = Group()
 
+    @property
+    def accepted_age_s(self) -> float:
+        """Return the age from which UUIDv7 keys are refused as expired."""
+        return self._accepted_age_s
+
+    @accepted_age_s.setter
+    def accepted_age_s(self, age_s: float) -> None:
+        # Deletion goes by keep_s, which is the same on all hosts. If it followed the
+        # preset, a host that has the new preset could delete a document that another
+        # host, or a later preset, still takes for complete.
+        self._accepted_age_s = min(age_s, self._settings.keep_s)
+
     # Operations of this host's calls
 
     def claim(
@@ -115,7 +128,7 @@
         """Claim the right to run a call; dispatch it only if this is granted."""
         placement = place(workspace, key)
         key_unix_s = placement.key_unix_s
-        if key_unix_s is not None and key_unix_s < now_unix_s - self._settings.keep_s:
+        if key_unix_s is not None and key_unix_s < now_unix_s - self._accepted_age_s:
             return ClaimExpired()
         if key_unix_s is not None and key_unix_s > now_unix_s + MAX_KEY_AHEAD_S:
             reason = f"the key's time is over {MAX_KEY_AHEAD_S:g} s ahead"
@@ -177,6 +190,20 @@
         """Store the answer of a call that ran without waiting for the store."""
         self._tasks.spawn(self.finish, claim, answer, is_urgent=False)
 
+    def learn_later(
+        self,
+        workspace: str,
+        key: str,
+        body_digest: bytes,
+        answer: StoredAnswer,
+        *,
+        now_unix_s: float,
+    ) -> None:
+        """Store an outcome found at the upstream without waiting for the store."""
+        self._tasks.spawn(
+            self.learn, workspace, key, body_digest, answer, now_unix_s=now_unix_s
+        )
+
     def learn(
         self,
         workspace: str,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -209,6 +209,19 @@
         ahead = self.claim(key=uuid7(time.time() + 3600, rng))
         self.assertEqual(ahead.kind, ErrorKind.INVALID_VALUE)
 
+    def test_the_accepted_age_changes_without_a_gap_in_what_is_kept(self):
+        # A document deleted by a shorter age would let a used key run again.
+        old = uuid7(time.time() - QUICK.keep_s / 2, random.Random(SEED))
+        granted = self.claim(key=old)
+        self.assertTrue(self.service().finish(granted.claim, ANSWER))
+        self.service().accepted_age_s = QUICK.keep_s / 4
+        self.assertEqual(self.claim(key=old), once.ClaimExpired())
+        late_unix_s = time.time() + QUICK.keep_s / 2 - 1
+        self.assertEqual(self.service().sweep(now_unix_s=late_unix_s), 0)
+        self.service().accepted_age_s = 10 * QUICK.keep_s
+        self.assertEqual(self.service().accepted_age_s, QUICK.keep_s)
+        self.assertEqual(self.claim(key=old), once.ClaimReplay(ANSWER))
+
     def test_a_full_shard_refuses_new_claims_but_stores_answers(self):
         # The key-value service refuses values over 1 MB, also for answers.
         settings = ClaimSettings(**{**vars(QUICK), "shard_limit_bytes": 3_000})
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
@@ -1,7 +1,9 @@
 """Watch of the etcd v3 JSON gateway: one stream of JSON lines, reopened as needed."""
 
 import json
+import math
 import random
+import time
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from threading import Event, Thread
@@ -40,6 +42,9 @@
 CLOSER_CHECK_S = 1.0
 MAX_LINE_BYTES = 64 * 1024 * 1024
 
+MIN_LOG_PAUSE_S = 10.0
+"""In an outage the watch fails up to ten times a second; the log names some of them."""
+
 log = part_logger("platform")
 
 
@@ -68,6 +73,9 @@
         self._rng = rng or random.Random()
         self._response: urllib3.BaseHTTPResponse | None = None
         self._ended = False
+        self._logged_s = -math.inf
+        self._unlogged_failures = 0
+        self._is_outage_logged = False
 
     def run(self, stop: Event) -> None:
         """Open stream after stream until ``stop`` is set."""
@@ -88,9 +96,29 @@
                 if stop.is_set():
                     return
                 failures += 1
-                log.warning("watch of {} failed: {}", self._prefix, error)
+                self._log_failure(error)
                 stop.wait(self._backoff_s(failures))
 
+    def _log_failure(self, error: Exception) -> None:
+        now_s = time.monotonic()
+        if now_s - self._logged_s < MIN_LOG_PAUSE_S:
+            self._unlogged_failures += 1
+            return
+        self._logged_s = now_s
+        self._is_outage_logged = True
+        skipped, self._unlogged_failures = self._unlogged_failures, 0
+        log.warning(
+            "watch of {} failed: {} ({} more failures since the last line)",
+            self._prefix,
+            error,
+            skipped,
+        )
+
+    def _log_success(self) -> None:
+        if self._is_outage_logged:
+            self._is_outage_logged = False
+            log.info("watch of {} works again", self._prefix)
+
     def _backoff_s(self, failures: int) -> float:
         ceiling_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** min(failures, 10))
         return self._rng.uniform(MIN_BACKOFF_S, ceiling_s)
@@ -159,6 +187,7 @@
             return True
         if result.get("canceled"):
             raise ProtocolError(f"watch cancelled: {result.get('cancel_reason', '')}")
+        self._log_success()
         for fields in etcd_json.messages(result.get("events"), "events"):
             event = etcd_json.watch_event(fields)
             # Events that an earlier stream has delivered are not reported twice.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
@@ -4,6 +4,8 @@
 import time
 import unittest
 
+from loguru import logger
+
 from persimmonyoke.errors import StoreUnavailable
 from persimmonyoke.internal.platform import (
     MAX_VALUE_BYTES,
@@ -287,6 +289,24 @@
         writer.compare_and_swap("/p/b", b"2", expected_revision=0)
         wait_until(lambda: watch.values() == [b"1", b"2"], timeout_s=3 * WATCH_IDLE_S)
 
+    def test_an_outage_logs_one_failure_and_one_end_of_the_watch(self):
+        # Ten lines a second from each host hide what else the log says.
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record["message"]))
+        self.addCleanup(logger.remove, sink)
+        watch = WatchRecorder(self.store)
+        self.addCleanup(watch.close)
+        self.write("/p/a", b"1")
+        wait_until(lambda: watch.values() == [b"1"])
+        self.set_down(True)
+        time.sleep(1.5)
+        self.set_down(False)
+        self.write("/p/b", b"2")
+        wait_until(lambda: watch.values() == [b"1", b"2"])
+        told = [line for line in lines if line.startswith("watch of")]
+        self.assertEqual(len(told), 2, told)
+        self.assertIn("works again", told[-1])
+
     def test_idle_connections_that_stalled_together_cost_one_timeout(self):
         # One timeout for each of them could outlast the lease of an authority.
         tasks = [
