Add the matrix of faults for claims, configuration and streams

Cause: the invariants were shown by tests of single failures only; no run covers each fault at each step of a protocol. Change: bench faults with real entry processes and hooked stand-ins.

--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -0,0 +1,105 @@
+"""Bench of the invariants under faults at each step of each protocol."""
+
+import sys
+import time
+from dataclasses import dataclass, field
+
+import gevent
+
+from persimmonyoke.internal.observability import configure_logging
+from persimmonyoke_cli.bench import (
+    faults_claims,
+    faults_configuration,
+    faults_streams,
+)
+from persimmonyoke_cli.bench.faults_matrix import Matrix, run_cells
+from persimmonyoke_cli.bench.faults_world import World
+from persimmonyoke_cli.bench.framework import Bench, BenchOptions, BenchResult, Target
+from persimmonyoke_testing.platform_fleet import FleetOptions
+
+SECONDS_PER_MINUTE = 60.0
+WORLD_STOP_S = 5.0
+TARGETS = {
+    "violations": Target("==", 0.0),
+    "configuration_in_force_p99_s": Target("<=", 2.0),
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class FaultsOptions(BenchOptions):
+    """Options of the bench."""
+
+    minutes: float = field(default=4.0, metadata={"help": "minutes of the whole bench"})
+    only: str = field(default="", metadata={"help": "protocol to run alone"})
+
+
+def run(options: FaultsOptions) -> BenchResult:
+    """Run the matrix and return its figures."""
+    configure_logging(level="CRITICAL")
+    end_s = time.monotonic() + options.minutes * SECONDS_PER_MINUTE - WORLD_STOP_S
+    matrix = Matrix()
+    parts = {
+        "claims": _claims,
+        "configuration": _configuration,
+        "streams": _streams,
+    }
+    chosen = [options.only] if options.only else list(parts)
+    for module in (faults_claims, faults_configuration, faults_streams):
+        module.exclude(matrix)
+    tasks = [gevent.spawn(parts[name], matrix, options.seed, end_s) for name in chosen]
+    gevent.joinall(tasks, raise_error=True)
+    print(matrix.table(), file=sys.stderr)
+    return BenchResult(figures(matrix), TARGETS)
+
+
+def _claims(matrix: Matrix, seed: int, end_s: float) -> None:
+    with World(entries=3) as world:
+        _run(matrix, faults_claims, world, seed, end_s)
+
+
+def _configuration(matrix: Matrix, seed: int, end_s: float) -> None:
+    with World(entries=7) as world:
+        _run(matrix, faults_configuration, world, seed, end_s)
+
+
+def _streams(matrix: Matrix, seed: int, end_s: float) -> None:
+    # A fifth of the cache events is lost and load reports are 2 s late throughout.
+    fleet = FleetOptions(cache_event_loss=0.2, timing_changes={"load_lag_s": 2.0})
+    with World(entries=3, fleet=fleet) as world:
+        _run(matrix, faults_streams, world, seed, end_s)
+
+
+def _run(matrix: Matrix, module, world: World, seed: int, end_s: float) -> None:
+    run_cells(
+        module.cells(world),
+        matrix,
+        seed=seed,
+        end_s=end_s,
+        longest_run_s=module.LONGEST_RUN_S,
+    )
+
+
+def figures(matrix: Matrix) -> dict[str, float]:
+    """Return the figures of each cell that ran, and the sums."""
+    found = {
+        "violations": float(matrix.violations()),
+        "cells_run": float(sum(r.runs > 0 for r in matrix.results.values())),
+        "cells_not_run": float(len(matrix.not_run())),
+    }
+    in_force_s = matrix.percentile_s("configuration", 0.99)
+    if in_force_s is not None:
+        found["configuration_in_force_p99_s"] = in_force_s
+    for cell, result in matrix.results.items():
+        name = f"{cell.protocol}.{cell.step}.{cell.fault.value.replace(' ', '_')}"
+        found[f"{name}.runs"] = float(result.runs)
+        found[f"{name}.violations"] = float(result.violations)
+        found[f"{name}.longest_s"] = result.longest_s
+    return found
+
+
+BENCH: Bench = Bench(
+    "faults",
+    "Inject faults at each step of each protocol and check the invariants.",
+    run,
+    FaultsOptions,
+)
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -0,0 +1,250 @@
+"""Faults at the steps of calls that run at most once."""
+
+import random
+import time
+import uuid
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import gevent
+from urllib3.exceptions import HTTPError
+
+from persimmonyoke_cli.bench.faults_configuration import choose
+from persimmonyoke_cli.bench.faults_matrix import (
+    Cell,
+    Fault,
+    Matrix,
+    Outcome,
+    RunCell,
+)
+from persimmonyoke_cli.bench.faults_world import World
+from persimmonyoke_testing.builders_deployment import CallAnswer, call_service
+
+SETTLE_TIMEOUT_S = 20.0
+RESEND_S = 0.1
+STORE_FAULT_S = 1.0
+LONGEST_RUN_S = 30.0
+HOST_DEATH_PAUSES_S = (1.0, 4.5)
+"""Pauses shorter and longer than the silence after which peers leave a host out."""
+
+PROTOCOL = "claims"
+ORDER = (
+    Fault.KILL,
+    Fault.PAUSE,
+    Fault.STORE_DOWN,
+    Fault.ANSWER_LOST,
+    Fault.PARTITION,
+    Fault.SILENT_CONNECTION,
+    Fault.ENGINE_CRASH,
+    Fault.STORE_SLOW,
+    Fault.HOST_LIST_LATE,
+    Fault.OPERATORS_RACING,
+    Fault.CRASHING_REQUEST,
+)
+
+
+def exclude(matrix: Matrix) -> None:
+    """Note the cells that can't occur."""
+    steps = ("dispatch", "answer")
+    matrix.exclude(PROTOCOL, Fault.ANSWER_LOST, "writes nothing", steps=steps)
+    matrix.exclude(
+        PROTOCOL,
+        Fault.CRASHING_REQUEST,
+        "the service has not got the call, or has run it",
+        steps=("claim", "answer", "settle"),
+    )
+    matrix.exclude(PROTOCOL, Fault.LEASE_LAPSE, "claims hold no lease")
+    matrix.exclude(PROTOCOL, Fault.LOAD_LATE, "services report no load to claims")
+    matrix.exclude(PROTOCOL, Fault.CACHE_EVENTS_LOST, "services have no prefix cache")
+    matrix.exclude(PROTOCOL, Fault.CRASH_IN_CHANGE, "services have no roles")
+
+
+@dataclass
+class ClaimRun:
+    """Make one call, inject a fault at a step and resend until it is settled."""
+
+    world: World
+    step: str
+    act: Callable[["ClaimRun"], None]
+    rng: random.Random
+    key: str = ""
+    first: str = ""
+    before: bool = False
+    resent: bool = False
+    fired_s: float = 0.0
+    ran: bool = False
+    problems: list[str] = field(default_factory=list)
+    bodies: set[bytes] = field(default_factory=set)
+
+    def run(self) -> Outcome:
+        """Return what the run showed."""
+        world, names = self.world, self.world.entries()
+        self.key = str(uuid.UUID(int=self.rng.getrandbits(128), version=4))
+        self.first = self.rng.choice(names)
+        self.before = self.rng.random() < 0.5
+        world.listener = self._listen
+        try:
+            first = gevent.spawn(self._call, self.first)
+            while not self.fired_s and not first.ready():
+                gevent.sleep(0.01)
+            if self.fired_s:
+                gevent.sleep(self.rng.uniform(0.1, STORE_FAULT_S))
+            world.heal()
+            # Peers take a silent host for dead only when its successor or the host
+            # list says so; until then its calls count as in progress.
+            world.start_ended()
+            healed_s = time.monotonic()
+            others = [name for name in names if name != self.first]
+            settled = self._resend(self.rng.choice(others), healed_s)
+            first.join(timeout=SETTLE_TIMEOUT_S)
+            if not first.ready():
+                self.problems.append("the first call never ended")
+        finally:
+            world.listener = None
+            world.heal()
+        self._check_runs()
+        world.restart_ended()
+        gevent.sleep(0.1)
+        self.problems += world.violations()
+        return Outcome(tuple(self.problems), settled, missed=not self.fired_s)
+
+    def _listen(self, point: str, detail: str) -> None:
+        if point == "dispatch":
+            self.ran = True
+        if self.fired_s or not self._reached(point, detail):
+            return
+        self.fired_s = time.monotonic()
+        self.act(self)
+
+    def _reached(self, point: str, detail: str) -> bool:
+        if self.step in ("dispatch", "answer"):
+            return point == self.step
+        if "/claims/" not in detail or self.ran != (self.step == "settle"):
+            return False
+        return point == ("write" if self.before else "written")
+
+    def _call(self, name: str) -> CallAnswer | None:
+        runs = self.world.platform.service_record.runs_by_key
+        try:
+            answer = call_service(
+                self.world.url(name), self.world.firm, key=self.key, body={"n": 1}
+            )
+        except (HTTPError, OSError):
+            return None
+        if answer.status == 201:
+            self.bodies.add(answer.body)
+        elif answer.json["error"]["ran"] == "not_run" and name == self.first:
+            code = answer.json["error"]["code"]
+            # Another host may run the call of a resend, so only the first call's
+            # claim of not having run is checked, against the incoming dispatches.
+            if runs[self.key] and not self.resent:
+                self.problems.append(f"false not_run with {code}")
+        return answer
+
+    def _resend(self, name: str, healed_s: float) -> float:
+        """Resend until the answer is final; return the seconds that took."""
+        end_s = time.monotonic() + SETTLE_TIMEOUT_S
+        self.resent = True
+        last = "no answer"
+        while time.monotonic() < end_s:
+            answer = self._call(name)
+            if answer is not None:
+                code = "" if answer.status == 201 else answer.json["error"]["code"]
+                last = f"{answer.status} {code}"
+                if answer.status == 201 or code in ("outcome_unknown", "quarantined"):
+                    return time.monotonic() - healed_s
+            gevent.sleep(RESEND_S)
+        self.problems.append(f"not settled after {SETTLE_TIMEOUT_S:g} s: {last}")
+        return SETTLE_TIMEOUT_S
+
+    def _check_runs(self) -> None:
+        runs = self.world.platform.service_record.runs_by_key[self.key]
+        if runs > 1:
+            self.problems.append(f"ran {runs} times")
+        if len(self.bodies) > 1:
+            self.problems.append("two different answers")
+        if self.bodies and not runs:
+            self.problems.append("an answer without a run")
+
+
+def _pause(run: ClaimRun) -> None:
+    run.world.pause(run.first, run.rng.choice(HOST_DEATH_PAUSES_S))
+
+
+def _racing(run: ClaimRun) -> None:
+    for name in run.world.entries()[:2]:
+        gevent.spawn(_propose, run.world, name)
+
+
+def _propose(world: World, name: str) -> None:
+    log = world.platform.revisions()
+    newest = log.newest()
+    preset = "peak" if newest.active == "ordinary" else "ordinary"
+    choose(world, name, preset, base_number=newest.number, reason="race")
+
+
+def _host_list_late(run: ClaimRun) -> None:
+    host_list, services = run.world.platform.host_list, run.world.platform.services
+    host_list.lag_s = 5.0
+    run.rng.choice(services).stop()
+
+
+def _store_down(run: ClaimRun) -> None:
+    # From another task, since the stand-in ends the task of this call too.
+    gevent.spawn(run.world.platform.key_value.set_down, True)
+    gevent.sleep(0.01)
+
+
+def _crash(run: ClaimRun) -> None:
+    for service in run.world.platform.services:
+        if service.running:
+            gevent.spawn(service.crash)
+    gevent.sleep(0.01)
+
+
+def _silence(run: ClaimRun) -> None:
+    if run.step in ("dispatch", "answer"):
+        for service in run.world.platform.services:
+            service.silence_open_connections()
+    else:
+        run.world.platform.key_value.stall_open_connections()
+
+
+ACTIONS: Mapping[Fault, Callable[[ClaimRun], None]] = {
+    Fault.KILL: lambda run: run.world.kill(run.first),
+    Fault.PAUSE: _pause,
+    Fault.PARTITION: lambda run: run.world.relays[run.first].partition(),
+    Fault.SILENT_CONNECTION: _silence,
+    Fault.STORE_DOWN: _store_down,
+    Fault.STORE_SLOW: lambda run: setattr(
+        run.world.platform.key_value.faults, "slow_s", run.rng.choice((0.3, 3.0))
+    ),
+    Fault.ANSWER_LOST: lambda run: setattr(
+        run.world.platform.key_value.faults, "lose_answers", 1
+    ),
+    Fault.HOST_LIST_LATE: _host_list_late,
+    Fault.ENGINE_CRASH: _crash,
+    Fault.OPERATORS_RACING: _racing,
+    Fault.CRASHING_REQUEST: _crash,
+}
+
+
+def cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells, the most important ones first."""
+    matrix = Matrix()
+    exclude(matrix)
+    found = {}
+    for fault in ORDER:
+        for step in ("claim", "dispatch", "answer", "settle"):
+            cell = Cell(PROTOCOL, step, fault)
+            if cell not in matrix.reasons:
+                found[cell] = _runner(world, step, fault)
+    return found
+
+
+def _runner(world: World, step: str, fault: Fault) -> RunCell:
+    def run(rng: random.Random) -> Outcome:
+        world.platform.host_list.lag_s = 0.0
+        return ClaimRun(world, step, ACTIONS[fault], rng).run()
+
+    return run
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
@@ -0,0 +1,221 @@
+"""Processes of one firm around hooked stand-ins, for the matrix of faults."""
+
+import re
+import signal
+import tempfile
+import tomllib
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+import gevent
+import tomli_w
+from urllib3.exceptions import HTTPError
+
+from persimmonyoke.internal.platform.etcd_json import decode_bytes
+from persimmonyoke_cli.bench.faults_relay import Relay
+from persimmonyoke_testing.builders_deployment import NodeProcess, call, wait_healthy
+from persimmonyoke_testing.deployment import Deployment
+from persimmonyoke_testing.platform_fleet import FleetOptions
+
+VIOLATION = re.compile(
+    r'^persimmonyoke_invariant_violations_total\{.*invariant="(\w+)".*\} (\S+)', re.M
+)
+Listener = Callable[[str, str], None]
+
+
+class World:
+    """Run entry processes, controllers and hooked stand-ins of one firm.
+
+    ``listener`` is called at each hooked interface with the name of a point and a
+    detail (a key, a path or an engine). It may end or stop a process right there.
+    """
+
+    def __init__(
+        self,
+        firm: str = "kente",
+        *,
+        entries: int = 3,
+        controllers: int = 0,
+        lease_s: float = 2.0,
+        fleet: FleetOptions | None = None,
+        shutdown: dict[str, float] | None = None,
+    ) -> None:
+        self.deployment = Deployment(
+            firm,
+            nodes=0,
+            controllers=0,
+            lease_s=lease_s,
+            order_deadline_s=0.5,
+            fleet=fleet,
+            shutdown=shutdown,
+        )
+        self.firm = self.deployment.firm
+        self.platform = self.deployment.platform
+        self.listener: Listener | None = None
+        self.processes: dict[str, NodeProcess] = {}
+        self.relays: dict[str, Relay] = {}
+        self._counts = (entries, controllers)
+        self._files: dict[str, tuple[str, Path]] = {}
+        self._folder = tempfile.TemporaryDirectory()
+
+    def __enter__(self) -> "World":
+        self.deployment.start()
+        self._hook_store()
+        self._hook_services()
+        entries, controllers = self.deployment.write_settings(
+            Path(self._folder.name),
+            entries=self._counts[0],
+            controllers=self._counts[1],
+        )
+        for role, files in (("entry", entries), ("controller", controllers)):
+            for path in files:
+                self._place_relay(path)
+                self._files[path.stem] = (role, path)
+                self.start(path.stem)
+        wait_healthy(self.urls())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes.values():
+            process.end()
+        for relay in self.relays.values():
+            relay.close()
+        self.deployment.stop()
+        self._folder.cleanup()
+
+    def _place_relay(self, path: Path) -> None:
+        """Lead the process to the store through a relay of its own."""
+        values = tomllib.loads(path.read_text(encoding="utf-8"))
+        target = values["platform"]["key_value"].removeprefix("http://")
+        relay = Relay(target)
+        values["platform"]["key_value"] = f"http://{relay.address}"
+        path.write_text(tomli_w.dumps(values), encoding="utf-8")
+        self.relays[path.stem] = relay
+
+    # Hooks
+
+    def notify(self, point: str, detail: str) -> None:
+        """Tell the listener that a point was reached."""
+        if self.listener is not None:
+            self.listener(point, detail)
+
+    def _hook_store(self) -> None:
+        standin = self.platform.key_value
+        original_txn, original_keep = standin._txn, standin.state.keep_alive
+
+        def txn(body):
+            operations = body.get("success", ())
+            keys = [o["request_put"]["key"] for o in operations if "request_put" in o]
+            names = [decode_bytes(key).decode() for key in keys]
+            for name in names:
+                self.notify("write", name)
+            answer = original_txn(body)
+            for name in names:
+                self.notify("written", name)
+            return answer
+
+        def keep_alive(lease_id):
+            self.notify("renew", str(lease_id))
+            return original_keep(lease_id)
+
+        standin._txn = txn
+        standin.state.keep_alive = keep_alive
+
+    def _hook_services(self) -> None:
+        for service in self.platform.services:
+            self._hook_service(service)
+
+    def _hook_service(self, service) -> None:
+        original = service._run
+
+        def run(environ, body):
+            self.notify("dispatch", service.name)
+            outcome = original(environ, body)
+            self.notify("answer", service.name)
+            return outcome
+
+        service._run = run
+
+    # Processes
+
+    def url(self, name: str) -> str:
+        """Return the base URL for callers of a host."""
+        return f"http://{self.platform.host_list.address_of(name)}"
+
+    def operators_url(self, name: str) -> str:
+        """Return the base URL for operators of a host."""
+        values = tomllib.loads(self._files[name][1].read_text(encoding="utf-8"))
+        return f"http://{values['listen']['operators']}"
+
+    def entries(self) -> list[str]:
+        """Return the names of the entry hosts."""
+        return [name for name, (role, _) in self._files.items() if role == "entry"]
+
+    def controllers(self) -> list[str]:
+        """Return the names of the controllers."""
+        return [name for name, (role, _) in self._files.items() if role != "entry"]
+
+    def urls(self) -> list[str]:
+        """Return the base URLs of the entry hosts."""
+        return [self.url(name) for name in self.entries()]
+
+    def start(self, name: str) -> None:
+        """Start the process of a host."""
+        role, path = self._files[name]
+        self.processes[name] = NodeProcess(role, path)
+
+    def alive(self, name: str) -> bool:
+        """Return whether the process runs."""
+        return self.processes[name]._process.poll() is None
+
+    def kill(self, name: str) -> None:
+        """Kill the process of a host at once."""
+        self.processes[name].send(signal.SIGKILL)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Stop a process now and let it go on after a time."""
+        process = self.processes[name]
+        process.send(signal.SIGSTOP)
+        gevent.spawn_later(seconds, process.send, signal.SIGCONT)
+
+    def start_ended(self) -> None:
+        """Start each process again that has ended."""
+        for name in self.processes:
+            if not self.alive(name):
+                self.start(name)
+
+    def restart_ended(self) -> None:
+        """Start each process again that has ended; wait until all hosts answer."""
+        self.start_ended()
+        wait_healthy(self.urls())
+
+    def heal(self) -> None:
+        """End the faults of the platform and of the relays."""
+        store = self.platform.key_value
+        store.faults.slow_s = 0.0
+        store.faults.lose_answers = store.faults.lose_requests = 0
+        if store.faults.down:
+            store.set_down(False)
+        for relay in self.relays.values():
+            relay.heal()
+        for service in self.platform.services:
+            if not service.running:
+                service.start()
+        for engine in self.platform.engines:
+            if not engine.running:
+                engine.start()
+
+    def violations(self, names: Iterable[str] | None = None) -> list[str]:
+        """Return the violations that the running entry processes have counted."""
+        found = []
+        for name in names or self.entries():
+            if not self.alive(name):
+                continue
+            try:
+                page = call("GET", f"{self.url(name)}/metrics", key="").body.decode()
+            except (HTTPError, OSError):
+                found.append(f"{name} shows no metrics")
+                continue
+            counted = [(i, n) for i, n in VIOLATION.findall(page) if float(n) > 0]
+            found += [f"{name} counted {n} of {i}" for i, n in counted]
+        return found
