Add the cells of authority and shutdown and the planned changes

Change: two controller processes with hooked lease, record and order interfaces; load that follows the address answers while hosts end gracefully.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -1,5 +1,6 @@
 """Bench of the invariants under faults at each step of each protocol."""
 
+import random
 import sys
 import time
 from dataclasses import dataclass, field
@@ -8,8 +9,10 @@
 
 from persimmonyoke.internal.observability import configure_logging
 from persimmonyoke_cli.bench import (
+    faults_authority,
     faults_claims,
     faults_configuration,
+    faults_shutdown,
     faults_streams,
 )
 from persimmonyoke_cli.bench.faults_matrix import Matrix, run_cells
@@ -19,8 +22,16 @@
 
 SECONDS_PER_MINUTE = 60.0
 WORLD_STOP_S = 5.0
+MODULES = (
+    faults_claims,
+    faults_authority,
+    faults_configuration,
+    faults_shutdown,
+    faults_streams,
+)
 TARGETS = {
     "violations": Target("==", 0.0),
+    "planned.rolling_replacement.violations": Target("==", 0.0),
     "configuration_in_force_p99_s": Target("<=", 2.0),
 }
 
@@ -42,9 +53,11 @@
         "claims": _claims,
         "configuration": _configuration,
         "streams": _streams,
+        "authority": _authority,
+        "shutdown": _shutdown,
     }
     chosen = [options.only] if options.only else list(parts)
-    for module in (faults_claims, faults_configuration, faults_streams):
+    for module in MODULES:
         module.exclude(matrix)
     tasks = [gevent.spawn(parts[name], matrix, options.seed, end_s) for name in chosen]
     gevent.joinall(tasks, raise_error=True)
@@ -69,6 +82,23 @@
         _run(matrix, faults_streams, world, seed, end_s)
 
 
+def _authority(matrix: Matrix, seed: int, end_s: float) -> None:
+    # The engines of one firm check the fencing number, those of the other don't.
+    firm = random.Random(seed).choice(("kente", "kereru"))
+    lease_s, fleet = faults_authority.LEASE_S, FleetOptions(time_scale=0.1)
+    with World(firm, entries=1, controllers=2, lease_s=lease_s, fleet=fleet) as world:
+        _run(matrix, faults_authority, world, seed, end_s)
+
+
+def _shutdown(matrix: Matrix, seed: int, end_s: float) -> None:
+    with World(entries=4, shutdown=faults_shutdown.SHUTDOWN) as world:
+        planned = faults_shutdown.run_planned(world, random.Random(seed))
+        for name, cut in planned.items():
+            matrix.planned[name] = len(cut)
+            matrix.details += [f"planned {name}, seed {seed}: {text}" for text in cut]
+        _run(matrix, faults_shutdown, world, seed, end_s)
+
+
 def _run(matrix: Matrix, module, world: World, seed: int, end_s: float) -> None:
     run_cells(
         module.cells(world),
@@ -83,6 +113,7 @@
     """Return the figures of each cell that ran, and the sums."""
     found = {
         "violations": float(matrix.violations()),
+        **{f"planned.{n}.violations": float(v) for n, v in matrix.planned.items()},
         "cells_run": float(sum(r.runs > 0 for r in matrix.results.values())),
         "cells_not_run": float(len(matrix.not_run())),
     }
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -0,0 +1,288 @@
+"""Faults at the steps of authority and orders, with two controller processes."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import cbor2
+import gevent
+
+from persimmonyoke.internal.authority.record import OrderRecord, decode_record
+from persimmonyoke.internal.presets import Accepted, Change, ChangeAction
+from persimmonyoke_cli.bench.faults_matrix import (
+    STEPS,
+    Cell,
+    Fault,
+    Matrix,
+    Outcome,
+    RunCell,
+)
+from persimmonyoke_cli.bench.faults_world import World
+
+PROTOCOL = "authority"
+LEASE_S = 2.0
+RECOVERY_LIMIT_S = LEASE_S + 5.0
+STEP_TIMEOUT_S = 12.0
+LOADED_TIMEOUT_S = 25.0
+FAULT_S = 1.5
+POLL_S = 0.02
+LONGEST_RUN_S = 45.0
+ENDING_FAULTS = (Fault.KILL, Fault.LEASE_LAPSE)
+
+ORDER = (
+    Fault.KILL,
+    Fault.PAUSE,
+    Fault.LEASE_LAPSE,
+    Fault.STORE_DOWN,
+    Fault.ANSWER_LOST,
+    Fault.PARTITION,
+    Fault.ENGINE_CRASH,
+    Fault.SILENT_CONNECTION,
+    Fault.STORE_SLOW,
+    Fault.HOST_LIST_LATE,
+)
+
+
+def exclude(matrix: Matrix) -> None:
+    """Note the cells that can't occur."""
+    matrix.exclude(
+        PROTOCOL, Fault.ANSWER_LOST, "writes no key", steps=("renew", "send", "confirm")
+    )
+    matrix.exclude(PROTOCOL, Fault.CACHE_EVENTS_LOST, "uses no cache events")
+    matrix.exclude(PROTOCOL, Fault.LOAD_LATE, "uses no load reports")
+    matrix.exclude(PROTOCOL, Fault.CRASHING_REQUEST, "requests take no part")
+
+
+class AuthorityProbe:
+    """Watch the lease, the order record and the orders of one pool."""
+
+    def __init__(self, world: World) -> None:
+        firm = world.firm
+        self.pool = firm.engine_pool
+        self.lease_key = f"/persimmonyoke/{firm.name}/authority/{self.pool}"
+        self.record_key = f"/persimmonyoke/{firm.name}/orders/{self.pool}"
+        self._world = world
+        self._state = world.platform.key_value.state
+        self._seen = {e.name: len(e.record.orders) for e in world.platform.engines}
+
+    def holder(self) -> str | None:
+        """Return the holder that the store shows."""
+        item = self._state.get(self.lease_key)
+        return None if item is None else str(cbor2.loads(item.value)["holder"])
+
+    def record(self) -> OrderRecord:
+        """Return the order record."""
+        item = self._state.get(self.record_key)
+        return OrderRecord() if item is None else decode_record(item.value)
+
+    def problems(self) -> list[str]:
+        """Return orders that conflicted or took effect with an old number."""
+        found = []
+        for engine in self._world.platform.engines:
+            orders = list(engine.record.orders)[self._seen[engine.name] :]
+            for order in orders:
+                if order.effect == "taken" and order.stale:
+                    found.append(f"{engine.name} took stale order {order.order_id}")
+                if order.conflicting and not order.stale:
+                    found.append(f"{engine.name} got conflicting {order.order_id}")
+            taken = [o.order_id for o in orders if o.effect == "taken"]
+            if len(set(taken)) != len(taken):
+                found.append(f"{engine.name} took an order twice")
+        return found
+
+
+@dataclass
+class AuthorityRun:
+    """Add a model, inject a fault at a step and wait for holder and model."""
+
+    world: World
+    step: str
+    fault: Fault
+    rng: random.Random
+    fired_s: float = 0.0
+    victim: str = ""
+    writer: str = ""
+    ordered: bool = False
+    problems: list[str] = field(default_factory=list)
+
+    def run(self) -> Outcome:
+        """Return what the run showed."""
+        world = self.world
+        self.probe = AuthorityProbe(world)
+        self._wait(lambda: self.probe.holder() is not None, "a holder at the start")
+        self.before = self.rng.random() < 0.5
+        self.model = f"model-{self.rng.getrandbits(32):08x}"
+        world.listener = self._listen
+        try:
+            if self.step == "acquire":
+                world.kill(self.probe.holder())
+            self._add_model()
+            end_s = time.monotonic() + STEP_TIMEOUT_S
+            while not self.fired_s and time.monotonic() < end_s:
+                gevent.sleep(POLL_S)
+            recovery_s = self._recover() if self.fired_s else 0.0
+        finally:
+            world.listener = None
+            world.heal()
+            world.platform.host_list.lag_s = 0.0
+        world.start_ended()
+        self._wait(self._is_loaded, f"{self.model} on all engines", LOADED_TIMEOUT_S)
+        self.problems += self.probe.problems() + world.violations()
+        missed = not self.fired_s
+        return Outcome(tuple(self.problems), recovery_s, missed=missed)
+
+    def _add_model(self) -> None:
+        log, firm = self.world.platform.revisions(), self.world.firm
+        newest = log.newest()
+        old = f'{{ name = "{firm.model}"'
+        text = firm.presets()["base"]
+        text = text.replace(old, f'{{ name = "{self.model}", version = "1" }}, {old}')
+        change = Change(
+            action=ChangeAction.EDIT,
+            preset="base",
+            author="bench",
+            reason=f"add {self.model}",
+            text=text,
+        )
+        outcome = log.propose(change, base_number=newest.number)
+        if not isinstance(outcome, Accepted):
+            self.problems.append(f"the model was not accepted: {outcome}")
+
+    def _is_loaded(self) -> bool:
+        engines = self.world.platform.engines
+        return all(
+            self.model in engine.configuration.models and engine.running
+            for engine in engines
+        )
+
+    def _wait(
+        self, holds: Callable[[], bool], what: str, timeout_s: float = STEP_TIMEOUT_S
+    ) -> None:
+        end_s = time.monotonic() + timeout_s
+        while not holds():
+            if time.monotonic() > end_s:
+                self.problems.append(f"no {what} after {timeout_s:g} s")
+                return
+            gevent.sleep(POLL_S)
+
+    # Injection
+
+    def _listen(self, point: str, detail: str) -> None:
+        if self.fired_s:
+            return
+        if point == "order" and self.before:
+            self.ordered = True
+        if not self._reached(point, detail):
+            self.ordered |= point == "order"
+            return
+        self.victim = self._victim(point)
+        if not self.victim:
+            return
+        self.fired_s = time.monotonic()
+        self._act(detail)
+
+    def _reached(self, point: str, detail: str) -> bool:
+        write = "write" if self.before else "written"
+        if self.step == "acquire":
+            return point == write and detail == self.probe.lease_key
+        if self.step == "renew":
+            return point == "renew"
+        if self.step == "record":
+            return point == write and detail == self.probe.record_key
+        if self.step == "send":
+            return point == ("order" if self.before else "ordered")
+        return point == "state" and self.ordered and bool(self._open_order(detail))
+
+    def _open_order(self, engine: str) -> bool:
+        return self.probe.record().open_order_of(engine) is not None
+
+    def _victim(self, point: str) -> str:
+        if self.step == "acquire":
+            return str(cbor2.loads(self.world.written_value)["holder"])
+        return self.probe.holder() or ""
+
+    def _act(self, detail: str) -> None:
+        world, store = self.world, self.world.platform.key_value
+        match self.fault:
+            case Fault.KILL:
+                world.kill(self.victim)
+            case Fault.PAUSE:
+                world.pause(self.victim, self.rng.uniform(0.2, LEASE_S))
+            case Fault.LEASE_LAPSE:
+                world.pause(self.victim, LEASE_S + self.rng.uniform(0.5, 3.0))
+            case Fault.STORE_DOWN:
+                # From another task, since the stand-in ends the task of this call.
+                gevent.spawn(store.set_down, True)
+                gevent.sleep(0.01)
+            case Fault.ANSWER_LOST:
+                store.faults.lose_answers = 1
+            case Fault.PARTITION:
+                world.relays[self.victim].partition()
+            case Fault.ENGINE_CRASH:
+                self._crash_engine(detail)
+            case Fault.SILENT_CONNECTION:
+                self._silence()
+            case Fault.STORE_SLOW:
+                store.faults.slow_s = self.rng.choice((0.3, 3.0))
+            case Fault.HOST_LIST_LATE:
+                world.platform.host_list.lag_s = 5.0
+                self._crash_engine(detail)
+
+    def _crash_engine(self, detail: str) -> None:
+        engines = self.world.platform.engines
+        named = [engine for engine in engines if engine.name == detail]
+        gevent.spawn((named or [self.rng.choice(engines)])[0].crash)
+        gevent.sleep(0.005)
+
+    def _silence(self) -> None:
+        if self.step in ("send", "confirm"):
+            for engine in self.world.platform.engines:
+                engine.silence_open_connections()
+        else:
+            self.world.platform.key_value.stall_open_connections()
+
+    # Recovery
+
+    def _recover(self) -> float:
+        """Wait until a process holds authority again; return the seconds."""
+        started_s = self.fired_s
+        ends = self.fault in ENDING_FAULTS
+        if not ends:
+            gevent.sleep(max(0.0, self.fired_s + FAULT_S - time.monotonic()))
+            self.world.heal()
+            started_s = time.monotonic()
+        self._wait(lambda: self._is_held(ends), "holder", RECOVERY_LIMIT_S + 10.0)
+        recovery_s = time.monotonic() - started_s
+        if recovery_s > RECOVERY_LIMIT_S:
+            self.problems.append(f"authority held after {recovery_s:.1f} s")
+        return recovery_s
+
+    def _is_held(self, ends: bool) -> bool:
+        holder = self.probe.holder()
+        if holder is None or not self.world.alive(holder):
+            # Without the other controller nobody is left to succeed the one killed.
+            if self.step == "acquire" and not holder:
+                self.world.start_ended()
+            return False
+        return not (ends and holder == self.victim and self.step != "acquire")
+
+
+def cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells, the most important ones first."""
+    matrix = Matrix()
+    exclude(matrix)
+    found = {}
+    for fault in ORDER:
+        for step in STEPS[PROTOCOL]:
+            cell = Cell(PROTOCOL, step, fault)
+            if cell not in matrix.reasons:
+                found[cell] = _runner(world, step, fault)
+    return found
+
+
+def _runner(world: World, step: str, fault: Fault) -> RunCell:
+    def run(rng: random.Random) -> Outcome:
+        return AuthorityRun(world, step, fault, rng).run()
+
+    return run
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_load.py
@@ -0,0 +1,110 @@
+"""Callers that follow the address answers while hosts are replaced."""
+
+import random
+import time
+import uuid
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import gevent
+from gevent.event import Event
+from urllib3.exceptions import HTTPError
+
+from persimmonyoke_cli.bench.faults_world import World
+from persimmonyoke_testing.builders_deployment import CallerStream, call, call_service
+from persimmonyoke_testing.engine import expected_text
+
+STREAM_CALLERS = 5
+SERVICE_CALLERS = 2
+TOKENS = 25
+JOIN_S = 30.0
+EXCUSED_SERVICE_CODES = ("store_unavailable",)
+
+
+class Load:
+    """Run streams and calls until stopped, and note each one that was cut.
+
+    ``excused`` says for a host whether its process was ended on purpose without a
+    graceful shutdown, so that its requests may break.
+    """
+
+    def __init__(self, world: World, rng: random.Random) -> None:
+        self.cut: list[str] = []
+        self.counts: Counter[str] = Counter()
+        self.excused: Callable[[str], bool] = lambda url: False
+        self._world = world
+        self._rng = rng
+        self._known = world.urls()
+        self._stopped = Event()
+        self._tasks = [gevent.spawn(self._stream_loop) for _ in range(STREAM_CALLERS)]
+        self._tasks += [
+            gevent.spawn(self._service_loop) for _ in range(SERVICE_CALLERS)
+        ]
+
+    def stop(self) -> None:
+        """Let each caller end its request, and end."""
+        self._stopped.set()
+        gevent.joinall(self._tasks, timeout=JOIN_S)
+        if any(not task.ready() for task in self._tasks):
+            self.cut.append(f"a request did not end within {JOIN_S:g} s")
+        gevent.killall(self._tasks)
+
+    def _address(self) -> str:
+        """Ask any host for an address; a host that does not answer is passed over."""
+        for url in self._shuffled(self._known):
+            try:
+                answer = call(
+                    "GET", f"{url}/v1/addresses", key=self._world.firm.workspace_key
+                )
+            except (HTTPError, OSError):
+                continue
+            if answer.status == 200 and answer.json["addresses"]:
+                return f"http://{answer.json['addresses'][0]}"
+        gevent.sleep(0.1)
+        return self._rng.choice(self._known)
+
+    def _shuffled(self, urls: Iterable[str]) -> list[str]:
+        shuffled = list(urls)
+        self._rng.shuffle(shuffled)
+        return shuffled
+
+    def _stream_loop(self) -> None:
+        while not self._stopped.is_set():
+            url, prompt = self._address(), f"load {self._rng.getrandbits(48):x}"
+            started_s, text, finished, reason = time.monotonic(), "", False, ""
+            try:
+                stream = CallerStream(
+                    url, self._world.firm, prompt=prompt, max_tokens=TOKENS
+                )
+                text = stream.read() if stream.status == 200 else ""
+                finished, reason = stream.finished, f"status {stream.status}"
+            except (HTTPError, OSError) as error:
+                reason = type(error).__name__
+            self.counts["streams"] += 1
+            whole = finished and text == expected_text(prompt, TOKENS)
+            if not whole:
+                self._note(url, f"stream, {reason}, {len(text)} characters", started_s)
+
+    def _service_loop(self) -> None:
+        while not self._stopped.is_set():
+            url, started_s = self._address(), time.monotonic()
+            try:
+                answer = call_service(
+                    url, self._world.firm, key=str(uuid.uuid4()), body={}
+                )
+            except (HTTPError, OSError) as error:
+                self._note(url, f"call, {type(error).__name__}", started_s)
+                continue
+            self.counts["calls"] += 1
+            if answer.status != 201:
+                code = answer.json["error"]["code"]
+                if code not in EXCUSED_SERVICE_CODES:
+                    self._note(url, f"call, {code}", started_s)
+            gevent.sleep(0.05)
+
+    def _note(self, url: str, text: str, started_s: float) -> None:
+        if self.excused(url):
+            self.counts["excused"] += 1
+            return
+        elapsed_s = time.monotonic() - started_s
+        self.cut.append(f"{text} at {url} after {elapsed_s:.2f} s")
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
@@ -82,6 +82,7 @@
     reasons: dict[Cell, str] = field(default_factory=dict)
     details: list[str] = field(default_factory=list)
     recoveries_s: dict[str, list[float]] = field(default_factory=dict)
+    planned: dict[str, int] = field(default_factory=dict)
 
     def note(self, cell: Cell, outcome: Outcome, *, seed: object) -> None:
         """Add the outcome of one run."""
@@ -115,7 +116,8 @@
 
     def violations(self) -> int:
         """Return the violations of all cells."""
-        return sum(result.violations for result in self.results.values())
+        cells = sum(result.violations for result in self.results.values())
+        return cells + sum(self.planned.values())
 
     def percentile_s(self, protocol: str, share: float) -> float | None:
         """Return a percentile of a protocol's recoveries, ``None`` without a run."""
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_shutdown.py
@@ -0,0 +1,221 @@
+"""Faults at the steps of a graceful shutdown under load, and planned changes."""
+
+import random
+import signal
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+import gevent
+
+from persimmonyoke_cli.bench.faults_configuration import choose
+from persimmonyoke_cli.bench.faults_load import Load
+from persimmonyoke_cli.bench.faults_matrix import (
+    STEPS,
+    Cell,
+    Fault,
+    Matrix,
+    Outcome,
+    RunCell,
+)
+from persimmonyoke_cli.bench.faults_world import World
+
+PROTOCOL = "shutdown"
+MAX_AGE_S = 0.5
+MARGIN_S = 0.2
+SHUTDOWN = {"max_age_s": MAX_AGE_S, "margin_s": MARGIN_S, "hard_limit_s": 30.0}
+LEAVING_LIMIT_S = 3.0
+EXIT_TIMEOUT_S = 25.0
+FAULT_S = 1.0
+LONGEST_RUN_S = 30.0
+WARM_UP_S = 0.5
+
+ORDER = (
+    Fault.KILL,
+    Fault.PAUSE,
+    Fault.STORE_DOWN,
+    Fault.ENGINE_CRASH,
+    Fault.ANSWER_LOST,
+    Fault.STORE_SLOW,
+    Fault.PARTITION,
+    Fault.SILENT_CONNECTION,
+    Fault.HOST_LIST_LATE,
+    Fault.OPERATORS_RACING,
+)
+
+
+def exclude(matrix: Matrix) -> None:
+    """Note the cells that can't occur."""
+    matrix.exclude(PROTOCOL, Fault.LEASE_LAPSE, "entry hosts hold no lease")
+
+
+@dataclass
+class ShutdownRun:
+    """End one host gracefully under load while a fault acts."""
+
+    world: World
+    step: str
+    act: Callable[["ShutdownRun"], None]
+    rng: random.Random
+    leaving: str = ""
+    other: str = ""
+    killed: set[str] = field(default_factory=set)
+
+    def run(self) -> Outcome:
+        """Return what the run showed."""
+        world = self.world
+        self.leaving, self.other = self.rng.sample(world.entries(), 2)
+        load = Load(world, self.rng)
+        load.excused = lambda url: url in {world.url(name) for name in self.killed}
+        gevent.sleep(WARM_UP_S)
+        started_s = time.monotonic()
+        world.processes[self.leaving].send(signal.SIGTERM)
+        gevent.sleep(self._delay_s())
+        missed = not world.alive(self.leaving)
+        self.act(self)
+        healer = gevent.spawn_later(FAULT_S, world.heal)
+        problems = self._wait_exit()
+        elapsed_s = time.monotonic() - started_s
+        healer.join()
+        load.stop()
+        world.platform.host_list.lag_s = 0.0
+        problems += load.cut + world.violations()
+        world.restart_ended()
+        gevent.sleep(0.3)
+        return Outcome(tuple(problems), elapsed_s, missed=missed)
+
+    def _delay_s(self) -> float:
+        closes_s = MAX_AGE_S + MARGIN_S
+        if self.step == "drain":
+            return self.rng.uniform(0.0, 0.3)
+        if self.step == "close":
+            return closes_s + self.rng.uniform(-0.05, 0.05)
+        return closes_s + self.rng.uniform(0.05, 0.4)
+
+    def _wait_exit(self) -> list[str]:
+        end_s = time.monotonic() + EXIT_TIMEOUT_S
+        while self.world.alive(self.leaving):
+            if time.monotonic() > end_s:
+                return [f"{self.leaving} did not exit in {EXIT_TIMEOUT_S:g} s"]
+            gevent.sleep(0.02)
+        status = self.world.processes[self.leaving].wait()
+        return [] if status == 0 else [f"{self.leaving} exited with {status}"]
+
+
+def _kill(run: ShutdownRun) -> None:
+    run.killed.add(run.other)
+    run.world.kill(run.other)
+
+
+def _crash(run: ShutdownRun) -> None:
+    run.rng.choice([e for e in run.world.platform.engines if e.running]).crash()
+
+
+def _silence(run: ShutdownRun) -> None:
+    run.rng.choice(run.world.platform.engines).silence_open_connections()
+
+
+def _late(run: ShutdownRun) -> None:
+    run.world.platform.host_list.lag_s = 5.0
+
+
+def _race(run: ShutdownRun) -> None:
+    newest = run.world.platform.revisions().newest()
+    preset = "peak" if newest.active == "ordinary" else "ordinary"
+    for name in (run.leaving, run.other):
+        options = {"base_number": newest.number, "reason": f"race at {name}"}
+        gevent.spawn(choose, run.world, name, preset, **options)
+
+
+ACTIONS: Mapping[Fault, Callable[[ShutdownRun], None]] = {
+    Fault.KILL: _kill,
+    Fault.PAUSE: lambda run: run.world.pause(run.leaving, 1.0),
+    Fault.STORE_DOWN: lambda run: run.world.platform.key_value.set_down(True),
+    Fault.ENGINE_CRASH: _crash,
+    Fault.ANSWER_LOST: lambda run: setattr(
+        run.world.platform.key_value.faults, "lose_answers", 1
+    ),
+    Fault.STORE_SLOW: lambda run: setattr(
+        run.world.platform.key_value.faults, "slow_s", 3.0
+    ),
+    Fault.PARTITION: lambda run: run.world.relays[run.leaving].partition(),
+    Fault.SILENT_CONNECTION: _silence,
+    Fault.HOST_LIST_LATE: _late,
+    Fault.OPERATORS_RACING: _race,
+}
+
+
+def cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells, the most important ones first."""
+    return {
+        Cell(PROTOCOL, step, fault): _runner(world, step, fault)
+        for fault in ORDER
+        for step in STEPS[PROTOCOL]
+    }
+
+
+def _runner(world: World, step: str, fault: Fault) -> RunCell:
+    def run(rng: random.Random) -> Outcome:
+        return ShutdownRun(world, step, ACTIONS[fault], rng).run()
+
+    return run
+
+
+# Planned changes
+
+
+def run_planned(world: World, rng: random.Random) -> dict[str, list[str]]:
+    """Make each planned change under load; return what was cut by its name."""
+    changes: Mapping[str, Callable[[World], list[str]]] = {
+        "rolling_replacement": _replace_all,
+        "maintenance_preset": _choose_maintenance,
+        "engine_withdrawal": _withdraw_engine,
+    }
+    found = {}
+    for name, change in changes.items():
+        load = Load(world, rng)
+        gevent.sleep(WARM_UP_S)
+        problems = change(world)
+        load.stop()
+        found[name] = problems + load.cut + world.violations()
+        print(f"planned {name}: {dict(load.counts)}, {len(found[name])} violations")
+    return found
+
+
+def _replace_all(world: World) -> list[str]:
+    problems = []
+    for name in world.entries():
+        world.processes[name].send(signal.SIGTERM)
+        while world.alive(name):
+            gevent.sleep(0.02)
+        status = world.processes[name].wait()
+        if status != 0:
+            problems.append(f"{name} exited with {status}")
+        world.restart_ended()
+        gevent.sleep(1.0)
+    return problems
+
+
+def _choose_maintenance(world: World) -> list[str]:
+    problems = []
+    for preset in ("maintenance", "ordinary"):
+        number = world.platform.revisions().newest().number
+        answer = choose(
+            world, world.entries()[0], preset, base_number=number, reason="planned"
+        )
+        if answer is None or answer.status != 200:
+            problems.append(f"{preset} was not accepted")
+        gevent.sleep(2.0)
+    return problems
+
+
+def _withdraw_engine(world: World) -> list[str]:
+    """Mark an engine as leaving; no request may start there from 3 s on."""
+    engine = world.platform.engines[0]
+    world.platform.host_list.mark_leaving(engine.name)
+    # The poll of the host list is the first moment at which a host can see the mark.
+    gevent.sleep(1.0 + LEAVING_LIMIT_S)
+    before = len(engine.record.requests)
+    gevent.sleep(3.0)
+    late = len(engine.record.requests) - before
+    return [f"{late} requests later than 3 s"] if late else []
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -146,7 +146,10 @@
         if main and self.step == "resume" and attempt == 1:
             gevent.sleep(self.rng.uniform(0.0, 0.03))
             self.fire()
-        return opening.get()
+        opening.join()
+        if not opening.successful():
+            raise HTTPError("connection failed")
+        return opening.value
 
     def _read_one(
         self, stream: CallerStream, main: bool, attempt: int
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
@@ -15,7 +15,10 @@
 from persimmonyoke_cli.bench.faults_relay import Relay
 from persimmonyoke_testing.builders_deployment import NodeProcess, call, wait_healthy
 from persimmonyoke_testing.deployment import Deployment
+from persimmonyoke_testing.engine import EngineStandIn
+from persimmonyoke_testing.engine_core import EngineCore
 from persimmonyoke_testing.platform_fleet import FleetOptions
+from persimmonyoke_testing.service import ServiceStandIn
 
 VIOLATION = re.compile(
     r'^persimmonyoke_invariant_violations_total\{.*invariant="(\w+)".*\} (\S+)', re.M
@@ -52,6 +55,7 @@
         self.firm = self.deployment.firm
         self.platform = self.deployment.platform
         self.listener: Listener | None = None
+        self.written_value = b""
         self.processes: dict[str, NodeProcess] = {}
         self.relays: dict[str, Relay] = {}
         self._counts = (entries, controllers)
@@ -62,6 +66,8 @@
         self.deployment.start()
         self._hook_store()
         self._hook_services()
+        for engine in self.platform.engines:
+            self._hook_engine(engine)
         entries, controllers = self.deployment.write_settings(
             Path(self._folder.name),
             entries=self._counts[0],
@@ -107,6 +113,9 @@
             operations = body.get("success", ())
             keys = [o["request_put"]["key"] for o in operations if "request_put" in o]
             names = [decode_bytes(key).decode() for key in keys]
+            if names:
+                put = next(o["request_put"] for o in operations if "request_put" in o)
+                self.written_value = decode_bytes(put.get("value", ""))
             for name in names:
                 self.notify("write", name)
             answer = original_txn(body)
@@ -125,7 +134,7 @@
         for service in self.platform.services:
             self._hook_service(service)
 
-    def _hook_service(self, service) -> None:
+    def _hook_service(self, service: ServiceStandIn) -> None:
         original = service._run
 
         def run(environ, body):
@@ -136,6 +145,33 @@
 
         service._run = run
 
+    def _hook_engine(self, engine: EngineStandIn) -> None:
+        """Hook the engine's interface, also of each later incarnation."""
+        start = engine.start
+
+        def start_hooked() -> None:
+            start()
+            self._hook_core(engine.name, engine.core)
+
+        engine.start = start_hooked
+        self._hook_core(engine.name, engine.core)
+
+    def _hook_core(self, name: str, core: EngineCore) -> None:
+        take, state = core.orders.take, core.state
+
+        def take_hooked(body):
+            self.notify("order", name)
+            answer = take(body)
+            self.notify("ordered", name)
+            return answer
+
+        def state_hooked():
+            self.notify("state", name)
+            return state()
+
+        core.orders.take = take_hooked
+        core.state = state_hooked
+
     # Processes
 
     def url(self, name: str) -> str:
