--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/api.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/api.py
@@ -259,5 +259,8 @@
     def release(self, claim: object) -> None:
         """Give up a claim whose call did not run; never raises."""
 
+    def abandon(self, claim: object) -> None:
+        """Say that the answer of a claimed call was lost; never raises."""
+
 
 Clock = Callable[[], float]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
@@ -149,6 +149,8 @@
         """Find out the outcome of a call that may have run; never repeat it."""
         answer = self._ask_outcome(request)
         if answer is None:
+            if claim is not None:
+                self._spawn(self._gate.abandon, claim)
             raise self._outcome_unknown(reason)
         if claim is not None:
             self._gate.finish(claim, answer)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_services.py
@@ -82,6 +82,8 @@
         )
         self.assertEqual(len(self.services.calls), 1)
         self.assertEqual(self.gate.released, [])
+        # A resend would otherwise be told for ever that the call is in progress.
+        self.assertEqual(self.gate.abandoned, ["claim"])
 
     def test_the_outcome_of_a_lost_call_is_asked_by_key_and_stored(self):
         # The service knows what happened; the caller need not be left in doubt.
@@ -89,6 +91,7 @@
         self.services.stored["k1"] = STORED
         self.assertEqual(self.call(), STORED)
         self.assertEqual(self.gate.finished, [STORED])
+        self.assertEqual(self.gate.abandoned, [])
 
     def test_a_call_that_no_replica_took_is_released_and_not_run(self):
         # A claim kept for a call that never ran would refuse the caller's resend.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
@@ -101,6 +101,11 @@
         if isinstance(claim, Claim) and not self._claims.release(claim):
             log.warning("claim of key {!r} is not released yet", claim.key)
 
+    def abandon(self, claim: object) -> None:
+        """Say that the answer of a claimed call was lost."""
+        if isinstance(claim, Claim) and not self._claims.abandon(claim):
+            log.warning("loss of the answer of key {!r} is not stored yet", claim.key)
+
 
 def _replay(answer: StoredAnswer) -> GateOutcome:
     if answer.body is None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
@@ -74,6 +74,7 @@
     FINISH = "finish"
     RELEASE = "release"
     LEARN = "learn"
+    ABANDON = "abandon"
 
 
 @dataclass(frozen=True)
@@ -235,6 +236,8 @@
                 return self._release(operation, entry)
             case Action.LEARN:
                 return self._learn(operation, entry)
+            case Action.ABANDON:
+                return self._abandon(operation, entry)
 
     def _claim(self, operation: Operation, entry: Entry | None) -> Result:
         own = entry is not None and entry.attempt == operation.attempt
@@ -301,6 +304,17 @@
         done = replace(entry, state=EntryState.DONE, answer=answer)
         return self._put(operation, done, Effect.STORED)
 
+    def _abandon(self, operation: Operation, entry: Entry | None) -> Result:
+        """Take the holder out of a claim, so that no host waits for its answer."""
+        if entry is None:
+            return Result(Effect.MISSING)
+        if entry.attempt != operation.attempt or entry.state is EntryState.RELEASED:
+            return Result(Effect.CONTRADICTED, entry)
+        if entry.state is EntryState.DONE or not entry.host:
+            return Result(Effect.STORED, entry)
+        nobody = replace(entry, host="", incarnation="")
+        return self._put(operation, nobody, Effect.STORED)
+
     def discard_archived(
         self, segment: int, entry_keys: tuple[bytes, ...], revision: int
     ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -177,6 +177,27 @@
         """Store the answer of a call that ran without waiting for the store."""
         self._tasks.spawn(self.finish, claim, answer, is_urgent=False)
 
+    def abandon(self, claim: Claim) -> bool:
+        """Say that the call's answer was lost; return whether this is stored by now.
+
+        The key is never run again. Without this, a resend would be answered as in
+        progress for as long as this process lives.
+        """
+        check_invariant(
+            self._held.get(claim.attempt) is _Held.GRANTED,
+            Invariant.AT_MOST_ONCE,
+            f"call with key {claim.key!r} abandoned without a held claim",
+        )
+        operation = self._operation(Action.ABANDON, claim)
+        timeout_s = self._settings.finish_timeout_s
+        result = self._execute(operation, timeout_s=timeout_s)
+        check_invariant(
+            result.effect is not Effect.CONTRADICTED,
+            Invariant.AT_MOST_ONCE,
+            f"call with key {claim.key!r} was lost while another attempt held the key",
+        )
+        return result.effect is Effect.STORED
+
     def learn(
         self,
         workspace: str,
@@ -397,6 +418,9 @@
                 return self._not_run(claim, result)
 
     def _is_holder_dead(self, host: str, incarnation: str) -> bool:
+        if not host:
+            # The holder has lost the answer of its call.
+            return True
         if host == self._host:
             return incarnation != self._incarnation
         return self._is_dead(host, incarnation)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -55,6 +55,15 @@
         for host in self.cluster.services:
             self.assertEqual(self.claim(host), once.ClaimReplay(ANSWER))
 
+    def test_a_key_whose_answer_was_lost_is_unknown_at_each_host_and_never_runs(self):
+        # Its holder lives on, so each resend was told that the call is in progress.
+        granted = self.claim()
+        self.assertTrue(self.service().abandon(granted.claim))
+        for host in self.cluster.services:
+            self.assertEqual(self.claim(host), once.ClaimOutcomeUnknown(""))
+        self.assertTrue(self.service().finish(granted.claim, ANSWER))
+        self.assertEqual(self.claim(self.owner), once.ClaimReplay(ANSWER))
+
     def test_the_same_key_with_another_body_is_refused(self):
         # The stored answer belongs to another call.
         granted = self.claim()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -150,7 +150,7 @@
             answer = self._call(name)
             if answer is not None:
                 code = "" if answer.status == 201 else answer.json["error"]["code"]
-                last = f"{answer.status} {code}"
+                last = f"{answer.status} {code} {answer.body[:300]!r}"
                 if answer.status == 201 or code in ("outcome_unknown", "quarantined"):
                     return time.monotonic() - healed_s
             gevent.sleep(RESEND_S)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
@@ -372,6 +372,7 @@
     claimed: list[tuple[str, str]] = field(default_factory=list)
     finished: list[ServiceAnswer] = field(default_factory=list)
     released: list[object] = field(default_factory=list)
+    abandoned: list[object] = field(default_factory=list)
 
     def claim(
         self, workspace: str, key: str, body_digest: bytes, *, now_s: float
@@ -385,6 +386,9 @@
     def release(self, claim: object) -> None:
         self.released.append(claim)
 
+    def abandon(self, claim: object) -> None:
+        self.abandoned.append(claim)
+
 
 def build_delivery(
     fleet: FakeFleet,
