Count crashes after a quick restart; continue cancelled streams without a retry

Cause: one request crashed up to 6 engines (streams x crashing request): the directory shows a restarted engine's old incarnation for up to a poll, so its next crash counted as the one known before. A resume of a cancelled stream is answered by an event that ends it, which spent three attempts and retries. Ruled out: a probe that missed the crash (each attempt's connection was refused), and a lost notice to peers (one host alone crashed four engines). Change: an attempt that began after a crash was noted ran on a later incarnation; a stream that the engine has ended is placed again at once.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/answer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/answer.py
@@ -42,6 +42,10 @@
     """Report an event of another request."""
 
 
+class StreamEnded(StreamFault):
+    """Report that the engine has ended the stream before its last token."""
+
+
 class AnswerDiverged(Exception):
     """Report that a regenerated answer differs from what the caller already has."""
 
@@ -117,7 +121,7 @@
             event = aligned
         reason = event.finish_reason
         if reason is not None and reason not in COMPLETE_FINISH_REASONS:
-            raise StreamFault(f"the engine ended the stream early: {reason!r}")
+            raise StreamEnded(f"the engine ended the stream early: {reason!r}")
         self.received_any = True
         data = event.text.encode("utf-8", "surrogatepass")
         if generated is not self.delivered:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -11,6 +11,7 @@
     Answer,
     AnswerDiverged,
     DeliveryCount,
+    StreamEnded,
     StreamFault,
 )
 from persimmonyoke.internal.delivery.api import (
@@ -35,6 +36,7 @@
     SilenceWatch,
     StreamSilent,
 )
+from persimmonyoke.internal.delivery.steps import Broken, Step
 from persimmonyoke.internal.delivery.suspects import Quarantined
 from persimmonyoke.internal.invariants import Invariant, check_invariant
 from persimmonyoke.internal.upstreams.api import (
@@ -49,30 +51,6 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
-@dataclass(frozen=True)
-class _Step:
-    """Describe the next attempt; ``resumes`` counts those on the same engine."""
-
-    choice: RouteChoice
-    resume_stream: str | None = None
-    resumes: int = 0
-
-    @property
-    def engine(self) -> Upstream:
-        return self.choice.engine
-
-
-class _Broken(Exception):
-    """Say why an attempt ended without the whole answer."""
-
-    def __init__(
-        self, reason: str, engine: Upstream, *, sent: bool = True, refused: bool = False
-    ) -> None:
-        super().__init__(reason)
-        self.engine = engine
-        self.ran_nothing = refused or not sent
-
-
 @dataclass
 class Generation:
     """Run one request through as many attempts as the retry budget allows."""
@@ -86,6 +64,7 @@
     _sent: bool = False
     _sent_before: bool = False
     _attempts: int = 0
+    _attempt_started_s: float = 0.0
 
     def __post_init__(self) -> None:
         self._placement = Placement(self.parts, self.request)
@@ -123,7 +102,7 @@
             step = step or self._place()
             try:
                 reason = self._attempt(step)
-            except _Broken as broken:
+            except Broken as broken:
                 step = self._recover(step, broken)
                 continue
             self._running_on = None
@@ -137,7 +116,7 @@
                 attempts=self._attempts,
             )
 
-    def _first_step(self) -> _Step | None:
+    def _first_step(self) -> Step | None:
         resume = self.request.resume
         if resume is None:
             return None
@@ -146,9 +125,9 @@
             return None
         if resume.incarnation and engine.incarnation not in ("", resume.incarnation):
             return None
-        return _Step(RouteChoice(engine), resume_stream=resume.stream_id)
+        return Step(RouteChoice(engine), resume_stream=resume.stream_id)
 
-    def _place(self) -> _Step:
+    def _place(self) -> Step:
         if self.request.prompt is None:
             raise self._error(
                 ErrorKind.STREAM_LOST,
@@ -161,14 +140,15 @@
             raise self._error(choice.kind, choice.reason, choice.retry_after_s)
         if isinstance(choice, Quarantined):
             raise self._quarantined(choice)
-        return _Step(choice)
+        return Step(choice)
 
     # Attempts
 
-    def _attempt(self, step: _Step) -> str:
-        """Return the finish reason; raises ``_Broken``."""
+    def _attempt(self, step: Step) -> str:
+        """Return the finish reason; raises ``Broken``."""
         parts = self.parts
         self._attempts += 1
+        self._attempt_started_s = parts.clock()
         self._sent_before, self._sent = self._sent, True
         self._answer.begin_attempt(step.engine, stream_id=step.resume_stream)
         dispatch = parts.router.note_dispatch(
@@ -183,7 +163,7 @@
         finally:
             parts.router.note_completion(dispatch, now_s=parts.clock())
 
-    def _resume(self, step: _Step) -> str:
+    def _resume(self, step: Step) -> str:
         self.parts.counts[DeliveryCount.RESUMES] += 1
         client = self.parts.engines.client(step.engine, fresh=True)
         offset = self._answer.generated.offset
@@ -194,7 +174,7 @@
             first_idle_s=idle_s,
         )
 
-    def _generate(self, step: _Step) -> str:
+    def _generate(self, step: Step) -> str:
         kv_handle = None
         if step.choice.prefill_engine is not None:
             kv_handle = self._prefill(step.choice)
@@ -247,9 +227,9 @@
         except EngineFailure as failure:
             raise self._broken(failure, prefill) from failure
         except PersimmonyokeError as fault:
-            raise _Broken(str(fault), prefill) from fault
+            raise Broken(str(fault), prefill) from fault
         except StreamSilent:
-            raise _Broken("the prefill took too long", prefill) from None
+            raise Broken("the prefill took too long", prefill) from None
         self._running_on = None
         return self._import(choice.engine, blob)
 
@@ -285,9 +265,10 @@
             raise self._broken(failure, engine) from failure
         except StreamSilent:
             self.parts.counts[DeliveryCount.SILENCES] += 1
-            raise _Broken("no event within the idle timeout", engine) from None
+            raise Broken("no event within the idle timeout", engine) from None
         except (StreamFault, PersimmonyokeError) as fault:
-            raise _Broken(str(fault), engine) from fault
+            ended = isinstance(fault, StreamEnded)
+            raise Broken(str(fault), engine, ended=ended) from fault
         finally:
             if finished:
                 # The client reads the end of the response and keeps the connection.
@@ -329,8 +310,8 @@
         expected_s = options.inter_idle_factor * choice.expected_inter_token_s
         return max(options.min_inter_idle_s, expected_s)
 
-    def _broken(self, failure: EngineFailure, engine: Upstream) -> _Broken:
-        broken = _Broken(
+    def _broken(self, failure: EngineFailure, engine: Upstream) -> Broken:
+        broken = Broken(
             str(failure), engine, sent=failure.sent, refused=failure.refused
         )
         if broken.ran_nothing:
@@ -340,7 +321,7 @@
 
     # Recovery
 
-    def _recover(self, step: _Step, broken: _Broken) -> _Step | None:
+    def _recover(self, step: Step, broken: Broken) -> Step | None:
         """Return the next step, or ``None`` to place the request again."""
         engine = broken.engine
         self.parts.counts[DeliveryCount.BREAKS] += 1
@@ -350,21 +331,22 @@
         verdict = probe(self.parts, engine) if was_running else None
         if verdict is Verdict.CRASHED:
             self._note_crash(engine)
-        lost_stream = is_resume and broken.ran_nothing and verdict is Verdict.ALIVE
-        # A caller's resume of a stream that its engine has dropped ran nothing, so
-        # what follows is the request's first attempt. Callers that disconnect and
-        # resume would otherwise use up the retries meant for failures.
+        is_gone = broken.ran_nothing or broken.ended
+        lost_stream = is_resume and is_gone and verdict is Verdict.ALIVE
+        # A caller's resume of a stream that was cancelled is no failure; what follows
+        # is the first attempt. Callers that disconnect and resume would otherwise use
+        # up the retries meant for failures.
         if not (lost_stream and self._attempts == 1):
             self._spend_retry(broken)
         can_resume = (
             verdict is Verdict.ALIVE
             and engine is step.engine
-            and not broken.ran_nothing
+            and not is_gone
             and self._answer.stream_id is not None
             and step.resumes < self.parts.options.max_resumes_on_engine
         )
         if can_resume:
-            return _Step(step.choice, self._answer.stream_id, step.resumes + 1)
+            return Step(step.choice, self._answer.stream_id, step.resumes + 1)
         self.parts.counts[DeliveryCount.CONTINUATIONS] += 1
         if not lost_stream:
             # An engine that only lost the stream can still generate.
@@ -381,10 +363,11 @@
             engine.name,
             self.parts.clock(),
             incarnation=engine.incarnation,
+            started_s=self._attempt_started_s,
         )
         self._check_quarantine()
 
-    def _spend_retry(self, broken: _Broken) -> None:
+    def _spend_retry(self, broken: Broken) -> None:
         now_s = self.parts.clock()
         too_many = self._attempts >= self.parts.options.max_attempts
         if not too_many and self.parts.budget.try_spend(now_s):
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/steps.py
@@ -0,0 +1,37 @@
+"""Steps of a generation and the ways in which they break."""
+
+from dataclasses import dataclass
+
+from persimmonyoke.internal.delivery.api import RouteChoice
+from persimmonyoke.internal.upstreams.api import Upstream
+
+
+@dataclass(frozen=True)
+class Step:
+    """Describe the next attempt; ``resumes`` counts those on the same engine."""
+
+    choice: RouteChoice
+    resume_stream: str | None = None
+    resumes: int = 0
+
+    @property
+    def engine(self) -> Upstream:
+        return self.choice.engine
+
+
+class Broken(Exception):
+    """Say why an attempt ended without the whole answer."""
+
+    def __init__(
+        self,
+        reason: str,
+        engine: Upstream,
+        *,
+        sent: bool = True,
+        refused: bool = False,
+        ended: bool = False,
+    ) -> None:
+        super().__init__(reason)
+        self.engine = engine
+        self.ran_nothing = refused or not sent
+        self.ended = ended
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -115,18 +115,31 @@
         self._isolation_numbers: dict[tuple[str, str], int] = {}
         # The wall clock keeps the numbers growing over a restart of the host.
         self._number = int(time.time() * 1000)
-        self._explained: OrderedDict[str, None] = OrderedDict()
+        self._explained: OrderedDict[str, float] = OrderedDict()
         self.quarantined_total = 0
         # Counts changes, so that waiting suspects can see cheaply that one happened.
         self.version = 0
 
     def note_crash(
-        self, digest: bytes, engine: str, now_s: float, *, incarnation: str = ""
+        self,
+        digest: bytes,
+        engine: str,
+        now_s: float,
+        *,
+        incarnation: str = "",
+        started_s: float | None = None,
     ) -> SuspectStatus:
-        """Count a crash of an engine that was running the request."""
+        """Count a crash of an engine that was running the request.
+
+        ``started_s`` is the time at which the attempt began.
+        """
         self.status(digest, now_s)
         record = self._record(digest)
         event = self._crash_event(record, engine, incarnation, now_s)
+        if started_s is not None and started_s > self._known_s(record, event, now_s):
+            # An attempt that began after the known crash of an incarnation ran on a
+            # later one, which the directory does not show yet.
+            event = f"{event}+{self.host}:{now_s:.3f}"
         record.last_crash_s = now_s
         if event not in record.crashes:
             self.version += 1
@@ -273,6 +286,12 @@
                     return event
         return f"{engine}@{self.host}:{now_s:.3f}"
 
+    def _known_s(self, record: _Record, event: str, now_s: float) -> float:
+        """Return when a crash was noted at the latest, ``now_s`` if it is new."""
+        if event in record.crashes:
+            return record.last_crash_s
+        return self._explained.get(event, now_s)
+
     def _quarantine_if_proven(self, record: _Record, now_s: float) -> None:
         if record.quarantined_until_s > now_s:
             self._explain(record)
@@ -286,7 +305,7 @@
 
     def _explain(self, record: _Record) -> None:
         for event in record.crashes:
-            self._explained[event] = None
+            self._explained.setdefault(event, record.last_crash_s)
         while len(self._explained) > self._max_records:
             self._explained.popitem(last=False)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
@@ -163,16 +163,24 @@
         self.assertEqual(caught.exception.kind, ErrorKind.STREAM_LOST)
         self.assertEqual(caught.exception.ran, Ran.RAN)
 
-    def test_a_resume_of_a_cancelled_stream_needs_no_retry(self):
-        # Callers that disconnect and resume were refused once the retries were spent.
-        for stream_id in list(self.engine._streams):
-            del self.engine._streams[stream_id]
+    def check_resume_without_retries(self):
         request = build_request(max_tokens=WORDS, resume=self.first_sink.points[3])
         sink = RecordingSink()
         spent = RetryBudget(floor=0, share=0.0)
         build_delivery(self.fleet, budget=spent).complete(request, sink)
         self.assertEqual(sink.text, WHOLE[len(answer_text("tell me", 4)) :])
 
+    def test_a_resume_of_a_forgotten_stream_needs_no_retry(self):
+        # Callers that disconnect and resume were refused once the retries were spent.
+        self.engine._streams.clear()
+        self.check_resume_without_retries()
+
+    def test_a_resume_of_a_cancelled_stream_needs_no_retry(self):
+        # Engines that keep a cancelled stream end it at once, three times in a row.
+        self.engine.script = fail_once(Fault.CANCELLED, 4)
+        self.check_resume_without_retries()
+        self.assertEqual(len(self.engine.resumes), 1)
+
     def test_without_body_and_engine_the_caller_is_told_to_resend_the_body(self):
         # Nothing can continue the answer; silence would leave the caller waiting.
         self.engine.crash()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -45,6 +45,19 @@
         self.assertEqual(register.status(POISON, 1.0), Suspect(1))
         self.assertEqual(register.status(INNOCENT, 1.0), Suspect(1))
 
+    def test_a_crash_after_a_quick_restart_counts_although_its_incarnation_is_old(self):
+        # The directory lags behind a restart; one request crashed six engines.
+        for known_by in (POISON, INNOCENT):
+            with self.subTest(known_by=known_by):
+                register = SuspectRegister("a")
+                crashes = (("e1", 1.0), ("e2", 1.1)) if known_by is INNOCENT else ()
+                for engine, now_s in (*crashes, ("e1", 1.2)):
+                    register.note_crash(known_by, engine, now_s, incarnation="1")
+                options = {"incarnation": "1", "started_s": 2.0}
+                register.note_crash(POISON, "e1", 2.1, **options)
+                expected = Suspect(1) if known_by is INNOCENT else Quarantined(602.1)
+                self.assertEqual(register.status(POISON, 2.2), expected)
+
     def test_completion_clears_a_suspect_here_and_at_the_peers(self):
         # A request that once met a crash would be isolated for ever.
         peer = SuspectRegister("b")
