Decide role changes from offered work and the engines' own rates

Cause: the controller had a hook for role decisions and nothing behind it. Change: RoleDecisions feeds MixEstimator with all hosts' offered work (refused work included), takes rates and slots from load reports, and confirms each decision with the engines' own states, so that a lagging role, a crashed engine or an open order does not lead to a change. A bound never makes a serving pool pass through a split that serves nothing. A change that is announced and not ordered within 5 s, as with the store down, is given up. Ruled out: reading roles from load reports alone, which flip back by their lag.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/controller.py
@@ -58,11 +58,13 @@
         lease: AuthorityLease,
         issuer: OrderIssuer,
         planner: OrderPlanner,
+        work_interval_s: float = WORK_INTERVAL_S,
     ) -> None:
         self.pool = pool
         self._lease = lease
         self._issuer = issuer
         self._planner = planner
+        self._work_interval_s = work_interval_s
         self._taken_over_fencing = 0
 
     def hold_lease(self, stop: Event) -> None:
@@ -90,7 +92,7 @@
                 self._lease.release()
             except StoreUnavailable as error:
                 logger.warning("{} pool {}: {}", LOG_PREFIX, self.pool, error)
-            stop.wait(WORK_INTERVAL_S)
+            stop.wait(self._work_interval_s)
 
     def step(self, *, now_s: float, now_unix_s: float) -> IssueOutcome | None:
         """Do one round; return the outcome of an order if one was issued."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -4,12 +4,15 @@
 import secrets
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 
-from persimmonyoke.internal.authority.controller import OrderPlanner, PoolController
+from persimmonyoke.internal.authority.controller import (
+    WORK_INTERVAL_S,
+    OrderPlanner,
+    PoolController,
+)
 from persimmonyoke.internal.authority.lease import AuthorityLease
 from persimmonyoke.internal.authority.orders import OrderIssuer
 from persimmonyoke.internal.authority.timer import (
@@ -30,12 +33,14 @@
 from persimmonyoke.internal.node.offered_load import OfferedLoad
 from persimmonyoke.internal.node.order_audit import authority_key, order_key
 from persimmonyoke.internal.node.planners import (
+    DRAIN_NOTICE_S,
+    SETTLE_S,
     ChainedPlanner,
     DrainingPlanner,
     ModelPlanner,
-    RoleChange,
     RolePlanner,
 )
+from persimmonyoke.internal.node.role_decisions import RoleDecisions
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.platform import (
     EtcdGatewayStore,
@@ -52,16 +57,16 @@
     Preset,
     Revision,
 )
+from persimmonyoke.internal.roles import RolePolicy
 from persimmonyoke.internal.settings import Settings
 from persimmonyoke.internal.upstreams.api import EngineClient, Upstream
 
 DEFAULT_LISTEN = "127.0.0.1:0"
 # Roles change over tens of seconds; reading less often halves the processor time.
 POLL_INTERVAL_S = 2.0
-RoleDecider = Callable[["ControllerNode", str, float], RoleChange | None]
-"""Say which role of a pool to change at a time, or ``None`` to keep the roles."""
-
 REPEAT_DRAIN_S = 2.0
+# A shortened notice still has to reach the entry hosts.
+MIN_NOTICE_S = 0.1
 
 log = part_logger("controller")
 
@@ -75,21 +80,28 @@
     planner: DrainingPlanner
     stop: threading.Event
     tasks: tuple[gevent.Greenlet, ...]
+    roles: RoleDecisions
 
 
 class ControllerNode:
-    """Run one pool controller for each engine pool of the preset in force."""
+    """Run one pool controller for each engine pool of the preset in force.
+
+    ``role_policy`` replaces the shipped policy, for comparisons; ``time_scale`` is that
+    of simulated engines.
+    """
 
     def __init__(
         self,
         settings: Settings,
         *,
         poll_interval_s: float = POLL_INTERVAL_S,
-        decide_role: RoleDecider | None = None,
+        role_policy: RolePolicy | None = None,
+        time_scale: float = 1.0,
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
-        self._decide_role = decide_role
+        self._role_policy = role_policy
+        self._time_scale = time_scale
         self.name = settings.process.name
         self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
         self._rng = rng or random.Random()
@@ -224,34 +236,48 @@
             lease_s=limits.lease_s,
             checks_fencing=policy.checks_fencing,
         )
+        roles = self._role_decisions(pool)
         planner = DrainingPlanner(
-            ChainedPlanner(self._planners(pool)), announce=lambda: self._announce(pool)
+            ChainedPlanner(self._planners(pool, roles)),
+            announce=lambda: self._announce(pool),
+            notice_s=max(MIN_NOTICE_S, DRAIN_NOTICE_S * self._time_scale),
+            settle_s=SETTLE_S * min(1.0, self._time_scale),
         )
         controller = PoolController(
-            pool=pool, lease=lease, issuer=issuer, planner=planner
+            pool=pool,
+            lease=lease,
+            issuer=issuer,
+            planner=planner,
+            work_interval_s=WORK_INTERVAL_S * min(1.0, self._time_scale),
         )
         stop = threading.Event()
         tasks = (
             gevent.spawn(controller.hold_lease, stop),
             gevent.spawn(controller.work, stop),
         )
-        return RunningPool(policy, controller, planner, stop, tasks)
+        return RunningPool(policy, controller, planner, stop, tasks, roles)
 
-    def _planners(self, pool: str) -> tuple[OrderPlanner, ...]:
+    def _role_decisions(self, pool: str) -> RoleDecisions:
+        return RoleDecisions(
+            pool,
+            engines=lambda: self._staying(pool),
+            load=self.fleet.load,
+            offered=self.offered,
+            preset=lambda: self.view.preset,
+            client_of=self.fleet.clients.engine,
+            policy=self._role_policy,
+            time_scale=self._time_scale,
+        )
+
+    def _planners(self, pool: str, roles: RoleDecisions) -> tuple[OrderPlanner, ...]:
         models = ModelPlanner(
             engines=lambda: self._staying(pool),
             models=lambda: self._models(pool),
             client_of=self.fleet.clients.engine,
             weights=self._weights,
         )
-        decide_role = self._decide_role
-        if decide_role is None:
-            return (models,)
-        roles = RolePlanner(
-            decide=lambda now_s: decide_role(self, pool, now_s),
-            find=self.fleet.directory.find,
-        )
-        return (models, roles)
+        changes = RolePlanner(decide=roles.decide, find=self.fleet.directory.find)
+        return (models, changes)
 
     def _staying(self, pool: str) -> tuple[Upstream, ...]:
         engines = self.fleet.directory.engines(pool, time.monotonic())
@@ -269,7 +295,10 @@
     # Messages
 
     def _take_load(self, host: str, message: Load) -> None:
-        self.offered.note(message, time.monotonic())
+        now_s = time.monotonic()
+        if self.offered.note(message, now_s):
+            for running in self.pools.values():
+                running.roles.observe(now_s)
 
     def _announce(self, pool: str) -> None:
         running = self.pools.get(pool)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -82,12 +82,14 @@
         *,
         delivery_options: DeliveryOptions | None = None,
         poll_interval_s: float = 1.0,
+        offered_interval_s: float = OFFERED_INTERVAL_S,
         rng: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.name = settings.process.name
         self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
         self._rng = rng or random.Random()
+        self._offered_interval_s = offered_interval_s
         self._tasks: list[gevent.Greenlet] = []
         self._leaving = False
         self.callers_address = split_address(settings.listen.callers)
@@ -387,7 +389,7 @@
 
     def _offer_periodically(self) -> None:
         while True:
-            gevent.sleep(OFFERED_INTERVAL_S)
+            gevent.sleep(self._offered_interval_s)
             if self.router.offered:
                 totals = dict(self.router.offered)
                 self.peers.broadcast(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
@@ -23,6 +23,12 @@
 CHECK_INTERVAL_S = 5.0
 RETRY_INTERVAL_S = 10.0
 DRAIN_NOTICE_S = 0.5
+# An engine gets new work again only when the entry hosts have read its new role: with
+# the old one they send it requests that it refuses.
+SETTLE_S = 1.5
+# An announced change that was not ordered by then, as with the store down, is given up,
+# so that its engine does not stay without work for the whole outage.
+MAX_NOTICE_S = 5.0
 # An order that is open for longer has failed, and its engine is used again.
 MAX_ORDER_S = 120.0
 
@@ -215,6 +221,7 @@
     planned: PlannedOrder
     since_s: float
     issued: bool = False
+    ended_s: float | None = None
 
 
 class DrainingPlanner(OrderPlanner):
@@ -229,28 +236,40 @@
         *,
         announce: Callable[[], None],
         notice_s: float = DRAIN_NOTICE_S,
+        settle_s: float = SETTLE_S,
     ) -> None:
         self._planner = planner
         self._announce = announce
         self._notice_s = notice_s
+        self._settle_s = settle_s
         self._announced: _Announced | None = None
 
     def drained(self, now_s: float) -> tuple[str, ...]:
         """Return the engines that are announced at present."""
         announced = self._announced
-        if announced is None or now_s - announced.since_s > MAX_ORDER_S:
+        if announced is None:
+            return ()
+        limit_s = MAX_ORDER_S if announced.issued else MAX_NOTICE_S
+        if now_s - announced.since_s > limit_s:
             return ()
         return (announced.planned.engine,)
 
     def plan(self, *, now_s: float) -> PlannedOrder | None:
         """Return an order once its announcement has reached the entry hosts."""
-        if self._announced is not None and self._announced.issued:
+        announced = self._announced
+        if announced is not None and announced.issued:
             # Orders are planned only when none is open, so this one has ended.
+            announced.ended_s = announced.ended_s or now_s
+            if now_s - announced.ended_s < self._settle_s:
+                return None
             self._set(None)
-        if self._announced is not None:
-            if now_s - self._announced.since_s < self._notice_s:
+        elif announced is not None:
+            if now_s - announced.since_s < self._notice_s:
                 return None
-            return self._announced.planned
+            if self.drained(now_s):
+                return announced.planned
+            # The decision is as old as the announcement, so it is made again.
+            self._set(None)
         planned = self._planner.plan(now_s=now_s)
         if planned is None or planned.action != "change_role":
             return planned
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/role_decisions.py
@@ -0,0 +1,187 @@
+"""Decisions on the roles of one pool, from offered work, load reports and preset."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from math import exp
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.node.offered_load import OfferedLoad, PoolTotals
+from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.presets import Preset
+from persimmonyoke.internal.roles import (
+    ChangeRole,
+    EngineRates,
+    EngineRole,
+    HysteresisRolePolicy,
+    MixEstimator,
+    PoolState,
+    RolePolicy,
+)
+from persimmonyoke.internal.upstreams.api import EngineClient, EngineFailure, Upstream
+from persimmonyoke.internal.upstreams.load_view import LoadView
+
+# Engines whose states contradict the view are asked again only after this time, since
+# the view catches up with the next reports.
+RECHECK_S = 2.0
+SIZES_TIME_S = 60.0
+# Assumed before any request; the prompt bounds how full a prefill engine may be.
+DEFAULT_PROMPT_TOKENS, DEFAULT_OUTPUT_TOKENS = 2_000.0, 128.0
+
+log = part_logger("controller")
+
+
+class RoleDecisions:
+    """Watch the work offered to one pool and decide on its roles.
+
+    ``engines`` returns the engines of the pool that stay. ``time_scale`` is that of
+    simulated engines: the policy then sees their durations and rates as unscaled.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        *,
+        engines: Callable[[], Iterable[Upstream]],
+        load: LoadView,
+        offered: OfferedLoad,
+        preset: Callable[[], Preset | None],
+        client_of: Callable[[Upstream], EngineClient],
+        policy: RolePolicy | None = None,
+        time_scale: float = 1.0,
+    ) -> None:
+        self.pool = pool
+        self._engines = engines
+        self._load = load
+        self._offered = offered
+        self._preset = preset
+        self._client_of = client_of
+        self._policy = policy or HysteresisRolePolicy()
+        self._time_scale = time_scale
+        self._estimator: MixEstimator | None = None
+        self._counted = PoolTotals(0, 0, 0)
+        self._sizes = RequestSizes()
+        self._recheck_at_s = 0.0
+
+    def observe(self, now_s: float) -> None:
+        """Take over newly offered work; needed also while another controller decides.
+
+        A successor then knows the long-run mix when it takes over.
+        """
+        totals, counted = self._offered.totals(self.pool), self._counted
+        scaled_s = now_s / self._time_scale
+        rates = self._rates(now_s)
+        if rates is None:
+            return
+        if self._estimator is None:
+            self._estimator = MixEstimator(rates)
+        else:
+            self._estimator.use_rates(rates)
+        increase = PoolTotals(
+            totals.prefill_tokens - counted.prefill_tokens,
+            totals.output_tokens - counted.output_tokens,
+            totals.requests - counted.requests,
+        )
+        self._counted = totals
+        self._sizes.note(increase, scaled_s)
+        self._estimator.note(
+            increase.prefill_tokens, increase.output_tokens, now_s=scaled_s
+        )
+
+    def decide(self, now_s: float) -> ChangeRole | None:
+        """Return the change to begin now, confirmed by the engines' own states."""
+        preset = self._preset()
+        self.observe(now_s)
+        if preset is None or self._estimator is None or now_s < self._recheck_at_s:
+            return None
+        rates = self._rates(now_s)
+        reported = tuple(self._reported(e, now_s) for e in self._engines())
+        wanted = self._ask(PoolState(self.pool, reported, rates), preset, now_s)
+        if wanted is None:
+            return None
+        confirmed = self._ask(self._confirmed(preset, rates, now_s), preset, now_s)
+        if confirmed is None:
+            self._recheck_at_s = now_s + RECHECK_S
+        return confirmed
+
+    def _ask(self, state: PoolState, preset: Preset, now_s: float) -> ChangeRole | None:
+        scaled_s = now_s / self._time_scale
+        mix = self._estimator.estimate(scaled_s)
+        limits = preset.deadlines
+        first_token_s = limits.first_token_s / self._time_scale
+        preset = replace(preset, deadlines=replace(limits, first_token_s=first_token_s))
+        decision = self._policy.decide(state, mix, preset, now_s=scaled_s)
+        return decision if isinstance(decision, ChangeRole) else None
+
+    def _reported(self, engine: Upstream, now_s: float) -> EngineRole:
+        estimate = self._load.estimate(engine.name, now_s)
+        return EngineRole(
+            engine.name,
+            engine.role,
+            running_sequences=estimate.running_sequences,
+            queued_prefill_tokens=estimate.queued_prefill_tokens,
+        )
+
+    def _confirmed(self, preset: Preset, rates: EngineRates, now_s: float) -> PoolState:
+        """Return the pool as the engines themselves describe it now.
+
+        Reports lag, so a role may have changed since, and an engine that has crashed
+        or lacks a model would be counted as one that serves its phase.
+        """
+        policy = preset.pools.get(self.pool)
+        models = {model.name for model in policy.models} if policy else set()
+        serving, in_flight = [], False
+        for engine in self._engines():
+            try:
+                state = self._client_of(engine).state()
+            except (EngineFailure, ProtocolError) as error:
+                log.info("engine {} left out of the split: {}", engine.name, error)
+                continue
+            in_flight = in_flight or state.open_order_id is not None
+            if models <= set(state.models):
+                reported = self._reported(engine, now_s)
+                serving.append(replace(reported, role=state.role))
+        return PoolState(self.pool, tuple(serving), rates, change_in_flight=in_flight)
+
+    def _rates(self, now_s: float) -> EngineRates | None:
+        """Return the mean rates that the engines report, ``None`` before any has."""
+        estimates = [self._load.estimate(e.name, now_s) for e in self._engines()]
+        known = [
+            e for e in estimates if e.prefill_tokens_per_s and e.decode_tokens_per_s
+        ]
+        if not known:
+            return None
+        scale = self._time_scale / len(known)
+        decode_tokens_per_s = scale * sum(e.decode_tokens_per_s for e in known)
+        slots = sum(e.max_sequences for e in known) / len(known)
+        sizes = self._sizes.mean()
+        if sizes is None:
+            sizes = (DEFAULT_PROMPT_TOKENS, DEFAULT_OUTPUT_TOKENS)
+        return EngineRates(
+            prefill_tokens_per_s=scale * sum(e.prefill_tokens_per_s for e in known),
+            decode_tokens_per_s=decode_tokens_per_s,
+            prompt_tokens=max(1.0, sizes[0]),
+            sequence_s=sizes[1] * slots / decode_tokens_per_s,
+        )
+
+
+class RequestSizes:
+    """Average the prompt and output tokens of recent requests."""
+
+    def __init__(self) -> None:
+        self._sums = [0.0, 0.0, 0.0]
+        self._now_s: float | None = None
+
+    def note(self, increase: PoolTotals, now_s: float) -> None:
+        """Take over what was offered since the last call."""
+        elapsed_s = 0.0 if self._now_s is None else max(0.0, now_s - self._now_s)
+        self._now_s = now_s
+        keep = exp(-elapsed_s / SIZES_TIME_S)
+        added = (increase.prefill_tokens, increase.output_tokens, increase.requests)
+        self._sums = [
+            old * keep + new for old, new in zip(self._sums, added, strict=True)
+        ]
+
+    def mean(self) -> tuple[float, float] | None:
+        """Return mean prompt and output tokens, ``None`` without requests."""
+        prompt, output, requests = self._sums
+        return (prompt / requests, output / requests) if requests > 0.5 else None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_planners.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_planners.py
@@ -6,6 +6,8 @@
 from persimmonyoke.internal.authority.orders import OrderInDoubt, OrderNotSent
 from persimmonyoke.internal.node.planners import (
     DRAIN_NOTICE_S,
+    MAX_NOTICE_S,
+    SETTLE_S,
     DrainingPlanner,
     ModelPlanner,
     RolePlanner,
@@ -92,7 +94,18 @@
         self.assertEqual(planner.drained(1.0), ("engine-1",))
         # The controller plans again only when no order is open.
         self.assertIsNone(planner.plan(now_s=9.0))
-        self.assertEqual(planner.drained(9.0), ())
+        # Hosts that have not read the new role yet would send what it refuses.
+        self.assertEqual(planner.drained(9.0), ("engine-1",))
+        planner.plan(now_s=9.0 + SETTLE_S)
+        self.assertEqual(planner.drained(9.0 + SETTLE_S), ())
+
+    def test_a_change_that_is_never_ordered_gives_its_engine_back(self):
+        # With the store down no order is issued, and the engine would stay idle.
+        planner = self.planner([role_order()])
+        planner.plan(now_s=0.0)
+        self.assertEqual(planner.drained(MAX_NOTICE_S + 0.1), ())
+        planner.plan(now_s=60.0)
+        self.assertEqual(planner.drained(60.0), ("engine-1",))
 
     def test_an_engine_that_refuses_is_used_again_at_once(self):
         planner = self.planner([role_order()])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/roles/mix.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/mix.py
@@ -79,6 +79,10 @@
         self._reference_s = 0.0
         self._duration_s = INITIAL_DURATION_S
 
+    def use_rates(self, rates: EngineRates) -> None:
+        """Weigh tokens by other rates from now on; the tokens noted are kept."""
+        self._rates = rates
+
     def note(
         self, prefill_tokens: float, decode_tokens: float, *, now_s: float
     ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/roles/policy.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/roles/policy.py
@@ -121,10 +121,13 @@
         present = _fault(state.split, policy)
         if present == 0:
             return None
+        covered = state.split.covers_both_phases
         changes = [
             change
             for change in possible_changes(state)
             if _fault(change.after, policy) < present
+            # A bound is no reason to take a pool that serves out of service.
+            and (change.during.covers_both_phases or not covered)
         ]
         if not changes:
             return None
--- /dev/null
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
@@ -0,0 +1,111 @@
+"""Tests of role changes in a whole deployment, from the offered mix to the engines."""
+
+import time
+import unittest
+
+import gevent
+
+from persimmonyoke.internal.invariants import MONITOR
+from persimmonyoke.internal.upstreams.api import Role
+from persimmonyoke_testing.builders_deployment import CallerStream
+from persimmonyoke_testing.deployment import Deployment
+from persimmonyoke_testing.engine import expected_text
+from persimmonyoke_testing.platform_fleet import FleetOptions
+
+TIME_SCALE = 0.1
+# Eight slots and one eighth of the rates, so that the load fits one process.
+SMALL_ENGINES = FleetOptions(
+    time_scale=TIME_SCALE,
+    engine_changes={"max_sequences": 8, "tokens_per_event": 8},
+    # Divided by the time scale again, so that tokens keep their real pace.
+    timing_changes={
+        "prefill_tokens_per_s": 2_500.0 * TIME_SCALE,
+        "prefill_chunk_tokens": 25,
+        "decode_base_s": 0.010 / TIME_SCALE,
+        "decode_per_sequence_s": 0.0016 / TIME_SCALE,
+    },
+)
+OPTIONS = {"fleet": SMALL_ENGINES, "poll_interval_s": 0.1}
+CHANGE_TIMEOUT_S = 20.0
+# Prompt and output tokens of requests with much prefill and of those with much decode.
+PREFILL_HEAVY, DECODE_HEAVY = (240, 8), (20, 32)
+
+
+class Callers:
+    """Send streams of one kind at a steady rate and keep their outcomes."""
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self._tasks = []
+        self.wrong = []
+        self.refused = 0
+        self.complete = 0
+
+    def send_until(self, holds, kind, *, per_s, timeout_s):
+        end_s = time.monotonic() + timeout_s
+        while not holds():
+            if time.monotonic() > end_s:
+                raise TimeoutError("the roles have not changed")
+            self._tasks.append(gevent.spawn(self._send, len(self._tasks), kind))
+            gevent.sleep(1 / per_s)
+
+    def join(self):
+        gevent.joinall(self._tasks, timeout=30.0, raise_error=True)
+
+    def _send(self, number, kind):
+        prompt_tokens, output_tokens = kind
+        prompt = f"r{number} " + "word " * (prompt_tokens - 1)
+        nodes = self._deployment.entries
+        stream = CallerStream(
+            nodes[number % len(nodes)].callers_url,
+            self._deployment.firm,
+            prompt=prompt,
+            max_tokens=output_tokens,
+        )
+        if stream.status in {429, 503}:
+            self.refused += 1
+        elif stream.read() == expected_text(prompt, output_tokens) and stream.finished:
+            self.complete += 1
+        else:
+            self.wrong.append((number, stream.status, stream.text))
+
+
+class RoleChangeTest(unittest.TestCase):
+    def setUp(self):
+        self.violations = dict(MONITOR.violations)
+
+    def test_a_shifted_mix_changes_roles_and_cuts_no_request(self):
+        # Roles that never follow the mix leave engines idle, and a change that does
+        # not drain its engine cuts streams (no_cut_on_planned_change).
+        with Deployment("kente", nodes=2, controllers=1, **OPTIONS) as d:
+            engines = d.platform.engines
+            callers = Callers(d)
+
+            def count(role):
+                return sum(e.configuration.role is role for e in engines)
+
+            def changes():
+                return sum(e.record.counts["role_changes"] for e in engines)
+
+            callers.send_until(
+                lambda: count(Role.PREFILL) >= 1,
+                DECODE_HEAVY,
+                per_s=45,
+                timeout_s=CHANGE_TIMEOUT_S,
+            )
+            before = changes()
+            callers.send_until(
+                lambda: changes() > before,
+                PREFILL_HEAVY,
+                per_s=60,
+                timeout_s=CHANGE_TIMEOUT_S,
+            )
+            callers.join()
+            self.assertEqual(callers.wrong, [])
+            self.assertGreater(callers.complete, callers.refused)
+            self.assertEqual([len(e.record.interrupted) for e in engines], [0] * 6)
+            phases = {r.phase for e in engines for r in e.record.requests}
+            self.assertLessEqual({"prefill", "decode"}, phases)
+            conflicting = [o for e in engines for o in e.record.orders if o.conflicting]
+            self.assertEqual(conflicting, [])
+        self.assertEqual(dict(MONITOR.violations), self.violations)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment.py
@@ -10,7 +10,8 @@
 from persimmonyoke.internal.delivery.parts import DeliveryOptions
 from persimmonyoke.internal.node.controller import ControllerNode
 from persimmonyoke.internal.node.endpoints import free_port
-from persimmonyoke.internal.node.entry import EntryNode
+from persimmonyoke.internal.node.entry import OFFERED_INTERVAL_S, EntryNode
+from persimmonyoke.internal.roles import RolePolicy
 from persimmonyoke.internal.settings import SettingsRole, parse_settings
 from persimmonyoke_testing.deployment_settings import (
     LOOPBACK,
@@ -31,9 +32,10 @@
 class Deployment:
     """Run the simulators, entry nodes and controllers of one firm.
 
-    ``time_scale`` multiplies every duration of the engines. ``nodes`` and
-    ``controllers`` may be 0, so that a test or bench starts them as processes from the
-    files of ``write_settings``. ``platform`` holds the simulators with their faults.
+    ``time_scale`` multiplies every duration of the engines and of the role policy.
+    ``nodes`` and ``controllers`` may be 0, so that a test or bench starts them as
+    processes from the files of ``write_settings``. ``platform`` holds the simulators
+    with their faults.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         order_deadline_s: float = 1.0,
         poll_interval_s: float = 1.0,
         delivery_options: DeliveryOptions | None = None,
+        role_policy: RolePolicy | None = None,
     ) -> None:
         self.firm = find_firm(firm) if isinstance(firm, str) else firm
         fleet = fleet or FleetOptions(time_scale=time_scale)
@@ -62,6 +65,8 @@
         self._order_deadline_s = order_deadline_s
         self._poll_interval_s = poll_interval_s
         self._delivery_options = delivery_options
+        self._role_policy = role_policy
+        self._time_scale = fleet.time_scale
 
     def __enter__(self) -> "Deployment":
         self.start()
@@ -92,6 +97,7 @@
             parse_settings(text, SettingsRole.ENTRY),
             delivery_options=self._delivery_options,
             poll_interval_s=self._poll_interval_s,
+            offered_interval_s=OFFERED_INTERVAL_S * min(1.0, self._time_scale),
         )
         node.start()
         zone = node.settings.process.availability_zone
@@ -107,6 +113,8 @@
         node = ControllerNode(
             parse_settings(text, SettingsRole.CONTROLLER),
             poll_interval_s=self._poll_interval_s,
+            role_policy=self._role_policy,
+            time_scale=self._time_scale,
         )
         node.start()
         self.controllers.append(node)
