--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -9,6 +9,10 @@
 BENCHES: dict[str, str] = {
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "control": "Measure the control cost of an entry and a controller process.",
+    "mix": "Compare the role policy with others while the mix of the work shifts.",
+    "overload": (
+        "Measure goodput past the capacity and a workspace that floods the others."
+    ),
     "path": "Measure the time that an entry process adds to the engine's own.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
