--- a/packages/persimmonyoke/src/persimmonyoke/errors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/errors.py
@@ -154,7 +154,8 @@
 
     def __init__(self, source: str, faults: tuple[Fault, ...]) -> None:
         lines = "\n".join(f"  {fault}" for fault in faults)
-        super().__init__(f"{source} has {len(faults)} faults:\n{lines}")
+        count = "1 fault" if len(faults) == 1 else f"{len(faults)} faults"
+        super().__init__(f"{source} has {count}:\n{lines}")
         self.source = source
         self.faults = faults
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/check_command.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/check_command.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 from persimmonyoke.errors import InvalidDocumentError
 from persimmonyoke.internal.presets import parse_preset
@@ -10,7 +10,7 @@
 from persimmonyoke_cli.failures import CommandFailed, UsageError
 
 
-def check(file: Path, *, role: SettingsRole | None = None) -> None:
+def check(file: Path, *, role: Literal["entry", "controller"] | None = None) -> None:
     """Check a settings file or a preset and name every fault.
 
     A file with a table [process] holds settings. The base of a preset is read from
@@ -23,7 +23,7 @@
     values = _parsed(file)
     try:
         if "process" in values:
-            chosen = role or _role(values)
+            chosen = SettingsRole(role) if role else _role(values)
             load_settings(file, chosen)
             print(f"{file}: valid settings ({chosen.value})")
         else:
