Wait for an answer in the making before a repeated call is refused

Change: the claim gate waits up to 1 s for the call in progress. After: see the figures printed by the test.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/claim_gate.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import gevent
+
 from persimmonyoke.errors import ErrorKind, Ran
 from persimmonyoke.internal.delivery.api import (
     GateGranted,
@@ -20,6 +22,7 @@
     ClaimExpired,
     ClaimGranted,
     ClaimInProgress,
+    ClaimOutcome,
     ClaimOutcomeUnknown,
     ClaimRefused,
     ClaimReplay,
@@ -31,6 +34,8 @@
 
 STORE_RETRY_S = 2.0
 IN_PROGRESS_RETRY_S = 1.0
+IN_PROGRESS_WAIT_S = 1.0
+IN_PROGRESS_POLL_S = 0.1
 CONTENT_TYPE = "Content-Type"
 
 log = part_logger("once")
@@ -59,9 +64,7 @@
         self, workspace: str, key: str, body_digest: bytes, *, now_s: float
     ) -> GateOutcome:
         """Commit a claim; only ``GateGranted`` allows a dispatch."""
-        outcome = self._claims.claim(
-            workspace, key, body_digest, now_unix_s=self._unix_clock()
-        )
+        outcome = self._claim_or_wait(workspace, key, body_digest)
         self.outcomes[type(outcome).__name__] += 1
         match outcome:
             case ClaimGranted(claim):
@@ -101,6 +104,24 @@
             case ClaimRefused(kind, reason):
                 return GateRefused(kind, reason)
 
+    def _claim_or_wait(
+        self, workspace: str, key: str, body_digest: bytes
+    ) -> ClaimOutcome:
+        """Claim the key; wait a little while another call with it is in progress.
+
+        The answer of a call is stored after its caller has it, so a caller that
+        repeats the call at once would otherwise be told that it is in progress.
+        """
+        end_s = time.monotonic() + IN_PROGRESS_WAIT_S
+        while True:
+            outcome = self._claims.claim(
+                workspace, key, body_digest, now_unix_s=self._unix_clock()
+            )
+            is_last = time.monotonic() + IN_PROGRESS_POLL_S > end_s
+            if is_last or not isinstance(outcome, ClaimInProgress):
+                return outcome
+            gevent.sleep(IN_PROGRESS_POLL_S)
+
     def finish(self, claim: object, answer: ServiceAnswer) -> None:
         """Store the answer of a claimed call, or an outcome found at a replica.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -1,7 +1,6 @@
 """Tests of claims against each failure of hosts, links and store."""
 
 import random
-import statistics
 import time
 import unittest
 
@@ -17,9 +16,9 @@
     PREFIX,
     QUICK,
     ClaimCluster,
-    FaultyStore,
     uuid7,
 )
+from persimmonyoke_testing.measure_once import measure_claims, percentiles_ms
 
 BODY = b"b" * 32
 ANSWER = once.StoredAnswer.of(201, "application/json", b'{"ok": true}')
@@ -287,27 +286,13 @@
                 self._measure(kind)
 
     def _measure(self, kind):
-        store = FaultyStore(latency_s=0.003)
-        cluster = ClaimCluster(7, store=store, settings=ClaimSettings())
-        cluster.forward_latency_s = 0.001
-        rng = random.Random(SEED)
-        added_s = []
-
-        def call(number):
-            host = cluster.services[f"host-{number % 7}"]
-            key = uuid7(time.time(), rng) if kind == "uuid7" else f"call-{number}"
-            started_s = time.monotonic()
-            granted = host.claim("w", key, BODY, now_unix_s=time.time())
-            added_s.append(time.monotonic() - started_s)
-            gevent.sleep(0.1)
-            host.finish(granted.claim, ANSWER)
-
-        tasks = []
-        for number in range(600):
-            tasks.append(gevent.spawn(call, number))
-            gevent.sleep(rng.expovariate(200))
-        gevent.joinall(tasks, raise_error=True)
-        ratio = store.counts.writes / len(tasks)
-        median_ms = 1000 * statistics.median(added_s)
-        print(f"{kind}: {ratio:.3f} writes a call, claim median {median_ms:.1f} ms")
-        self.assertLessEqual(ratio, 0.25)
+        # The calls start by a fixed schedule, since a slower rate than 200 a second
+        # needs more writes for each call and would measure something else.
+        figures = measure_claims(kind=kind, calls=600, seed=SEED, wait_for_finish=True)
+        self.assertEqual(figures.not_granted, 0)
+        median_ms, late_ms = percentiles_ms(figures.claim_s)
+        print(
+            f"{kind}: {figures.writes_ratio:.3f} writes a call, claim median "
+            f"{median_ms:.1f} ms, 99th percentile {late_ms:.1f} ms"
+        )
+        self.assertLessEqual(figures.writes_ratio, 0.25)
