--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/check_command.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/check_command.py
@@ -10,20 +10,20 @@
 from persimmonyoke_cli.failures import CommandFailed, UsageError
 
 
-def check(file: Path, *, role: Literal["entry", "controller"] | None = None) -> None:
+def check(file: Path, *, role: Literal["auto", "entry", "controller"] = "auto") -> None:
     """Check a settings file or a preset and name every fault.
 
     A file with a table [process] holds settings. The base of a preset is read from
     the same folder.
 
     :param file: TOML file
-    :param role: process that reads the settings; default: controller for a file with
-        a table [controller] and without [listen], otherwise entry
+    :param role: process that reads the settings; auto: controller for a file with a
+        table [controller] and without [listen], otherwise entry
     """
     values = _parsed(file)
     try:
         if "process" in values:
-            chosen = SettingsRole(role) if role else _role(values)
+            chosen = _role(values) if role == "auto" else SettingsRole(role)
             load_settings(file, chosen)
             print(f"{file}: valid settings ({chosen.value})")
         else:
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
@@ -226,6 +226,32 @@
                 self.assertEqual(status, 2)
                 self.assertIn(name, errors)
 
+    def test_check_takes_the_role_as_the_binary_names_it(self):
+        # Only upper-case names were accepted, and the error listed none of them.
+        path = str(EXAMPLES_PATH / "kente" / "controller-1.toml")
+        status, output, errors = run("check", "--role", "controller", path)
+        self.assertEqual((status, errors), (0, ""))
+        self.assertIn("valid settings (controller)", output)
+        status, _, errors = run("check", "--role", "entry", path)
+        self.assertEqual(status, 1)
+        self.assertIn("listen: missing", errors)
+
+    def test_check_lists_the_accepted_roles(self):
+        # Without the list an operator has to read the sources for the names.
+        status, _, errors = run("check", "--role", "guard", "settings.toml")
+        self.assertEqual(status, 2)
+        for role in ("entry", "controller"):
+            self.assertIn(role, errors.splitlines()[-1])
+
+    def test_check_says_one_fault_for_one(self):
+        # "has 1 faults" read as if faults were left out of the list.
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "base.toml"
+            path.write_text('name = "base"\ncolour = 3\n', encoding="utf-8")
+            status, _, errors = run("check", str(path))
+        self.assertEqual(status, 1)
+        self.assertIn("has 1 fault:", errors)
+
     def test_check_tells_settings_from_presets_and_names_each_fault(self):
         # A file that is checked against the wrong schema shows only false faults.
         controller = settings_text(role=SettingsRole.CONTROLLER)
