Bound a drain notice by the time for which its controller keeps it

Cause: with the store down, hosts kept an engine out of use for up to 20 s after a change was announced that was never ordered (found by the new test with a store outage). Change: the announcement carries the time left, 5 s before the order and 15 s after.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -305,8 +305,11 @@
         if running is None:
             return
         self._announcements += 1
-        drained = running.planner.drained(time.monotonic())
-        left = dict.fromkeys(drained, MAX_DRAIN_S)
+        now_s = time.monotonic()
+        # Hosts keep a notice for no longer than this controller does: nothing ends it
+        # if the store is down and no order follows.
+        left_s = min(MAX_DRAIN_S, running.planner.left_s(now_s))
+        left = dict.fromkeys(running.planner.drained(now_s), left_s)
         message = drain_message(pool, self.incarnation, self._announcements, left)
         self.peers.broadcast(message)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/planners.py
@@ -247,13 +247,18 @@
     def drained(self, now_s: float) -> tuple[str, ...]:
         """Return the engines that are announced at present."""
         announced = self._announced
-        if announced is None:
-            return ()
-        limit_s = MAX_ORDER_S if announced.issued else MAX_NOTICE_S
-        if now_s - announced.since_s > limit_s:
+        if announced is None or self.left_s(now_s) <= 0:
             return ()
         return (announced.planned.engine,)
 
+    def left_s(self, now_s: float) -> float:
+        """Return for how long the present announcement may last at most."""
+        announced = self._announced
+        if announced is None:
+            return MAX_NOTICE_S
+        limit_s = MAX_ORDER_S if announced.issued else MAX_NOTICE_S
+        return announced.since_s + limit_s - now_s
+
     def plan(self, *, now_s: float) -> PlannedOrder | None:
         """Return an order once its announcement has reached the entry hosts."""
         announced = self._announced
@@ -285,6 +290,7 @@
             self._set(None)
         else:
             self._announced.issued = True
+            self._announce()
 
     def _set(self, announced: _Announced | None) -> None:
         self._announced = announced
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
@@ -26,6 +26,8 @@
     },
 )
 OPTIONS = {"fleet": SMALL_ENGINES, "poll_interval_s": 0.1}
+# Long enough for the shifted mix to call for a change and for its notice to end.
+OUTAGE_S = 12.0
 CHANGE_TIMEOUT_S = 20.0
 # Prompt and output tokens of requests with much prefill and of those with much decode.
 PREFILL_HEAVY, DECODE_HEAVY = (240, 8), (20, 32)
@@ -109,3 +111,30 @@
             conflicting = [o for e in engines for o in e.record.orders if o.conflicting]
             self.assertEqual(conflicting, [])
         self.assertEqual(dict(MONITOR.violations), self.violations)
+
+    def test_no_role_changes_while_the_store_is_down(self):
+        # An order without authority in the store could conflict with a successor's,
+        # and an engine that stays announced would get no work for the whole outage.
+        with Deployment("kente", nodes=1, controllers=1, **OPTIONS) as d:
+            callers = Callers(d)
+            orders = [e.record.orders for e in d.platform.engines]
+            d.wait_until(
+                lambda: any(o.action == "change_role" for log in orders for o in log)
+            )
+            controller = d.controllers[0].pools[d.firm.engine_pool]
+            d.wait_until(lambda: not controller.planner.drained(time.monotonic()))
+            d.platform.key_value.set_down(True)
+            before = sum(len(log) for log in orders)
+            end_s = time.monotonic() + OUTAGE_S
+            callers.send_until(
+                lambda: time.monotonic() > end_s,
+                PREFILL_HEAVY,
+                per_s=60,
+                timeout_s=OUTAGE_S + 5.0,
+            )
+            callers.join()
+            self.assertEqual(sum(len(log) for log in orders), before)
+            self.assertEqual(d.entries[0].drains.draining(time.monotonic()), ())
+            self.assertEqual(callers.wrong, [])
+            self.assertGreater(callers.complete, callers.refused)
+        self.assertEqual(dict(MONITOR.violations), self.violations)
