Keep first tokens in time by a limit on requests in flight that is measured

Cause: at and past the capacity a third of the admitted requests got their first token late (9.7/s of 45/s at 1x, 14.4/s at 3x), and a flood raised another workspace's latency 1.57 times. Engines that decode and prefill together prefill several times slower than the rate that they report, so the deadline test was too hopeful and the engines' queues, which are not fair between workspaces, grew. Change: entry hosts time the first token of each request. When more than a tenth take over 0.4 of the deadline, the limit on requests in flight falls by 7% each 0.25 s, and rises by 2% while it is used and they are in time. The measured wait also enters the deadline test.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/admission/__init__.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission of requests: limits, fair queueing and refusal, without I/O."""
 
+from persimmonyoke.internal.admission.first_token_limit import FirstTokenLimit
 from persimmonyoke.internal.admission.queue import AdmissionQueue
 from persimmonyoke.internal.admission.tickets import (
     Admitted,
@@ -8,4 +9,11 @@
     Ticket,
 )
 
-__all__ = ["Admitted", "AdmissionQueue", "Queued", "Refused", "Ticket"]
+__all__ = [
+    "Admitted",
+    "AdmissionQueue",
+    "FirstTokenLimit",
+    "Queued",
+    "Refused",
+    "Ticket",
+]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/admission_gate.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/admission_gate.py
@@ -10,12 +10,13 @@
 from persimmonyoke.internal.admission import (
     AdmissionQueue,
     Admitted,
+    FirstTokenLimit,
     Queued,
     Refused,
     Ticket,
 )
 from persimmonyoke.internal.callers.api import AdmissionRequest
-from persimmonyoke.internal.node.pool_capacity import PoolCapacity
+from persimmonyoke.internal.node.pool_capacity import MIN_LIMIT, PoolCapacity
 from persimmonyoke.internal.presets import Preset
 
 REFUSALS: Mapping[ErrorKind, str] = {
@@ -58,6 +59,9 @@
         self._clock = clock
         self._waiting: dict[str, AsyncResult] = {}
         self._timer: gevent.Greenlet | None = None
+        self._first_tokens = FirstTokenLimit()
+        self._in_flight: dict[str, Ticket] = {}
+        self._deadline_s = preset.deadlines.first_token_s
         self.limit = capacity.limit(pool, clock())
         self.queue = AdmissionQueue(
             preset.workspaces,
@@ -70,7 +74,7 @@
     def admit(self, ticket: Ticket) -> None:
         """Wait until the ticket is admitted; raises ``RequestError``."""
         now_s = self._clock()
-        wait_s = self._capacity.wait_s(self._pool, now_s)
+        wait_s = self._wait_s(now_s)
         outcome = self.queue.offer(ticket, now_s=now_s, pool_wait_s=wait_s)
         if isinstance(outcome, Queued):
             outcome = self._wait(ticket)
@@ -78,6 +82,25 @@
             self.pump()
         if isinstance(outcome, Refused):
             raise _refusal(outcome)
+        self._in_flight[ticket.request_id] = ticket
+
+    def note_first_token(self, request_id: str, first_token_s: float) -> bool:
+        """Take the time of a request at the engines; return whether it is known."""
+        ticket = self._in_flight.get(request_id)
+        if ticket is None:
+            return False
+        self._first_tokens.note(
+            first_token_s,
+            idle_s=ticket.first_token_s,
+            deadline_s=self._deadline_s,
+            now_s=self._clock(),
+        )
+        return True
+
+    def _wait_s(self, now_s: float) -> float:
+        """Return the wait at the engines, as reported or as measured."""
+        reported_s = self._capacity.wait_s(self._pool, now_s)
+        return max(reported_s, self._first_tokens.wait_s(now_s))
 
     def _wait(self, ticket: Ticket) -> Admitted | Refused:
         result = self._waiting[ticket.request_id] = AsyncResult()
@@ -97,6 +120,7 @@
 
     def release(self, ticket: Ticket, used_tokens: int) -> None:
         """Free the slot of a finished request and admit the next one."""
+        self._in_flight.pop(ticket.request_id, None)
         self.queue.release(ticket, now_s=self._clock(), used_tokens=used_tokens)
         self.pump()
 
@@ -117,9 +141,12 @@
             preset.admission,
             host_share=self._capacity.host_share(now_s),
         )
-        self.limit = self._capacity.limit(self._pool, now_s)
+        self._deadline_s = preset.deadlines.first_token_s
+        self._first_tokens.adjust(used_share=self.queue.in_flight / self.limit)
+        most = self._capacity.limit(self._pool, now_s)
+        self.limit = max(MIN_LIMIT, int(self._first_tokens.factor * most))
         self.queue.set_limit(self.limit)
-        self.queue.note_pool_wait(self._capacity.wait_s(self._pool, now_s))
+        self.queue.note_pool_wait(self._wait_s(now_s))
         self.pump()
 
     def _wake(self, outcome: Admitted | Refused) -> None:
@@ -178,6 +205,12 @@
         queue.admit(ticket)
         return Grant(queue, ticket, request.prompt_tokens)
 
+    def note_first_token(self, request_id: str, first_token_s: float) -> None:
+        """Take the time from the dispatch of a request to its first token."""
+        for queue in self.queues.values():
+            if queue.note_first_token(request_id, first_token_s):
+                return
+
     def refresh(self) -> None:
         """Take over the present preset and capacity in all queues."""
         preset = self._preset()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -32,6 +32,7 @@
 from persimmonyoke.internal.node.endpoints import join_address, split_address
 from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
 from persimmonyoke.internal.node.entry_metrics import entry_metrics
+from persimmonyoke.internal.node.first_tokens import TimedDelivery
 from persimmonyoke.internal.node.fleet_view import FleetView
 from persimmonyoke.internal.node.host_list_loop import entry_hosts
 from persimmonyoke.internal.node.offered_load import offered_message
@@ -207,7 +208,9 @@
         services = CallerServices(
             configuration=self.view,
             admission=self.admission,
-            delivery=self.delivery,
+            delivery=TimedDelivery(
+                self.delivery, self.admission.note_first_token, time.monotonic
+            ),
             addresses=self.addresses,
             render_metrics=lambda: self.metrics.render(),
             tokens=StreamTokenSigner(settings.streams.signing_key.encode()),
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/first_tokens.py
@@ -0,0 +1,59 @@
+"""Measurement of the time from the dispatch of a request to its first token."""
+
+from collections.abc import Callable
+
+from persimmonyoke.internal.delivery.api import (
+    CompletionRequest,
+    CompletionResult,
+    CompletionSink,
+    TextProgress,
+)
+from persimmonyoke.internal.delivery.delivery import Delivery
+from persimmonyoke.internal.delivery.services import ServiceRequest
+from persimmonyoke.internal.upstreams.api import ServiceAnswer, StreamEvent, Upstream
+
+NoteFirstToken = Callable[[str, float], None]
+
+
+class TimedDelivery:
+    """Run generations and note the time to the first token of each new one."""
+
+    def __init__(
+        self, delivery: Delivery, note: NoteFirstToken, clock: Callable[[], float]
+    ) -> None:
+        self._delivery = delivery
+        self._note = note
+        self._clock = clock
+
+    def complete(
+        self, request: CompletionRequest, sink: CompletionSink
+    ) -> CompletionResult:
+        """Run one generation to its end."""
+        if request.resume is not None:
+            return self._delivery.complete(request, sink)
+        begun_s = self._clock()
+
+        def on_first() -> None:
+            self._note(request.request_id, self._clock() - begun_s)
+
+        return self._delivery.complete(request, _FirstTokenSink(sink, on_first))
+
+    def call_service(self, request: ServiceRequest) -> ServiceAnswer:
+        """Make one service call."""
+        return self._delivery.call_service(request)
+
+
+class _FirstTokenSink(CompletionSink):
+    """Pass events on; after the first one, without a call of its own for each."""
+
+    def __init__(self, sink: CompletionSink, on_first: Callable[[], None]) -> None:
+        self._sink = sink
+        self._on_first = on_first
+
+    def begin_stream(self, upstream: Upstream, stream_id: str) -> None:
+        self._sink.begin_stream(upstream, stream_id)
+
+    def deliver(self, event: StreamEvent, progress: TextProgress) -> None:
+        self._on_first()
+        self.deliver = self._sink.deliver
+        self._sink.deliver(event, progress)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/mix.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/mix.py
@@ -81,10 +81,9 @@
         for name, job in _jobs(trace, options.candidates)
     ]
     print(f"{len(jobs)} runs on {options.workers} workers")
-    done = Pool(options.workers).map(lambda entry: _run_job(entry[2]), jobs)
+    done = Pool(options.workers).map(lambda entry: _run_job(*entry[1:]), jobs)
     traces: dict[int, TraceResult] = {}
     for (index, name, job), result in zip(jobs, done, strict=True):
-        print(json.dumps({"run": name, **asdict(job), **result}))
         traces.setdefault(index, TraceResult(job.firm, {})).results[name] = result
     return _result(firms, list(traces.values()))
 
@@ -124,7 +123,7 @@
     return jobs
 
 
-def _run_job(job: MixJob) -> dict:
+def _run_job(name: str, job: MixJob) -> dict:
     command = [sys.executable, "-m", "persimmonyoke_cli.bench.mix_worker"]
     done = subprocess.run(
         [*command, json.dumps(asdict(job))],
@@ -132,7 +131,9 @@
         timeout=RUN_TIMEOUT_S,
         check=True,
     )
-    return json.loads(done.stdout)
+    result = json.loads(done.stdout)
+    print(json.dumps({"run": name, **asdict(job), **result}), flush=True)
+    return result
 
 
 def _result(firms: Sequence[str], traces: Sequence[TraceResult]) -> BenchResult:
