Give up authority in a task of its own before the kernel timer is due

Cause: a controller ended with SIGALRM during an outage of the store although it was never paused: its only lease task waited in a renewal that got no answer until past the time at which it should have given up. Change: giving up has its own task; a renewal or acquisition that comes back too late ends its lease instead of arming the timer for the past; an order takes at most 0.9 of the remaining authority.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/controller.py
@@ -18,7 +18,7 @@
 
 LOG_PREFIX = "[authority]"
 WORK_INTERVAL_S = 0.5
-LEASE_CHECKS_PER_RENEWAL = 3
+LEASE_CHECKS_PER_RENEWAL = 5
 
 
 @dataclass(frozen=True)
@@ -45,10 +45,12 @@
 
 
 class PoolController:
-    """Run the control loop of one pool in two tasks.
+    """Run the control loop of one pool in three tasks.
 
     Renewal has its own task, because asking engines for their state can take longer
-    than the time between two renewals.
+    than the time between two renewals. Giving up has its own task as well: a renewal
+    can wait for a store that does not answer until after the end of the lease, and the
+    kernel would then end a process that was not paused at all.
     """
 
     def __init__(
@@ -69,17 +71,18 @@
 
     def hold_lease(self, stop: Event) -> None:
         """Acquire and renew the lease until ``stop`` is set, then release it."""
-        renew_at_s = 0.0
-        interval_s = self._lease.renewal_interval_s
         while not stop.is_set():
-            now_s = time.monotonic()
-            if now_s >= renew_at_s:
-                self._acquire_or_renew(now_s)
-                renew_at_s = now_s + interval_s
-            self._lease.check(now_s=time.monotonic())
-            stop.wait(interval_s / LEASE_CHECKS_PER_RENEWAL)
+            self._acquire_or_renew(time.monotonic())
+            stop.wait(self._lease.renewal_interval_s)
         self._lease.release()
 
+    def guard_lease(self, stop: Event) -> None:
+        """Give up authority in time where it was not renewed, until ``stop`` is set."""
+        interval_s = self._lease.renewal_interval_s / LEASE_CHECKS_PER_RENEWAL
+        while not stop.is_set():
+            self._lease.check(now_s=time.monotonic())
+            stop.wait(interval_s)
+
     def work(self, stop: Event) -> None:
         """Settle and issue orders while authority is held, until ``stop`` is set."""
         while not stop.is_set():
--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/lease.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/lease.py
@@ -1,6 +1,8 @@
 """Lease of a pool: acquisition, renewal and the time until it ends."""
 
 import secrets
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import cbor2
@@ -61,6 +63,7 @@
         holder: str,
         lease_s: float,
         timer: LeaseTimer,
+        clock_s: Callable[[], float] = time.monotonic,
     ) -> None:
         if lease_s <= 0:
             raise ValueError(f"lease_s must be positive, got {lease_s!r}")
@@ -70,6 +73,7 @@
         self._holder = holder
         self._lease_s = lease_s
         self._timer = timer
+        self._clock_s = clock_s
         self._pending: tuple[str, int, float] | None = None
         self.authority: Authority | None = None
 
@@ -121,7 +125,12 @@
             remaining_s = self._store.keep_alive(authority.lease_id)
         except StoreUnavailable:
             return True
-        if remaining_s <= 0:
+        if self.authority is not authority:
+            # It was given up while the answer was awaited. The lease is ended rather
+            # than taken up again, so that authority has one beginning and one end.
+            self._revoke(authority.lease_id)
+            return False
+        if remaining_s <= 0 or self._is_too_late(now_s):
             self.give_up()
             return False
         self._set(authority.fencing, authority.lease_id, authority.acquired_s, now_s)
@@ -164,9 +173,16 @@
         self._revoke(lease_id)
         return None
 
-    def _hold(self, fencing: int, lease_id: int, started_s: float) -> Authority:
+    def _hold(self, fencing: int, lease_id: int, started_s: float) -> Authority | None:
+        if self._is_too_late(started_s):
+            # Arming the timer for a time in the past would end the process.
+            self._revoke(lease_id)
+            return None
         return self._set(fencing, lease_id, started_s, started_s)
 
+    def _is_too_late(self, counted_from_s: float) -> bool:
+        return self._clock_s() >= counted_from_s + self.usable_s
+
     def _set(
         self, fencing: int, lease_id: int, acquired_s: float, counted_from_s: float
     ) -> Authority:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/orders.py
@@ -36,6 +36,9 @@
 
 LOG_PREFIX = "[authority]"
 
+ORDER_TIME_SHARE = 0.9
+"""Share of the remaining authority that an order may take."""
+
 
 @dataclass(frozen=True)
 class OrderSent:
@@ -190,7 +193,9 @@
             Invariant.NO_ORDER_WITHOUT_AUTHORITY,
             f"order {entry.order_id} for {entry.engine} without authority",
         )
-        timeout_s = min(self._order_deadline_s, authority.remaining_s(now_s))
+        # The connection must be closed before authority is given up.
+        remaining_s = ORDER_TIME_SHARE * authority.remaining_s(now_s)
+        timeout_s = min(self._order_deadline_s, remaining_s)
         # The record's last revision grows with each order and exceeds the number of
         # the acquisition, so that a packet of an earlier order of this holder is
         # refused as well.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/authority/tests/test_lease.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/authority/tests/test_lease.py
@@ -1,9 +1,16 @@
 """Tests of the lease of a pool."""
 
+import time
 import unittest
 
 from persimmonyoke.errors import StoreUnavailable
-from persimmonyoke_testing.builders_authority import LEASE_S, build_pair
+from persimmonyoke_testing.builders_authority import (
+    LEASE_S,
+    REAL_LEASE_S,
+    SlowRenewals,
+    build_pair,
+    wait_until,
+)
 
 
 class LeaseTest(unittest.TestCase):
@@ -105,3 +112,35 @@
         self.first.store.faults.down = True
         with self.assertRaises(StoreUnavailable):
             self.first.acquire()
+
+    def test_a_renewal_that_waits_for_a_silent_store_does_not_end_the_process(self):
+        # The store was paused for longer than the lease; a process that runs must give
+        # up by itself before the kernel timer is due.
+        with SlowRenewals(self.first) as (lease, timer, stop):
+            wait_until(lambda: lease.authority is not None)
+            deadline_s = timer.deadline_s
+            wait_until(lambda: lease.authority is None, timeout_s=2 * REAL_LEASE_S)
+            self.assertLess(time.monotonic(), deadline_s)
+            self.assertIsNone(timer.deadline_s)
+            stop.set()
+
+    def test_authority_given_up_during_a_renewal_is_not_taken_up_again(self):
+        self.first.acquire()
+        lease = self.first.lease
+        keep_alive = self.first.store.keep_alive
+
+        def give_up_meanwhile(lease_id):
+            lease.give_up()
+            return keep_alive(lease_id)
+
+        self.first.store.keep_alive = give_up_meanwhile
+        self.assertFalse(lease.renew(now_s=self.clock()))
+        self.assertIsNone(lease.authority)
+        self.assertIsNone(self.first.timer.deadline_s)
+        self.assertTrue(self.second.acquire())
+
+    def test_an_acquisition_that_took_longer_than_the_lease_arms_no_timer(self):
+        # A timer for a time in the past would end the process at once.
+        self.first.store.faults.slow_s = LEASE_S * 0.3
+        self.assertFalse(self.first.acquire())
+        self.assertIsNone(self.first.timer.deadline_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -253,6 +253,7 @@
         stop = threading.Event()
         tasks = (
             gevent.spawn(controller.hold_lease, stop),
+            gevent.spawn(controller.guard_lease, stop),
             gevent.spawn(controller.work, stop),
         )
         return RunningPool(policy, controller, planner, stop, tasks, roles)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_authority.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_authority.py
@@ -1,8 +1,13 @@
 """Builders for tests of the authority over engines."""
 
 import itertools
-from collections.abc import Iterator
+import threading
+import time
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from types import TracebackType
+
+import gevent
 
 from persimmonyoke.internal.authority.controller import (
     OrderPlanner,
@@ -33,6 +38,7 @@
 POOL = "llm-pool"
 LEASE_S = 4.0
 ORDER_DEADLINE_S = 2.0
+REAL_LEASE_S = 1.0
 LEASE_KEY = "/persimmonyoke/kente/authority/llm-pool"
 RECORD_KEY = "/persimmonyoke/kente/orders/llm-pool"
 
@@ -225,6 +231,7 @@
             holder=self.holder,
             lease_s=LEASE_S,
             timer=self.timer,
+            clock_s=self.clock,
         )
         self.issuer = OrderIssuer(
             self.store,
@@ -263,3 +270,59 @@
         for holder in ("c1", "c2")
     )
     return first, second, engine
+
+
+def wait_until(holds: Callable[[], bool], *, timeout_s: float = 5.0) -> None:
+    """Wait for a condition; raise ``AssertionError`` if it does not come true."""
+    end_s = time.monotonic() + timeout_s
+    while not holds():
+        if time.monotonic() > end_s:
+            raise AssertionError(f"no change within {timeout_s} s")
+        gevent.sleep(0.005)
+
+
+class SlowRenewals:
+    """Run the lease tasks of a controller in real time over a store that stalls.
+
+    The acquisition is answered at once, each renewal only after two lease lengths.
+    """
+
+    def __init__(self, fixture: AuthorityFixture) -> None:
+        store = MemoryStore(sleep=gevent.sleep)
+        keep_alive = store.keep_alive
+
+        def stalled(lease_id: int) -> float:
+            gevent.sleep(2 * REAL_LEASE_S)
+            return keep_alive(lease_id)
+
+        store.keep_alive = stalled
+        self.timer = RecordingTimer()
+        self.lease = AuthorityLease(
+            store,
+            LEASE_KEY,
+            pool=POOL,
+            holder="c1",
+            lease_s=REAL_LEASE_S,
+            timer=self.timer,
+        )
+        self._controller = PoolController(
+            pool=POOL, lease=self.lease, issuer=fixture.issuer, planner=fixture.planner
+        )
+        self._stop = threading.Event()
+        self._tasks: list[gevent.Greenlet] = []
+
+    def __enter__(self) -> tuple[AuthorityLease, RecordingTimer, threading.Event]:
+        self._tasks = [
+            gevent.spawn(self._controller.hold_lease, self._stop),
+            gevent.spawn(self._controller.guard_lease, self._stop),
+        ]
+        return self.lease, self.timer, self._stop
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stop.set()
+        gevent.killall(self._tasks)
