--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_reading_exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_reading_exchange.py
@@ -1,37 +1,20 @@
 """Tests of the exchange of readings and of the shares of the polling."""
 
-import random
 import time
 import unittest
 from dataclasses import replace
-from types import SimpleNamespace
-from unittest import mock
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.membership.hosts import HostView
 from persimmonyoke.internal.membership.messages import Load
-from persimmonyoke.internal.membership.peers import PeerService
-from persimmonyoke.internal.node.fleet_view import FleetView
 from persimmonyoke.internal.node.reading_exchange import ReadingExchange
-from persimmonyoke.internal.platform import HostEntry, HostList, HostRole, HostState
-from persimmonyoke.internal.upstreams.api import (
-    CacheEvent,
-    CacheEventBatch,
-    EngineState,
-    LoadReport,
-    Role,
+from persimmonyoke.internal.upstreams.api import Role
+from persimmonyoke_testing.builders_readings import (
+    STATE,
+    UNIX_S,
+    SharingFleets,
+    event_batch,
+    report,
 )
-from persimmonyoke_testing.builders_membership import beat
-
-STATE = EngineState(
-    "e1", "i1", Role.DECODE, ("m",), ("a",), "v", 0, None, None, None, 0
-)
-UNIX_S = 1_800_000_000.0
-
-
-def report(**replaced):
-    base = LoadReport("e1", "i1", UNIX_S - 2.5, 70_000, 9, 3, 1000.0, 50.0, 64, "x")
-    return replace(base, role=Role.DECODE, **replaced)
 
 
 class ReadingExchangeTest(unittest.TestCase):
@@ -82,20 +65,13 @@
 
     def test_lost_and_cut_events_are_a_gap(self):
         # The index would keep evicted pieces for ever.
-        def batch(first, count):
-            events = (
-                CacheEvent(n, n % 2 == 0, n.to_bytes(16, "big"))
-                for n in range(first, first + count)
-            )
-            return CacheEventBatch(tuple(events), first + count, gap=False)
-
         def send(first, count, now_s):
-            self.sender.send_events("e1", batch(first, count), now_s, hosts=7)
+            self.sender.send_events("e1", event_batch(first, count), now_s, hosts=7)
             return self.received()
 
-        self.assertEqual(send(0, 3, 0.0)[0].batch, batch(0, 3))
-        self.assertEqual(send(3, 2, 10.0)[0].batch, batch(3, 2))
-        self.sender.send_events("e1", batch(5, 1), 20.0, hosts=7)
+        self.assertEqual(send(0, 3, 0.0)[0].batch, event_batch(0, 3))
+        self.assertEqual(send(3, 2, 10.0)[0].batch, event_batch(3, 2))
+        self.sender.send_events("e1", event_batch(5, 1), 20.0, hosts=7)
         self.sent.clear()
         self.assertTrue(send(6, 2, 30.0)[0].batch.gap)
         cut = send(8, 500, 40.0)[0].batch
@@ -116,66 +92,25 @@
     """Three entry hosts and a controller over nine engines that do not answer."""
 
     def setUp(self):
-        self.fleets = {f"host-{n}": self.fleet(f"host-{n}") for n in range(3)}
-        self.fleets["controller"] = self.fleet("controller", callers_address="")
-        self.hear(("host-0", "host-1", "host-2"), sequence=1)
-
-    def fleet(self, name, callers_address="127.0.0.1:1"):
-        hosts = mock.create_autospec(HostList, instance=True)
-        rng = random.Random(1)
-        view = HostView()
-        fleet = FleetView(hosts, view, port_offset=1, poll_interval_s=60.0, rng=rng)
-        self.addCleanup(fleet.stop)
-        fleet._loop = mock.Mock()
-        peers = mock.create_autospec(PeerService, instance=True)
-        peers.identity = SimpleNamespace(host=name, callers_address=callers_address)
-        fleet.start(peers, on_list=lambda: None)
-        return fleet
-
-    def hear(self, names, *, sequence, now_s=None):
-        for fleet in self.fleets.values():
-            for name in names:
-                now_s = time.monotonic() if now_s is None else now_s
-                fleet._host_view.note_heartbeat(beat(name, sequence=sequence), now_s)
-
-    def list_engines(self, count, now_s):
-        entries = [
-            HostEntry(
-                f"host-{n}", HostRole.ENTRY, "", f"127.0.0.1:{n + 1}", "z", "r", s
-            )
-            for n, s in enumerate([HostState.LIVE] * 3)
-        ]
-        entries += [
-            HostEntry(
-                f"e{n}", HostRole.ENGINE, "p", "127.0.0.1:9", "z", "r", HostState.LIVE
-            )
-            for n in range(count)
-        ]
-        for fleet in self.fleets.values():
-            fleet._take_list(tuple(entries), now_s)
-
-    def hear_reports(self, count, now_s):
-        for fleet in self.fleets.values():
-            fleet._exchange._heard_s = {f"e{n}": now_s for n in range(count)}
-
-    def polled(self):
-        return {name: fleet._pollers.names() for name, fleet in self.fleets.items()}
+        self.fleets = SharingFleets()
+        self.addCleanup(self.fleets.stop)
+        self.fleets.hear(("host-0", "host-1", "host-2"), sequence=1)
 
     def test_each_engine_is_read_by_one_host_and_by_another_after_its_death(self):
         # With all nodes reading all engines, polling took 15 times a node's budget.
         now_s = time.monotonic()
-        self.hear_reports(9, now_s)
-        self.list_engines(9, now_s)
-        polled = self.polled()
+        self.fleets.hear_reports(9, now_s)
+        self.fleets.list_engines(9, now_s)
+        polled = self.fleets.polled()
         self.assertEqual(polled.pop("controller"), frozenset())
         self.assertEqual(sum(map(len, polled.values())), 9)
         self.assertEqual(len(frozenset().union(*polled.values())), 9)
         self.assertEqual({len(names) for names in polled.values()}, {3})
         later_s = now_s + 3.2
-        self.hear(("host-0", "host-1"), sequence=9, now_s=later_s)
-        self.hear_reports(9, later_s)
-        self.list_engines(9, later_s)
-        after = self.polled()
+        self.fleets.hear(("host-0", "host-1"), sequence=9, now_s=later_s)
+        self.fleets.hear_reports(9, later_s)
+        self.fleets.list_engines(9, later_s)
+        after = self.fleets.polled()
         taken = after["host-0"] | after["host-1"]
         self.assertEqual(len(taken), 9)
         self.assertEqual(len(after["host-0"]) + len(after["host-1"]), 9)
@@ -183,16 +118,16 @@
     def test_an_engine_without_reports_is_read_by_each_node(self):
         # Its polling host may be cut off from it and still look live.
         now_s = time.monotonic()
-        self.hear_reports(9, now_s)
-        self.list_engines(9, now_s + 3.6)
-        self.assertEqual({len(names) for names in self.polled().values()}, {9})
+        self.fleets.hear_reports(9, now_s)
+        self.fleets.list_engines(9, now_s + 3.6)
+        self.assertEqual({len(names) for names in self.fleets.polled().values()}, {9})
 
     def test_a_small_pool_is_read_by_each_entry_node_but_not_by_controllers(self):
         # Reports of peers are up to 0.5 s older, which costs goodput.
         now_s = time.monotonic()
-        self.hear_reports(6, now_s)
-        self.list_engines(6, now_s)
-        sizes = {name: len(names) for name, names in self.polled().items()}
+        self.fleets.hear_reports(6, now_s)
+        self.fleets.list_engines(6, now_s)
+        sizes = {name: len(names) for name, names in self.fleets.polled().items()}
         self.assertEqual(
             sizes, {"host-0": 6, "host-1": 6, "host-2": 6, "controller": 0}
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/outcomes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/outcomes.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass
+from enum import StrEnum
 
 from persimmonyoke.errors import ErrorKind
 
@@ -112,3 +113,11 @@
     | ClaimStoreUnavailable
     | ClaimRefused
 )
+
+
+class HeldState(StrEnum):
+    """Say how far the call of a granted attempt has come."""
+
+    GRANTED = "granted"
+    FINISHED = "finished"
+    RELEASED = "released"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -5,7 +5,6 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from enum import StrEnum
 
 from gevent.pool import Group
 from loguru import logger
@@ -41,6 +40,7 @@
     ClaimRefused,
     ClaimReplay,
     ClaimStoreUnavailable,
+    HeldState,
     StoredAnswer,
 )
 from persimmonyoke.internal.once.placement import (
@@ -50,8 +50,8 @@
     place,
     slot_shard,
 )
-from persimmonyoke.internal.once.settings import ClaimSettings
-from persimmonyoke.internal.once.writer import ShardWriter, WriterLimits
+from persimmonyoke.internal.once.settings import ClaimSettings, writer_limits
+from persimmonyoke.internal.once.writer import ShardWriter
 from persimmonyoke.internal.platform.store import KeyValueStore
 
 ATTEMPT_BYTES = 16
@@ -66,12 +66,6 @@
 WRITER_IDLE_S = 30.0
 
 
-class _Held(StrEnum):
-    GRANTED = "granted"
-    FINISHED = "finished"
-    RELEASED = "released"
-
-
 class ClaimService:
     """Grant, finish and release claims for the calls of one host.
 
@@ -105,7 +99,7 @@
         self._clock = clock
         self._unix_clock = unix_clock
         self._writers: dict[str, ShardWriter] = {}
-        self._held: OrderedDict[bytes, _Held] = OrderedDict()
+        self._held: OrderedDict[bytes, HeldState] = OrderedDict()
         self._tasks = Group()
 
     @property
@@ -153,11 +147,11 @@
         that are not urgent wait a moment for others to the same host.
         """
         check_invariant(
-            self._held.get(claim.attempt) is _Held.GRANTED,
+            self._held.get(claim.attempt) is HeldState.GRANTED,
             Invariant.AT_MOST_ONCE,
             f"call with key {claim.key!r} finished without a held claim",
         )
-        self._remember(claim.attempt, _Held.FINISHED)
+        self._remember(claim.attempt, HeldState.FINISHED)
         operation = self._operation(Action.FINISH, claim, answer=self._sized(answer))
         timeout_s = self._settings.finish_timeout_s
         result = self._execute(operation, timeout_s=timeout_s, is_urgent=is_urgent)
@@ -171,11 +165,11 @@
     def release(self, claim: Claim) -> bool:
         """Give a claim back whose call did not run; return whether it is by now."""
         check_invariant(
-            self._held.get(claim.attempt) is _Held.GRANTED,
+            self._held.get(claim.attempt) is HeldState.GRANTED,
             Invariant.NOT_RUN_IS_TRUE,
             f"claim of key {claim.key!r} is released but not held",
         )
-        self._remember(claim.attempt, _Held.RELEASED)
+        self._remember(claim.attempt, HeldState.RELEASED)
         operation = self._operation(Action.RELEASE, claim)
         timeout_s = self._settings.finish_timeout_s
         result = self._execute(operation, timeout_s=timeout_s)
@@ -374,16 +368,7 @@
         writer = self._writers.get(shard)
         if writer is None:
             self._drop_idle_writers()
-            timed = is_timed(shard)
-            settings = self._settings
-            limits = WriterLimits(
-                spacing_s=settings.timed_spacing_s
-                if timed
-                else settings.hash_spacing_s,
-                limit_bytes=settings.shard_limit_bytes,
-                answer_limit_bytes=settings.answer_limit_bytes,
-                keep_s=None if timed else settings.keep_s,
-            )
+            limits = writer_limits(self._settings, timed=is_timed(shard))
             writer = ShardWriter(
                 self._store,
                 self._prefix + shard,
@@ -440,7 +425,7 @@
         )
         if not holds:
             return ClaimInProgress(self._host)
-        self._remember(claim.attempt, _Held.GRANTED)
+        self._remember(claim.attempt, HeldState.GRANTED)
         return ClaimGranted(claim)
 
     def _not_run(self, claim: Claim, result: Result) -> ClaimOutcome:
@@ -457,7 +442,7 @@
         deadline_s = self._clock() + self._settings.retry_for_s
         self._writer(claim.shard).submit(operation, deadline_s=deadline_s)
 
-    def _remember(self, attempt: bytes, state: _Held) -> None:
+    def _remember(self, attempt: bytes, state: HeldState) -> None:
         self._held[attempt] = state
         self._held.move_to_end(attempt)
         if len(self._held) > MAX_REMEMBERED_ATTEMPTS:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/settings.py
@@ -33,3 +33,28 @@
                 f"answer_limit_bytes must be at most {MAX_ANSWER_BYTES}, "
                 f"is {self.answer_limit_bytes}"
             )
+
+
+@dataclass(frozen=True)
+class WriterLimits:
+    """Bound a shard's document and the rate of its commits.
+
+    ``spacing_s`` is the least time between the starts of two commits; an idle shard
+    commits at once. ``keep_s`` is ``None`` for shards that are deleted as a whole.
+    """
+
+    spacing_s: float
+    limit_bytes: int
+    answer_limit_bytes: int
+    keep_s: float | None
+    max_pending: int = 10_000
+
+
+def writer_limits(settings: ClaimSettings, *, timed: bool) -> WriterLimits:
+    """Return the limits of a shard whose keys carry a time, or of one whose don't."""
+    return WriterLimits(
+        spacing_s=settings.timed_spacing_s if timed else settings.hash_spacing_s,
+        limit_bytes=settings.shard_limit_bytes,
+        answer_limit_bytes=settings.answer_limit_bytes,
+        keep_s=None if timed else settings.keep_s,
+    )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/writer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/writer.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import gevent
 from gevent.event import AsyncResult
@@ -20,6 +19,7 @@
     Result,
     ShardDocument,
 )
+from persimmonyoke.internal.once.settings import WriterLimits
 from persimmonyoke.internal.platform.store import (
     EXPECT_ABSENT,
     KeyValueStore,
@@ -33,21 +33,6 @@
 PURGE_INTERVAL_S = 30.0
 
 
-@dataclass(frozen=True)
-class WriterLimits:
-    """Bound a shard's document and the rate of its commits.
-
-    ``spacing_s`` is the least time between the starts of two commits; an idle shard
-    commits at once. ``keep_s`` is ``None`` for shards that are deleted as a whole.
-    """
-
-    spacing_s: float
-    limit_bytes: int
-    answer_limit_bytes: int
-    keep_s: float | None
-    max_pending: int = 10_000
-
-
 class Pending:
     """Follow one submitted operation until its result is known."""
 
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_readings.py
@@ -0,0 +1,97 @@
+"""Builders of readings of engines, and of nodes that share the polling."""
+
+import random
+import time
+from collections.abc import Iterable
+from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from persimmonyoke.internal.membership.hosts import HostView
+from persimmonyoke.internal.membership.peers import PeerService
+from persimmonyoke.internal.node.fleet_view import FleetView
+from persimmonyoke.internal.platform import HostEntry, HostList, HostRole
+from persimmonyoke.internal.upstreams.api import (
+    CacheEvent,
+    CacheEventBatch,
+    EngineState,
+    LoadReport,
+    Role,
+)
+from persimmonyoke_testing.builders_membership import beat
+
+STATE = EngineState(
+    "e1", "i1", Role.DECODE, ("m",), ("a",), "v", 0, None, None, None, 0
+)
+UNIX_S = 1_800_000_000.0
+
+
+def report(**replaced: Any) -> LoadReport:
+    """Return a report that fits ``STATE``."""
+    base = LoadReport("e1", "i1", UNIX_S - 2.5, 70_000, 9, 3, 1000.0, 50.0, 64, "x")
+    return replace(base, role=Role.DECODE, **replaced)
+
+
+def event_batch(first: int, count: int) -> CacheEventBatch:
+    """Return events of consecutive numbers."""
+    events = (
+        CacheEvent(n, n % 2 == 0, n.to_bytes(16, "big"))
+        for n in range(first, first + count)
+    )
+    return CacheEventBatch(tuple(events), first + count, gap=False)
+
+
+class SharingFleets:
+    """Hold the fleet views of three entry hosts and a controller, without links."""
+
+    def __init__(self) -> None:
+        self._fleets = {f"host-{n}": _fleet(f"host-{n}") for n in range(3)}
+        self._fleets["controller"] = _fleet("controller", callers_address="")
+
+    def stop(self) -> None:
+        """End the pollers."""
+        for fleet in self._fleets.values():
+            fleet.stop()
+
+    def hear(
+        self, names: Iterable[str], *, sequence: int, now_s: float | None = None
+    ) -> None:
+        """Let all hear beats of some hosts."""
+        heard_s = time.monotonic() if now_s is None else now_s
+        for fleet in self._fleets.values():
+            for name in names:
+                fleet._host_view.note_heartbeat(beat(name, sequence=sequence), heard_s)
+
+    def hear_reports(self, count: int, now_s: float) -> None:
+        """Let all hear reports of peers about the first engines."""
+        for fleet in self._fleets.values():
+            fleet._exchange._heard_s = {f"e{n}": now_s for n in range(count)}
+
+    def list_engines(self, count: int, now_s: float) -> None:
+        """Give all a host list with the three hosts and some engines."""
+        entries = [
+            HostEntry(f"host-{n}", HostRole.ENTRY, "", f"127.0.0.1:{n + 1}", "z", "r")
+            for n in range(3)
+        ]
+        entries += [
+            HostEntry(f"e{n}", HostRole.ENGINE, "p", "127.0.0.1:9", "z", "r")
+            for n in range(count)
+        ]
+        for fleet in self._fleets.values():
+            fleet._take_list(tuple(entries), now_s)
+
+    def polled(self) -> dict[str, frozenset[str]]:
+        """Return the engines that each reads itself."""
+        return {name: fleet._pollers.names() for name, fleet in self._fleets.items()}
+
+
+def _fleet(name: str, callers_address: str = "127.0.0.1:1") -> FleetView:
+    hosts = mock.create_autospec(HostList, instance=True)
+    rng = random.Random(1)
+    fleet = FleetView(hosts, HostView(), port_offset=1, poll_interval_s=60.0, rng=rng)
+    fleet._loop = mock.Mock()
+    peers = mock.create_autospec(PeerService, instance=True)
+    peers.identity = SimpleNamespace(host=name, callers_address=callers_address)
+    fleet.start(peers, on_list=lambda: None)
+    return fleet
