Let the load keep addresses as callers do, and delay orders up to their deadline

Cause: trials on scratch copies with a broken mechanism showed two blind spots. Load that asked for an address before each call never used one of a leaving host, and streams ended before the listener closed. The model dropped a delayed order at the next step. Change: callers use an address for max_age_s, streams outlast the closing, delayed orders may arrive until the order deadline.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_load.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_load.py
@@ -16,11 +16,30 @@
 
 STREAM_CALLERS = 5
 SERVICE_CALLERS = 2
-TOKENS = 25
+TOKENS = 60
+"""Long enough to outlast the time for which a leaving host accepts new requests."""
+
 JOIN_S = 30.0
 EXCUSED_SERVICE_CODES = ("store_unavailable",)
 
 
+class AddressKeeper:
+    """Use an address for as long as its answer allows, as callers do."""
+
+    def __init__(self, ask: Callable[[], tuple[str, float]]) -> None:
+        self._ask = ask
+        self._url = ""
+        self._end_s = 0.0
+
+    def url(self) -> str:
+        """Return an address that may be used now."""
+        asked_s = time.monotonic()
+        if asked_s >= self._end_s:
+            self._url, max_age_s = self._ask()
+            self._end_s = asked_s + max_age_s
+        return self._url
+
+
 class Load:
     """Run streams and calls until stopped, and note each one that was cut.
 
@@ -49,8 +68,11 @@
             self.cut.append(f"a request did not end within {JOIN_S:g} s")
         gevent.killall(self._tasks)
 
-    def _address(self) -> str:
-        """Ask any host for an address; a host that does not answer is passed over."""
+    def _address(self) -> tuple[str, float]:
+        """Return an address and how long it may be used.
+
+        Any host is asked; one that does not answer is passed over.
+        """
         for url in self._shuffled(self._known):
             try:
                 answer = call(
@@ -59,9 +81,10 @@
             except (HTTPError, OSError):
                 continue
             if answer.status == 200 and answer.json["addresses"]:
-                return f"http://{answer.json['addresses'][0]}"
+                max_age_s = float(answer.json["max_age_s"])
+                return f"http://{answer.json['addresses'][0]}", max_age_s
         gevent.sleep(0.1)
-        return self._rng.choice(self._known)
+        return self._rng.choice(self._known), 0.0
 
     def _shuffled(self, urls: Iterable[str]) -> list[str]:
         shuffled = list(urls)
@@ -69,8 +92,9 @@
         return shuffled
 
     def _stream_loop(self) -> None:
+        keeper = AddressKeeper(self._address)
         while not self._stopped.is_set():
-            url, prompt = self._address(), f"load {self._rng.getrandbits(48):x}"
+            url, prompt = keeper.url(), f"load {self._rng.getrandbits(48):x}"
             started_s, text, finished, reason = time.monotonic(), "", False, ""
             try:
                 stream = CallerStream(
@@ -86,8 +110,9 @@
                 self._note(url, f"stream, {reason}, {len(text)} characters", started_s)
 
     def _service_loop(self) -> None:
+        keeper = AddressKeeper(self._address)
         while not self._stopped.is_set():
-            url, started_s = self._address(), time.monotonic()
+            url, started_s = keeper.url(), time.monotonic()
             try:
                 answer = call_service(
                     url, self._world.firm, key=str(uuid.uuid4()), body={}
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_authority.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_authority.py
@@ -105,6 +105,11 @@
             return OrderUnknown(order.order_id, "answer lost")
         return outcome
 
+    @property
+    def delayed(self) -> bool:
+        """Return whether an order is held back."""
+        return bool(self._late)
+
     def deliver_late(self) -> list[OrderOutcome]:
         """Let the orders arrive that were held back."""
         late, self._late = self._late, []
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/model_authority.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/model_authority.py
@@ -13,6 +13,7 @@
 from persimmonyoke.internal.authority.orders import AuthorityLost
 from persimmonyoke_testing.builders_authority import (
     LEASE_S,
+    ORDER_DEADLINE_S,
     AuthorityFixture,
     build_pair,
     build_planned_order,
@@ -53,6 +54,7 @@
         self.timer_ends = 0
         self._paused_until_s = {first.holder: 0.0, second.holder: 0.0}
         self._recovering = 0
+        self._delayed_s = 0.0
 
     def run(self) -> list[str]:
         """Return what was violated."""
@@ -132,13 +134,14 @@
         """Deliver orders under way at any time, or in time if no number is checked.
 
         An engine that ignores the number relies on the sender's kernel, which resets
-        an order connection at its deadline.
+        an order connection at its deadline, and on the wait of a successor.
         """
-        if not self.checks_fencing:
-            if self.rng.random() < 0.5:
-                self.engine.deliver_late()
+        late_s = self.clock() - self._delayed_s
+        if not self.engine.delayed:
+            self._delayed_s = self.clock()
+        elif not self.checks_fencing and late_s > ORDER_DEADLINE_S:
             self.engine.drop_late()
-        elif self.rng.random() < 0.1:
+        elif self.rng.random() < 0.2:
             self.engine.deliver_late()
 
     def _finish_order(self) -> None:
