Don't count a refused resume as another crash; run partitions in a world of their own

Crashing requests looked worse behind relays, which accept connections for an engine that is down. Change: only an attempt that reached the engine counts as a later crash.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -330,7 +330,7 @@
         was_running = is_resume or not broken.ran_nothing
         verdict = probe(self.parts, engine) if was_running else None
         if verdict is Verdict.CRASHED:
-            self._note_crash(engine)
+            self._note_crash(engine, ran=not broken.ran_nothing)
         is_gone = broken.ran_nothing or broken.ended
         lost_stream = is_resume and is_gone and verdict is Verdict.ALIVE
         # A caller's resume of a stream that was cancelled is no failure; what follows
@@ -355,7 +355,7 @@
         self._cancel_running()
         self._placement.end_isolation()
 
-    def _note_crash(self, engine: Upstream) -> None:
+    def _note_crash(self, engine: Upstream, *, ran: bool) -> None:
         self.parts.counts[DeliveryCount.CRASHES] += 1
         self._running_on = None
         self.parts.suspects.note_crash(
@@ -363,7 +363,8 @@
             engine.name,
             self.parts.clock(),
             incarnation=engine.incarnation,
-            started_s=self._attempt_started_s,
+            # An attempt that a dead engine refused has not crashed it again.
+            started_s=self._attempt_started_s if ran else None,
         )
         self._check_quarantine()
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
@@ -1,6 +1,7 @@
 """Tests of one generation under faults at each position of its stream."""
 
 import random
+import time
 import unittest
 from dataclasses import replace
 
@@ -11,6 +12,7 @@
 from persimmonyoke.internal.delivery.answer import DeliveryCount
 from persimmonyoke.internal.delivery.api import CallerGone
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke_testing.builders_delivery import (
     FakeEngine,
     FakeFleet,
@@ -181,6 +183,18 @@
         self.check_resume_without_retries()
         self.assertEqual(len(self.engine.resumes), 1)
 
+    def test_a_resume_at_an_engine_that_is_down_is_not_a_second_crash(self):
+        # A caller that resumed after one crash was refused as quarantined.
+        register = SuspectRegister("a")
+        request = build_request(max_tokens=WORDS, resume=self.first_sink.points[3])
+        digest, now_s = request.content_digest, time.monotonic()
+        incarnation = self.engine.upstream.incarnation
+        register.note_crash(digest, self.engine.name, now_s, incarnation=incarnation)
+        self.engine.alive = False
+        sink = RecordingSink()
+        build_delivery(self.fleet, suspects=register).complete(request, sink)
+        self.assertEqual(sink.text, WHOLE[len(answer_text("tell me", 4)) :])
+
     def test_without_body_and_engine_the_caller_is_told_to_resend_the_body(self):
         # Nothing can continue the answer; silence would leave the caller waiting.
         self.engine.crash()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from types import ModuleType
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -18,7 +19,7 @@
     faults_shutdown,
     faults_streams,
 )
-from persimmonyoke_cli.bench.faults_matrix import Matrix, run_cells
+from persimmonyoke_cli.bench.faults_matrix import Cell, Matrix, RunCell, run_cells
 from persimmonyoke_cli.bench.faults_schedules import run_schedules, schedule_lines
 from persimmonyoke_cli.bench.faults_world import World
 from persimmonyoke_cli.bench.framework import Bench, BenchOptions, BenchResult, Target
@@ -74,6 +75,7 @@
         "claims": _claims,
         "configuration": _configuration,
         "streams": _streams,
+        "partitions": _partitions,
         "authority": _authority,
         "shutdown": _shutdown,
     }
@@ -125,8 +127,15 @@
 
 
 def _streams(matrix: Matrix, seed: int, end_s: float) -> None:
-    with _started(World(entries=3, fleet=LATE_REPORTS, relays_engines=True)) as world:
-        _run(matrix, faults_streams, world, seed, end_s)
+    with _started(World(entries=3, fleet=LATE_REPORTS)) as world:
+        cells = faults_streams.direct_cells(world)
+        _run(matrix, faults_streams, world, seed, end_s, cells=cells)
+
+
+def _partitions(matrix: Matrix, seed: int, end_s: float) -> None:
+    with _started(World(entries=3, relays_engines=True)) as world:
+        cells = faults_streams.partition_cells(world)
+        _run(matrix, faults_streams, world, seed, end_s, cells=cells)
 
 
 def _authority(matrix: Matrix, seed: int, end_s: float) -> None:
@@ -149,9 +158,17 @@
         _run(matrix, faults_shutdown, world, seed, end_s)
 
 
-def _run(matrix: Matrix, module, world: World, seed: int, end_s: float) -> None:
+def _run(
+    matrix: Matrix,
+    module: ModuleType,
+    world: World,
+    seed: int,
+    end_s: float,
+    *,
+    cells: dict[Cell, RunCell] | None = None,
+) -> None:
     run_cells(
-        module.cells(world),
+        cells or module.cells(world),
         matrix,
         seed=seed,
         end_s=end_s,
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -28,6 +28,7 @@
 LOADED_TIMEOUT_S = 25.0
 FAULT_S = 1.5
 POLL_S = 0.02
+RESUME_MARGIN_S = 0.3
 LONGEST_RUN_S = 45.0
 ENDING_FAULTS = (Fault.KILL, Fault.LEASE_LAPSE)
 
@@ -106,6 +107,7 @@
     victim: str = ""
     writer: str = ""
     ordered: bool = False
+    resumed_s: float = 0.0
     problems: list[str] = field(default_factory=list)
 
     def run(self) -> Outcome:
@@ -128,6 +130,8 @@
             world.listener = None
             world.heal()
             world.platform.host_list.lag_s = 0.0
+        # The kernel ends a holder that was paused past its lease when it goes on.
+        gevent.sleep(max(0.0, self.resumed_s + RESUME_MARGIN_S - time.monotonic()))
         world.start_ended()
         self._wait(self._is_loaded, f"{self.model} on all engines", LOADED_TIMEOUT_S)
         self.problems += self.probe.problems() + world.violations()
@@ -212,7 +216,9 @@
             case Fault.PAUSE:
                 world.pause(self.victim, self.rng.uniform(0.2, LEASE_S))
             case Fault.LEASE_LAPSE:
-                world.pause(self.victim, LEASE_S + self.rng.uniform(0.5, 3.0))
+                pause_s = LEASE_S + self.rng.uniform(0.5, 3.0)
+                self.resumed_s = time.monotonic() + pause_s
+                world.pause(self.victim, pause_s)
             case Fault.STORE_DOWN:
                 # From another task, since the stand-in ends the task of this call.
                 gevent.spawn(store.set_down, True)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -288,6 +288,22 @@
     }
 
 
+def partition_cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells that need relays to the engines.
+
+    A relay accepts connections also for an engine that is down, so that a crash
+    behind it does not look like one; all other cells run without relays.
+    """
+    found = cells(world)
+    return {cell: run for cell, run in found.items() if cell.fault is Fault.PARTITION}
+
+
+def direct_cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells that need no relays."""
+    found = cells(world)
+    return {c: run for c, run in found.items() if c.fault is not Fault.PARTITION}
+
+
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
     def run(rng: random.Random) -> Outcome:
         return StreamRun(world, step, ACTIONS[fault], rng).run()
