--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -154,7 +154,9 @@
                 if answer.status == 201 or code in ("outcome_unknown", "quarantined"):
                     return time.monotonic() - healed_s
             gevent.sleep(RESEND_S)
-        self.problems.append(f"not settled after {SETTLE_TIMEOUT_S:g} s: {last}")
+        running = [service.running for service in self.world.platform.services]
+        detail = f"replicas running {running}, {last}"
+        self.problems.append(f"not settled after {SETTLE_TIMEOUT_S:g} s: {detail}")
         return SETTLE_TIMEOUT_S
 
     def _check_runs(self) -> None:
