Run pairs of faults over processes from the second round on

Change: from the second round on, each cell of claims and streams is followed by a run at a random step under two faults, the second shortly after the first.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from types import ModuleType
 
 import gevent
@@ -173,6 +174,7 @@
         seed=seed,
         end_s=end_s,
         longest_run_s=module.LONGEST_RUN_S,
+        pair=partial(module.run_pair, world) if hasattr(module, "run_pair") else None,
     )
 
 
@@ -181,6 +183,11 @@
     found = {
         "violations": float(matrix.violations()),
         **{f"planned.{n}.violations": float(v) for n, v in matrix.planned.items()},
+        **{f"pairs.{n}.runs": float(r.runs) for n, r in matrix.pairs.items()},
+        **{
+            f"pairs.{n}.violations": float(r.violations)
+            for n, r in matrix.pairs.items()
+        },
         "cells_run": float(sum(r.runs > 0 for r in matrix.results.values())),
         "cells_not_run": float(len(matrix.not_run())),
     }
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -11,6 +11,7 @@
 
 from persimmonyoke_cli.bench.faults_configuration import choose
 from persimmonyoke_cli.bench.faults_matrix import (
+    STEPS,
     Cell,
     Fault,
     Matrix,
@@ -28,6 +29,9 @@
 """Pauses shorter and longer than the silence after which peers leave a host out."""
 
 PROTOCOL = "claims"
+PAIR_DELAY_S = 0.08
+"""Below the shortest time after which the faults of a run end."""
+
 ORDER = (
     Fault.KILL,
     Fault.PAUSE,
@@ -231,6 +235,9 @@
 }
 
 
+PAIRED = tuple(ACTIONS)
+
+
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
     matrix = Matrix()
@@ -250,3 +257,16 @@
         return ClaimRun(world, step, ACTIONS[fault], rng).run()
 
     return run
+
+
+def run_pair(world: World, rng: random.Random) -> Outcome:
+    """Run one step under two faults, the second shortly after the first."""
+    step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
+    first, second = (ACTIONS[fault] for fault in rng.sample(PAIRED, 2))
+
+    def act(run: ClaimRun) -> None:
+        gevent.spawn_later(delay_s, second, run)
+        first(run)
+
+    world.platform.host_list.lag_s = 0.0
+    return ClaimRun(world, step, act, rng).run()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
@@ -83,6 +83,7 @@
     details: list[str] = field(default_factory=list)
     recoveries_s: dict[str, list[float]] = field(default_factory=dict)
     planned: dict[str, int] = field(default_factory=dict)
+    pairs: dict[str, CellResult] = field(default_factory=dict)
 
     def note(self, cell: Cell, outcome: Outcome, *, seed: object) -> None:
         """Add the outcome of one run."""
@@ -98,6 +99,14 @@
             name = f"{cell.protocol}.{cell.step} x {cell.fault.value}"
             self.details.append(f"{name}, seed {seed}: {text}")
 
+    def note_pair(self, protocol: str, outcome: Outcome, *, seed: object) -> None:
+        """Add the outcome of one run under two faults."""
+        result = self.pairs.setdefault(protocol, CellResult())
+        result.runs += not outcome.missed
+        result.violations += len(outcome.violations)
+        result.longest_s = max(result.longest_s, outcome.recovery_s)
+        self.details += [f"pair, seed {seed}: {text}" for text in outcome.violations]
+
     def note_failure(self, part: str, error: Exception) -> None:
         """Count a part that could not run to its end."""
         self.planned[f"failed_part{part}"] = 1
@@ -122,7 +131,8 @@
     def violations(self) -> int:
         """Return the violations of all cells."""
         cells = sum(result.violations for result in self.results.values())
-        return cells + sum(self.planned.values())
+        pairs = sum(result.violations for result in self.pairs.values())
+        return cells + pairs + sum(self.planned.values())
 
     def percentile_s(self, protocol: str, share: float) -> float | None:
         """Return a percentile of a protocol's recoveries, ``None`` without a run."""
@@ -137,6 +147,9 @@
             lines.append(f"  {'':<24}" + "".join(f"{step:>18}" for step in steps))
             for fault in Fault:
                 lines += self._row(protocol, steps, fault)
+        for protocol, pairs in self.pairs.items():
+            shown = f"{pairs.runs} / {pairs.violations} / {pairs.longest_s:.2f}"
+            lines += ["", f"pairs of faults, {protocol}: {shown}"]
         lines += ["", *self._not_run_lines()]
         lines += self.details[:MAX_SHOWN_VIOLATIONS]
         return "\n".join(lines)
@@ -186,10 +199,12 @@
     seed: int,
     end_s: float,
     longest_run_s: float,
+    pair: RunCell | None = None,
 ) -> None:
     """Run the cells in rounds, in their given order, until the time is used up.
 
-    No run starts later than ``longest_run_s`` before the end.
+    No run starts later than ``longest_run_s`` before the end. From the second round
+    on, a run under a pair of faults follows each run of a cell.
     """
     number = 0
     while cells:
@@ -198,6 +213,9 @@
                 return
             name = f"{seed}/{cell.protocol}/{cell.step}/{cell.fault.value}/{number}"
             matrix.note(cell, _run_one(run, name), seed=name)
+            if number and pair is not None:
+                name = f"{name}/pair"
+                matrix.note_pair(cell.protocol, _run_one(pair, name), seed=name)
         number += 1
 
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -37,6 +37,8 @@
 MAX_CRASHES = 2
 """Engine crashes that one crashing request may cause over all hosts."""
 
+PAIR_DELAY_S = 0.5
+
 ORDER = (
     Fault.KILL,
     Fault.PAUSE,
@@ -279,6 +281,11 @@
 }
 
 
+# A partition needs relays, and a crashing request takes its time at the hook.
+UNPAIRED = (Fault.PARTITION, Fault.CRASHING_REQUEST, Fault.LOAD_LATE)
+PAIRED = tuple(fault for fault in ACTIONS if fault not in UNPAIRED)
+
+
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
     return {
@@ -309,3 +316,16 @@
         return StreamRun(world, step, ACTIONS[fault], rng).run()
 
     return run
+
+
+def run_pair(world: World, rng: random.Random) -> Outcome:
+    """Run one step under two faults, the second shortly after the first."""
+    step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
+    first, second = (ACTIONS[fault] for fault in rng.sample(PAIRED, 2))
+
+    def act(run: StreamRun) -> None:
+        gevent.spawn_later(delay_s, second, run)
+        first(run)
+
+    world.platform.host_list.lag_s = 0.0
+    return StreamRun(world, step, act, rng).run()
