--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -10,6 +10,7 @@
 
 from persimmonyoke.internal.authority.record import OrderRecord, decode_record
 from persimmonyoke.internal.presets import Accepted, Change, ChangeAction
+from persimmonyoke_cli.bench.faults_configuration import choose
 from persimmonyoke_cli.bench.faults_matrix import (
     STEPS,
     Cell,
@@ -27,6 +28,7 @@
 LOADED_TIMEOUT_S = 25.0
 FAULT_S = 1.5
 POLL_S = 0.02
+RESUME_MARGIN_S = 0.3
 LONGEST_RUN_S = 45.0
 ENDING_FAULTS = (Fault.KILL, Fault.LEASE_LAPSE)
 
@@ -41,6 +43,7 @@
     Fault.SILENT_CONNECTION,
     Fault.STORE_SLOW,
     Fault.HOST_LIST_LATE,
+    Fault.OPERATORS_RACING,
 )
 
 
@@ -104,6 +107,7 @@
     victim: str = ""
     writer: str = ""
     ordered: bool = False
+    resumed_s: float = 0.0
     problems: list[str] = field(default_factory=list)
 
     def run(self) -> Outcome:
@@ -126,6 +130,8 @@
             world.listener = None
             world.heal()
             world.platform.host_list.lag_s = 0.0
+        # The kernel ends a holder that was paused past its lease when it goes on.
+        gevent.sleep(max(0.0, self.resumed_s + RESUME_MARGIN_S - time.monotonic()))
         world.start_ended()
         self._wait(self._is_loaded, f"{self.model} on all engines", LOADED_TIMEOUT_S)
         self.problems += self.probe.problems() + world.violations()
@@ -210,7 +216,9 @@
             case Fault.PAUSE:
                 world.pause(self.victim, self.rng.uniform(0.2, LEASE_S))
             case Fault.LEASE_LAPSE:
-                world.pause(self.victim, LEASE_S + self.rng.uniform(0.5, 3.0))
+                pause_s = LEASE_S + self.rng.uniform(0.5, 3.0)
+                self.resumed_s = time.monotonic() + pause_s
+                world.pause(self.victim, pause_s)
             case Fault.STORE_DOWN:
                 # From another task, since the stand-in ends the task of this call.
                 gevent.spawn(store.set_down, True)
@@ -228,6 +236,14 @@
             case Fault.HOST_LIST_LATE:
                 world.platform.host_list.lag_s = 5.0
                 self._crash_engine(detail)
+            case Fault.OPERATORS_RACING:
+                self._race()
+
+    def _race(self) -> None:
+        newest = self.world.platform.revisions().newest()
+        for preset in ("peak", "maintenance"):
+            options = {"base_number": newest.number, "reason": f"race for {preset}"}
+            gevent.spawn(choose, self.world, self.world.entries()[0], preset, **options)
 
     def _crash_engine(self, detail: str) -> None:
         engines = self.world.platform.engines
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -37,11 +37,14 @@
 MAX_CRASHES = 2
 """Engine crashes that one crashing request may cause over all hosts."""
 
+PAIR_DELAY_S = 0.5
+
 ORDER = (
     Fault.KILL,
     Fault.PAUSE,
     Fault.ENGINE_CRASH,
     Fault.SILENT_CONNECTION,
+    Fault.PARTITION,
     Fault.STORE_DOWN,
     Fault.CRASHING_REQUEST,
     Fault.STORE_SLOW,
@@ -210,6 +213,11 @@
         engine.silence_open_connections()
 
 
+def _partition(run: StreamRun) -> None:
+    for engine in _busy(run):
+        run.world.relays[engine.name].partition()
+
+
 def _store_down(run: StreamRun) -> None:
     run.world.platform.key_value.set_down(True)
 
@@ -260,6 +268,7 @@
     Fault.PAUSE: lambda run: run.world.pause(run.host, run.rng.choice((1.0, 4.5))),
     Fault.ENGINE_CRASH: _crash,
     Fault.SILENT_CONNECTION: _silence,
+    Fault.PARTITION: _partition,
     Fault.STORE_DOWN: _store_down,
     Fault.CRASHING_REQUEST: _crashing_request,
     Fault.STORE_SLOW: lambda run: setattr(
@@ -272,6 +281,11 @@
 }
 
 
+# A partition needs relays, and a crashing request takes its time at the hook.
+UNPAIRED = (Fault.PARTITION, Fault.CRASHING_REQUEST, Fault.LOAD_LATE)
+PAIRED = tuple(fault for fault in ACTIONS if fault not in UNPAIRED)
+
+
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
     return {
@@ -281,8 +295,37 @@
     }
 
 
+def partition_cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells that need relays to the engines.
+
+    A relay accepts connections also for an engine that is down, so that a crash
+    behind it does not look like one; all other cells run without relays.
+    """
+    found = cells(world)
+    return {cell: run for cell, run in found.items() if cell.fault is Fault.PARTITION}
+
+
+def direct_cells(world: World) -> dict[Cell, RunCell]:
+    """Return the cells that need no relays."""
+    found = cells(world)
+    return {c: run for c, run in found.items() if c.fault is not Fault.PARTITION}
+
+
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
     def run(rng: random.Random) -> Outcome:
         return StreamRun(world, step, ACTIONS[fault], rng).run()
 
     return run
+
+
+def run_pair(world: World, rng: random.Random) -> Outcome:
+    """Run one step under two faults, the second shortly after the first."""
+    step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
+    first, second = (ACTIONS[fault] for fault in rng.sample(PAIRED, 2))
+
+    def act(run: StreamRun) -> None:
+        gevent.spawn_later(delay_s, second, run)
+        first(run)
+
+    world.platform.host_list.lag_s = 0.0
+    return StreamRun(world, step, act, rng).run()
