--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -205,7 +205,7 @@
         progress for as long as this process lives.
         """
         check_invariant(
-            self._held.get(claim.attempt) is _Held.GRANTED,
+            self._held.get(claim.attempt) is HeldState.GRANTED,
             Invariant.AT_MOST_ONCE,
             f"call with key {claim.key!r} abandoned without a held claim",
         )
