--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from types import ModuleType
+from typing import Any
 
 import gevent
 from gevent.lock import BoundedSemaphore
@@ -40,6 +41,7 @@
 )
 # A fifth of the cache events is lost and load reports are 2 s late throughout.
 LATE_REPORTS = FleetOptions(cache_event_loss=0.2, timing_changes={"load_lag_s": 2.0})
+START_ATTEMPTS = 3
 STARTING = BoundedSemaphore(1)
 RunPart = Callable[[Matrix, int, float], None]
 TARGETS = {
@@ -107,34 +109,45 @@
 
 
 @contextmanager
-def _started(world: World) -> Iterator[World]:
+def _started(**options: Any) -> Iterator[World]:
     """Start one world at a time: two would take the same free ports."""
     with STARTING:
-        world.__enter__()
+        world = _start_world(options)
     try:
         yield world
     finally:
         world.__exit__()
 
 
+def _start_world(options: dict[str, Any]) -> World:
+    """Start a world, again with other ports if another process took one of them."""
+    for _ in range(START_ATTEMPTS - 1):
+        world = World(**options)
+        try:
+            return world.__enter__()
+        except (TimeoutError, OSError):
+            world.__exit__()
+    return World(**options).__enter__()
+
+
 def _claims(matrix: Matrix, seed: int, end_s: float) -> None:
-    with _started(World(entries=3)) as world:
+    with _started(entries=3) as world:
         _run(matrix, faults_claims, world, seed, end_s)
 
 
 def _configuration(matrix: Matrix, seed: int, end_s: float) -> None:
-    with _started(World(entries=7)) as world:
+    with _started(entries=7) as world:
         _run(matrix, faults_configuration, world, seed, end_s)
 
 
 def _streams(matrix: Matrix, seed: int, end_s: float) -> None:
-    with _started(World(entries=3, fleet=LATE_REPORTS)) as world:
+    with _started(entries=3, fleet=LATE_REPORTS) as world:
         cells = faults_streams.direct_cells(world)
         _run(matrix, faults_streams, world, seed, end_s, cells=cells)
 
 
 def _partitions(matrix: Matrix, seed: int, end_s: float) -> None:
-    with _started(World(entries=3, relays_engines=True)) as world:
+    with _started(entries=3, relays_engines=True) as world:
         cells = faults_streams.partition_cells(world)
         _run(matrix, faults_streams, world, seed, end_s, cells=cells)
 
@@ -144,14 +157,14 @@
     firm = random.Random(seed).choice(("kente", "kereru"))
     lease_s, fleet = faults_authority.LEASE_S, FleetOptions(time_scale=0.1)
     with _started(
-        World(firm, entries=1, controllers=2, lease_s=lease_s, fleet=fleet)
+        firm=firm, entries=1, controllers=2, lease_s=lease_s, fleet=fleet
     ) as world:
         _run(matrix, faults_authority, world, seed, end_s)
 
 
 def _shutdown(matrix: Matrix, seed: int, end_s: float) -> None:
     fleet, shutdown = LATE_REPORTS, faults_shutdown.SHUTDOWN
-    with _started(World(entries=4, shutdown=shutdown, fleet=fleet)) as world:
+    with _started(entries=4, shutdown=shutdown, fleet=fleet) as world:
         planned = faults_shutdown.run_planned(world, random.Random(seed))
         for name, cut in planned.items():
             matrix.planned[name] = len(cut)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -91,7 +91,11 @@
             first = gevent.spawn(self._call, self.first)
             while not self.fired_s and not first.ready():
                 gevent.sleep(0.01)
-            if self.fired_s:
+            if not self.fired_s:
+                # A call refused early never comes to the step; a fault at its resend
+                # would not end.
+                world.listener = None
+            else:
                 gevent.sleep(self.rng.uniform(0.1, STORE_FAULT_S))
             world.heal()
             # Peers take a silent host for dead only when its successor or the host
