--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -9,6 +9,7 @@
 BENCHES: dict[str, str] = {
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "control": "Measure the control cost of an entry and a controller process.",
+    "crashers": "Count the engine crashes by requests that crash each engine they reach.",
     "path": "Measure the time that an entry process adds to the engine's own.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/crashers.py
@@ -0,0 +1,66 @@
+"""Bench of requests that crash each engine that runs them."""
+
+import sys
+from dataclasses import dataclass, field
+
+from persimmonyoke.internal.observability import configure_logging
+from persimmonyoke_cli.bench.crashers_run import SCENES, CrashOutcome, CrashRun
+from persimmonyoke_cli.bench.fleet_callers import spread
+from persimmonyoke_cli.bench.framework import (
+    Bench,
+    BenchOptions,
+    BenchResult,
+    Target,
+)
+
+TARGETS = {
+    "single_crashes_per_request_largest": Target("<=", 2.0),
+    "several_crashes_per_request_largest": Target("<=", 2.0),
+    "innocents_failed": Target("==", 0.0),
+    "crashing_answered_whole": Target("==", 0.0),
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class CrashersOptions(BenchOptions):
+    """Options of the bench."""
+
+    seeds: int = field(default=3, metadata={"help": "number of seeds, from --seed on"})
+
+
+def run(options: CrashersOptions) -> BenchResult:
+    """Run each scene with each seed and return the figures."""
+    configure_logging(level="ERROR")
+    figures: dict[str, float] = {"seeds": float(options.seeds)}
+    outcomes: list[CrashOutcome] = []
+    for scene in SCENES:
+        runs = [CrashRun(scene, options.seed + n).run() for n in range(options.seeds)]
+        outcomes += runs
+        for number, item in enumerate(runs):
+            print(
+                f"{scene.name}, seed {options.seed + number}: {item.crashes} crashes, "
+                f"{item.copies_running} copies running, innocents "
+                f"{dict(item.innocents.endings)}, crashing "
+                f"{dict(item.crashing.endings)}",
+                file=sys.stderr,
+            )
+        rates = [item.crashes / scene.requests for item in runs]
+        figures.update(spread(f"{scene.name}_crashes_per_request", rates))
+        if scene.copies > 1:
+            running = [float(item.copies_running) for item in runs]
+            figures.update(spread(f"{scene.name}_engines_running", running))
+    figures["innocents_sent"] = float(sum(o.innocents.sent for o in outcomes))
+    figures["innocents_failed"] = float(sum(o.innocents.failed for o in outcomes))
+    figures["crashing_sent"] = float(sum(o.crashing.sent for o in outcomes))
+    figures["crashing_answered_whole"] = float(
+        sum(o.crashing.complete for o in outcomes)
+    )
+    return BenchResult(figures, TARGETS)
+
+
+BENCH = Bench(
+    "crashers",
+    "Count the engine crashes by requests that crash each engine they reach.",
+    run,
+    CrashersOptions,
+)
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/crashers_run.py
@@ -0,0 +1,134 @@
+"""Runs of the bench ``crashers``: requests that crash the engines that run them."""
+
+import random
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.pool import Group
+
+from persimmonyoke_cli.bench.fleet_callers import (
+    CallerCount,
+    arrivals,
+    join,
+    raise_limits,
+    run_stream,
+)
+from persimmonyoke_testing.deployment import Deployment
+from persimmonyoke_testing.platform_fleet import FleetOptions
+
+ENTRIES = 6
+CRASH_MARKER = "crash-the-engine"
+RESTART_AFTER_S = 1.0
+RESENDS = 5
+RESEND_PAUSE_S = 0.2
+COPIES_STARTED_S = 0.3
+FIRST_CRASH_S = 1.0
+INNOCENTS_PER_S = 20.0
+INNOCENT_TOKENS = 40
+CRASHING_TOKENS = 20
+DURATION_S = 5.0
+END_TIMEOUT_S = 60.0
+COPY_PROMPT_TOKENS = 1_900
+# A prompt of a copy takes 0.5 s, in which the copies of the other hosts start.
+SLOW_PREFILL = {"prefill_tokens_per_s": 4_000.0}
+
+
+@dataclass(frozen=True)
+class CrashScene:
+    """Say how many crashing requests there are and how many copies start at once."""
+
+    name: str
+    requests: int = 1
+    copies: int = 1
+
+
+SCENES = (
+    CrashScene("single"),
+    CrashScene("several", requests=3),
+    CrashScene("copies", copies=4),
+)
+
+
+@dataclass
+class CrashOutcome:
+    """Hold what one run has shown."""
+
+    crashes: int = 0
+    copies_running: int = 0
+    innocents: CallerCount = field(default_factory=CallerCount)
+    crashing: CallerCount = field(default_factory=CallerCount)
+
+
+class CrashRun:
+    """Run one scene among innocent requests over six entry nodes."""
+
+    def __init__(self, scene: CrashScene, seed: int) -> None:
+        self._scene = scene
+        self._rng = random.Random(f"{scene.name} {seed}")
+        self._seed = seed
+        self._outcome = CrashOutcome()
+
+    def run(self) -> CrashOutcome:
+        """Return the counts after each caller has ended."""
+        slow = SLOW_PREFILL if self._scene.copies > 1 else {}
+        fleet = FleetOptions(timing_changes=slow)
+        with Deployment(
+            "kente", nodes=ENTRIES, controllers=0, fleet=fleet
+        ) as deployment:
+            raise_limits(deployment)
+            for engine in deployment.platform.engines:
+                engine.faults.crash_marker = CRASH_MARKER
+                engine.faults.restart_after_s = RESTART_AFTER_S
+            callers = Group()
+            for number in range(self._scene.requests):
+                callers.spawn(self._send_crashing, deployment, number)
+            self._send_innocents(deployment, callers)
+            join(callers, END_TIMEOUT_S)
+            self._outcome.crashes = sum(
+                engine.record.counts["crashes"]
+                for engine in deployment.platform.engines
+            )
+        return self._outcome
+
+    def _send_innocents(self, deployment: Deployment, callers: Group) -> None:
+        for number in arrivals(self._rng, INNOCENTS_PER_S, DURATION_S):
+            prompt = f"innocent {self._seed} {number} " + "word " * 20
+            host = self._rng.randrange(ENTRIES)
+            callers.spawn(
+                run_stream,
+                deployment,
+                host,
+                prompt,
+                INNOCENT_TOKENS,
+                self._outcome.innocents,
+            )
+
+    def _send_crashing(self, deployment: Deployment, number: int) -> None:
+        """Send one request, then resend it at other hosts; copies start together."""
+        gevent.sleep(FIRST_CRASH_S)
+        # Copies have to be in prefill at the same time. A prompt of one piece or more
+        # would send them all to the engine that is the home of its prefix.
+        words = COPY_PROMPT_TOKENS if self._scene.copies > 1 else 30
+        prompt = f"{CRASH_MARKER} {self._seed} {number} " + "word " * words
+        hosts = self._rng.sample(range(ENTRIES), ENTRIES)
+        count = self._outcome.crashing
+        copies = Group()
+        for host in hosts[: self._scene.copies]:
+            copies.spawn(run_stream, deployment, host, prompt, CRASHING_TOKENS, count)
+        if self._scene.copies > 1:
+            gevent.sleep(COPIES_STARTED_S)
+            self._outcome.copies_running = _engines_running(deployment)
+        join(copies, END_TIMEOUT_S)
+        for resend in range(RESENDS):
+            gevent.sleep(RESEND_PAUSE_S)
+            host = hosts[(self._scene.copies + resend) % ENTRIES]
+            run_stream(deployment, host, prompt, CRASHING_TOKENS, count)
+
+
+def _engines_running(deployment: Deployment) -> int:
+    """Return the engines on which a crashing request runs."""
+    return sum(
+        any(sequence.crashes for sequence in engine.core.scheduler.unfinished())
+        for engine in deployment.platform.engines
+        if engine.core is not None
+    )
