--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -1,5 +1,7 @@
 """Choice of an engine for a request, with isolation of suspects."""
 
+from dataclasses import dataclass
+
 import gevent
 
 from persimmonyoke.internal.delivery.api import (
@@ -20,6 +22,15 @@
 ISOLATION_POLL_S = 0.02
 # Reservations of lost hosts end by time without a change being counted.
 ISOLATION_POLLS = 25
+# Several crashing requests can take all engines down at once. An engine process that
+# restarts is back within about this time, so waiting completes the request.
+ENGINES_DOWN_WAIT_S = 3.0
+ENGINES_DOWN_POLL_S = 0.1
+
+
+@dataclass(frozen=True)
+class EnginesDown(NoRoute):
+    """Say that there are engines for the request, and none of them answers now."""
 
 
 class Placement:
@@ -43,21 +54,31 @@
 
         Raises ``DeadlinePassed``.
         """
+        wait_until_s = self._parts.clock() + ENGINES_DOWN_WAIT_S
         while True:
             self._check_deadline()
             status = self.status()
             if isinstance(status, Quarantined):
                 return status
             choice = self._try_choose(prefix_tokens, not isinstance(status, Clear))
-            if choice is not None:
+            if isinstance(choice, EnginesDown) and self._parts.clock() < wait_until_s:
+                gevent.sleep(ENGINES_DOWN_POLL_S)
+            elif choice is not None:
                 return choice
-            self._wait_for_change()
+            else:
+                self._wait_for_change()
 
     def status(self) -> SuspectStatus:
-        """Return whether the request is clear, a suspect or quarantined."""
-        return self._parts.suspects.status(
-            self._request.content_digest, self._parts.clock()
-        )
+        """Return whether the request is clear, a suspect or quarantined.
+
+        Waits until a quarantine that has just begun is settled.
+        """
+        suspects, clock = self._parts.suspects, self._parts.clock
+        digest = self._request.content_digest
+        settling_s = suspects.settling_s(digest, clock())
+        if settling_s > 0:
+            gevent.sleep(settling_s)
+        return suspects.status(digest, clock())
 
     def query(
         self, prefix_tokens: int, excluded: frozenset[str] = frozenset()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -7,7 +7,7 @@
 
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 DEFAULT_HOLD_S = 600.0
@@ -17,6 +17,11 @@
 # Peers hear of an isolation within milliseconds; after this time a conflict between
 # two hosts that chose the same engine at once is visible to both.
 ISOLATION_SETTLE_S = 0.05
+# Copies of one request crash several engines within milliseconds. A host may then hear
+# of the second crash of an innocent request before that of the crashing one.
+QUARANTINE_SETTLE_S = 0.2
+# A crash that arrives later than this after a quarantine does not call it in question.
+REVISION_WINDOW_S = 1.0
 # Without an incarnation, observations of one crash by several requests arrive within
 # the idle timeout of each other.
 SAME_CRASH_WINDOW_S = 5.0
@@ -84,6 +89,9 @@
     crashes: set[str] = field(default_factory=set)
     last_crash_s: float = 0.0
     quarantined_until_s: float = 0.0
+    quarantined_at_s: float = 0.0
+    # Whether a quarantine was lifted; one more crash then restores it.
+    lifted: bool = False
 
 
 class SuspectRegister:
@@ -116,6 +124,7 @@
         # The wall clock keeps the numbers growing over a restart of the host.
         self._number = int(time.time() * 1000)
         self._explained: OrderedDict[str, None] = OrderedDict()
+        self._crashes: OrderedDict[str, None] = OrderedDict()
         self.quarantined_total = 0
         # Counts changes, so that waiting suspects can see cheaply that one happened.
         self.version = 0
@@ -131,10 +140,15 @@
         if event not in record.crashes:
             self.version += 1
             record.crashes.add(event)
+            self._note_crashes((event,))
             self._quarantine_if_proven(record, now_s)
             self._publish(digest, now_s)
         return self.status(digest, now_s)
 
+    def has_crashed(self, engine: str, incarnation: str) -> bool:
+        """Return whether a host has seen the crash of this incarnation."""
+        return f"{engine}@{incarnation}" in self._crashes
+
     def status(self, digest: bytes, now_s: float) -> SuspectStatus:
         """Return what is known of a request by now."""
         record = self._records.get(digest)
@@ -146,9 +160,16 @@
         if record.quarantined_until_s or expired:
             del self._records[digest]
             return Clear()
-        unexplained = sum(event not in self._explained for event in record.crashes)
+        unexplained = self._unexplained(record)
         return Suspect(unexplained) if unexplained else Clear()
 
+    def settling_s(self, digest: bytes, now_s: float) -> float:
+        """Return how long notices of other hosts may still lift a quarantine."""
+        record = self._records.get(digest)
+        if record is None or record.quarantined_until_s <= now_s:
+            return 0.0
+        return max(0.0, record.quarantined_at_s + QUARANTINE_SETTLE_S - now_s)
+
     def note_completed(self, digest: bytes, now_s: float) -> None:
         """Clear a suspect whose answer was completed."""
         record = self._records.get(digest)
@@ -219,10 +240,12 @@
         if not notice.crashes <= record.crashes:
             record.last_crash_s = now_s
             record.crashes |= notice.crashes
-        if notice.quarantine_left_s > 0:
+            self._note_crashes(notice.crashes)
+        if notice.quarantine_left_s > 0 and self._is_explained(record, now_s):
+            record.lifted = True
+        elif notice.quarantine_left_s > 0:
             until_s = now_s + notice.quarantine_left_s
-            record.quarantined_until_s = max(record.quarantined_until_s, until_s)
-            self._explain(record)
+            self._quarantine(record, now_s, max(record.quarantined_until_s, until_s))
         else:
             self._quarantine_if_proven(record, now_s)
 
@@ -275,15 +298,54 @@
 
     def _quarantine_if_proven(self, record: _Record, now_s: float) -> None:
         if record.quarantined_until_s > now_s:
-            self._explain(record)
+            self._quarantine(record, now_s, record.quarantined_until_s)
             return
-        unexplained = sum(event not in self._explained for event in record.crashes)
-        if unexplained < CRASHES_TO_QUARANTINE:
+        proven = self._unexplained(record) >= CRASHES_TO_QUARANTINE
+        if not proven and not self._weaker(record, now_s):
             return
         self.quarantined_total += 1
-        record.quarantined_until_s = now_s + self.hold_s
+        self._quarantine(record, now_s, now_s + self.hold_s)
+
+    def _quarantine(self, record: _Record, now_s: float, until_s: float) -> None:
+        if record.quarantined_until_s <= now_s:
+            record.quarantined_at_s = now_s
+        record.quarantined_until_s = until_s
+        for other in self._weaker(record, now_s):
+            other.quarantined_until_s = 0.0
+            other.lifted = True
         self._explain(record)
 
+    def _unexplained(self, record: _Record) -> int:
+        """Return the crashes that speak against a request."""
+        count = sum(event not in self._explained for event in record.crashes)
+        return count + record.lifted
+
+    def _weaker(self, record: _Record, now_s: float) -> list[_Record]:
+        """Return fresh quarantines whose crashes the record explains with others.
+
+        An innocent request that met two copies of a crashing one is part of fewer
+        crashes than that one.
+        """
+        return [
+            other
+            for other in self._records.values()
+            if other.quarantined_until_s > now_s
+            and now_s - other.quarantined_at_s <= REVISION_WINDOW_S
+            and other.crashes < record.crashes
+        ]
+
+    def _is_explained(self, record: _Record, now_s: float) -> bool:
+        """Return whether a quarantined request was part of all crashes and of more."""
+        return any(
+            other.quarantined_until_s > now_s and record.crashes < other.crashes
+            for other in self._records.values()
+        )
+
+    def _note_crashes(self, events: Iterable[str]) -> None:
+        self._crashes.update(dict.fromkeys(events))
+        while len(self._crashes) > self._max_records:
+            self._crashes.popitem(last=False)
+
     def _explain(self, record: _Record) -> None:
         for event in record.crashes:
             self._explained[event] = None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -36,6 +36,25 @@
         self.assertIsInstance(status, Quarantined)
         self.assertEqual(register.status(INNOCENT, 2.0), Clear())
 
+    def test_a_request_that_met_two_copies_of_a_crashing_one_is_not_quarantined(self):
+        # A host that hears of the innocent's second crash first refused the innocent.
+        register = SuspectRegister("a")
+        for engine in ("e1", "e2"):
+            register.note_crash(POISON, engine, 1.0, incarnation="1")
+        other = SuspectRegister("b")
+        for engine in ("e1", "e2"):
+            other.note_crash(INNOCENT, engine, 1.0, incarnation="1")
+        self.assertIsInstance(other.status(INNOCENT, 1.0), Quarantined)
+        self.assertGreater(other.settling_s(INNOCENT, 1.0), 0)
+        register.note_crash(POISON, "e3", 1.0, incarnation="1")
+        for notice in register.notices(1.0):
+            other.merge(notice, 1.1)
+        self.assertIsInstance(other.status(POISON, 1.1), Quarantined)
+        self.assertEqual(other.status(INNOCENT, 1.1), Suspect(1))
+        # It may still be a second crashing request, so it gets no second chance.
+        other.note_crash(INNOCENT, "e4", 1.2, incarnation="1")
+        self.assertIsInstance(other.status(INNOCENT, 1.2), Quarantined)
+
     def test_one_crash_seen_by_two_requests_with_one_digest_counts_once(self):
         # Two callers with the same prompt would be quarantined by a single crash.
         register = SuspectRegister("a")
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_health.py
@@ -0,0 +1,111 @@
+"""Observation of engine failures and check of engines that are in doubt."""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+
+import gevent
+
+from persimmonyoke.errors import PersimmonyokeError
+from persimmonyoke.internal.delivery.silence import StreamSilent
+from persimmonyoke.internal.routing.health import UpstreamHealth
+from persimmonyoke.internal.upstreams.api import (
+    EngineFailure,
+    GenerateCall,
+    StreamEvent,
+    Upstream,
+)
+from persimmonyoke.internal.upstreams.clients import UpstreamClients
+from persimmonyoke.internal.upstreams.directory import Directory
+from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
+
+CHECK_TIMEOUT_S = 0.5
+MAX_DISPROVED = 1_024
+
+
+class ObservedEngineClient:
+    """Pass calls on to a client and note which generations fail."""
+
+    def __init__(
+        self, client: HttpEngineClient, engine: Upstream, health: UpstreamHealth
+    ) -> None:
+        self._client = client
+        self._engine = engine
+        self._health = health
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._client, name)
+
+    def generate(self, call: GenerateCall) -> Iterator[StreamEvent]:
+        """Start a stream and yield its events."""
+        started_s = time.monotonic()
+        try:
+            yield from self._client.generate(call)
+        except (EngineFailure, StreamSilent):
+            engine = self._engine
+            self._health.note_failure(
+                engine.name, time.monotonic(), incarnation=engine.incarnation
+            )
+            raise
+        self._health.note_success(self._engine.name, started_s)
+
+
+class EngineChecks:
+    """Hold engines back that failed, and read their state before they get new work.
+
+    ``has_crashed`` says whether a host has seen the crash of an incarnation. Work must
+    not go to an engine under the incarnation of a crashed process: its next crash would
+    be taken for the one that is known, and not counted.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        clients: UpstreamClients,
+        *,
+        has_crashed: Callable[[str, str], bool] = lambda name, incarnation: False,
+    ) -> None:
+        self.health = UpstreamHealth()
+        self._directory = directory
+        self._clients = clients
+        self._has_crashed = has_crashed
+        self._disproved: OrderedDict[tuple[str, str], None] = OrderedDict()
+
+    def usable(
+        self, engines: tuple[Upstream, ...], now_s: float
+    ) -> tuple[Upstream, ...]:
+        """Return the engines that are not held back, or all if each one is."""
+        return tuple(e for e in engines if not self.is_held(e, now_s)) or engines
+
+    def is_held(self, engine: Upstream, now_s: float) -> bool:
+        """Return whether the engine failed a short time ago."""
+        return self.health.is_held(engine.name, now_s, incarnation=engine.incarnation)
+
+    def is_in_doubt(self, engine: Upstream) -> bool:
+        """Return whether the state has to be read before the engine gets work."""
+        if self.health.is_failing(engine.name):
+            return True
+        key = (engine.name, engine.incarnation)
+        return self._has_crashed(*key) and key not in self._disproved
+
+    def confirm(self, engine: Upstream) -> Upstream | None:
+        """Read the state; return the engine as it is now, or ``None`` if it fails."""
+        client = self._clients.engine(engine, fresh=True)
+        state = None
+        try:
+            with gevent.Timeout(CHECK_TIMEOUT_S, False):
+                state = client.state()
+        except (EngineFailure, PersimmonyokeError):
+            pass
+        now_s = time.monotonic()
+        if state is None:
+            self.health.note_failure(engine.name, now_s, incarnation=engine.incarnation)
+            return None
+        if state.incarnation == engine.incarnation:
+            self._disproved[engine.name, engine.incarnation] = None
+            if len(self._disproved) > MAX_DISPROVED:
+                self._disproved.popitem(last=False)
+            return engine
+        self._directory.note_state(state)
+        self.health.forget(engine.name)
+        return self._directory.find(engine.name, now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
@@ -2,11 +2,16 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from persimmonyoke.errors import ErrorKind
 from persimmonyoke.internal.delivery.api import NoRoute, RouteChoice, RouteQuery
+from persimmonyoke.internal.delivery.placement import EnginesDown
+from persimmonyoke.internal.node.engine_health import (
+    EngineChecks,
+    ObservedEngineClient,
+)
 from persimmonyoke.internal.presets import PoolKind, Preset
 from persimmonyoke.internal.routing import (
     EngineChoice,
@@ -18,7 +23,6 @@
 from persimmonyoke.internal.upstreams.api import Upstream
 from persimmonyoke.internal.upstreams.clients import UpstreamClients
 from persimmonyoke.internal.upstreams.directory import Directory
-from persimmonyoke.internal.upstreams.engine_client import HttpEngineClient
 from persimmonyoke.internal.upstreams.load_view import DispatchId, LoadView
 from persimmonyoke.internal.upstreams.pieces import prompt_pieces
 
@@ -61,6 +65,7 @@
         is_draining: Callable[[str, float], bool],
         adapters: Mapping[str, tuple[str, ...]],
         rng: Random,
+        checks: EngineChecks | None = None,
     ) -> None:
         self._directory = directory
         self._load = load
@@ -71,6 +76,9 @@
         self._is_draining = is_draining
         self._adapters = adapters
         self._rng = rng
+        self._checks = checks
+        # Attempts over all engines; beside the requests they show the extra calls.
+        self.dispatches = 0
         self.offered: dict[str, OfferedTokens] = {}
         self.no_route: Counter[str] = Counter()
 
@@ -97,7 +105,38 @@
         return open_engines or engines
 
     def choose(self, query: RouteQuery, *, now_s: float) -> RouteChoice | NoRoute:
-        """Choose an engine outside ``query.excluded``."""
+        """Choose an engine outside ``query.excluded``, the first one not in doubt."""
+        failed: Upstream | None = None
+        while True:
+            choice = self._choose(query, now_s=now_s)
+            if isinstance(choice, NoRoute):
+                return choice if failed is None else _engines_down(failed)
+            if self._checks is None:
+                return choice
+            # An engine that is held back is chosen only if all others are as well.
+            all_held = self._checks.is_held(choice.engine, now_s)
+            confirmed = self._confirm(choice)
+            if isinstance(confirmed, PlannedRoute):
+                return confirmed
+            failed = confirmed
+            if all_held:
+                return _engines_down(failed)
+            query = replace(query, excluded=query.excluded | {confirmed.name})
+
+    def _confirm(self, choice: PlannedRoute) -> PlannedRoute | Upstream:
+        """Return the route with engines that answer, or one that does not."""
+        changes: dict[str, Upstream] = {}
+        for role in ("engine", "prefill_engine"):
+            engine = getattr(choice, role)
+            if engine is None or not self._checks.is_in_doubt(engine):
+                continue
+            current = self._checks.confirm(engine)
+            if current is None:
+                return engine
+            changes[role] = current
+        return replace(choice, **changes) if changes else choice
+
+    def _choose(self, query: RouteQuery, *, now_s: float) -> PlannedRoute | NoRoute:
         pool = self.pool_of(query.model)
         if pool is None:
             return NoRoute(
@@ -118,7 +157,7 @@
         )
         choice = choose_engine(
             request,
-            self.candidates(pool, query.adapter, now_s),
+            self._answering(pool, query, now_s),
             self._load,
             self._prefixes,
             now_s=now_s,
@@ -130,6 +169,15 @@
             return NoRoute(ErrorKind.UPSTREAM_UNAVAILABLE, reason, NO_ROUTE_RETRY_S)
         return self._route(choice, pieces)
 
+    def _answering(
+        self, pool: str, query: RouteQuery, now_s: float
+    ) -> tuple[Upstream, ...]:
+        engines = self.candidates(pool, query.adapter, now_s)
+        if self._checks is None:
+            return engines
+        allowed = tuple(e for e in engines if e.name not in query.excluded)
+        return self._checks.usable(allowed, now_s) or engines
+
     def _route(self, choice: EngineChoice, pieces: tuple[bytes, ...]) -> PlannedRoute:
         preset = self._preset()
         paired = choice.decode_engine is not None
@@ -154,6 +202,9 @@
         prefill = max(0, query.prompt_tokens + query.prefix_tokens - cached)
         output = max(1, query.max_tokens - query.prefix_tokens)
         first = choice.prefill_engine or choice.engine
+        self.dispatches += 1
+        for engine in {first.name, choice.engine.name} if self._checks else ():
+            self._checks.health.note_dispatch(engine, now_s)
         self._prefixes.note_dispatch(first.name, pieces, now_s)
         note = self._load.note_dispatch
         if choice.prefill_engine is None:
@@ -176,6 +227,14 @@
         offered.requests += 1
 
 
+def _engines_down(last: Upstream) -> EnginesDown:
+    return EnginesDown(
+        ErrorKind.UPSTREAM_UNAVAILABLE,
+        f"no engine answers; the last one tried was {last.name}",
+        NO_ROUTE_RETRY_S,
+    )
+
+
 class DirectoryEngines:
     """Give delivery the engines of the directory and their clients."""
 
@@ -184,15 +243,18 @@
         directory: Directory,
         clients: UpstreamClients,
         clock: Callable[[], float],
+        checks: EngineChecks,
     ) -> None:
         self._directory = directory
         self._clients = clients
         self._clock = clock
+        self._checks = checks
 
     def find(self, name: str) -> Upstream | None:
         """Return the engine, or ``None`` if it is unknown."""
         return self._directory.find(name, self._clock())
 
-    def client(self, engine: Upstream, *, fresh: bool = False) -> HttpEngineClient:
+    def client(self, engine: Upstream, *, fresh: bool = False) -> ObservedEngineClient:
         """Return a client; a fresh one opens a new connection for its next call."""
-        return self._clients.engine(engine, fresh=fresh)
+        client = self._clients.engine(engine, fresh=fresh)
+        return ObservedEngineClient(client, engine, self._checks.health)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -30,6 +30,7 @@
 from persimmonyoke.internal.node.configuration import ConfigurationKeeper
 from persimmonyoke.internal.node.drains import DrainView
 from persimmonyoke.internal.node.endpoints import join_address, split_address
+from persimmonyoke.internal.node.engine_health import EngineChecks
 from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
 from persimmonyoke.internal.node.entry_metrics import entry_metrics
 from persimmonyoke.internal.node.fleet_view import FleetView
@@ -161,6 +162,9 @@
         )
         self.gate = ClaimServiceGate(self.claims)
         fleet = self.fleet
+        checks = EngineChecks(
+            fleet.directory, fleet.clients, has_crashed=self.suspects.has_crashed
+        )
         self.router = EngineRouter(
             directory=fleet.directory,
             load=fleet.load,
@@ -171,11 +175,12 @@
             is_draining=self.drains.is_draining,
             adapters=fleet.adapters,
             rng=self._rng,
+            checks=checks,
         )
         self.retry_budget = RetryBudget()
         self.delivery = Delivery(
             router=self.router,
-            engines=DirectoryEngines(fleet.directory, fleet.clients, clock),
+            engines=DirectoryEngines(fleet.directory, fleet.clients, clock, checks),
             services=ReplicaPool(
                 directory=fleet.directory,
                 clients=fleet.clients,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/replicas.py
@@ -10,6 +10,7 @@
     ServiceRoute,
     choose_service,
 )
+from persimmonyoke.internal.routing.health import UpstreamHealth
 from persimmonyoke.internal.upstreams.api import (
     ServiceAnswer,
     ServiceCall,
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         self.in_flight: Counter[str] = Counter()
+        self.calls = 0
 
     def estimate(self, name: str, now_s: float) -> CallsInFlight:
         """Return the estimate for one replica."""
@@ -47,18 +49,35 @@
 class CountingClient(ServiceClient):
     """Count a call as in flight while it runs."""
 
-    def __init__(self, client: ServiceClient, name: str, counts: CallCounts) -> None:
+    def __init__(
+        self,
+        client: ServiceClient,
+        name: str,
+        counts: CallCounts,
+        health: UpstreamHealth,
+        clock: Callable[[], float],
+    ) -> None:
         self._client = client
         self._name = name
         self._counts = counts
+        self._health = health
+        self._clock = clock
 
     def call(self, call: ServiceCall, *, timeout_s: float) -> ServiceOutcome:
         """Send one call and return its outcome."""
+        started_s = self._clock()
+        self._health.note_dispatch(self._name, started_s)
+        self._counts.calls += 1
         self._counts.in_flight[self._name] += 1
         try:
-            return self._client.call(call, timeout_s=timeout_s)
+            outcome = self._client.call(call, timeout_s=timeout_s)
         finally:
             self._counts.in_flight[self._name] -= 1
+        if isinstance(outcome, ServiceAnswer):
+            self._health.note_success(self._name, started_s)
+        else:
+            self._health.note_failure(self._name, self._clock())
+        return outcome
 
     def outcome(self, idempotency_key: str) -> ServiceAnswer | None:
         """Return the stored answer of an earlier call; raises ``ConnectionError``."""
@@ -82,7 +101,8 @@
         self._zone = availability_zone
         self._clock = clock
         self._rng = rng
-        self._counts = CallCounts()
+        self.counts = CallCounts()
+        self._health = UpstreamHealth()
 
     def choose(
         self, pool: str, excluded: frozenset[str], *, now_s: float
@@ -90,8 +110,12 @@
         """Return a replica outside ``excluded``, or ``None``."""
         route = ServiceRoute(availability_zone=self._zone, exclude=excluded)
         candidates = self._directory.services(pool, now_s)
+        held = self._health.is_held
+        allowed = [r for r in candidates if r.name not in excluded]
+        # A replica that failed a short time ago is used only if all others did too.
+        answering = [r for r in allowed if not held(r.name, now_s)] or allowed
         choice = choose_service(
-            route, candidates, self._counts, now_s=now_s, rng=self._rng
+            route, answering, self.counts, now_s=now_s, rng=self._rng
         )
         if not isinstance(choice, ServiceChoice):
             return None
@@ -107,4 +131,6 @@
     def client(self, replica: Upstream) -> ServiceClient:
         """Return a client of the replica."""
         client = self._clients.service(replica)
-        return CountingClient(client, replica.name, self._counts)
+        return CountingClient(
+            client, replica.name, self.counts, self._health, self._clock
+        )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/tests/test_health.py
@@ -0,0 +1,47 @@
+"""Tests of the hold on upstreams that failed a short time ago."""
+
+import unittest
+
+from persimmonyoke.internal.routing.health import (
+    FIRST_HOLD_S,
+    MAX_HOLD_S,
+    UpstreamHealth,
+)
+
+
+class UpstreamHealthTest(unittest.TestCase):
+    def test_a_broken_upstream_gets_ever_rarer_single_trials(self):
+        # Trials of a broken upstream would use up the retry budget.
+        health, now_s, trials = UpstreamHealth(), 0.0, 0
+        health.note_failure("e", now_s)
+        while now_s < 120.0:
+            now_s += 0.01
+            if not health.is_held("e", now_s):
+                trials += 1
+                health.note_dispatch("e", now_s)
+                self.assertTrue(health.is_held("e", now_s))
+                health.note_failure("e", now_s + 0.001)
+        self.assertLessEqual(trials, 5 + 120.0 / MAX_HOLD_S)
+
+    def test_calls_that_fail_together_hold_the_upstream_back_once(self):
+        # A reset connection with ten streams would count as ten failures in a row.
+        health = UpstreamHealth()
+        for _ in range(10):
+            health.note_failure("e", 1.0)
+        self.assertFalse(health.is_held("e", 1.0 + FIRST_HOLD_S + 0.01))
+
+    def test_only_a_call_begun_after_the_failure_clears_it(self):
+        # A stream from before a fault may end well while new calls are refused.
+        health = UpstreamHealth()
+        health.note_failure("e", 5.0)
+        health.note_success("e", 4.0)
+        self.assertTrue(health.is_failing("e"))
+        health.note_success("e", 6.0)
+        self.assertFalse(health.is_failing("e"))
+
+    def test_a_restarted_process_is_not_held_back(self):
+        # Its load would fall on the others for the rest of the hold.
+        health = UpstreamHealth()
+        health.note_failure("e", 5.0, incarnation="1")
+        self.assertTrue(health.is_held("e", 5.1, incarnation="1"))
+        self.assertFalse(health.is_held("e", 5.1, incarnation="2"))
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -9,8 +9,10 @@
 BENCHES: dict[str, str] = {
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "control": "Measure the control cost of an entry and a controller process.",
-    "crashers": "Count the engine crashes by requests that crash each engine they reach.",
+    "crashers": "Count engine crashes by requests that crash the engines they reach.",
     "path": "Measure the time that an entry process adds to the engine's own.",
+    "prefix": "Compare prefix hits and queues with late and lossy cache events.",
+    "retries": "Count extra upstream calls while half of the upstreams fail.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/crashers.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/crashers.py
@@ -60,7 +60,7 @@
 
 BENCH = Bench(
     "crashers",
-    "Count the engine crashes by requests that crash each engine they reach.",
+    "Count engine crashes by requests that crash the engines they reach.",
     run,
     CrashersOptions,
 )
