--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -36,12 +36,16 @@
         self._buckets: deque[list[int]] = deque()
         self._first_attempts = 0
         self._retries = 0
+        # Totals since the start.
+        self.first_attempts_total = 0
+        self.retries_total = 0
         self.refused = 0
 
     def note_first_attempt(self, now_s: float) -> None:
         """Count the first attempt of a request."""
         self._current_bucket(now_s)[1] += 1
         self._first_attempts += 1
+        self.first_attempts_total += 1
 
     def try_spend(self, now_s: float) -> bool:
         """Count a retry and return whether it is allowed."""
@@ -52,6 +56,7 @@
             return False
         bucket[2] += 1
         self._retries += 1
+        self.retries_total += 1
         return True
 
     def seconds_until_available(self, now_s: float) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_health.py
@@ -66,6 +66,7 @@
         has_crashed: Callable[[str, str], bool] = lambda name, incarnation: False,
     ) -> None:
         self.health = UpstreamHealth()
+        self.readings = 0
         self._directory = directory
         self._clients = clients
         self._has_crashed = has_crashed
@@ -91,6 +92,7 @@
     def confirm(self, engine: Upstream) -> Upstream | None:
         """Read the state; return the engine as it is now, or ``None`` if it fails."""
         client = self._clients.engine(engine, fresh=True)
+        self.readings += 1
         state = None
         try:
             with gevent.Timeout(CHECK_TIMEOUT_S, False):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_router.py
@@ -18,8 +18,10 @@
     NoEngine,
     PrefixIndex,
     RouteRequest,
+    RoutingPolicy,
     choose_engine,
 )
+from persimmonyoke.internal.routing.engines import DEFAULT_POLICY
 from persimmonyoke.internal.upstreams.api import Upstream
 from persimmonyoke.internal.upstreams.clients import UpstreamClients
 from persimmonyoke.internal.upstreams.directory import Directory
@@ -66,10 +68,11 @@
         adapters: Mapping[str, tuple[str, ...]],
         rng: Random,
         checks: EngineChecks | None = None,
+        policy: RoutingPolicy = DEFAULT_POLICY,
     ) -> None:
         self._directory = directory
         self._load = load
-        self._prefixes = prefixes
+        self.prefixes = prefixes
         self._preset = preset
         self._zone = availability_zone
         self._region = region
@@ -77,6 +80,7 @@
         self._adapters = adapters
         self._rng = rng
         self._checks = checks
+        self.policy = policy
         # Attempts over all engines; beside the requests they show the extra calls.
         self.dispatches = 0
         self.offered: dict[str, OfferedTokens] = {}
@@ -159,9 +163,10 @@
             request,
             self._answering(pool, query, now_s),
             self._load,
-            self._prefixes,
+            self.prefixes,
             now_s=now_s,
             rng=self._rng,
+            policy=self.policy,
         )
         if isinstance(choice, NoEngine):
             self.no_route[choice.reason.value] += 1
@@ -205,7 +210,7 @@
         self.dispatches += 1
         for engine in {first.name, choice.engine.name} if self._checks else ():
             self._checks.health.note_dispatch(engine, now_s)
-        self._prefixes.note_dispatch(first.name, pieces, now_s)
+        self.prefixes.note_dispatch(first.name, pieces, now_s)
         note = self._load.note_dispatch
         if choice.prefill_engine is None:
             return (note(choice.engine.name, prefill, output, now_s),)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -91,6 +91,7 @@
         self._rng = rng or random.Random()
         self._tasks: list[gevent.Greenlet] = []
         self._leaving = False
+        self.scales_load = True
         self.callers_address = split_address(settings.listen.callers)
         self.operators_address = split_address(settings.listen.operators)
         self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
@@ -162,7 +163,7 @@
         )
         self.gate = ClaimServiceGate(self.claims)
         fleet = self.fleet
-        checks = EngineChecks(
+        self.engine_checks = checks = EngineChecks(
             fleet.directory, fleet.clients, has_crashed=self.suspects.has_crashed
         )
         self.router = EngineRouter(
@@ -178,16 +179,17 @@
             checks=checks,
         )
         self.retry_budget = RetryBudget()
+        self.replicas = ReplicaPool(
+            directory=fleet.directory,
+            clients=fleet.clients,
+            availability_zone=process.availability_zone,
+            clock=clock,
+            rng=self._rng,
+        )
         self.delivery = Delivery(
             router=self.router,
             engines=DirectoryEngines(fleet.directory, fleet.clients, clock, checks),
-            services=ReplicaPool(
-                directory=fleet.directory,
-                clients=fleet.clients,
-                availability_zone=process.availability_zone,
-                clock=clock,
-                rng=self._rng,
-            ),
+            services=self.replicas,
             gate=self.gate,
             budget=self.retry_budget,
             suspects=self.suspects,
@@ -387,6 +389,8 @@
         while True:
             gevent.sleep(REFRESH_INTERVAL_S)
             self.admission.refresh()
+            hosts = self._live_host_count() if self.scales_load else 0
+            self.fleet.load.live_hosts = hosts
             percent = int(100 * self.admission.load_share())
             self.peers.dissemination.load_percent = min(percent, MAX_LOAD_PERCENT)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/replicas.py
@@ -21,6 +21,13 @@
 from persimmonyoke.internal.upstreams.clients import UpstreamClients
 from persimmonyoke.internal.upstreams.directory import Directory
 
+# A replica that answers nothing for this long, or for SILENT_FACTOR times the usual
+# time of an answer, gets no more calls while another one answers: the timeout of a call
+# is several seconds, in which a silent replica would collect calls.
+SILENT_AFTER_S = 0.5
+SILENT_FACTOR = 5.0
+ANSWER_TIME_WEIGHT = 0.1
+
 
 @dataclass(frozen=True)
 class CallsInFlight:
@@ -40,6 +47,31 @@
     def __init__(self) -> None:
         self.in_flight: Counter[str] = Counter()
         self.calls = 0
+        self._answer_s = 0.0
+        # Start of the first call that a replica has not followed by any answer.
+        self._unanswered_since_s: dict[str, float] = {}
+
+    def begin(self, name: str, now_s: float) -> None:
+        """Count a call that is sent to a replica."""
+        self.calls += 1
+        self.in_flight[name] += 1
+        self._unanswered_since_s.setdefault(name, now_s)
+
+    def end(self, name: str, started_s: float, now_s: float, *, answered: bool) -> None:
+        """Count the end of a call."""
+        self.in_flight[name] -= 1
+        if answered:
+            change_s = now_s - started_s - self._answer_s
+            self._answer_s += ANSWER_TIME_WEIGHT * change_s
+        if not self.in_flight[name]:
+            del self._unanswered_since_s[name]
+        elif answered:
+            self._unanswered_since_s[name] = now_s
+
+    def is_silent(self, name: str, now_s: float) -> bool:
+        """Return whether a replica with open calls has answered none for long."""
+        since_s = self._unanswered_since_s.get(name, now_s)
+        return now_s - since_s > max(SILENT_AFTER_S, SILENT_FACTOR * self._answer_s)
 
     def estimate(self, name: str, now_s: float) -> CallsInFlight:
         """Return the estimate for one replica."""
@@ -67,13 +99,14 @@
         """Send one call and return its outcome."""
         started_s = self._clock()
         self._health.note_dispatch(self._name, started_s)
-        self._counts.calls += 1
-        self._counts.in_flight[self._name] += 1
+        self._counts.begin(self._name, started_s)
+        answered = False
         try:
             outcome = self._client.call(call, timeout_s=timeout_s)
+            answered = isinstance(outcome, ServiceAnswer)
         finally:
-            self._counts.in_flight[self._name] -= 1
-        if isinstance(outcome, ServiceAnswer):
+            self._counts.end(self._name, started_s, self._clock(), answered=answered)
+        if answered:
             self._health.note_success(self._name, started_s)
         else:
             self._health.note_failure(self._name, self._clock())
@@ -110,10 +143,9 @@
         """Return a replica outside ``excluded``, or ``None``."""
         route = ServiceRoute(availability_zone=self._zone, exclude=excluded)
         candidates = self._directory.services(pool, now_s)
-        held = self._health.is_held
         allowed = [r for r in candidates if r.name not in excluded]
-        # A replica that failed a short time ago is used only if all others did too.
-        answering = [r for r in allowed if not held(r.name, now_s)] or allowed
+        # A replica that fails or is silent is used only if all others are as well.
+        answering = [r for r in allowed if self._answers(r.name, now_s)] or allowed
         choice = choose_service(
             route, answering, self.counts, now_s=now_s, rng=self._rng
         )
@@ -124,6 +156,10 @@
             return None
         return choice.replica
 
+    def _answers(self, name: str, now_s: float) -> bool:
+        held = self._health.is_held(name, now_s)
+        return not held and not self.counts.is_silent(name, now_s)
+
     def replicas(self, pool: str, *, now_s: float) -> tuple[Upstream, ...]:
         """Return all replicas that may hold the outcome of an earlier call."""
         return self._directory.services(pool, now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/routing/health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/routing/health.py
@@ -3,9 +3,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-# A restarting engine is back after about a second; one that stays broken gets a trial
-# from each host at most every 16 s, which keeps the trials far below the retry budget.
+# A restarting engine is back after about a second. Each trial of an upstream that stays
+# broken costs a retry; doubling the hold instead of HOLD_FACTOR used up the budget.
 FIRST_HOLD_S = 1.0
+HOLD_FACTOR = 4
 MAX_HOLD_S = 16.0
 MAX_UPSTREAMS = 4_096
 
@@ -21,7 +22,7 @@
 class UpstreamHealth:
     """Hold back work from upstreams whose last call from this host failed.
 
-    After the hold, which doubles with each failure in a row, one call is let through.
+    After the hold, which grows with each failure in a row, one call is let through.
     The upstream is in use again when a call that began after the failure succeeds.
     """
 
@@ -76,4 +77,4 @@
 
 
 def _hold_s(failing: _Failing) -> float:
-    return min(MAX_HOLD_S, FIRST_HOLD_S * 2 ** (failing.failures - 1))
+    return min(MAX_HOLD_S, FIRST_HOLD_S * HOLD_FACTOR ** (failing.failures - 1))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/load_view.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/load_view.py
@@ -2,7 +2,7 @@
 
 import itertools
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -66,6 +66,9 @@
     new_prefill_tokens: int = 0
     ended_sequences: int = 0
     ended_prefill_tokens: int = 0
+    # Prefill tokens dispatched after the report's time stamp, completed or not.
+    sent: deque[tuple[float, int]] = field(default_factory=deque)
+    sent_prefill_tokens: int = 0
 
 
 @dataclass
@@ -101,6 +104,9 @@
         self._dispatches: dict[DispatchId, str] = {}
         self._ids = itertools.count(1)
         self._means: dict[Role, RoleMean] = {}
+        # Number of hosts that are expected to dispatch as much as this one; 0 leaves
+        # the work of other hosts and the progress of engines out of the estimate.
+        self.live_hosts = 0
 
     def note_report(self, report: LoadReport, now_s: float) -> None:
         """Take over a report; one that is older than the last is ignored."""
@@ -127,6 +133,10 @@
         self._dispatches[dispatch_id] = engine
         load.new_sequences += 1
         load.new_prefill_tokens += prefill_tokens
+        load.sent.append((now_s, prefill_tokens))
+        load.sent_prefill_tokens += prefill_tokens
+        if len(load.sent) > MAX_OPEN_PER_ENGINE:
+            load.sent_prefill_tokens -= load.sent.popleft()[1]
         if len(load.open) > MAX_OPEN_PER_ENGINE:
             self.note_completion(next(iter(load.open)), now_s)
         return dispatch_id
@@ -179,8 +189,11 @@
         # Own work is known exactly, so it counts in full at any age of the report.
         prefill = max(0.0, prefill - load.ended_prefill_tokens)
         sequences = max(0.0, sequences - load.ended_sequences)
+        queued = prefill + load.new_prefill_tokens
+        if self.live_hosts:
+            queued = self._scaled_prefill(load, report, age_s)
         return LoadEstimate(
-            queued_prefill_tokens=prefill + load.new_prefill_tokens,
+            queued_prefill_tokens=queued,
             running_sequences=sequences + load.new_sequences,
             age_s=age_s,
             prefill_tokens_per_s=report.prefill_tokens_per_s,
@@ -188,6 +201,14 @@
             max_sequences=report.max_sequences,
         )
 
+    def _scaled_prefill(
+        self, load: EngineLoad, report: LoadReport, age_s: float
+    ) -> float:
+        """Return the prefill queue with the work of other hosts and the work done."""
+        arrived = self.live_hosts * load.sent_prefill_tokens
+        done = report.prefill_tokens_per_s * age_s
+        return max(0.0, report.queued_prefill_tokens + arrived - done)
+
     def report(self, engine: str) -> LoadReport | None:
         """Return the last report of an engine."""
         load = self._engines.get(engine)
@@ -260,6 +281,8 @@
         taken_s = load.taken_s
         self._expire(load, now_s)
         load.ended = [item for item in load.ended if item[1] > taken_s]
+        while load.sent and load.sent[0][0] <= taken_s:
+            load.sent_prefill_tokens -= load.sent.popleft()[1]
         dispatches = load.open.values()
         new = [d for d in dispatches if d.dispatched_s > taken_s]
         load.new_sequences = len(new)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/fleet_callers.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/fleet_callers.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 import gevent
 from gevent.pool import Group
@@ -42,10 +43,12 @@
         return self.sent - self.complete
 
 
-def raise_limits(deployment: Deployment) -> None:
-    """Lift the rate limits of the workspace on all entry nodes."""
+def raise_limits(
+    deployment: Deployment, *, changes: Mapping[str, str] = MappingProxyType({})
+) -> None:
+    """Lift the rate limits of the workspace; ``changes`` replace further lines."""
     text = deployment.firm.presets()["base"]
-    for old, new in RAISED_LIMITS.items():
+    for old, new in {**RAISED_LIMITS, **changes}.items():
         if old not in text:
             raise ValueError(f"the base preset has no line {old!r}")
         text = text.replace(old, new)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_cache.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine_cache.py
@@ -92,6 +92,10 @@
         self._touch(pieces[:hits])
         return hits * PIECE_TOKENS
 
+    def held(self, piece: bytes) -> bool:
+        """Return whether a piece is cached, without counting as its use."""
+        return piece in self._pieces
+
     def store(self, pieces: tuple[bytes, ...], now_s: float) -> None:
         """Store the pieces of a prefilled prompt and evict the least recently used."""
         for piece in pieces:
