--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_load_view.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_load_view.py
@@ -46,6 +46,22 @@
         self.report(3.5, at_s=4.5, running=4)
         self.assertEqual(self.running(4.5), 4)
 
+    def test_the_work_of_other_hosts_and_the_progress_of_the_engine_are_counted(self):
+        # Each of six hosts would fill an engine that all see as idle for 2 s.
+        self.view.live_hosts = 6
+        self.report(0.0, at_s=2.0, queued_prefill_tokens=9_000)
+        rate = self.view.report("e0").prefill_tokens_per_s
+        queued = self.view.estimate("e0", 2.0).queued_prefill_tokens
+        self.assertEqual(queued, max(0.0, 9_000 - 2.0 * rate))
+        first = self.view.note_dispatch("e0", 50_000, 10, 2.0)
+        queued = self.view.estimate("e0", 2.0).queued_prefill_tokens
+        self.assertEqual(queued, max(0.0, 9_000 + 6 * 50_000 - 2.0 * rate))
+        # Work that has been done is already part of the engine's progress.
+        self.view.note_completion(first, 2.0)
+        self.assertEqual(self.view.estimate("e0", 2.0).queued_prefill_tokens, queued)
+        self.report(3.0, at_s=5.0, queued_prefill_tokens=0)
+        self.assertEqual(self.view.estimate("e0", 5.0).queued_prefill_tokens, 0.0)
+
     def test_the_weight_of_a_report_falls_towards_the_mean(self):
         # An engine whose old report says idle must not attract all requests.
         self.report(0.0, at_s=0.0, running=0)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/prefix_run.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/prefix_run.py
@@ -164,7 +164,7 @@
             self._set_up(deployment)
             sampler = gevent.spawn(self._sample, deployment)
             self._send(deployment)
-            sampler.kill()
+            sampler.join()
             print(dict(self._callers.endings), file=sys.stderr)
             return self._figures(deployment)
 
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_addresses.py
@@ -0,0 +1,89 @@
+"""Callers that follow the address answers of a deployment."""
+
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import gevent
+
+from persimmonyoke_testing.builders_deployment import call
+from persimmonyoke_testing.deployment import Deployment
+
+SAMPLE_S = 0.1
+
+
+@dataclass
+class AddressCallers:
+    """Let callers ask again after each ``max_age_s`` and use the first address.
+
+    Each host reports a load in proportion to the callers that use it, so that a swing
+    between hosts would feed itself; ``equal_load`` is that of an equal share.
+    """
+
+    deployment: Deployment
+    callers: int
+    seed: int
+    equal_load: float = 0.5
+    users: Counter[str] = field(default_factory=Counter)
+    samples: list[Counter[str]] = field(default_factory=list)
+    answers: list[tuple[float, str, tuple[str, ...]]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._rng = random.Random(self.seed)
+        self._tasks: list[gevent.Greenlet] = []
+        self._names = {
+            node.callers_url.removeprefix("http://"): node.name
+            for node in self.deployment.entries
+        }
+        self._zones = self.deployment.firm.availability_zones
+
+    def start(self) -> None:
+        """Start the callers, spread over one ``max_age_s``, and the samples."""
+        equal = self.callers / len(self.deployment.entries)
+        for node in self.deployment.entries:
+            node.admission.load_share = lambda name=node.name: (
+                self.equal_load * self.users[name] / equal
+            )
+        for number in range(self.callers):
+            self._tasks.append(gevent.spawn(self._run, number))
+        self._tasks.append(gevent.spawn(self._sample))
+
+    def stop(self) -> None:
+        """End the callers."""
+        gevent.killall(self._tasks)
+
+    def largest_over_mean(self, since: int) -> list[float]:
+        """Return the largest share of a host over the mean, for each sample."""
+        hosts = len(self.deployment.entries)
+        return [
+            max(sample.values()) * hosts / sum(sample.values())
+            for sample in self.samples[since:]
+            if sample
+        ]
+
+    def _run(self, number: int) -> None:
+        zone = self._zones[number % len(self._zones)]
+        entries = self.deployment.entries
+        address = self._rng.choice(entries).callers_url.removeprefix("http://")
+        gevent.sleep(self._rng.random())
+        used = ""
+        while True:
+            answer = call(
+                "GET",
+                f"http://{address}/v1/addresses?availability_zone={zone}",
+                key=self.deployment.firm.workspace_key,
+            ).json
+            names = tuple(self._names[item] for item in answer["addresses"])
+            self.answers.append((time.monotonic(), zone, names))
+            address = answer["addresses"][0]
+            if used:
+                self.users[used] -= 1
+            used = names[0]
+            self.users[used] += 1
+            gevent.sleep(answer["max_age_s"])
+
+    def _sample(self) -> None:
+        while True:
+            gevent.sleep(SAMPLE_S)
+            self.samples.append(Counter(self.users))
