--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -41,11 +41,14 @@
         self._request = request
         self._excluded: set[str] = set()
         self._crashed: set[str] = set()
+        self._incarnations: dict[str, str] = {}
         self._isolated_on: str | None = None
 
     def exclude(self, engine: str, *, crashed: bool = False) -> None:
         """Leave an engine out of further choices, a crashed one as long as possible."""
         self._excluded.add(engine)
+        known = self._parts.engines.find(engine)
+        self._incarnations[engine] = known.incarnation if known else ""
         if crashed:
             self._crashed.add(engine)
 
@@ -118,6 +121,8 @@
             reserved = self._parts.suspects.isolated_engines(now_s)
         query = self.query(prefix_tokens, excluded | reserved)
         choice = self._parts.router.choose(query, now_s=now_s)
+        if isinstance(choice, EnginesDown):
+            self._readmit_restarted()
         if isinstance(choice, NoRoute):
             if reserved - excluded:
                 return None
@@ -132,6 +137,14 @@
             return choice
         return self._isolate(choice)
 
+    def _readmit_restarted(self) -> None:
+        """Allow engines of which a new process runs; it can't run this request."""
+        for name in list(self._excluded):
+            engine = self._parts.engines.find(name)
+            if engine and engine.incarnation != self._incarnations.get(name, ""):
+                self._excluded.discard(name)
+                self._crashed.discard(name)
+
     def _isolate(self, choice: RouteChoice) -> RouteChoice | None:
         suspects = self._parts.suspects
         digest, engine = self._request.content_digest, choice.engine.name
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/engine_health.py
@@ -27,11 +27,11 @@
     """Pass calls on to a client and note which generations fail."""
 
     def __init__(
-        self, client: HttpEngineClient, engine: Upstream, health: UpstreamHealth
+        self, client: HttpEngineClient, engine: Upstream, checks: "EngineChecks"
     ) -> None:
         self._client = client
         self._engine = engine
-        self._health = health
+        self._checks = checks
 
     def __getattr__(self, name: str) -> object:
         return getattr(self._client, name)
@@ -41,13 +41,11 @@
         started_s = time.monotonic()
         try:
             yield from self._client.generate(call)
-        except (EngineFailure, StreamSilent):
-            engine = self._engine
-            self._health.note_failure(
-                engine.name, time.monotonic(), incarnation=engine.incarnation
-            )
+        except (EngineFailure, StreamSilent) as failure:
+            is_down = isinstance(failure, EngineFailure) and not failure.sent
+            self._checks.note_failure(self._engine, is_down=is_down)
             raise
-        self._health.note_success(self._engine.name, started_s)
+        self._checks.note_success(self._engine, started_s)
 
 
 class EngineChecks:
@@ -70,6 +68,7 @@
         self._directory = directory
         self._clients = clients
         self._has_crashed = has_crashed
+        self._down: OrderedDict[str, str] = OrderedDict()
         self._disproved: OrderedDict[tuple[str, str], None] = OrderedDict()
 
     def usable(
@@ -82,6 +81,25 @@
         """Return whether the engine failed a short time ago."""
         return self.health.is_held(engine.name, now_s, incarnation=engine.incarnation)
 
+    def note_failure(self, engine: Upstream, *, is_down: bool) -> None:
+        """Count a failure; an engine that is down accepts no connection."""
+        self.health.note_failure(
+            engine.name, time.monotonic(), incarnation=engine.incarnation
+        )
+        if is_down:
+            self._down[engine.name] = engine.incarnation
+            if len(self._down) > MAX_DISPROVED:
+                self._down.popitem(last=False)
+
+    def note_success(self, engine: Upstream, started_s: float) -> None:
+        """Count a generation that ran to its end."""
+        self.health.note_success(engine.name, started_s)
+        self._down.pop(engine.name, None)
+
+    def is_down(self, engine: Upstream) -> bool:
+        """Return whether no connection was accepted and no new process is known."""
+        return self._down.get(engine.name) == engine.incarnation
+
     def is_in_doubt(self, engine: Upstream) -> bool:
         """Return whether the state has to be read before the engine gets work."""
         if self.health.is_failing(engine.name):
@@ -108,6 +126,7 @@
             if len(self._disproved) > MAX_DISPROVED:
                 self._disproved.popitem(last=False)
             return engine
+        self._down.pop(engine.name, None)
         self._directory.note_state(state)
         self.health.forget(engine.name)
         return self._directory.find(engine.name, now_s)
