--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -30,6 +30,7 @@
 from persimmonyoke.internal.node.configuration import ConfigurationKeeper
 from persimmonyoke.internal.node.drains import DrainView
 from persimmonyoke.internal.node.endpoints import join_address, split_address
+from persimmonyoke.internal.node.engine_health import EngineChecks
 from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
 from persimmonyoke.internal.node.entry_metrics import entry_metrics
 from persimmonyoke.internal.node.first_tokens import TimedDelivery
@@ -93,6 +94,7 @@
         self._offered_interval_s = offered_interval_s
         self._tasks: list[gevent.Greenlet] = []
         self._leaving = False
+        self.scales_load = True
         self.callers_address = split_address(settings.listen.callers)
         self.operators_address = split_address(settings.listen.operators)
         self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
@@ -165,6 +167,9 @@
         )
         self.gate = ClaimServiceGate(self.claims)
         fleet = self.fleet
+        self.engine_checks = checks = EngineChecks(
+            fleet.directory, fleet.clients, has_crashed=self.suspects.has_crashed
+        )
         self.router = EngineRouter(
             directory=fleet.directory,
             load=fleet.load,
@@ -175,18 +180,20 @@
             is_draining=self.drains.is_draining,
             adapters=fleet.adapters,
             rng=self._rng,
+            checks=checks,
         )
         self.retry_budget = RetryBudget()
+        self.replicas = ReplicaPool(
+            directory=fleet.directory,
+            clients=fleet.clients,
+            availability_zone=process.availability_zone,
+            clock=clock,
+            rng=self._rng,
+        )
         self.delivery = Delivery(
             router=self.router,
-            engines=DirectoryEngines(fleet.directory, fleet.clients, clock),
-            services=ReplicaPool(
-                directory=fleet.directory,
-                clients=fleet.clients,
-                availability_zone=process.availability_zone,
-                clock=clock,
-                rng=self._rng,
-            ),
+            engines=DirectoryEngines(fleet.directory, fleet.clients, clock, checks),
+            services=self.replicas,
             gate=self.gate,
             budget=self.retry_budget,
             suspects=self.suspects,
@@ -395,6 +402,8 @@
         while True:
             gevent.sleep(REFRESH_INTERVAL_S)
             self.admission.refresh()
+            hosts = self._live_host_count() if self.scales_load else 0
+            self.fleet.load.live_hosts = hosts
             percent = int(100 * self.admission.load_share())
             self.peers.dissemination.load_percent = min(percent, MAX_LOAD_PERCENT)
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/catalogue.py
@@ -9,12 +9,15 @@
 BENCHES: dict[str, str] = {
     "capacity": "Measure how the costs of control grow, and extrapolate them.",
     "control": "Measure the control cost of an entry and a controller process.",
+    "crashers": "Count engine crashes by requests that crash the engines they reach.",
     "faults": "Inject faults at each step of each protocol and check the invariants.",
     "mix": "Compare the role policy with others while the mix of the work shifts.",
     "overload": (
         "Measure goodput past the capacity and a workspace that floods the others."
     ),
     "path": "Measure the time that an entry process adds to the engine's own.",
+    "prefix": "Compare prefix hits and queues with late and lossy cache events.",
+    "retries": "Count extra upstream calls while half of the upstreams fail.",
     "spreading": "Compare ways of spreading revisions and load reports.",
 }
 
