Wait for the stored answer in the cells of the settle step

Cause: answers are stored after their caller has them, so the first call of a run ended before the write that the fault waits for, and the cell counted as missed (4 of 4 runs). Change: a run of the settle step waits up to 2 s for the write.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -22,6 +22,7 @@
 from persimmonyoke_testing.builders_deployment import CallAnswer, call_service
 
 SETTLE_TIMEOUT_S = 20.0
+SETTLE_WRITE_S = 2.0
 RESEND_S = 0.1
 STORE_FAULT_S = 1.0
 LONGEST_RUN_S = 30.0
@@ -89,8 +90,7 @@
         world.listener = self._listen
         try:
             first = gevent.spawn(self._call, self.first)
-            while not self.fired_s and not first.ready():
-                gevent.sleep(0.01)
+            self._await_step(first)
             if not self.fired_s:
                 # A call refused early never comes to the step; a fault at its resend
                 # would not end.
@@ -116,6 +116,17 @@
         self.problems += world.violations()
         return Outcome(tuple(self.problems), settled, missed=not self.fired_s)
 
+    def _await_step(self, first: gevent.Greenlet) -> None:
+        """Wait for the step; the answer is stored after the caller has it."""
+        grace_s = SETTLE_WRITE_S if self.step == "settle" else 0.0
+        ended_s = None
+        while not self.fired_s:
+            if first.ready():
+                ended_s = ended_s or time.monotonic()
+                if time.monotonic() >= ended_s + grace_s:
+                    return
+            gevent.sleep(0.01)
+
     def _listen(self, point: str, detail: str) -> None:
         if point == "dispatch":
             self.ran = True
