Report failures, refusals and the load average of each load in bench path

Cause: the bench only gave the total of failed requests, and its processor time per 1,000 tokens left out the tokens of broken answers.

Change: each load reports failed requests of both paths, those refused with an error status and the load average of the machine; tokens of broken answers count; the processor time is scaled to the measured duration; ready_to_first_token_s is measured.

Tests of the command line package were not run.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path.py
@@ -33,7 +33,7 @@
     configure_logging(level="ERROR")
     bench = PathBench(duration_s=options.duration_s, seed=options.seed)
     steps = bench.run(tuple(options.factors))
-    figures: dict[str, float] = {}
+    figures = {"ready_to_first_token_s": bench.ready_to_first_token_s}
     for step in steps:
         figures.update(_figures(step))
     figures["failures"] = float(sum(step.failures for step in steps))
@@ -43,6 +43,10 @@
 def _figures(step: StepResult) -> dict[str, float]:
     named = {
         "requests": float(step.requests),
+        "failures_entry": float(step.entry_failures),
+        "failures_direct": float(step.direct_failures),
+        "refused": float(step.refused),
+        "load_average": step.load_average,
         "tokens_per_s": step.tokens_per_s,
         "direct_first_token_ms": step.direct_first_ms,
         "direct_between_tokens_ms": step.direct_gap_ms,
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path_load.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path_load.py
@@ -45,13 +45,14 @@
 
 @dataclass
 class PathTimes:
-    """Hold the times seen on one path."""
+    """Hold the times seen on one path; ``refused`` is a part of ``failures``."""
 
     first_s: list[float] = field(default_factory=list)
     gaps_s: list[float] = field(default_factory=list)
     requests: int = 0
     tokens: int = 0
     failures: int = 0
+    refused: int = 0
 
 
 class Generator:
@@ -122,26 +123,33 @@
             f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
         )
         host, _, port = address.rpartition(":")
+        started_s = time.perf_counter()
+        arrivals: list[float] = []
         try:
             with socket.create_connection((host, int(port)), TIMEOUT_S) as connection:
                 connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 started_s = time.perf_counter()
                 connection.sendall(head.encode() + content)
-                arrivals = list(self._events(connection))
+                arrivals.extend(self._events(connection, times))
         except OSError:
-            times.failures += 1
-            return
+            # The request counts as failed, since its last tokens are missing.
+            pass
         self._note(started_s, arrivals, times)
 
-    def _events(self, connection: socket.socket) -> Iterator[float]:
+    def _events(self, connection: socket.socket, times: PathTimes) -> Iterator[float]:
         """Yield the arrival time of each token's event."""
         left = self._plan.output_tokens
         tail = b""
+        first = True
         while left > 0:
             data = connection.recv(RECEIVE_BYTES)
             now_s = time.perf_counter()
             if not data:
                 return
+            if first and not data.startswith(b"HTTP/1.1 200"):
+                times.refused += 1
+                return
+            first = False
             count = min(left, (tail + data).count(END_OF_EVENT))
             # A separator may be split over two reads.
             tail = b"\n" if data.endswith(b"\n") and not data.endswith(b"\n\n") else b""
@@ -151,12 +159,13 @@
 
     def _note(self, started_s: float, arrivals: list[float], times: PathTimes) -> None:
         plan = self._plan
-        if len(arrivals) < plan.output_tokens:
-            times.failures += 1
-            return
         offset_s = time.time() - time.perf_counter()
         begin_s, end_s = plan.begin_unix_s - offset_s, plan.end_unix_s - offset_s
+        # Tokens of a broken answer took processor time as well.
         times.tokens += sum(begin_s <= at_s < end_s for at_s in arrivals)
+        if len(arrivals) < plan.output_tokens:
+            times.failures += 1
+            return
         if not begin_s <= arrivals[0] < end_s:
             return
         times.requests += 1
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path_run.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/path_run.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import os
 import signal
 import statistics
@@ -13,6 +14,7 @@
 from pathlib import Path
 
 import gevent
+import urllib3
 
 from persimmonyoke.internal.platform import HostEntry, HostRole
 from persimmonyoke.internal.presets import Accepted, Change, ChangeAction
@@ -29,6 +31,8 @@
 WARM_UP_S = 5.0
 START_DELAY_S = 1.5
 SETTLE_S = 3.0
+READY_TIMEOUT_S = 30.0
+READY_POLL_S = 0.01
 # Steps of 10 ms at any load, so that the engines do not limit the larger loads.
 ENGINE = {
     "max_sequences": 512,
@@ -42,11 +46,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class StepResult:
-    """Hold what was measured at one load."""
+    """Hold what was measured at one load.
+
+    ``refused`` counts the failed requests with an error status; ``load_average`` is
+    that of the machine over the last minute, since other work changes the figures.
+    """
 
     factor: int
     requests: int
-    failures: int
+    entry_failures: int
+    direct_failures: int
+    refused: int
+    load_average: float
     tokens_per_s: float
     entry_first_ms: float
     direct_first_ms: float
@@ -58,6 +69,11 @@
     cpu_share: float
     rss_mb: float
 
+    @property
+    def failures(self) -> int:
+        """Return the failed requests of both paths."""
+        return self.entry_failures + self.direct_failures
+
     @property
     def added_first_ms(self) -> float:
         """Return the added median time to the first token."""
@@ -76,6 +92,7 @@
         self._duration_s = duration_s
         self._seed = seed
         self._firm: Firm = dataclasses.replace(KENTE, engines=0)
+        self.ready_to_first_token_s = math.nan
 
     def run(self, factors: tuple[int, ...]) -> list[StepResult]:
         """Measure at multiples of the target load."""
@@ -93,6 +110,7 @@
             stack.callback(node.end)
             entry = deployment.platform.host_list.address_of("entry-1")
             wait_healthy([f"http://{entry}"])
+            self.ready_to_first_token_s = self._wait_first_token(entry)
             gevent.sleep(SETTLE_S)
             return [self._step(f, node, entry, tuple(engines)) for f in factors]
 
@@ -128,6 +146,32 @@
         )
         return address
 
+    def _wait_first_token(self, entry: str) -> float:
+        """Return the time from the entry being ready to its first streamed token.
+
+        Requests are repeated at once while the entry refuses them.
+        """
+        ready_s = time.monotonic()
+        body = {"model": self._firm.model, "prompt": "a", "max_tokens": 1}
+        headers = {"Authorization": f"Bearer {self._firm.workspace_key}"}
+        with urllib3.PoolManager(retries=False, timeout=READY_TIMEOUT_S) as http:
+            while True:
+                answer = http.request(
+                    "POST",
+                    f"http://{entry}/v1/completions",
+                    json=body | {"stream": True},
+                    headers=headers,
+                    preload_content=False,
+                )
+                data = answer.read(1)
+                elapsed_s = time.monotonic() - ready_s
+                answer.drain_conn()
+                if answer.status == 200 and data:
+                    return elapsed_s
+                if elapsed_s > READY_TIMEOUT_S:
+                    raise TimeoutError(f"no token after {elapsed_s:.1f} s")
+                gevent.sleep(READY_POLL_S)
+
     def _step(
         self, factor: int, node: NodeProcess, entry: str, engines: tuple[str, ...]
     ) -> StepResult:
@@ -155,12 +199,15 @@
             for number in range(factor)
         ]
         gevent.sleep(max(0.0, begin_s - time.time()))
-        before_s = cpu_s(node.pid)
+        before_s, measured_from_s = cpu_s(node.pid), time.monotonic()
         gevent.sleep(max(0.0, end_s - time.time()))
         used_s = cpu_s(node.pid) - before_s
+        # The wake-ups are late on a busy machine; the tokens are those of duration_s.
+        used_s *= self._duration_s / (time.monotonic() - measured_from_s)
+        load_average = os.getloadavg()[0]
         rss_mb = resident_mb(node.pid)
         answers = [json.loads(g.communicate()[0]) for g in generators]
-        return self._result(factor, answers, used_s, rss_mb)
+        return self._result(factor, answers, used_s, rss_mb, load_average)
 
     def _start_generator(self, plan: LoadPlan) -> subprocess.Popen:
         command = [sys.executable, "-m", "persimmonyoke_cli.bench.path_load"]
@@ -168,14 +215,22 @@
         return subprocess.Popen([*command, text], stdout=subprocess.PIPE)
 
     def _result(
-        self, factor: int, answers: list, used_s: float, rss_mb: float
+        self,
+        factor: int,
+        answers: list,
+        used_s: float,
+        rss_mb: float,
+        load_average: float,
     ) -> StepResult:
         entry = _joined([answer[0] for answer in answers])
         direct = _joined([answer[1] for answer in answers])
         return StepResult(
             factor=factor,
             requests=entry["requests"],
-            failures=entry["failures"] + direct["failures"],
+            entry_failures=entry["failures"],
+            direct_failures=direct["failures"],
+            refused=entry["refused"] + direct["refused"],
+            load_average=load_average,
             tokens_per_s=entry["tokens"] / self._duration_s,
             entry_first_ms=_median_ms(entry["first_s"]),
             direct_first_ms=_median_ms(direct["first_s"]),
@@ -195,7 +250,7 @@
     for name in joined:
         for part in parts:
             joined[name].extend(part[name])
-    for name in ("requests", "tokens", "failures"):
+    for name in ("requests", "tokens", "failures", "refused"):
         joined[name] = sum(part[name] for part in parts)
     return joined
 
