--- a/packages/persimmonyoke/src/persimmonyoke/internal/observability/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/observability/metrics.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from abc import ABC, abstractmethod
 from bisect import bisect_left
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Generic, TypeVar
@@ -88,7 +89,7 @@
 ChildT = TypeVar("ChildT")
 
 
-class _Family(Generic[ChildT]):
+class _Family(ABC, Generic[ChildT]):
     """Hold the children of one metric, one for each combination of label values."""
 
     def __init__(self, labels: Mapping[str, LabelBound]) -> None:
@@ -108,8 +109,9 @@
             child = self._children[values] = self._new_child()
         return child
 
+    @abstractmethod
     def _new_child(self) -> ChildT:
-        raise NotImplementedError
+        """Return a child without any observation."""
 
     def _labelled(self) -> list[tuple[dict[str, str], ChildT]]:
         return [
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -1,5 +1,6 @@
 """Faults at the steps of authority and orders, with two controller processes."""
 
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -18,6 +19,7 @@
     Matrix,
     Outcome,
     RunCell,
+    occurring_cells,
 )
 from persimmonyoke_cli.bench.faults_world import World
 
@@ -286,15 +288,10 @@
 
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
-    matrix = Matrix()
-    exclude(matrix)
-    found = {}
-    for fault in ORDER:
-        for step in STEPS[PROTOCOL]:
-            cell = Cell(PROTOCOL, step, fault)
-            if cell not in matrix.reasons:
-                found[cell] = _runner(world, step, fault)
-    return found
+    steps = STEPS[PROTOCOL]
+    return occurring_cells(
+        PROTOCOL, exclude, ORDER, steps, functools.partial(_runner, world)
+    )
 
 
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -1,5 +1,6 @@
 """Faults at the steps of calls that run at most once."""
 
+import functools
 import random
 import time
 import uuid
@@ -17,6 +18,8 @@
     Matrix,
     Outcome,
     RunCell,
+    draw_pair,
+    occurring_cells,
 )
 from persimmonyoke_cli.bench.faults_world import World
 from persimmonyoke_testing.builders_deployment import CallAnswer, call_service
@@ -255,15 +258,10 @@
 
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
-    matrix = Matrix()
-    exclude(matrix)
-    found = {}
-    for fault in ORDER:
-        for step in ("claim", "dispatch", "answer", "settle"):
-            cell = Cell(PROTOCOL, step, fault)
-            if cell not in matrix.reasons:
-                found[cell] = _runner(world, step, fault)
-    return found
+    steps = STEPS[PROTOCOL]
+    return occurring_cells(
+        PROTOCOL, exclude, ORDER, steps, functools.partial(_runner, world)
+    )
 
 
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
@@ -277,11 +275,6 @@
 def run_pair(world: World, rng: random.Random) -> Outcome:
     """Run one step under two faults, the second shortly after the first."""
     step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
-    first, second = (ACTIONS[fault] for fault in rng.sample(PAIRED, 2))
-
-    def act(run: ClaimRun) -> None:
-        gevent.spawn_later(delay_s, second, run)
-        first(run)
-
+    act = draw_pair(ACTIONS, PAIRED, delay_s, rng)
     world.platform.host_list.lag_s = 0.0
     return ClaimRun(world, step, act, rng).run()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
@@ -1,5 +1,6 @@
 """Faults at the steps of a change of the configuration on seven hosts."""
 
+import functools
 import random
 import time
 from collections.abc import Callable, Mapping
@@ -17,6 +18,7 @@
     Matrix,
     Outcome,
     RunCell,
+    occurring_cells,
 )
 from persimmonyoke_cli.bench.faults_world import World
 from persimmonyoke_testing.builders_deployment import CallAnswer, call
@@ -274,16 +276,11 @@
 
 def cells(world: World) -> dict[Cell, RunCell]:
     """Return the cells, the most important ones first."""
-    matrix = Matrix()
-    exclude(matrix)
-    found = {}
-    for fault in ORDER:
-        # The store down right after acceptance is the harshest case of the target.
-        for step in ("spread", *STEPS[PROTOCOL][:2], "apply"):
-            cell = Cell(PROTOCOL, step, fault)
-            if cell not in matrix.reasons:
-                found[cell] = _runner(world, step, fault)
-    return found
+    # The store down right after acceptance is the harshest case of the target.
+    steps = ("spread", *STEPS[PROTOCOL][:2], "apply")
+    return occurring_cells(
+        PROTOCOL, exclude, ORDER, steps, functools.partial(_runner, world)
+    )
 
 
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
@@ -2,12 +2,17 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import TypeVar
+
+import gevent
 
 MAX_SHOWN_VIOLATIONS = 40
 
+RunT = TypeVar("RunT")
+
 
 class Fault(StrEnum):
     """List the rows of the matrix."""
@@ -224,3 +229,37 @@
         return run(random.Random(name))
     except (TimeoutError, AssertionError) as error:
         return Outcome((f"run failed: {error!r}",))
+
+
+def occurring_cells(
+    protocol: str,
+    exclude: Callable[[Matrix], None],
+    order: Iterable[Fault],
+    steps: Iterable[str],
+    runner: Callable[[str, Fault], RunCell],
+) -> dict[Cell, RunCell]:
+    """Return the cells of a protocol that can occur, in the order given."""
+    matrix = Matrix()
+    exclude(matrix)
+    chosen = [Cell(protocol, step, fault) for fault in order for step in steps]
+    return {
+        cell: runner(cell.step, cell.fault)
+        for cell in chosen
+        if cell not in matrix.reasons
+    }
+
+
+def draw_pair(
+    actions: Mapping[Fault, Callable[[RunT], None]],
+    paired: Sequence[Fault],
+    delay_s: float,
+    rng: random.Random,
+) -> Callable[[RunT], None]:
+    """Return an action that injects two faults, the second shortly after the first."""
+    first, second = (actions[fault] for fault in rng.sample(paired, 2))
+
+    def act(run: RunT) -> None:
+        gevent.spawn_later(delay_s, second, run)
+        first(run)
+
+    return act
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -16,6 +16,7 @@
     Matrix,
     Outcome,
     RunCell,
+    draw_pair,
 )
 from persimmonyoke_cli.bench.faults_world import World
 from persimmonyoke_testing.builders_deployment import CallerStream
@@ -321,11 +322,6 @@
 def run_pair(world: World, rng: random.Random) -> Outcome:
     """Run one step under two faults, the second shortly after the first."""
     step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
-    first, second = (ACTIONS[fault] for fault in rng.sample(PAIRED, 2))
-
-    def act(run: StreamRun) -> None:
-        gevent.spawn_later(delay_s, second, run)
-        first(run)
-
+    act = draw_pair(ACTIONS, PAIRED, delay_s, rng)
     world.platform.host_list.lag_s = 0.0
     return StreamRun(world, step, act, rng).run()
