--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
+from persimmonyoke.errors import PersimmonyokeError
 from persimmonyoke.internal.observability import configure_logging
 from persimmonyoke_cli.bench import (
     faults_authority,
@@ -104,7 +105,7 @@
     """Run one protocol; its failure must not end the others."""
     try:
         part(matrix, seed, end_s)
-    except (TimeoutError, OSError) as error:
+    except (PersimmonyokeError, TimeoutError, OSError) as error:
         matrix.note_failure(part.__name__, error)
 
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
@@ -60,6 +60,22 @@
     matrix.exclude(PROTOCOL, Fault.CRASHING_REQUEST, "requests take no part")
 
 
+def race_operators(world: World) -> None:
+    """Let operators at two entry hosts change the same revision at once."""
+    for name in world.entries()[:2]:
+        gevent.spawn(_choose_other, world, name)
+
+
+def _choose_other(world: World, name: str) -> None:
+    try:
+        newest = world.platform.revisions().newest()
+    except StoreUnavailable:
+        # The other fault of a pair took the store away: there is nothing to race on.
+        return
+    preset = "peak" if newest.active == "ordinary" else "ordinary"
+    choose(world, name, preset, base_number=newest.number, reason=f"race at {name}")
+
+
 def choose(
     world: World, name: str, preset: str, *, base_number: int, reason: str
 ) -> CallAnswer | None:
