Say peers where controllers confirm a revision too; show none for no preset

Cause: 'confirmed by 7 other hosts' of 6 live hosts, since controllers hold the revision as well; a first revision showed 'None'.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/difference.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/difference.py
@@ -41,7 +41,7 @@
     lines = []
     active = (old.active if old else None, new.active if new else None)
     if active[0] != active[1]:
-        lines.append(f"~ preset in force: {active[0]} -> {active[1]}")
+        lines.append(f"~ preset in force: {active[0] or 'none'} -> {active[1]}")
     for name in sorted(before.keys() | after.keys()):
         if name not in after:
             lines.append(f"- preset {name}")
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/preset_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/preset_commands.py
@@ -283,7 +283,7 @@
     number = answer["revision"]
     print(f"revision {number} accepted: {action} {name}")
     print(
-        f"confirmed by {answer['confirmed_by']} other hosts; in force on "
+        f"confirmed by {answer['confirmed_by']} peers; in force on "
         f"{answer['hosts_in_force']} of {answer['live_hosts']} live hosts"
     )
     if answer["behind"]:
