--- a/packages/persimmonyoke/src/persimmonyoke/errors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/errors.py
@@ -184,6 +184,18 @@
     """Report that a read from the key-value service failed."""
 
 
+class HistoryLost(PlatformUnavailable):
+    """Report that the store dropped events, so that state must be read again."""
+
+
+class LeaseEnded(PersimmonyokeError):
+    """Report that a lease no longer exists in the store."""
+
+
+class MalformedMetadata(PersimmonyokeError):
+    """Report a header of a client's request whose value cannot be used."""
+
+
 class ProtocolError(PersimmonyokeError):
     """Report a message that does not follow its protocol."""
 
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway, without input or output: routes, placement, refusal."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/costs.py
@@ -0,0 +1,60 @@
+"""Times that an engine needs for a prompt and its output."""
+
+from dataclasses import dataclass
+
+from persimmonyoke.internal.fleet.model import EngineLimits
+
+
+@dataclass(frozen=True)
+class EngineSpeed:
+    """Hold the speed of one kind of engine.
+
+    The defaults are those of the engines on the deployment sheets: 51.1 prompt tokens
+    a millisecond, steps of 5.09 ms and chunks of 2,048 tokens.
+    """
+
+    read_tokens_per_s: float = 51_100.0
+    attention_s_per_token_pair: float = 0.323e-9
+    step_s: float = 0.00509
+    step_s_per_running: float = 0.0000303
+    chunk_tokens: int = 2_048
+    transfer_setup_s: float = 0.0053
+    decode_read_factor: float = 0.5
+    decode_chunk_tokens: int = 512
+
+
+DEFAULT_SPEED = EngineSpeed()
+
+
+def read_s(new_tokens: int, cached_tokens: int, speed: EngineSpeed) -> float:
+    """Return the time in which a prefill engine reads tokens after cached ones."""
+    if new_tokens <= 0:
+        return speed.step_s
+    pairs = new_tokens * (cached_tokens + new_tokens / 2)
+    chunks = -(-new_tokens // speed.chunk_tokens)
+    return (
+        new_tokens / speed.read_tokens_per_s
+        + pairs * speed.attention_s_per_token_pair
+        + chunks * speed.step_s
+    )
+
+
+def local_read_s(new_tokens: int, cached_tokens: int, speed: EngineSpeed) -> float:
+    """Return the time in which a decode engine reads tokens between its steps."""
+    chunks = -(-max(1, new_tokens) // speed.decode_chunk_tokens)
+    pairs = new_tokens * (cached_tokens + new_tokens / 2)
+    return (
+        new_tokens / (speed.read_tokens_per_s * speed.decode_read_factor)
+        + pairs * speed.attention_s_per_token_pair
+        + chunks * speed.step_s
+    )
+
+
+def transfer_s(
+    tokens: int, limits: EngineLimits, *, same_zone: bool, speed: EngineSpeed
+) -> float:
+    """Return the time in which the KV cache of tokens moves between two engines."""
+    if tokens <= 0:
+        return 0.0
+    seconds = tokens * limits.kv_token_bytes / limits.link_bytes_per_s
+    return speed.transfer_setup_s + (seconds if same_zone else 2 * seconds)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
@@ -0,0 +1,72 @@
+"""Health of replicas as this host's own calls show it."""
+
+from collections import deque
+from dataclasses import dataclass
+
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 4.0
+FAILURE_WINDOW = 12
+"""Number of the last calls that the failure share is taken over."""
+
+
+@dataclass
+class _Record:
+    """Hold the last outcomes of one replica and until when it is avoided."""
+
+    outcomes: deque[bool]
+    pause_s: float = FIRST_PAUSE_S
+    paused_until_s: float = 0.0
+
+
+class ReplicaHealth:
+    """Remember failures; a replica that cannot be reached is avoided for a while.
+
+    A paused replica is used again only if no other one is left, and its next call
+    after the pause is the probe.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def note_success(self, replica_id: str) -> None:
+        """Note an answer of a working replica."""
+        record = self._record(replica_id)
+        record.outcomes.append(True)
+        record.pause_s = FIRST_PAUSE_S
+        record.paused_until_s = 0.0
+
+    def note_failure(self, replica_id: str) -> None:
+        """Note a call that failed after the replica was reached."""
+        self._record(replica_id).outcomes.append(False)
+
+    def note_unreachable(self, replica_id: str, now_s: float) -> None:
+        """Note that a replica cannot be reached; repeated notes double the pause."""
+        record = self._record(replica_id)
+        record.outcomes.append(False)
+        if now_s < record.paused_until_s:
+            return
+        record.paused_until_s = now_s + record.pause_s
+        record.pause_s = min(MAX_PAUSE_S, record.pause_s * 2)
+
+    def paused(self, replica_id: str, now_s: float) -> bool:
+        """Return whether the replica is avoided now."""
+        record = self._records.get(replica_id)
+        return record is not None and now_s < record.paused_until_s
+
+    def failure_share(self, replica_id: str) -> float:
+        """Return the share of failures among the last calls."""
+        record = self._records.get(replica_id)
+        if record is None or not record.outcomes:
+            return 0.0
+        failures = sum(1 for ok in record.outcomes if not ok)
+        return failures / FAILURE_WINDOW
+
+    def forget(self, replica_id: str) -> None:
+        """Drop the record of a replica that is gone."""
+        self._records.pop(replica_id, None)
+
+    def _record(self, replica_id: str) -> _Record:
+        record = self._records.get(replica_id)
+        if record is None:
+            record = self._records[replica_id] = _Record(deque(maxlen=FAILURE_WINDOW))
+        return record
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -0,0 +1,86 @@
+"""View of the entry hosts, from their entries in the store and their datagrams."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from persimmonyoke.internal.fleet.model import HostEntry
+
+PEER_SILENCE_S = 1.2
+"""Silence of a peer after which callers are not sent to it; datagrams may be lost, so
+it spans more than four of the slowest intervals between them."""
+
+
+@dataclass(frozen=True)
+class PeerState:
+    """Hold what a peer last said of itself."""
+
+    heard_s: float
+    ready: bool
+    config_version: int
+
+
+class HostView:
+    """Decide which entry hosts callers are told to use."""
+
+    def __init__(self, own_name: str) -> None:
+        self._own_name = own_name
+        self._entries: dict[str, HostEntry] = {}
+        self._peers: dict[str, PeerState] = {}
+        self._first_seen_s: dict[str, float] = {}
+
+    def replace_all(self, entries: Iterable[HostEntry], *, now_s: float) -> None:
+        """Apply a full reading of the entries."""
+        self._entries = {}
+        for entry in entries:
+            self.put(entry, now_s=now_s)
+
+    def put(self, entry: HostEntry, *, now_s: float) -> None:
+        """Apply one entry."""
+        known = self._entries.get(entry.name)
+        if known is None or known.front_address != entry.front_address:
+            self._first_seen_s[entry.name] = now_s
+        self._entries[entry.name] = entry
+
+    def remove(self, name: str) -> None:
+        """Apply the end of a host's registration."""
+        self._entries.pop(name, None)
+        self._first_seen_s.pop(name, None)
+
+    def note_peer(self, name: str, state: PeerState) -> None:
+        """Apply a datagram of a peer."""
+        self._peers[name] = state
+
+    def peers(self) -> list[HostEntry]:
+        """Return the other registered hosts."""
+        return [e for e in self._entries.values() if e.name != self._own_name]
+
+    def live_peer_count(self, now_s: float) -> int:
+        """Return how many peers were heard lately."""
+        return sum(1 for entry in self.peers() if not self._silent(entry, now_s))
+
+    def newest_config_version(self) -> int:
+        """Return the highest version that a peer has in force."""
+        return max((peer.config_version for peer in self._peers.values()), default=0)
+
+    def addresses(
+        self, *, own: HostEntry, own_ready: bool, now_s: float, limit: int
+    ) -> list[str]:
+        """Return the front addresses of the hosts that take new connections."""
+        found = [own.front_address] if own_ready else []
+        for entry in self.peers():
+            if self._takes_callers(entry, now_s):
+                found.append(entry.front_address)
+        return sorted(found)[:limit]
+
+    def _takes_callers(self, entry: HostEntry, now_s: float) -> bool:
+        peer = self._peers.get(entry.name)
+        if self._silent(entry, now_s):
+            return False
+        return entry.ready if peer is None else peer.ready
+
+    def _silent(self, entry: HostEntry, now_s: float) -> bool:
+        peer = self._peers.get(entry.name)
+        heard_s = peer.heard_s if peer else float("-inf")
+        # A host that has just registered has had no time to send a datagram.
+        heard_s = max(heard_s, self._first_seen_s.get(entry.name, float("-inf")))
+        return now_s - heard_s > PEER_SILENCE_S
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -0,0 +1,223 @@
+"""Interfaces between the gateway and the platform it runs on."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from persimmonyoke.internal.fleet.model import (
+    Configuration,
+    HostEntry,
+    Replica,
+    RequestMetadata,
+    Stage,
+)
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(frozen=True)
+class UpstreamCall:
+    """Hold what the gateway itself tells a replica about one call."""
+
+    replica_id: str
+    deadline_ms: int
+    priority: int | None = None
+    stage: Stage | None = None
+    kv_source: str | None = None
+    kv_fetch: str | None = None
+    last_event_id: int | None = None
+
+
+@dataclass(frozen=True)
+class ReplicaLoad:
+    """Hold the load that a replica reports with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class AnswerFacts:
+    """Hold what the headers of a replica's answer say."""
+
+    request_id: str | None
+    not_executed: bool
+    stamped: bool
+    load: ReplicaLoad | None
+
+
+@dataclass(frozen=True)
+class PrefillResult:
+    """Hold the handle under which an engine keeps the KV cache of a prompt."""
+
+    handle: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class StageOrder:
+    """Ask an engine to change its stage under the authority of one holder."""
+
+    replica_id: str
+    stage: Stage
+    holder: str
+    fencing_number: int
+    expected_sequence: int
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """Hold the state that an engine reports of itself."""
+
+    stage: Stage | None
+    order_in_progress: bool
+    sequence: int
+
+
+@dataclass(frozen=True)
+class RawCall:
+    """Hold method, target, headers and body of a call to a replica."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+class UpstreamWire(ABC):
+    """Translate between the gateway's types and the headers of the platform."""
+
+    @abstractmethod
+    def metadata(self, headers: Headers) -> RequestMetadata:
+        """Decode a client's headers; raise ``MalformedMetadata``."""
+
+    @abstractmethod
+    def request_headers(self, headers: Headers, call: UpstreamCall) -> Headers:
+        """Return the headers to send to a replica, without framing."""
+
+    @abstractmethod
+    def client_headers(self, headers: Headers) -> Headers:
+        """Return the headers of a replica's answer that go to the client."""
+
+    @abstractmethod
+    def answer_facts(self, headers: Headers) -> AnswerFacts:
+        """Decode the headers of a replica's answer."""
+
+    @abstractmethod
+    def prefill_result(self, body: bytes) -> PrefillResult | None:
+        """Decode the answer to a prefill call; ``None`` if it is malformed."""
+
+    @abstractmethod
+    def release_handle(self, handle: str) -> RawCall:
+        """Return the call that frees a KV handle."""
+
+    @abstractmethod
+    def report_call(self, replica_id: str) -> RawCall:
+        """Return the call that asks an engine for its state."""
+
+    @abstractmethod
+    def decode_report(self, body: bytes) -> EngineReport | None:
+        """Decode an engine's state; ``None`` if it is malformed."""
+
+    @abstractmethod
+    def order_call(self, order: StageOrder) -> RawCall:
+        """Return the call that sends an order."""
+
+
+@dataclass(frozen=True)
+class ConfigurationRead:
+    """Report the operator's configuration as of a store revision."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True)
+class ReplicaSeen:
+    """Report a replica's entry."""
+
+    replica: Replica
+
+
+@dataclass(frozen=True)
+class ReplicaRemoved:
+    """Report that a replica's entry was removed."""
+
+    replica_id: str
+
+
+@dataclass(frozen=True)
+class HostSeen:
+    """Report an entry host's registration."""
+
+    host: HostEntry
+
+
+@dataclass(frozen=True)
+class HostRemoved:
+    """Report that an entry host's registration ended."""
+
+    name: str
+
+
+StoreEvent = ConfigurationRead | ReplicaSeen | ReplicaRemoved | HostSeen | HostRemoved
+
+
+@dataclass(frozen=True)
+class StoreChanges:
+    """Hold entries or their changes, and the revision from which to go on."""
+
+    events: tuple[StoreEvent, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class TermRecord:
+    """Hold which host last sent orders, and under which fencing number."""
+
+    holder: str
+    fencing_number: int
+
+
+class FleetStore(ABC):
+    """Read, watch and write the fleet's state; raise ``StoreUnavailable``."""
+
+    @abstractmethod
+    def snapshot(self) -> StoreChanges:
+        """Read all entries; the reads are linearizable."""
+
+    @abstractmethod
+    def changes(self, *, after_revision: int, wait_s: float) -> StoreChanges:
+        """Wait for events; raise ``HistoryLost`` if they are gone."""
+
+    @abstractmethod
+    def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease and return its id."""
+
+    @abstractmethod
+    def renew_lease(self, lease_id: int) -> None:
+        """Renew a lease; raise ``LeaseEnded`` if it is gone."""
+
+    @abstractmethod
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and remove its keys."""
+
+    @abstractmethod
+    def register_host(self, host: HostEntry, lease_id: int) -> None:
+        """Write this host's entry under a lease; raise ``LeaseEnded``."""
+
+    @abstractmethod
+    def acquire_term(self, holder: str, lease_id: int) -> int | None:
+        """Become the holder of orders; return the fencing number if it was free."""
+
+    @abstractmethod
+    def term_holder(self) -> str | None:
+        """Read who holds the order lease."""
+
+    @abstractmethod
+    def last_term(self) -> TermRecord | None:
+        """Read who last sent orders."""
+
+    @abstractmethod
+    def record_term(self, record: TermRecord) -> bool:
+        """Record that this host sends orders, if its term still holds."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -0,0 +1,148 @@
+"""Types of the gateway: configuration, replicas, hosts and prompts."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RequestKind(StrEnum):
+    """Say what may be repeated when a request failed."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class Stage(StrEnum):
+    """Name the phase of generation that an engine serves."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """Hold a service of a route and its share of the route's requests."""
+
+    name: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Describe which requests go to which services, and their limits."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    max_attempts: int
+    resumable: bool
+    has_prompt: bool
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request of this route may run more than once."""
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+@dataclass(frozen=True)
+class EngineLimits:
+    """Hold the sizes of the engines of a service."""
+
+    slots: int
+    kv_tokens: int
+    kv_token_bytes: int
+    link_bytes_per_s: float
+    stage_change_s: float
+
+
+@dataclass(frozen=True)
+class Service:
+    """Describe an upstream service; ``engine`` is ``None`` for a plain service."""
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None
+
+
+@dataclass(frozen=True)
+class ClientLimits:
+    """Bound what a client may send and how long it may stay idle."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """Hold one version of the operator's configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: ClientLimits
+
+
+@dataclass(frozen=True)
+class Replica:
+    """Describe one incarnation of an upstream replica."""
+
+    replica_id: str
+    service: str
+    host: str
+    port: int
+    availability_zone: str
+    slots: int
+    draining: bool
+    stage: Stage | None
+    born_unix_ms: int
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True)
+class HostEntry:
+    """Describe one entry host as it registered itself in the store."""
+
+    name: str
+    front_address: str
+    peer_host: str
+    peer_port: int
+    availability_zone: str
+    ready: bool
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """Name a part of a prompt, which other prompts may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """Describe the prompt of a generation."""
+
+    input_tokens: int
+    max_output_tokens: int
+    parts: tuple[PromptPart, ...]
+
+
+@dataclass(frozen=True)
+class RequestMetadata:
+    """Hold what the gateway reads from the headers of a client's request."""
+
+    request_id: str
+    deadline_s: float | None
+    last_event_id: int | None
+    prompt: Prompt | None
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -0,0 +1,137 @@
+"""View of the replicas that are registered in the store."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from persimmonyoke.internal.fleet.model import Replica
+
+RETURN_GRACE_S = 2.0
+"""Time within which a replica that lapsed in an outage registers again.
+
+The platform's pages state about two seconds; after them a missing replica has left.
+"""
+
+
+@dataclass(frozen=True)
+class ReplicaAdded:
+    """Report a replica, or a new incarnation under a known id."""
+
+    replica: Replica
+
+
+@dataclass(frozen=True)
+class ReplicaChanged:
+    """Report a changed entry of a known incarnation."""
+
+    replica: Replica
+    previous: Replica
+
+    @property
+    def stage_changed(self) -> bool:
+        """Return whether the engine has changed its stage."""
+        return self.previous.stage is not self.replica.stage
+
+
+@dataclass(frozen=True)
+class ReplicaGone:
+    """Report a replica that gets no new work and whose connections are closed."""
+
+    replica: Replica
+    reason: str
+
+
+ReplicaChange = ReplicaAdded | ReplicaChanged | ReplicaGone
+
+
+class ReplicaView:
+    """Keep the registered replicas through outages of the store.
+
+    After an outage, an entry that is missing stays usable for ``RETURN_GRACE_S``,
+    since a living replica may not have been able to renew it.
+    """
+
+    def __init__(self) -> None:
+        self._replicas: dict[str, Replica] = {}
+        self._missing_since_s: dict[str, float] = {}
+        self._outage_ended_s = float("-inf")
+
+    def get(self, replica_id: str) -> Replica | None:
+        """Return a replica that may be in use."""
+        return self._replicas.get(replica_id)
+
+    def all(self) -> tuple[Replica, ...]:
+        """Return all known replicas, draining ones too."""
+        return tuple(self._replicas.values())
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that may get new work."""
+        return [
+            replica
+            for replica in self._replicas.values()
+            if replica.service == service and not replica.draining
+        ]
+
+    def note_outage_end(self, now_s: float) -> None:
+        """Note that the store answers again after an outage."""
+        self._outage_ended_s = now_s
+
+    def replace_all(
+        self, entries: Iterable[Replica], *, now_s: float
+    ) -> list[ReplicaChange]:
+        """Apply a full reading of the entries."""
+        changes = []
+        seen = set()
+        for replica in entries:
+            seen.add(replica.replica_id)
+            changes.extend(self.put(replica, now_s=now_s))
+        for replica_id in set(self._replicas) - seen:
+            changes.extend(self.remove(replica_id, now_s=now_s))
+        return changes
+
+    def put(self, replica: Replica, *, now_s: float) -> list[ReplicaChange]:
+        """Apply one entry."""
+        known = self._replicas.get(replica.replica_id)
+        self._missing_since_s.pop(replica.replica_id, None)
+        if known is not None and replica.born_unix_ms < known.born_unix_ms:
+            # A late write of the incarnation before the one that is known.
+            return []
+        self._replicas[replica.replica_id] = replica
+        if known is None:
+            return [ReplicaAdded(replica)]
+        if known == replica:
+            return []
+        if _same_incarnation(known, replica):
+            return [ReplicaChanged(replica, known)]
+        return [ReplicaGone(known, "started again"), ReplicaAdded(replica)]
+
+    def remove(self, replica_id: str, *, now_s: float) -> list[ReplicaChange]:
+        """Apply the removal of an entry."""
+        if replica_id not in self._replicas:
+            return []
+        if now_s < self._outage_ended_s + RETURN_GRACE_S:
+            self._missing_since_s.setdefault(replica_id, now_s)
+            return []
+        return self._drop(replica_id, "entry removed")
+
+    def expire(self, now_s: float) -> list[ReplicaChange]:
+        """Drop the replicas that did not come back after an outage."""
+        late = [
+            replica_id
+            for replica_id, since_s in self._missing_since_s.items()
+            if now_s >= max(since_s, self._outage_ended_s) + RETURN_GRACE_S
+        ]
+        changes = []
+        for replica_id in late:
+            changes.extend(self._drop(replica_id, "missing after an outage"))
+        return changes
+
+    def _drop(self, replica_id: str, reason: str) -> list[ReplicaChange]:
+        self._missing_since_s.pop(replica_id, None)
+        replica = self._replicas.pop(replica_id, None)
+        return [] if replica is None else [ReplicaGone(replica, reason)]
+
+
+def _same_incarnation(known: Replica, replica: Replica) -> bool:
+    return (
+        known.born_unix_ms == replica.born_unix_ms and known.address == replica.address
+    )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway that passes requests byte for byte to engines and plain services."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
@@ -0,0 +1,136 @@
+"""Parsing of the answers of replicas and the store."""
+
+from collections import deque
+from dataclasses import dataclass
+
+import httptools
+
+from persimmonyoke.errors import ProtocolError
+
+Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """Hold the status line and the headers of an answer."""
+
+    status: int
+    reason: bytes
+    headers: tuple[Header, ...]
+    sized: bool
+    keep_alive: bool
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+@dataclass(frozen=True)
+class BodyPart:
+    """Hold a part of an answer's body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True)
+class AnswerEnd:
+    """Mark the complete end of an answer."""
+
+
+AnswerEvent = AnswerHead | BodyPart | AnswerEnd
+
+
+class AnswerParser:
+    """Turn the bytes of one connection into events of one or more answers."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._events: deque[AnswerEvent] = deque()
+        self._reason = b""
+        self._headers: list[Header] = []
+        self._in_message = False
+        self._head: AnswerHead | None = None
+        self._headers_done = False
+        self.without_body = False
+
+    @property
+    def between_answers(self) -> bool:
+        """Return whether no answer has begun and none waits to be taken."""
+        return not self._in_message and not self._events
+
+    def take(self) -> AnswerEvent | None:
+        """Return the next event."""
+        return self._events.popleft() if self._events else None
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes; raise ``ProtocolError``, after the events before the fault."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise ProtocolError("unexpected upgrade") from error
+        except httptools.HttpParserError as error:
+            raise ProtocolError(str(error)) from error
+
+    def feed_end(self) -> bool:
+        """Note the end of the connection; return whether it completes the answer."""
+        if not self._in_message or self._head is None or self._head.sized:
+            return False
+        self._in_message = False
+        self._events.append(AnswerEnd())
+        return True
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._reason = b""
+        self._headers = []
+        self._in_message = True
+        self._headers_done = False
+        self._head = None
+
+    def on_status(self, part: bytes) -> None:
+        """Add a part of the reason phrase."""
+        self._reason += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header; trailers are dropped."""
+        if not self._headers_done:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Store the head, unless it belongs to an interim answer."""
+        self._headers_done = True
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        names = {name.lower() for name, _ in self._headers}
+        sized = (
+            self.without_body
+            or status in (204, 304)
+            or b"content-length" in names
+            or b"transfer-encoding" in names
+        )
+        self._head = AnswerHead(
+            status=status,
+            reason=self._reason,
+            headers=tuple(self._headers),
+            sized=sized,
+            keep_alive=sized and self._parser.should_keep_alive(),
+        )
+        self._events.append(self._head)
+        if self.without_body:
+            self._in_message = False
+            self._events.append(AnswerEnd())
+
+    def on_body(self, part: bytes) -> None:
+        """Add a part of the body."""
+        self._events.append(BodyPart(part))
+
+    def on_message_complete(self) -> None:
+        """Store the end of the answer."""
+        if self._head is None or not self._in_message:
+            return
+        self._in_message = False
+        self._events.append(AnswerEnd())
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -0,0 +1,218 @@
+"""One client's connection: requests in, answers out, and the client's leaving."""
+
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.fleet.model import ClientLimits
+from persimmonyoke.internal.gateway.requests import ClientRequest, RequestParser
+
+READ_BYTES = 65_536
+BODY_TIMEOUT_S = 10.0
+"""Bound of the time in which a client sends the body of a request."""
+
+SEND_TIMEOUT_S = 5.0
+"""Time for which a client may not read before it counts as gone."""
+
+MAX_PENDING_BYTES = 262_144
+"""Bytes of later requests that are kept while one is answered."""
+
+
+class ClientGone(Exception):
+    """Say that a client closed its connection or reads no longer."""
+
+
+@dataclass(frozen=True)
+class OutgoingHead:
+    """Hold the head of an answer to a client."""
+
+    status: int
+    reason: bytes
+    headers: Sequence[tuple[bytes, bytes]]
+
+
+class ClientConnection:
+    """Read requests from a client and write answers to it.
+
+    While a request is answered, the connection is watched, so that the client's
+    leaving is noticed although nothing is read.
+    """
+
+    def __init__(self, sock: socket.socket, limits: ClientLimits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._parser = RequestParser(limits)
+        self._pending: list[bytes] = []
+        self._pending_bytes = 0
+        self._watcher = None
+        self._on_gone: Callable[[], None] | None = None
+        self.gone = False
+        self.idle = True
+        self.answer_begun = False
+        self.last_byte_s = 0.0
+
+    def next_request(self) -> ClientRequest | None:
+        """Return the next request, or ``None`` if the client is done.
+
+        Raises ``RequestError`` for input that is refused.
+        """
+        request = self._parser.next_request()
+        started_s = time.monotonic()
+        while request is None:
+            if not self._read_some(started_s):
+                return None
+            if self.idle:
+                started_s = time.monotonic()
+            self.idle = False
+            request = self._parser.next_request()
+        self.idle = False
+        self.answer_begun = False
+        self.last_byte_s = time.monotonic()
+        return request
+
+    def _read_some(self, started_s: float) -> bool:
+        """Parse more bytes; return whether the client is still there."""
+        if self._pending:
+            data = b"".join(self._pending)
+            self._pending.clear()
+            self._pending_bytes = 0
+        else:
+            data = self._receive(started_s)
+        if not data:
+            return False
+        self._parser.feed(data)
+        if self._parser.wants_continue:
+            self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return True
+
+    def _receive(self, started_s: float) -> bytes:
+        if self.gone:
+            return b""
+        if not self._parser.reading:
+            self.idle = True
+            limit_s = self._limits.idle_timeout_s
+        elif self._parser.head_complete:
+            limit_s = BODY_TIMEOUT_S
+        else:
+            limit_s = self._limits.header_timeout_s
+        left_s = limit_s if self.idle else started_s + limit_s - time.monotonic()
+        try:
+            self._sock.settimeout(max(0.001, left_s))
+            return self._sock.recv(READ_BYTES)
+        except TimeoutError as error:
+            if self.idle:
+                return b""
+            raise RequestError(
+                ErrorKind.REQUEST_TIMEOUT, "request did not arrive in time"
+            ) from error
+        except OSError:
+            # A reset while no request is complete needs no answer.
+            return b""
+
+    def watch(self, on_gone: Callable[[], None]) -> None:
+        """Call ``on_gone`` if the client leaves until ``unwatch`` is called."""
+        self._on_gone = on_gone
+        if self._watcher is None:
+            self._watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+        self._watcher.start(self._on_readable)
+
+    def unwatch(self) -> None:
+        """Stop watching the client."""
+        self._on_gone = None
+        if self._watcher is not None:
+            self._watcher.stop()
+
+    def _on_readable(self) -> None:
+        try:
+            data = self._sock._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self._pending.append(data)
+            self._pending_bytes += len(data)
+            if self._pending_bytes > MAX_PENDING_BYTES:
+                self._watcher.stop()
+            return
+        self.gone = True
+        self._watcher.stop()
+        if self._on_gone is not None:
+            self._on_gone()
+
+    def send_whole(self, head: OutgoingHead, body: bytes) -> None:
+        """Send a complete answer."""
+        framing = b"Content-Length: %d\r\n" % len(body)
+        if head.status in (204, 304):
+            framing = b""
+        self._send(_encode_head(head, framing) + body)
+
+    def begin_chunked(self, head: OutgoingHead, first: bytes) -> None:
+        """Send the head of an answer whose length is not known, and its first part."""
+        data = _encode_head(head, b"Transfer-Encoding: chunked\r\n")
+        self._send(data + _chunk(first))
+
+    def send_chunk(self, part: bytes) -> None:
+        """Send a part of a chunked answer."""
+        if part:
+            self._send(_chunk(part))
+
+    def end_chunked(self, last: bytes = b"") -> None:
+        """End a chunked answer."""
+        self._send((_chunk(last) if last else b"") + b"0\r\n\r\n")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stop_watcher()
+        self._sock.close()
+
+    def close_after_refusal(self) -> None:
+        """Close the connection so that the client still reads the last answer.
+
+        Closing with unread input would reset the connection and discard the answer.
+        """
+        self._stop_watcher()
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            self._sock.settimeout(0.3)
+            for _ in range(64):
+                if not self._sock.recv(READ_BYTES):
+                    break
+        except OSError:
+            # The client may reset the connection or stay silent; it is closed anyway.
+            pass
+        finally:
+            self._sock.close()
+
+    def _stop_watcher(self) -> None:
+        if self._watcher is not None:
+            self._watcher.stop()
+            self._watcher.close()
+            self._watcher = None
+
+    def _send(self, data: bytes) -> None:
+        self.answer_begun = True
+        if self.gone:
+            raise ClientGone("client closed the connection")
+        try:
+            self._sock.settimeout(SEND_TIMEOUT_S)
+            self._sock.sendall(data)
+        except OSError as error:
+            self.gone = True
+            raise ClientGone(f"sending to the client failed: {error}") from error
+
+
+def _encode_head(head: OutgoingHead, framing: bytes) -> bytes:
+    lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
+    lines.extend(b"%b: %b\r\n" % header for header in head.headers)
+    lines.append(framing)
+    lines.append(b"\r\n")
+    return b"".join(lines)
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -0,0 +1,256 @@
+"""Connections to replicas, one call at a time, and the pool of idle ones."""
+
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+
+from gevent import socket
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.fleet.interfaces import RawCall
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.answers import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerParser,
+    BodyPart,
+)
+
+CONNECT_TIMEOUT_S = 0.4
+"""A dropped first packet is sent again after a second, so waiting on is of no use."""
+
+READ_BYTES = 65_536
+DEFAULT_IDLE_S = 4.0
+"""Idle time of a connection whose replica states none."""
+
+MAX_IDLE_S = 12.0
+IDLE_MARGIN_S = 0.7
+"""Replicas state whole seconds, and the last request may have arrived later."""
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Bound of an answer that is held in memory as a whole."""
+
+
+class NotConnected(Exception):
+    """Say that no byte of a call was sent."""
+
+
+class AnswerLost(Exception):
+    """Say that a call was sent, at least in part, and its answer is not complete."""
+
+
+class AnswerTimeout(AnswerLost):
+    """Say that the answer did not come in time."""
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """Hold a complete answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class UpstreamConnection:
+    """Carry one call at a time to one replica."""
+
+    def __init__(self, replica: Replica, *, timeout_s: float) -> None:
+        self.replica = replica
+        self.used = False
+        self.idle_since_s = 0.0
+        self.idle_limit_s = DEFAULT_IDLE_S
+        self._parser = AnswerParser()
+        self._ended = False
+        self._complete = True
+        try:
+            self._sock = sockets.connect(
+                replica.host, replica.port, timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
+            )
+        except OSError as error:
+            raise NotConnected(f"{replica.address}: {error}") from error
+
+    def send(self, call: RawCall, *, timeout_s: float) -> None:
+        """Send a call; an error leaves open whether the replica runs it."""
+        self.used = True
+        self._complete = False
+        self._parser.without_body = call.method == b"HEAD"
+        try:
+            self._sock.settimeout(max(0.01, timeout_s))
+            self._sock.sendall(encode_call(call))
+        except OSError as error:
+            # A replica may answer before it has read the whole body; its answer is
+            # then on the way although the rest could not be sent.
+            self._ended = not sockets.has_input(self._sock)
+            if self._ended:
+                raise AnswerLost(f"sending failed: {error}") from error
+
+    def read_head(self, *, timeout_s: float) -> AnswerHead:
+        """Return the head of the next answer."""
+        deadline_s = time.monotonic() + timeout_s
+        while True:
+            event = self._next_event(deadline_s)
+            if isinstance(event, AnswerHead):
+                return event
+
+    def read_part(self, *, timeout_s: float) -> bytes | None:
+        """Return a part of the body, or ``None`` at its complete end."""
+        event = self._next_event(time.monotonic() + timeout_s)
+        if isinstance(event, BodyPart):
+            return event.data
+        if isinstance(event, AnswerEnd):
+            self._complete = True
+            return None
+        raise AnswerLost("another answer began before the end of this one")
+
+    def read_body(self, *, timeout_s: float) -> bytes:
+        """Return the rest of the body of the answer."""
+        deadline_s = time.monotonic() + timeout_s
+        parts, size = [], 0
+        while True:
+            part = self.read_part(timeout_s=deadline_s - time.monotonic())
+            if part is None:
+                return b"".join(parts)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise AnswerLost("answer is too large to be held")
+            parts.append(part)
+
+    def note_answered(self, head: AnswerHead, *, now_s: float) -> None:
+        """Note a completely read answer, so that the connection may be used again."""
+        self.idle_since_s = now_s
+        self.idle_limit_s = idle_limit_s(head)
+        if not head.keep_alive or not self._parser.between_answers:
+            self._ended = True
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the last answer was complete and nothing follows it."""
+        return not self._ended and self._complete and self._parser.between_answers
+
+    def interrupt(self) -> None:
+        """End the connection from another task, which wakes the reader."""
+        self._ended = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection has ended already, which is what is asked for.
+            return
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._ended = True
+        self._sock.close()
+
+    def silent_input(self) -> bool:
+        """Return whether an idle connection has ended or holds unexpected bytes."""
+        return sockets.has_input(self._sock)
+
+    def _next_event(self, deadline_s: float) -> AnswerHead | BodyPart | AnswerEnd:
+        while True:
+            event = self._parser.take()
+            if event is not None:
+                return event
+            self._receive(deadline_s)
+
+    def _receive(self, deadline_s: float) -> None:
+        if self._ended:
+            raise AnswerLost("connection has ended")
+        try:
+            self._sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+            data = self._sock.recv(READ_BYTES)
+        except TimeoutError as error:
+            raise AnswerTimeout("no answer in time") from error
+        except OSError as error:
+            self._ended = True
+            raise AnswerLost(f"connection failed: {error}") from error
+        if not data:
+            self._ended = True
+            if not self._parser.feed_end():
+                raise AnswerLost("connection closed before the end of the answer")
+            return
+        try:
+            self._parser.feed(data)
+        except ProtocolError as error:
+            # Events before the malformed bytes still count; a complete answer is
+            # delivered although the connection can't be used again.
+            self._ended = True
+            if self._parser.between_answers:
+                raise AnswerLost(f"malformed answer: {error}") from error
+
+
+def idle_limit_s(head: AnswerHead) -> float:
+    """Return how long a connection may stay idle before it is used again."""
+    value = head.header(b"keep-alive") or b""
+    for item in value.split(b","):
+        key, _, number = item.strip().partition(b"=")
+        if key.strip().lower() == b"timeout" and number.strip().isdigit():
+            return max(0.0, min(MAX_IDLE_S, int(number) - IDLE_MARGIN_S))
+    return DEFAULT_IDLE_S
+
+
+def encode_call(call: RawCall) -> bytes:
+    """Return the bytes of a call with its length."""
+    lines = [b"%b %b HTTP/1.1\r\n" % (call.method, call.target)]
+    lines.extend(b"%b: %b\r\n" % header for header in call.headers)
+    if call.body or call.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d\r\n" % len(call.body))
+    lines.append(b"\r\n")
+    lines.append(call.body)
+    return b"".join(lines)
+
+
+class ConnectionPool:
+    """Keep idle connections for each incarnation of a replica.
+
+    The newest idle connection is used first, so that surplus ones become old and are
+    closed.
+    """
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
+        self.opened = 0
+
+    def take(
+        self, replica: Replica, *, timeout_s: float, now_s: float
+    ) -> UpstreamConnection:
+        """Return an idle connection or a new one; raise ``NotConnected``."""
+        idle = self._idle[_key(replica)]
+        while idle:
+            connection = idle.pop()
+            age_s = now_s - connection.idle_since_s
+            if age_s < connection.idle_limit_s and not connection.silent_input():
+                return connection
+            connection.close()
+        self.opened += 1
+        return UpstreamConnection(replica, timeout_s=timeout_s)
+
+    def put(self, connection: UpstreamConnection) -> None:
+        """Keep a connection for later calls, or close it if it can't carry any."""
+        if connection.reusable:
+            self._idle[_key(connection.replica)].append(connection)
+        else:
+            connection.close()
+
+    def drop_replica(self, replica: Replica) -> None:
+        """Close the idle connections to a replica."""
+        for connection in self._idle.pop(_key(replica), ()):
+            connection.close()
+
+    def close_old(self, now_s: float) -> None:
+        """Close the idle connections that are not used again."""
+        for key, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                if now_s - connection.idle_since_s < connection.idle_limit_s:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+
+
+def _key(replica: Replica) -> str:
+    return f"{replica.replica_id}@{replica.address}/{replica.born_unix_ms}"
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -0,0 +1,284 @@
+"""Server for clients: one task for each connection."""
+
+import time
+from http import HTTPStatus
+
+from gevent import socket
+from gevent.server import StreamServer
+
+from persimmonyoke.errors import (
+    ErrorKind,
+    MalformedMetadata,
+    RequestError,
+)
+from persimmonyoke.internal.dispatch.routes import choose_service
+from persimmonyoke.internal.fleet.model import RequestKind
+from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.client_connection import (
+    ClientConnection,
+    ClientGone,
+    OutgoingHead,
+)
+from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.plain_relay import PlainRelay
+from persimmonyoke.internal.gateway.requests import ClientRequest
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_relay import StreamBroken, StreamRelay
+
+BACKLOG = 1_024
+RETRY_AFTER_NOT_READY_S = 0.5
+RETRY_AFTER_DRAINING_S = 0.2
+LAST_REQUESTS_S = 5.0
+"""Time after SIGTERM in which requests are still begun.
+
+Callers keep addresses for two seconds, some three times as long.
+"""
+
+
+class FrontServer:
+    """Accept clients and answer their requests."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._plain = PlainRelay(state)
+        self._streams = StreamRelay(state)
+        self._connections: set[ClientConnection] = set()
+        self._answering = 0
+        self._drain_started_s: float | None = None
+        self._server: StreamServer | None = None
+
+    @property
+    def answering(self) -> int:
+        """Return how many requests are being answered."""
+        return self._answering
+
+    @property
+    def connections(self) -> int:
+        """Return how many clients are connected."""
+        return len(self._connections)
+
+    def start(self, host: str, port: int) -> int:
+        """Listen and return the port."""
+        self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
+        self._server.start()
+        return self._server.server_port
+
+    def begin_drain(self, now_s: float) -> None:
+        """Close each connection with its next answer from now on."""
+        self._drain_started_s = now_s
+
+    def close_idle(self) -> None:
+        """Stop accepting and close the connections that carry no request."""
+        if self._server is not None:
+            self._server.stop_accepting()
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+
+    def _serve(self, sock: socket.socket, _address: object) -> None:
+        sockets.watch_peer(sock)
+        connection = ClientConnection(sock, self._state.limits)
+        self._connections.add(connection)
+        try:
+            self._serve_requests(connection)
+        except ClientGone:
+            # What the client's leaving ended has been logged with its request.
+            pass
+        except Exception:
+            self._state.journal.unexpected("connection_failed")
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+    def _serve_requests(self, connection: ClientConnection) -> None:
+        while True:
+            try:
+                request = connection.next_request()
+            except RequestError as error:
+                self._refuse_input(connection, error)
+                return
+            if request is None:
+                return
+            self._answering += 1
+            try:
+                keep = self._answer(connection, request)
+            finally:
+                self._answering -= 1
+            if not keep:
+                connection.close_after_refusal()
+                return
+
+    def _refuse_input(self, connection: ClientConnection, error: RequestError) -> None:
+        self._state.journal.event(
+            "input_refused", status=error.answer.status, reason=error.message
+        )
+        self._state.metrics.requests.add(kind="none", outcome="rejected")
+        connection.send_whole(_error_head(error, closing=True), _error_body(error))
+        connection.close_after_refusal()
+
+    def _answer(self, connection: ClientConnection, request: ClientRequest) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        started_s = time.monotonic()
+        closing = not request.keep_alive or self._drain_started_s is not None
+        try:
+            exchange = self._admit(connection, request, started_s)
+        except RequestError as error:
+            self._log_refusal(request, error)
+            connection.send_whole(_error_head(error, closing), _error_body(error))
+            return not closing
+        exchange.closing = closing
+        connection.watch(exchange.work.cancel)
+        try:
+            return self._relay(exchange) and not closing
+        finally:
+            connection.unwatch()
+
+    def _relay(self, exchange: Exchange) -> bool:
+        """Answer an admitted request; return whether its connection can be kept."""
+        outcome, status, reason = "delivered", 200, ""
+        try:
+            if exchange.route.kind is RequestKind.STREAMING:
+                self._streams.relay(exchange)
+            else:
+                self._plain.relay(exchange)
+            return True
+        except RequestError as error:
+            outcome = "refused" if error.answer.status in (429, 503) else "failed"
+            status, reason = error.answer.status, error.message
+            head = _error_head(error, exchange.closing)
+            exchange.client.send_whole(head, _error_body(error))
+            return True
+        except StreamBroken as error:
+            outcome, reason = "failed", str(error)
+            return False
+        except ClientGone as error:
+            outcome, reason = "client_gone", str(error)
+            raise
+        except Exception as error:
+            outcome, reason = "failed", f"{type(error).__name__}: {error}"
+            self._state.journal.unexpected(
+                "request_failed", request_id=exchange.metadata.request_id
+            )
+            return False
+        finally:
+            self._log(exchange, outcome, status, reason)
+
+    def _admit(
+        self, connection: ClientConnection, request: ClientRequest, started_s: float
+    ) -> Exchange:
+        state = self._state
+        if self._refuses_new(started_s):
+            raise RequestError(
+                ErrorKind.DRAINING,
+                "host is stopping",
+                retry_after_s=RETRY_AFTER_DRAINING_S,
+            )
+        if state.configuration is None or not state.replicas_known:
+            raise RequestError(
+                ErrorKind.NOT_READY,
+                "no configuration is known yet",
+                retry_after_s=RETRY_AFTER_NOT_READY_S,
+            )
+        assert state.routes is not None
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = state.routes.find(host.rsplit(":", 1)[0], request.path)
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_PATH, "no route for this path")
+        try:
+            metadata = state.wire.metadata(request.headers)
+        except MalformedMetadata as error:
+            raise RequestError(ErrorKind.INVALID_VALUE, str(error)) from error
+        service_name = choose_service(route, metadata.request_id)
+        service = state.configuration.services.get(service_name)
+        if service is None:
+            raise RequestError(
+                ErrorKind.UPSTREAM_UNAVAILABLE,
+                f"service {service_name} is not configured",
+                retry_after_s=RETRY_AFTER_NOT_READY_S,
+            )
+        timeout_s = started_s + route.timeout_s
+        client_s = timeout_s
+        if metadata.deadline_s is not None:
+            client_s = started_s + metadata.deadline_s
+        return Exchange(
+            request=request,
+            client=connection,
+            metadata=metadata,
+            configuration=state.configuration,
+            route=route,
+            service=service,
+            started_s=started_s,
+            deadline_s=min(timeout_s, client_s),
+            client_deadline_s=client_s,
+        )
+
+    def _refuses_new(self, now_s: float) -> bool:
+        started_s = self._drain_started_s
+        return started_s is not None and now_s - started_s > LAST_REQUESTS_S
+
+    def _log_refusal(self, request: ClientRequest, error: RequestError) -> None:
+        state = self._state
+        request_id = (request.header(b"request-id") or b"").decode("latin-1")
+        state.journal.event(
+            "request",
+            request_id=request_id,
+            path=request.path,
+            outcome="rejected",
+            status=error.answer.status,
+            reason=error.message,
+            configuration=_version(state),
+        )
+        state.metrics.requests.add(kind="none", outcome="rejected")
+        state.metrics.refusals.add(reason=error.message)
+
+    def _log(self, exchange: Exchange, outcome: str, status: int, reason: str) -> None:
+        state, now_s = self._state, time.monotonic()
+        kind = exchange.route.kind.value
+        first_ms = None
+        if exchange.first_event_s is not None:
+            first_ms = int((exchange.first_event_s - exchange.started_s) * 1_000)
+            state.metrics.first_event.observe(first_ms / 1_000, kind=kind)
+        state.journal.event(
+            "request",
+            request_id=exchange.metadata.request_id,
+            route=exchange.route.name,
+            kind=kind,
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            ms=int((now_s - exchange.started_s) * 1_000),
+            first_ms=first_ms,
+            estimate_ms=_ms(exchange.estimate_s),
+            deadline_ms=_ms(exchange.deadline_s - exchange.started_s),
+            attempts=[str(attempt) for attempt in exchange.attempts],
+            configuration=exchange.configuration.version,
+            store_age_ms=_ms(now_s - state.store_heard_s),
+        )
+        state.metrics.requests.add(kind=kind, outcome=outcome)
+        state.metrics.duration.observe(now_s - exchange.started_s, kind=kind)
+        if outcome in ("refused", "failed"):
+            state.metrics.refusals.add(reason=reason[:60])
+        if exchange.sends > 1:
+            state.metrics.repeats.add(exchange.sends - 1)
+
+
+def _ms(seconds: float | None) -> int | None:
+    return None if seconds is None else int(seconds * 1_000)
+
+
+def _version(state: GatewayState) -> int | None:
+    return state.configuration.version if state.configuration else None
+
+
+def _error_head(error: RequestError, closing: bool) -> OutgoingHead:
+    status = error.answer.status
+    headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+    if error.retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.2f" % error.retry_after_s))
+    if closing:
+        headers.append((b"Connection", b"close"))
+    return OutgoingHead(status, HTTPStatus(status).phrase.encode(), headers)
+
+
+def _error_body(error: RequestError) -> bytes:
+    return f"{error.kind.value}: {error.message}\n".encode()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -0,0 +1,78 @@
+"""Counters and histograms of one gateway process."""
+
+from persimmonyoke.internal.observability.metrics import NodeMetrics, render
+
+OUTCOMES = (
+    "delivered",
+    "refused",
+    "failed",
+    "client_gone",
+    "rejected",
+)
+KINDS = ("idempotent", "non_idempotent", "streaming", "none")
+MAX_REASONS = 40
+STAGES = ("prefill", "decode", "plain")
+SEND_RESULTS = ("answered", "not_run", "lost", "not_connected", "malformed")
+
+
+class GatewayMetrics:
+    """Hold the metrics that the metrics address serves."""
+
+    def __init__(self) -> None:
+        node = NodeMetrics()
+        self._node = node
+        self.requests = node.counter(
+            "gateway_requests_total",
+            "Requests by kind and outcome.",
+            {"kind": KINDS, "outcome": OUTCOMES},
+        )
+        self.refusals = node.counter(
+            "gateway_refusals_total", "Refusals by reason.", {"reason": MAX_REASONS}
+        )
+        self.sends = node.counter(
+            "gateway_sends_total",
+            "Calls to replicas by stage and result.",
+            {"stage": STAGES, "result": SEND_RESULTS},
+        )
+        self.repeats = node.counter(
+            "gateway_repeats_total", "Sends beyond the first of a request."
+        )
+        self.unused_handles = node.counter(
+            "gateway_unused_prefills_total", "Prompts read whose handle was not used."
+        )
+        self.orders = node.counter(
+            "gateway_orders_total", "Orders to engines by outcome.", {"outcome": 8}
+        )
+        self.first_event = node.histogram(
+            "gateway_first_event_seconds",
+            "Time from request to first event or answer.",
+            {"kind": KINDS},
+        )
+        self.duration = node.histogram(
+            "gateway_request_seconds", "Time from request to its end.", {"kind": KINDS}
+        )
+        self.prefill = node.histogram(
+            "gateway_prefill_seconds", "Time of prefill calls that succeeded."
+        )
+        self.connections = node.gauge(
+            "gateway_client_connections", "Open connections of clients."
+        )
+        self.store_age = node.gauge(
+            "gateway_store_age_seconds", "Time since the store last answered a watch."
+        )
+        self.configuration_version = node.gauge(
+            "gateway_configuration_version_number", "Version in force."
+        )
+        self.store_calls = node.gauge(
+            "gateway_store_calls", "Calls to the store since the start.", {"call": 16}
+        )
+        self.log_lines_dropped = node.gauge(
+            "gateway_log_lines_dropped_number", "Log lines dropped since the start."
+        )
+        self.upstream_connections = node.gauge(
+            "gateway_opened_upstream_connections", "Connections opened to replicas."
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return render(self._node)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -0,0 +1,219 @@
+"""The duty of the one host that orders engines to change their stage."""
+
+import time
+
+import gevent
+
+from persimmonyoke.errors import LeaseEnded, ProtocolError, StoreUnavailable
+from persimmonyoke.internal.dispatch.stages import StageChange, plan_changes
+from persimmonyoke.internal.fleet.interfaces import (
+    EngineReport,
+    FleetStore,
+    StageOrder,
+    TermRecord,
+)
+from persimmonyoke.internal.fleet.model import Replica, Stage
+from persimmonyoke.internal.fleet.term import ClockReading, OrderTerm, TermState
+from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
+
+STEP_S = 0.5
+ACQUIRE_RETRY_S = 1.0
+RENEW_SHARE = 0.25
+CALL_TIMEOUT_S = 0.4
+"""Engines answer reports and orders within a few milliseconds."""
+
+_ACCEPTED, _HOLDS = 202, 200
+
+
+def read_clocks() -> ClockReading:
+    """Return both clocks of this host."""
+    boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+    return ClockReading(time.monotonic(), boot_s)
+
+
+class OrderDuty:
+    """Hold the order lease if it is free, and lead the engines to their stages."""
+
+    def __init__(self, state: GatewayState, store: FleetStore) -> None:
+        self._state = state
+        self._store = store
+        self._caller = UpstreamCaller(state)
+        self._holder = state.settings.host_name
+        self._term = OrderTerm(self._holder, lease_s=state.settings.lease_s)
+        self._ordered_s: dict[str, float] = {}
+        self._ordered_stage: dict[str, Stage] = {}
+        self._holder_seen = False
+
+    def run(self) -> None:
+        """Carry out the duty for as long as the process runs."""
+        while True:
+            delay_s = STEP_S
+            try:
+                delay_s = self._step()
+            except (LeaseEnded, StoreUnavailable, ProtocolError) as error:
+                self._note_trouble(error)
+            except Exception:
+                self._state.journal.unexpected("order_duty_failed")
+            gevent.sleep(delay_s * self._state.rng.uniform(0.8, 1.2))
+
+    def resign(self) -> None:
+        """Give the order lease back, so that another host can take it."""
+        lease_id, held = self._term.lease_id, self._term.state is not TermState.NONE
+        self._term.lost()
+        if not held:
+            return
+        self._state.journal.event("order_term", change="resigned")
+        try:
+            self._store.end_lease(lease_id)
+        except StoreUnavailable as error:
+            self._state.journal.failure("order_lease_not_ended", error)
+
+    def _step(self) -> float:
+        if self._state.draining or not self._state.ready:
+            return STEP_S
+        if self._term.lapsed(read_clocks()):
+            self._lose("renewals failed for a whole lease")
+        if self._term.state is TermState.NONE:
+            self._try_acquire()
+            if self._term.state is TermState.NONE:
+                return ACQUIRE_RETRY_S
+        self._renew()
+        if self._term.may_activate(time.monotonic()):
+            self._activate()
+        if self._term.state is TermState.ACTIVE:
+            self._order_changes()
+        return STEP_S
+
+    def _try_acquire(self) -> None:
+        if self._store.term_holder() is not None:
+            return
+        sent = read_clocks()
+        lease_id = self._store.grant_lease(self._state.settings.lease_s)
+        fencing_number = self._store.acquire_term(self._holder, lease_id)
+        if fencing_number is None:
+            self._store.end_lease(lease_id)
+            return
+        last = self._store.last_term()
+        now_s = time.monotonic()
+        self._term.acquired(
+            fencing_number=fencing_number,
+            lease_id=lease_id,
+            last=last,
+            sent=sent,
+            now_s=now_s,
+        )
+        self._ordered_s.clear()
+        self._state.journal.event(
+            "order_term",
+            change="acquired",
+            fencing_number=fencing_number,
+            former=last.holder if last else None,
+        )
+
+    def _renew(self) -> None:
+        sent = read_clocks()
+        try:
+            self._store.renew_lease(self._term.lease_id)
+        except LeaseEnded:
+            self._lose("lease has ended")
+            raise
+        self._term.renewed(sent)
+
+    def _activate(self) -> None:
+        record = TermRecord(self._holder, self._term.fencing_number)
+        if not self._store.record_term(record):
+            self._lose("another host holds the term")
+            return
+        self._term.activate()
+        self._state.journal.event(
+            "order_term", change="active", fencing_number=self._term.fencing_number
+        )
+
+    def _lose(self, reason: str) -> None:
+        self._term.lost()
+        self._state.journal.event("order_term", change="lost", reason=reason)
+
+    def _note_trouble(self, error: Exception) -> None:
+        if self._term.state is not TermState.NONE:
+            self._state.journal.failure("order_duty_hindered", error)
+
+    def _order_changes(self) -> None:
+        configuration = self._state.configuration
+        assert configuration is not None
+        for service in configuration.services.values():
+            if service.engine is None:
+                continue
+            engines = [
+                replica
+                for replica in self._state.replicas.all()
+                if replica.service == service.name
+            ]
+            changes = plan_changes(
+                engines,
+                self._ordered_s,
+                self._ordered_stage,
+                now_s=time.monotonic(),
+            )
+            for change in changes:
+                self._order(change)
+
+    def _order(self, change: StageChange) -> None:
+        replica = change.replica
+        report = self._report(replica)
+        if report is None or report.order_in_progress:
+            return
+        order = StageOrder(
+            replica_id=replica.replica_id,
+            stage=change.stage,
+            holder=self._holder,
+            fencing_number=self._term.fencing_number,
+            expected_sequence=report.sequence,
+        )
+        if not self._term.may_order(read_clocks()):
+            return
+        self._ordered_s[replica.replica_id] = time.monotonic()
+        self._ordered_stage[replica.replica_id] = change.stage
+        status = self._call(replica, self._state.wire.order_call(order))
+        self._state.metrics.orders.add(outcome=str(status))
+        self._state.journal.event(
+            "order",
+            replica=replica.replica_id,
+            stage=change.stage,
+            fencing_number=order.fencing_number,
+            expected_sequence=order.expected_sequence,
+            status=status,
+        )
+
+    def _report(self, replica: Replica) -> EngineReport | None:
+        call = self._state.wire.report_call(replica.replica_id)
+        deadline_s = time.monotonic() + CALL_TIMEOUT_S
+        work = Work()
+        try:
+            opened = self._caller.start(
+                replica, call, work, request_id="", deadline_s=deadline_s
+            )
+            body = self._caller.read_whole(opened, work, deadline_s=deadline_s)
+        except (NotConnected, AnswerLost) as error:
+            self._state.journal.failure(
+                "report_failed", error, replica=replica.replica_id
+            )
+            return None
+        return self._state.wire.decode_report(body)
+
+    def _call(self, replica: Replica, call) -> int | None:
+        """Return the status of an order, or ``None`` without an answer."""
+        deadline_s = time.monotonic() + CALL_TIMEOUT_S
+        work = Work()
+        try:
+            opened = self._caller.start(
+                replica, call, work, request_id="", deadline_s=deadline_s
+            )
+            self._caller.read_whole(opened, work, deadline_s=deadline_s)
+        except (NotConnected, AnswerLost) as error:
+            self._state.journal.failure(
+                "order_without_answer", error, replica=replica.replica_id
+            )
+            return None
+        return opened.head.status
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -0,0 +1,192 @@
+"""Requests to plain services: attempts, and what may be repeated."""
+
+import time
+from dataclasses import dataclass
+
+from persimmonyoke.internal.dispatch.services import choose_replica
+from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    AnswerTimeout,
+    NotConnected,
+    WholeAnswer,
+)
+from persimmonyoke.internal.gateway.exchange import ANSWER_MARGIN_S, Exchange
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller
+
+RETRY_AFTER_FULL_S = 0.15
+"""Plain calls take 20 to 90 ms, so a place is free soon."""
+
+RETRY_AFTER_NONE_S = 0.5
+HEDGE_FACTOR = 2.5
+"""Share of the target latency after which a silent idempotent call is repeated."""
+
+
+@dataclass(frozen=True)
+class Answered:
+    """Hold a complete and stamped answer of the replica."""
+
+    answer: WholeAnswer
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """Say that the replica did not and will not run the request."""
+
+    reason: str
+    sent: bool
+
+
+@dataclass(frozen=True)
+class Lost:
+    """Say that the replica may have run the request."""
+
+    reason: str
+
+
+SendOutcome = Answered | NotRun | Lost
+
+
+class PlainRelay:
+    """Pass requests to plain services."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._caller = UpstreamCaller(state)
+
+    def relay(self, exchange: Exchange) -> None:
+        """Answer a request; raise ``RequestError`` if it is not served."""
+        outcome = self._attempts(exchange)
+        answer = outcome.answer
+        exchange.first_event_s = time.monotonic()
+        headers = list(self._state.wire.client_headers(answer.head.headers))
+        head = exchange.head(answer.head.status, answer.head.reason, headers)
+        exchange.client.send_whole(head, answer.body)
+
+    def _attempts(self, exchange: Exchange) -> Answered:
+        excluded: set[str] = set()
+        last: Answered | None = None
+        while True:
+            replica = self._choose(exchange, excluded)
+            if replica is None and last is not None:
+                return last
+            if replica is None:
+                raise exchange.not_served("no replica is left", RETRY_AFTER_NONE_S)
+            excluded.add(replica.replica_id)
+            outcome = self._send(exchange, replica)
+            if isinstance(outcome, Answered):
+                if outcome.answer.head.status < 500:
+                    return outcome
+                # A stamped failure is the replica's answer; another replica may
+                # still answer an idempotent request with success.
+                last = outcome
+            if isinstance(outcome, NotRun) and not outcome.sent:
+                continue
+            if not self._may_repeat(exchange, outcome):
+                return self._final(exchange, outcome, last)
+
+    def _final(
+        self, exchange: Exchange, outcome: SendOutcome, last: Answered | None
+    ) -> Answered:
+        if last is not None:
+            return last
+        if isinstance(outcome, NotRun):
+            raise exchange.not_served(outcome.reason, RETRY_AFTER_FULL_S)
+        assert isinstance(outcome, Lost)
+        raise exchange.failed(outcome.reason)
+
+    def _may_repeat(self, exchange: Exchange, outcome: SendOutcome) -> bool:
+        route = exchange.route
+        if not route.repeatable and not isinstance(outcome, NotRun):
+            return False
+        if exchange.sends >= route.max_attempts:
+            return False
+        if exchange.remaining_s < route.target_latency_s / 4:
+            return False
+        return self._state.retry_budget.try_spend(time.monotonic())
+
+    def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
+        state = self._state
+        return choose_replica(
+            state.replicas.usable(exchange.service.name),
+            ledger=state.ledger,
+            health=state.health,
+            excluded=excluded,
+            own_zone=state.settings.availability_zone,
+            now_s=time.monotonic(),
+            rng=state.rng,
+        )
+
+    def _send(self, exchange: Exchange, replica: Replica) -> SendOutcome:
+        started_s = time.monotonic()
+        exchange.sends += 1
+        self._state.ledger.add(replica.replica_id, running=1)
+        try:
+            outcome = self._call(exchange, replica)
+        finally:
+            self._state.ledger.add(replica.replica_id, running=-1)
+        result = {Answered: "answered", Lost: "lost"}.get(type(outcome), "not_run")
+        if isinstance(outcome, NotRun) and not outcome.sent:
+            result = "not_connected"
+        exchange.note("plain", replica.replica_id, result, started_s)
+        self._state.metrics.sends.add(stage="plain", result=result)
+        return outcome
+
+    def _call(self, exchange: Exchange, replica: Replica) -> SendOutcome:
+        state, request = self._state, exchange.request
+        headers = state.wire.request_headers(
+            request.headers,
+            UpstreamCall(
+                replica_id=replica.replica_id,
+                deadline_ms=exchange.deadline_ms,
+                last_event_id=exchange.metadata.last_event_id,
+            ),
+        )
+        call = RawCall(request.method, request.target, headers, request.body)
+        deadline_s = self._attempt_deadline_s(exchange)
+        try:
+            opened = self._caller.start(
+                replica,
+                call,
+                exchange.work,
+                request_id=exchange.metadata.request_id,
+                deadline_s=deadline_s,
+            )
+            body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
+        except NotConnected as error:
+            exchange.sends -= 1
+            state.health.note_unreachable(replica.replica_id, time.monotonic())
+            return NotRun(str(error), sent=False)
+        except AnswerLost as error:
+            exchange.may_have_run = True
+            self._note_loss(replica, error)
+            return Lost(str(error))
+        if opened.facts.not_executed or opened.head.status == 421:
+            state.health.note_failure(replica.replica_id)
+            return NotRun(f"replica answered {opened.head.status}", sent=True)
+        exchange.may_have_run = True
+        if not opened.facts.stamped:
+            state.health.note_failure(replica.replica_id)
+            return Lost(f"answer {opened.head.status} without a stamp")
+        if opened.head.status >= 500:
+            state.health.note_failure(replica.replica_id)
+        else:
+            state.health.note_success(replica.replica_id)
+        return Answered(WholeAnswer(opened.head, body))
+
+    def _attempt_deadline_s(self, exchange: Exchange) -> float:
+        """Return until when to wait for this attempt."""
+        route = exchange.route
+        last_s = exchange.deadline_s - ANSWER_MARGIN_S
+        if not route.repeatable or exchange.sends >= route.max_attempts:
+            return last_s
+        hedge_s = time.monotonic() + HEDGE_FACTOR * route.target_latency_s
+        return min(last_s, hedge_s)
+
+    def _note_loss(self, replica: Replica, error: AnswerLost) -> None:
+        if isinstance(error, AnswerTimeout):
+            self._state.health.note_unreachable(replica.replica_id, time.monotonic())
+        else:
+            self._state.health.note_failure(replica.replica_id)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -0,0 +1,139 @@
+"""Prefill calls: a prompt is read on one engine for the use of another."""
+
+import time
+from dataclasses import dataclass
+
+import gevent
+
+from persimmonyoke.internal.dispatch.placement import Placed
+from persimmonyoke.internal.fleet.interfaces import (
+    PrefillResult,
+    RawCall,
+    UpstreamCall,
+)
+from persimmonyoke.internal.fleet.model import Replica, Stage
+from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
+
+RELEASE_TIMEOUT_S = 1.0
+_OK, _MISDIRECTED = 200, 421
+
+
+@dataclass(frozen=True)
+class PromptRead:
+    """Hold the handle of a prompt that an engine has read."""
+
+    engine: Replica
+    result: PrefillResult
+
+    @property
+    def source(self) -> str:
+        """Return the address and handle from which another engine fetches."""
+        return f"{self.engine.address}/{self.result.handle}"
+
+
+@dataclass(frozen=True)
+class PromptNotRead:
+    """Say why a prompt was not read; ``sent`` is false if no byte was sent."""
+
+    reason: str
+    sent: bool
+
+
+class PrefillCaller:
+    """Have prompts read and free the handles that are not used."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._caller = UpstreamCaller(state)
+
+    def read(
+        self, exchange: Exchange, placed: Placed, *, deadline_s: float
+    ) -> PromptRead | PromptNotRead:
+        """Have the prompt of a request read on the chosen engine."""
+        engine = placed.prefill
+        assert engine is not None
+        started_s = time.monotonic()
+        self._state.ledger.add(engine.replica_id, read_s=placed.read_s, running=1)
+        try:
+            outcome = self._call(exchange, placed, engine, deadline_s)
+        finally:
+            self._state.ledger.add(engine.replica_id, read_s=-placed.read_s, running=-1)
+        self._note(exchange, engine, outcome, started_s)
+        return outcome
+
+    def release(self, read: PromptRead) -> None:
+        """Free the handle of a prompt that is not used, in the background."""
+        self._state.metrics.unused_handles.add()
+        gevent.spawn(self._release, read)
+
+    def _call(
+        self, exchange: Exchange, placed: Placed, engine: Replica, deadline_s: float
+    ) -> PromptRead | PromptNotRead:
+        state, request = self._state, exchange.request
+        headers = state.wire.request_headers(
+            request.headers,
+            UpstreamCall(
+                replica_id=engine.replica_id,
+                deadline_ms=exchange.deadline_ms,
+                stage=Stage.PREFILL,
+                kv_fetch=placed.fetch_from.address if placed.fetch_from else None,
+            ),
+        )
+        call = RawCall(request.method, request.target, headers, request.body)
+        try:
+            opened = self._caller.start(
+                engine,
+                call,
+                exchange.work,
+                request_id=exchange.metadata.request_id,
+                deadline_s=deadline_s,
+            )
+            body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
+        except NotConnected as error:
+            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            return PromptNotRead(str(error), sent=False)
+        except AnswerLost as error:
+            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            return PromptNotRead(str(error), sent=True)
+        result = None
+        if opened.head.status == _OK:
+            result = state.wire.prefill_result(body)
+        if result is None:
+            state.health.note_failure(engine.replica_id)
+            return PromptNotRead(f"engine answered {opened.head.status}", sent=True)
+        state.health.note_success(engine.replica_id)
+        return PromptRead(engine, result)
+
+    def _note(
+        self,
+        exchange: Exchange,
+        engine: Replica,
+        outcome: PromptRead | PromptNotRead,
+        started_s: float,
+    ) -> None:
+        now_s = time.monotonic()
+        if isinstance(outcome, PromptRead):
+            result = "answered"
+            self._state.metrics.prefill.observe(now_s - started_s)
+        else:
+            result = "not_run" if outcome.sent else "not_connected"
+        exchange.note("prefill", engine.replica_id, result, started_s)
+        self._state.metrics.sends.add(stage="prefill", result=result)
+
+    def _release(self, read: PromptRead) -> None:
+        call = self._state.wire.release_handle(read.result.handle)
+        work = Work()
+        deadline_s = time.monotonic() + RELEASE_TIMEOUT_S
+        try:
+            opened = self._caller.start(
+                read.engine, call, work, request_id="", deadline_s=deadline_s
+            )
+            self._caller.read_whole(opened, work, deadline_s=deadline_s)
+        except (NotConnected, AnswerLost) as error:
+            # The engine frees the handle by itself after a few seconds.
+            self._state.journal.failure(
+                "handle_not_released", error, replica=read.engine.replica_id
+            )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -0,0 +1,109 @@
+"""Assembly of one gateway process and its life from start to stop."""
+
+import signal
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
+from persimmonyoke.internal.gateway.follower import HostRegistration, StoreFollower
+from persimmonyoke.internal.gateway.front_server import FrontServer
+from persimmonyoke.internal.gateway.journal import Journal
+from persimmonyoke.internal.gateway.orders import OrderDuty
+from persimmonyoke.internal.gateway.peers import PeerLink
+from persimmonyoke.internal.gateway.settings import GatewaySettings
+from persimmonyoke.internal.gateway.small_server import SmallServer
+from persimmonyoke.internal.gateway.state import GatewayState
+
+HOUSEKEEPING_S = 0.5
+EXIT_MARGIN_S = 0.7
+"""Time before the end of the grace period at which the process exits by itself."""
+
+MIN_DRAIN_S = 3.0
+"""Time for which a stopping host stays reachable: callers keep addresses for 2 s."""
+
+IDLE_DRAIN_S = 6.0
+"""Time after which idle connections are closed; some callers keep addresses 6 s."""
+
+
+class GatewayProcess:
+    """Run the tasks of one entry host."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        wire: UpstreamWire,
+        store: FleetStore,
+        journal: Journal,
+    ) -> None:
+        self.state = GatewayState(settings, wire, journal)
+        self.front = FrontServer(self.state)
+        self._small = SmallServer(self.state)
+        self._peers = PeerLink(self.state)
+        self._registration = HostRegistration(self.state, store)
+        self._orders = OrderDuty(self.state, store)
+        self._follower = StoreFollower(self.state, store, self._peers.send_now)
+        self._stop = Event()
+        self._started_s = time.monotonic()
+
+    def start(self) -> None:
+        """Listen and start all tasks."""
+        settings = self.state.settings
+        self.state.store_heard_s = time.monotonic()
+        self._peers.start(settings.listen_host, settings.peer_port)
+        self.front.start(settings.listen_host, settings.front_port)
+        self._small.start(settings.listen_host, settings.ready_port)
+        self._small.start(settings.listen_host, settings.directory_port)
+        gevent.spawn(self._follower.run)
+        gevent.spawn(self._registration.run)
+        gevent.spawn(self._orders.run)
+        gevent.spawn(self._housekeeping)
+        self.state.journal.event(
+            "started",
+            front=settings.front_address,
+            availability_zone=settings.availability_zone,
+        )
+
+    def run(self, on_reload: Callable[[], None]) -> None:
+        """Run until SIGTERM, then drain."""
+        gevent.signal_handler(signal.SIGTERM, self._stop.set)
+        gevent.signal_handler(signal.SIGHUP, on_reload)
+        self.start()
+        self._stop.wait()
+        self.drain()
+
+    def drain(self) -> None:
+        """Leave the addresses, finish what has begun and return."""
+        state, started_s = self.state, time.monotonic()
+        state.draining = True
+        state.journal.event("stopping", connections=self.front.connections)
+        self.front.begin_drain(started_s)
+        self._peers.send_now()
+        gevent.spawn(self._registration.withdraw)
+        gevent.spawn(self._orders.resign)
+        while not self._drained(time.monotonic() - started_s):
+            gevent.sleep(0.05)
+        state.journal.event(
+            "stopped",
+            answering=self.front.answering,
+            after_ms=int((time.monotonic() - started_s) * 1_000),
+        )
+
+    def _drained(self, elapsed_s: float) -> bool:
+        if elapsed_s >= self.state.settings.grace_s - EXIT_MARGIN_S:
+            return True
+        if elapsed_s >= IDLE_DRAIN_S:
+            self.front.close_idle()
+            return self.front.answering == 0
+        return elapsed_s >= MIN_DRAIN_S and self.front.connections == 0
+
+    def _housekeeping(self) -> None:
+        state = self.state
+        while True:
+            gevent.sleep(HOUSEKEEPING_S)
+            now_s = time.monotonic()
+            state.apply_replica_changes(state.replicas.expire(now_s))
+            state.pool.close_old(now_s)
+            state.metrics.connections.set(self.front.connections)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -0,0 +1,197 @@
+"""Parsing of clients' requests with a strict parser."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import httptools
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.fleet.model import ClientLimits
+
+# Upgrades are refused: the gateway speaks HTTP/1.1 only.
+_METHODS_WITHOUT_FORWARDING = (b"CONNECT", b"TRACE")
+_MAX_PIPELINED = 16
+
+
+@dataclass(frozen=True)
+class ClientRequest:
+    """Hold one whole request of a client."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    keep_alive: bool
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, given in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+
+@dataclass
+class _Partial:
+    """Hold the parts of a request that is being read."""
+
+    target: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+    head_bytes: int = 0
+    head_complete: bool = False
+    expects_continue: bool = False
+
+
+class RequestParser:
+    """Assemble requests from the bytes of one connection.
+
+    The parser refuses messages with two lengths, other transfer codings than chunked,
+    bare line breaks and folded headers, so that no request hides in another one.
+    """
+
+    def __init__(self, limits: ClientLimits) -> None:
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._partial: _Partial | None = None
+        self._complete: deque[ClientRequest] = deque()
+
+    @property
+    def reading(self) -> bool:
+        """Return whether a request has begun and is not complete."""
+        return self._partial is not None
+
+    @property
+    def head_complete(self) -> bool:
+        """Return whether the head of the request that is being read is complete."""
+        return self._partial is not None and self._partial.head_complete
+
+    @property
+    def wants_continue(self) -> bool:
+        """Return whether the client waits for ``100 Continue``; asked once."""
+        partial = self._partial
+        if partial is None or not partial.expects_continue:
+            return False
+        partial.expects_continue = False
+        return True
+
+    def next_request(self) -> ClientRequest | None:
+        """Return the next complete request."""
+        return self._complete.popleft() if self._complete else None
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes; raise ``RequestError`` for what can't be accepted."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise RequestError(
+                ErrorKind.INVALID_VALUE, "upgrade is not supported"
+            ) from error
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, RequestError):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserError as error:
+            raise RequestError(
+                ErrorKind.INVALID_VALUE, f"malformed request: {error}"
+            ) from error
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._partial = _Partial()
+
+    def on_url(self, part: bytes) -> None:
+        """Add a part of the target."""
+        partial = self._current()
+        partial.target += part
+        self._count_head(partial, len(part))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header, or a trailer, which is checked and dropped."""
+        partial = self._current()
+        self._count_head(partial, len(name) + len(value) + 4)
+        if not partial.head_complete:
+            partial.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head of a request."""
+        partial = self._current()
+        partial.head_complete = True
+        if self._parser.get_http_version() != "1.1":
+            raise RequestError(ErrorKind.INVALID_VALUE, "only HTTP/1.1 is supported")
+        if self._parser.get_method() in _METHODS_WITHOUT_FORWARDING:
+            raise RequestError(ErrorKind.INVALID_VALUE, "method is not supported")
+        if not partial.target.startswith(b"/"):
+            raise RequestError(ErrorKind.INVALID_VALUE, "target must be a path")
+        names = [name.lower() for name, _ in partial.headers]
+        if names.count(b"host") != 1:
+            raise RequestError(
+                ErrorKind.INVALID_VALUE, "request must have one Host header"
+            )
+        if names.count(b"transfer-encoding") > 1:
+            raise RequestError(
+                ErrorKind.INVALID_VALUE, "request has several transfer codings"
+            )
+        for name, value in partial.headers:
+            self._check_framing(name.lower(), value, partial)
+
+    def on_body(self, part: bytes) -> None:
+        """Add a part of the body."""
+        partial = self._current()
+        partial.body_bytes += len(part)
+        if partial.body_bytes > self._limits.max_body_bytes:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE, "body is too large")
+        partial.body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Store the complete request."""
+        partial = self._current()
+        self._partial = None
+        if len(self._complete) >= _MAX_PIPELINED:
+            raise RequestError(ErrorKind.INVALID_VALUE, "too many pipelined requests")
+        self._complete.append(
+            ClientRequest(
+                method=self._parser.get_method(),
+                target=partial.target,
+                headers=tuple(partial.headers),
+                body=b"".join(partial.body),
+                keep_alive=self._parser.should_keep_alive(),
+            )
+        )
+
+    def _check_framing(self, name: bytes, value: bytes, partial: _Partial) -> None:
+        if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            raise RequestError(
+                ErrorKind.INVALID_VALUE, "transfer coding is not supported"
+            )
+        if name == b"content-length":
+            self._check_length(value)
+        if name == b"expect":
+            if value.strip().lower() != b"100-continue":
+                raise RequestError(
+                    ErrorKind.INVALID_VALUE, "expectation is not supported"
+                )
+            partial.expects_continue = True
+
+    def _check_length(self, value: bytes) -> None:
+        """Refuse a body by its declared length, before it arrives."""
+        if value.isdigit() and int(value) > self._limits.max_body_bytes:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE, "body is too large")
+
+    def _current(self) -> _Partial:
+        if self._partial is None:
+            self._partial = _Partial()
+        return self._partial
+
+    def _count_head(self, partial: _Partial, size: int) -> None:
+        partial.head_bytes += size
+        if partial.head_bytes > self._limits.max_header_bytes:
+            raise RequestError(
+                ErrorKind.HEADER_TOO_LARGE, "head of request is too large"
+            )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -0,0 +1,89 @@
+"""Small HTTP answers beside the data path: readiness, addresses and metrics."""
+
+import time
+from collections.abc import Callable
+
+import orjson
+from gevent import socket
+from gevent.server import StreamServer
+
+from persimmonyoke.errors import RequestError
+from persimmonyoke.internal.gateway.client_connection import (
+    ClientConnection,
+    ClientGone,
+    OutgoingHead,
+)
+from persimmonyoke.internal.gateway.requests import ClientRequest
+from persimmonyoke.internal.gateway.state import GatewayState
+
+MAX_ADDRESSES = 64
+ADDRESS_TTL_S = 2.0
+"""Time for which callers keep addresses; some keep them three times as long."""
+
+JSON = (b"Content-Type", b"application/json")
+TEXT = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
+
+
+class SmallServer:
+    """Answer ``GET`` requests from a table of paths."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._paths: dict[str, Callable[[ClientRequest], tuple[int, bytes]]] = {
+            "/ready": self._ready,
+            "/resolve": self._resolve,
+            "/metrics": self._metrics,
+        }
+        self._servers: list[StreamServer] = []
+
+    def start(self, host: str, port: int) -> int:
+        """Listen on one more port and return it."""
+        server = StreamServer((host, port), self._serve, backlog=256)
+        server.start()
+        self._servers.append(server)
+        return server.server_port
+
+    def _serve(self, sock: socket.socket, _address: object) -> None:
+        connection = ClientConnection(sock, self._state.limits)
+        try:
+            while (request := connection.next_request()) is not None:
+                self._answer(connection, request)
+                if not request.keep_alive:
+                    break
+        except (ClientGone, RequestError) as error:
+            self._state.journal.failure("small_request_failed", error)
+        except Exception:
+            self._state.journal.unexpected("small_request_failed")
+        finally:
+            connection.close()
+
+    def _answer(self, connection: ClientConnection, request: ClientRequest) -> None:
+        handler = self._paths.get(request.path)
+        status, body = (404, b"") if handler is None else handler(request)
+        reason = {200: b"OK", 404: b"Not Found"}.get(status, b"Service Unavailable")
+        kind = TEXT if request.path == "/metrics" else JSON
+        connection.send_whole(OutgoingHead(status, reason, [kind]), body)
+
+    def _ready(self, _request: ClientRequest) -> tuple[int, bytes]:
+        return (200, b"{}") if self._state.ready else (503, b"{}")
+
+    def _resolve(self, request: ClientRequest) -> tuple[int, bytes]:
+        state = self._state
+        addresses = state.hosts.addresses(
+            own=state.own_entry(),
+            own_ready=state.ready,
+            now_s=time.monotonic(),
+            limit=MAX_ADDRESSES,
+        )
+        if not addresses:
+            return 503, b"{}"
+        ttl_s = min(ADDRESS_TTL_S, state.settings.address_ttl_max_s)
+        return 200, orjson.dumps({"addresses": addresses, "ttl-s": ttl_s})
+
+    def _metrics(self, _request: ClientRequest) -> tuple[int, bytes]:
+        state, metrics = self._state, self._state.metrics
+        metrics.store_age.set(time.monotonic() - state.store_heard_s)
+        version = state.configuration.version if state.configuration else 0
+        metrics.configuration_version.set(version)
+        metrics.upstream_connections.set(state.pool.opened)
+        return 200, metrics.render()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -0,0 +1,146 @@
+"""What one gateway process believes, shared by its tasks."""
+
+import random
+import time
+
+from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
+from persimmonyoke.internal.dispatch.health import ReplicaHealth
+from persimmonyoke.internal.dispatch.loads import WorkLedger
+from persimmonyoke.internal.dispatch.placement import Placement
+from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
+from persimmonyoke.internal.dispatch.routes import RouteTable
+from persimmonyoke.internal.fleet.hosts import HostView
+from persimmonyoke.internal.fleet.interfaces import UpstreamWire
+from persimmonyoke.internal.fleet.model import (
+    ClientLimits,
+    Configuration,
+    HostEntry,
+    Replica,
+)
+from persimmonyoke.internal.fleet.replicas import (
+    ReplicaChange,
+    ReplicaChanged,
+    ReplicaGone,
+    ReplicaView,
+)
+from persimmonyoke.internal.gateway.connections import ConnectionPool
+from persimmonyoke.internal.gateway.journal import Journal
+from persimmonyoke.internal.gateway.metrics import GatewayMetrics
+from persimmonyoke.internal.gateway.settings import GatewaySettings
+
+LIMITS_BEFORE_CONFIGURATION = ClientLimits(
+    max_header_bytes=16_384,
+    max_body_bytes=4_194_304,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+"""Limits until the first configuration is known, in which all requests get 503."""
+
+EXPECTED_HOSTS = 6
+"""Hosts among which the slack of the retry budget is divided at least."""
+
+
+class GatewayState:
+    """Hold configuration, replicas, hosts, work and health."""
+
+    def __init__(
+        self, settings: GatewaySettings, wire: UpstreamWire, journal: Journal
+    ) -> None:
+        self.settings = settings
+        self.wire = wire
+        self.journal = journal
+        self.metrics = GatewayMetrics()
+        self.rng = random.Random()
+        self.configuration: Configuration | None = None
+        self.routes: RouteTable | None = None
+        self.configured_s = 0.0
+        self.store_heard_s = 0.0
+        self.replicas = ReplicaView()
+        self.replicas_known = False
+        self.hosts = HostView(settings.host_name)
+        self.ledger = WorkLedger()
+        self.health = ReplicaHealth()
+        self.prefixes = PrefixIndex()
+        self.placement = Placement(self.ledger, self.prefixes, DEFAULT_SPEED)
+        self.pool = ConnectionPool()
+        self.draining = False
+        self.retry_budget = RetryBudget(
+            share=settings.retry_share * 0.8,
+            window_s=settings.retry_window_s,
+            floor=int(settings.retry_slack * 0.8 / EXPECTED_HOSTS),
+        )
+        self.new_placements: list[tuple[str, str]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Return whether this host takes new connections."""
+        return (
+            not self.draining and self.configuration is not None and self.replicas_known
+        )
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Return what clients may send."""
+        if self.configuration is None:
+            return LIMITS_BEFORE_CONFIGURATION
+        return self.configuration.limits
+
+    def own_entry(self) -> HostEntry:
+        """Return the entry of this host."""
+        return HostEntry(
+            name=self.settings.host_name,
+            front_address=self.settings.front_address,
+            peer_host=self.settings.listen_host,
+            peer_port=self.settings.peer_port,
+            availability_zone=self.settings.availability_zone,
+            ready=self.ready,
+        )
+
+    def apply_configuration(self, configuration: Configuration, source: str) -> None:
+        """Put a configuration in force unless a newer one is."""
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        self.routes = RouteTable(configuration)
+        self.configured_s = time.monotonic()
+        self.journal.event(
+            "configuration",
+            version=configuration.version,
+            previous=known.version if known else None,
+            routes=len(configuration.routes),
+            source=source,
+        )
+
+    def apply_replica_changes(self, changes: list[ReplicaChange]) -> None:
+        """Log changes of replicas and drop what was known of gone incarnations."""
+        for change in changes:
+            replica = change.replica
+            self.journal.event(
+                "replica",
+                replica=replica.replica_id,
+                change=type(change).__name__,
+                service=replica.service,
+                address=replica.address,
+                stage=replica.stage,
+                draining=replica.draining,
+                reason=getattr(change, "reason", None),
+            )
+            if isinstance(change, ReplicaGone):
+                self._forget(replica)
+            elif isinstance(change, ReplicaChanged) and change.stage_changed:
+                self.prefixes.forget_replica(replica.replica_id)
+
+    def _forget(self, replica: Replica) -> None:
+        self.pool.drop_replica(replica)
+        self.health.forget(replica.replica_id)
+        self.prefixes.forget_replica(replica.replica_id)
+
+    def note_placement(
+        self, replica: Replica, part_ids: list[str], *, now_s: float
+    ) -> None:
+        """Record which engine read which parts, also for the peers."""
+        for part_id in part_ids:
+            self.prefixes.note_part(replica.replica_id, part_id, now_s=now_s)
+            self.new_placements.append((part_id, replica.replica_id))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -0,0 +1,392 @@
+"""Generations: prefill on one engine, an event stream from another, and resuming."""
+
+import time
+from dataclasses import dataclass
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.dispatch.placement import Demand, Placed, Refused
+from persimmonyoke.internal.dispatch.services import choose_replica
+from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
+from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    NotConnected,
+)
+from persimmonyoke.internal.gateway.events import EventSplitter, StreamEvent
+from persimmonyoke.internal.gateway.exchange import ANSWER_MARGIN_S, Exchange
+from persimmonyoke.internal.gateway.prefill import (
+    PrefillCaller,
+    PromptNotRead,
+    PromptRead,
+)
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import OpenAnswer, UpstreamCaller
+
+MAX_PREFILL_TRIES = 3
+STREAM_SILENCE_S = 1.2
+"""Silence within a resumable stream after which it goes on at another engine.
+
+Pauses of over 150 ms are late; clients leave after 2.4 s or more.
+"""
+
+RETRY_AFTER_REJECTED_S = 0.4
+_OK, _MISDIRECTED = 200, 421
+
+
+class StreamBroken(Exception):
+    """Say that a client's answer has begun and can't be completed."""
+
+
+@dataclass(frozen=True)
+class RunEnded:
+    """Say that the whole answer was delivered."""
+
+
+@dataclass(frozen=True)
+class RunRejected:
+    """Say that the engine did not and will not run the request."""
+
+    reason: str
+    sent: bool
+
+
+@dataclass(frozen=True)
+class RunLost:
+    """Say that the run broke off, maybe before its first event."""
+
+    reason: str
+
+
+RunOutcome = RunEnded | RunRejected | RunLost
+
+
+class StreamRelay:
+    """Pass event streams from engines to clients."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._caller = UpstreamCaller(state)
+        self._prefill = PrefillCaller(state)
+
+    def relay(self, exchange: Exchange) -> None:
+        """Answer a request; raise ``RequestError`` or ``StreamBroken``."""
+        _StreamRun(self._state, self._caller, self._prefill, exchange).run()
+
+
+class _StreamRun:
+    """Carry one streaming request through its runs."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        caller: UpstreamCaller,
+        prefill: PrefillCaller,
+        exchange: Exchange,
+    ) -> None:
+        self._state = state
+        self._caller = caller
+        self._prefill = prefill
+        self._exchange = exchange
+        self._excluded: set[str] = set()
+        self._prefill_tries = 0
+        self._last_event_id = exchange.metadata.last_event_id
+        self._begun = False
+
+    def run(self) -> None:
+        """Run the request until its answer is complete or given up."""
+        exchange = self._exchange
+        while True:
+            engine, read = self._prepare()
+            exchange.sends += 1
+            outcome = self._run_once(engine, read)
+            if isinstance(outcome, RunEnded):
+                return
+            if isinstance(outcome, RunRejected) and not outcome.sent:
+                exchange.sends -= 1
+            elif not self._may_go_on(outcome):
+                self._give_up(outcome)
+            self._excluded.add(engine.replica_id)
+
+    def _prepare(self) -> tuple[Replica, PromptRead | None]:
+        """Return the engine to run on, and the prompt if another engine read it."""
+        service, prompt = self._exchange.service, self._exchange.metadata.prompt
+        if service.engine is None or prompt is None:
+            return self._choose_plain(), None
+        while True:
+            placed = self._place(prompt, service.engine)
+            if placed.prefill is None:
+                return placed.decode, None
+            read = self._read_prompt(placed)
+            if read is None:
+                continue
+            decode = self._state.placement.decoder(
+                self._engines(),
+                service.engine,
+                own_zone=read.engine.availability_zone,
+                now_s=time.monotonic(),
+            )
+            if decode is None:
+                self._prefill.release(read)
+                self._raise_not_served("no decode engine", 0.5)
+            return decode, read
+
+    def _read_prompt(self, placed: Placed) -> PromptRead | None:
+        """Have the prompt read; ``None`` if another engine may be tried."""
+        exchange = self._exchange
+        assert placed.prefill is not None
+        if self._prefill_tries and not self._state.retry_budget.try_spend(
+            time.monotonic()
+        ):
+            self._raise_not_served("retry budget is spent", RETRY_AFTER_REJECTED_S)
+        outcome = self._prefill.read(
+            exchange, placed, deadline_s=exchange.deadline_s - ANSWER_MARGIN_S
+        )
+        if isinstance(outcome, PromptRead):
+            self._prefill_tries += 1
+            self._note_placement(placed)
+            return outcome
+        assert isinstance(outcome, PromptNotRead)
+        self._excluded.add(placed.prefill.replica_id)
+        if outcome.sent:
+            self._prefill_tries += 1
+        if self._prefill_tries >= MAX_PREFILL_TRIES or exchange.remaining_s < 0.1:
+            self._raise_not_served(outcome.reason, RETRY_AFTER_REJECTED_S)
+        return None
+
+    def _note_placement(self, placed: Placed) -> None:
+        prompt = self._exchange.metadata.prompt
+        assert prompt is not None and placed.prefill is not None
+        part_ids = [part.part_id for part in prompt.parts]
+        now_s = time.monotonic()
+        self._state.note_placement(placed.prefill, part_ids, now_s=now_s)
+
+    def _place(self, prompt: Prompt, limits: EngineLimits) -> Placed:
+        exchange = self._exchange
+        engines = self._engines()
+        remaining_s = exchange.remaining_s - ANSWER_MARGIN_S
+        if self._begun:
+            # A stream that has begun is worth finishing late.
+            target_s = remaining_s
+        else:
+            target_s = exchange.route.target_latency_s
+        decision = self._state.placement.place(
+            Demand(prompt, target_s, remaining_s),
+            engines,
+            limits,
+            own_zone=self._state.settings.availability_zone,
+            now_s=time.monotonic(),
+        )
+        if isinstance(decision, Refused):
+            exchange.estimate_s = decision.first_token_s
+            self._raise_not_served(decision.reason, decision.retry_after_s)
+        exchange.estimate_s = decision.first_token_s
+        return decision
+
+    def _engines(self) -> list[Replica]:
+        now_s = time.monotonic()
+        usable = [
+            engine
+            for engine in self._state.replicas.usable(self._exchange.service.name)
+            if engine.replica_id not in self._excluded
+        ]
+        healthy = [
+            engine
+            for engine in usable
+            if not self._state.health.paused(engine.replica_id, now_s)
+        ]
+        return healthy
+
+    def _choose_plain(self) -> Replica:
+        state = self._state
+        replica = choose_replica(
+            state.replicas.usable(self._exchange.service.name),
+            ledger=state.ledger,
+            health=state.health,
+            excluded=self._excluded,
+            own_zone=state.settings.availability_zone,
+            now_s=time.monotonic(),
+            rng=state.rng,
+        )
+        if replica is None:
+            self._raise_not_served("no replica is left", RETRY_AFTER_REJECTED_S)
+        return replica
+
+    def _run_once(self, engine: Replica, read: PromptRead | None) -> RunOutcome:
+        exchange, ledger = self._exchange, self._state.ledger
+        prompt = exchange.metadata.prompt
+        tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
+        started_s = time.monotonic()
+        ledger.add(engine.replica_id, running=1, tokens=tokens)
+        used = False
+        try:
+            outcome = self._call(engine, read)
+            used = not isinstance(outcome, RunRejected)
+        finally:
+            ledger.add(engine.replica_id, running=-1, tokens=-tokens)
+            if read is not None and not used:
+                self._prefill.release(read)
+        self._note(engine, outcome, started_s)
+        return outcome
+
+    def _call(self, engine: Replica, read: PromptRead | None) -> RunOutcome:
+        state, exchange = self._state, self._exchange
+        headers = state.wire.request_headers(
+            exchange.request.headers,
+            UpstreamCall(
+                replica_id=engine.replica_id,
+                deadline_ms=exchange.deadline_ms,
+                kv_source=read.source if read else None,
+                last_event_id=self._last_event_id,
+            ),
+        )
+        request = exchange.request
+        call = RawCall(request.method, request.target, headers, request.body)
+        try:
+            opened = self._caller.start(
+                engine,
+                call,
+                exchange.work,
+                request_id=exchange.metadata.request_id,
+                deadline_s=exchange.deadline_s - ANSWER_MARGIN_S,
+            )
+        except NotConnected as error:
+            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            return RunRejected(str(error), sent=False)
+        except AnswerLost as error:
+            exchange.may_have_run = True
+            state.health.note_failure(engine.replica_id)
+            return RunLost(str(error))
+        if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
+            return self._rejected(opened)
+        exchange.may_have_run = True
+        return self._relay_answer(engine, opened)
+
+    def _rejected(self, opened: OpenAnswer) -> RunOutcome:
+        exchange = self._exchange
+        reason = f"engine answered {opened.head.status}"
+        try:
+            self._caller.read_whole(
+                opened, exchange.work, deadline_s=time.monotonic() + 0.2
+            )
+        except AnswerLost:
+            # The head alone says that the request was not run.
+            reason += " and closed the connection"
+        return RunRejected(reason, sent=True)
+
+    def _relay_answer(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
+        exchange = self._exchange
+        if opened.head.status == _OK and opened.facts.stamped:
+            return self._relay_events(engine, opened)
+        deadline_s = exchange.deadline_s - ANSWER_MARGIN_S
+        try:
+            body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
+        except AnswerLost as error:
+            return RunLost(str(error))
+        self._state.health.note_failure(engine.replica_id)
+        if not opened.facts.stamped or self._begun:
+            return RunLost(f"engine answered {opened.head.status}")
+        headers = list(self._state.wire.client_headers(opened.head.headers))
+        head = exchange.head(opened.head.status, opened.head.reason, headers)
+        exchange.client.send_whole(head, body)
+        return RunEnded()
+
+    def _relay_events(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
+        splitter = EventSplitter()
+        try:
+            while True:
+                part = opened.connection.read_part(timeout_s=self._silence_limit_s())
+                self._exchange.work.check()
+                if part is None:
+                    break
+                self._forward(opened, splitter.feed(part))
+                if splitter.too_large:
+                    raise AnswerLost("event is too large")
+        except AnswerLost as error:
+            self._caller.abandon(opened, self._exchange.work)
+            self._exchange.work.check()
+            self._state.health.note_failure(engine.replica_id)
+            return RunLost(str(error))
+        except BaseException:
+            self._caller.abandon(opened, self._exchange.work)
+            raise
+        self._caller.finish(opened, self._exchange.work)
+        self._state.health.note_success(engine.replica_id)
+        self._end(opened, splitter.rest)
+        return RunEnded()
+
+    def _silence_limit_s(self) -> float:
+        left_s = max(0.001, self._exchange.remaining_s - ANSWER_MARGIN_S)
+        if self._begun and self._exchange.route.resumable:
+            return min(left_s, STREAM_SILENCE_S)
+        return left_s
+
+    def _forward(self, opened: OpenAnswer, events: list[StreamEvent]) -> None:
+        fresh = []
+        for event in events:
+            if self._already_delivered(event):
+                continue
+            if event.event_id is not None:
+                self._last_event_id = event.event_id
+            fresh.append(event.data)
+        if fresh:
+            self._send(opened, b"".join(fresh))
+
+    def _already_delivered(self, event: StreamEvent) -> bool:
+        if event.event_id is None or self._last_event_id is None:
+            return False
+        return event.event_id <= self._last_event_id
+
+    def _send(self, opened: OpenAnswer, data: bytes) -> None:
+        if self._begun:
+            self._exchange.client.send_chunk(data)
+            return
+        self._begun = True
+        self._exchange.first_event_s = time.monotonic()
+        self._exchange.client.begin_chunked(self._head(opened), data)
+
+    def _end(self, opened: OpenAnswer, rest: bytes) -> None:
+        if self._begun:
+            self._exchange.client.end_chunked(rest)
+        else:
+            self._exchange.client.send_whole(self._head(opened), rest)
+
+    def _head(self, opened: OpenAnswer):
+        headers = list(self._state.wire.client_headers(opened.head.headers))
+        return self._exchange.head(opened.head.status, opened.head.reason, headers)
+
+    def _may_go_on(self, outcome: RunOutcome) -> bool:
+        exchange = self._exchange
+        if isinstance(outcome, RunLost) and not exchange.route.resumable:
+            return False
+        if exchange.sends >= exchange.route.max_attempts:
+            return False
+        if exchange.remaining_s < 0.1:
+            return False
+        return self._state.retry_budget.try_spend(time.monotonic())
+
+    def _give_up(self, outcome: RunOutcome) -> None:
+        assert not isinstance(outcome, RunEnded)
+        if self._begun:
+            raise StreamBroken(outcome.reason)
+        if isinstance(outcome, RunRejected):
+            self._raise_not_served(outcome.reason, RETRY_AFTER_REJECTED_S)
+        raise self._exchange.failed(outcome.reason)
+
+    def _raise_not_served(self, reason: str, retry_after_s: float) -> None:
+        if self._begun:
+            raise StreamBroken(reason)
+        error = self._exchange.not_served(reason, retry_after_s)
+        if error.kind is ErrorKind.UPSTREAM_UNAVAILABLE:
+            # 429 tells the caller that load is the reason, 503 that a part is missing.
+            raise RequestError(
+                ErrorKind.OVERLOADED, reason, retry_after_s=retry_after_s
+            )
+        raise error
+
+    def _note(self, engine: Replica, outcome: RunOutcome, started_s: float) -> None:
+        result = {RunEnded: "answered", RunLost: "lost"}.get(type(outcome), "not_run")
+        if isinstance(outcome, RunRejected) and not outcome.sent:
+            result = "not_connected"
+        stage = Stage.DECODE.value
+        self._exchange.note(stage, engine.replica_id, result, started_s)
+        self._state.metrics.sends.add(stage=stage, result=result)
