Announce each order in the store, so that a new holder need not wait

The next holder waited 5.1 s for the former one's orders although there had been none for 30 s, was killed, and its successor waited again: 1,236 requests were refused with 'no decode engine'.

Ruled out: the stage plan (it named the right engine as soon as it was asked).

Change: an order is sent only within 0.3 s of a record that is written under the condition that its holder still holds the key. All hosts watch that record, and a new holder waits a lease since the last record, not since its own start. The holder's key is watched too, so that it is not polled.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -11,6 +11,7 @@
     RequestMetadata,
     Stage,
 )
+from persimmonyoke.internal.fleet.term import OrderRecord
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -160,23 +161,37 @@
     name: str
 
 
-StoreEvent = ConfigurationRead | ReplicaSeen | ReplicaRemoved | HostSeen | HostRemoved
+@dataclass(frozen=True)
+class HolderSeen:
+    """Report which host holds the order key; ``None`` if nobody does."""
+
+    holder: str | None
 
 
 @dataclass(frozen=True)
-class StoreChanges:
-    """Hold entries or their changes, and the revision from which to go on."""
+class OrderRecorded:
+    """Report the announcement of an order."""
+
+    record: OrderRecord
 
-    events: tuple[StoreEvent, ...]
-    revision: int
+
+StoreEvent = (
+    ConfigurationRead
+    | ReplicaSeen
+    | ReplicaRemoved
+    | HostSeen
+    | HostRemoved
+    | HolderSeen
+    | OrderRecorded
+)
 
 
 @dataclass(frozen=True)
-class TermRecord:
-    """Hold which host last sent orders, and under which fencing number."""
+class StoreChanges:
+    """Hold entries or their changes, and the revision from which to go on."""
 
-    holder: str
-    fencing_number: int
+    events: tuple[StoreEvent, ...]
+    revision: int
 
 
 class FleetStore(ABC):
@@ -211,13 +226,5 @@
         """Become the holder of orders; return the fencing number if it was free."""
 
     @abstractmethod
-    def term_holder(self) -> str | None:
-        """Read who holds the order lease."""
-
-    @abstractmethod
-    def last_term(self) -> TermRecord | None:
-        """Read who last sent orders."""
-
-    @abstractmethod
-    def record_term(self, record: TermRecord) -> bool:
-        """Record that this host sends orders, if its term still holds."""
+    def announce_order(self, record: OrderRecord) -> OrderRecord | None:
+        """Write a record if its holder still holds the key; return it as written."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
@@ -1,28 +1,27 @@
 """Authority of one host over the stages of the engines.
 
-The store shows one holder by a key under a lease. Engines may not check fencing
-numbers, and the key may vanish while its holder does not know it, so a new holder waits
-until the former one has stopped by itself and a full lease has passed after that.
+One host holds a key under a lease. Before each order it writes a record under the
+condition that it still holds the key, and sends the order at once or not at all.
+Engines may not check fencing numbers, so a new holder waits until a full lease has
+passed since the last record that it saw; all hosts watch the record, so that this wait
+is over in most cases before a holder is lost.
 """
 
 from dataclasses import dataclass
 from enum import StrEnum
 
-from persimmonyoke.internal.fleet.interfaces import TermRecord
+ORDER_WINDOW_S = 0.3
+"""Time from the writing of a record in which its order may be sent."""
 
-USABLE_SHARE = 0.5
-"""Share of the lease after a renewal in which orders may be sent."""
-
-TAKEOVER_SLACK_S = 0.6
-"""Bound of the time between sending an order and its arrival at the engine."""
+ARRIVAL_SLACK_S = 0.6
+"""Bound of the time from sending an order to its arrival, with its connection."""
 
 
 class TermState(StrEnum):
     """Name how far a host has got with becoming the holder."""
 
     NONE = "none"
-    WAITING = "waiting"
-    ACTIVE = "active"
+    HELD = "held"
 
 
 @dataclass(frozen=True)
@@ -32,9 +31,24 @@
     steady_s: float
     boot_s: float
 
+    def elapsed_s(self, earlier: "ClockReading") -> float:
+        """Return the time since an earlier reading, suspension included."""
+        return max(self.steady_s - earlier.steady_s, self.boot_s - earlier.boot_s)
+
+
+@dataclass(frozen=True)
+class OrderRecord:
+    """Hold the last order as it was announced in the store."""
+
+    holder: str
+    fencing_number: int
+    replica_id: str
+    stage: str
+    revision: int = 0
+
 
 class OrderTerm:
-    """Decide when this host may send orders."""
+    """Decide when this host may announce and send orders."""
 
     def __init__(self, holder: str, *, lease_s: float) -> None:
         self._holder = holder
@@ -43,37 +57,24 @@
         self.fencing_number = 0
         self.lease_id = 0
         self._renewed: ClockReading | None = None
-        self._may_start_s = float("inf")
+        self.record: OrderRecord | None = None
+        self._record_seen_s = float("-inf")
+
+    def note_record(self, record: OrderRecord, now_s: float) -> None:
+        """Note the last order of any host as this host came to know it."""
+        if self.record is not None and record.revision <= self.record.revision:
+            return
+        self.record = record
+        self._record_seen_s = now_s
 
     def acquired(
-        self,
-        *,
-        fencing_number: int,
-        lease_id: int,
-        last: TermRecord | None,
-        sent: ClockReading,
-        now_s: float,
+        self, *, fencing_number: int, lease_id: int, sent: ClockReading
     ) -> None:
         """Note that the store accepted this host as the holder."""
-        self.state = TermState.WAITING
+        self.state = TermState.HELD
         self.fencing_number = fencing_number
         self.lease_id = lease_id
         self._renewed = sent
-        alone = last is None or last.holder == self._holder
-        self._may_start_s = now_s if alone else now_s + self.takeover_wait_s
-
-    @property
-    def takeover_wait_s(self) -> float:
-        """Return how long a new holder waits for the orders of another one."""
-        return self._lease_s * (1 + USABLE_SHARE) + TAKEOVER_SLACK_S
-
-    def may_activate(self, now_s: float) -> bool:
-        """Return whether the wait for the former holder has ended."""
-        return self.state is TermState.WAITING and now_s >= self._may_start_s
-
-    def activate(self) -> None:
-        """Note that the store records this host as the sender of orders."""
-        self.state = TermState.ACTIVE
 
     def renewed(self, sent: ClockReading) -> None:
         """Note a renewal by the clocks before it was sent."""
@@ -83,25 +84,29 @@
         """Give up authority."""
         self.state = TermState.NONE
         self._renewed = None
-        self._may_start_s = float("inf")
-
-    def may_order(self, clocks: ClockReading) -> bool:
-        """Return whether an order may be sent now."""
-        return self.state is TermState.ACTIVE and self._fresh(clocks)
 
     def lapsed(self, clocks: ClockReading) -> bool:
-        """Return whether a held term is so old that another host may have taken it."""
+        """Return whether the store may have given the key to another host."""
         if self.state is TermState.NONE or self._renewed is None:
             return False
-        return self._age_s(clocks) > self._lease_s
-
-    def _fresh(self, clocks: ClockReading) -> bool:
-        return self._age_s(clocks) < self._lease_s * USABLE_SHARE
-
-    def _age_s(self, clocks: ClockReading) -> float:
-        if self._renewed is None:
-            return float("inf")
-        return max(
-            clocks.steady_s - self._renewed.steady_s,
-            clocks.boot_s - self._renewed.boot_s,
-        )
+        return clocks.elapsed_s(self._renewed) > self._lease_s
+
+    def may_announce(self, now_s: float) -> bool:
+        """Return whether an order may be announced, by the last holder's record."""
+        if self.state is not TermState.HELD:
+            return False
+        record = self.record
+        if record is None or record.holder == self._holder:
+            return True
+        return now_s >= self._record_seen_s + self.takeover_wait_s
+
+    @property
+    def takeover_wait_s(self) -> float:
+        """Return how long after another host's record no order may follow it."""
+        return self._lease_s + ORDER_WINDOW_S + ARRIVAL_SLACK_S
+
+    def may_send(self, announced: ClockReading, clocks: ClockReading) -> bool:
+        """Return whether an announced order is still fresh enough to be sent."""
+        if self.state is not TermState.HELD:
+            return False
+        return clocks.elapsed_s(announced) < ORDER_WINDOW_S
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_term.py
@@ -0,0 +1,80 @@
+"""Test the authority over the stages of the engines."""
+
+import unittest
+
+from persimmonyoke.internal.fleet.term import (
+    ORDER_WINDOW_S,
+    ClockReading,
+    OrderRecord,
+    OrderTerm,
+)
+
+LEASE_S = 3.0
+
+
+def clocks(steady_s: float, *, suspended_s: float = 0.0) -> ClockReading:
+    return ClockReading(steady_s, steady_s + suspended_s)
+
+
+def record(holder: str, revision: int) -> OrderRecord:
+    return OrderRecord(holder, 7, "engine-1", "prefill", revision)
+
+
+def held_term(*, now_s: float = 100.0) -> OrderTerm:
+    term = OrderTerm("host-a", lease_s=LEASE_S)
+    term.acquired(fencing_number=9, lease_id=1, sent=clocks(now_s))
+    return term
+
+
+class TakeoverTest(unittest.TestCase):
+    def test_a_holder_whose_predecessor_ordered_long_ago_orders_at_once(self):
+        # A fixed wait left a fleet without a decode engine for five more seconds.
+        term = OrderTerm("host-a", lease_s=LEASE_S)
+        term.note_record(record("host-b", 5), now_s=50.0)
+        term.acquired(fencing_number=9, lease_id=1, sent=clocks(100.0))
+        self.assertTrue(term.may_announce(100.0))
+
+    def test_a_holder_waits_a_lease_after_an_order_of_another_host(self):
+        # Engines that ignore fencing numbers would see two holders take turns.
+        term = held_term()
+        term.note_record(record("host-b", 5), now_s=100.0)
+        self.assertFalse(term.may_announce(100.0 + LEASE_S))
+        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertGreater(term.takeover_wait_s, LEASE_S + ORDER_WINDOW_S)
+
+    def test_a_restarted_holder_need_not_wait_for_itself(self):
+        term = held_term()
+        term.note_record(record("host-a", 5), now_s=100.0)
+        self.assertTrue(term.may_announce(100.0))
+
+    def test_an_old_record_seen_again_does_not_start_the_wait_anew(self):
+        term = held_term()
+        term.note_record(record("host-b", 5), now_s=100.0)
+        term.note_record(record("host-b", 5), now_s=103.0)
+        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+
+
+class SendingTest(unittest.TestCase):
+    def test_an_order_announced_before_a_suspension_is_not_sent(self):
+        # The steady clock stands still while a host is frozen; the boot clock runs on.
+        term = held_term()
+        self.assertTrue(term.may_send(clocks(101.0), clocks(101.1)))
+        self.assertFalse(term.may_send(clocks(101.0), clocks(101.1, suspended_s=5.0)))
+
+    def test_a_lost_term_sends_nothing(self):
+        term = held_term()
+        term.lost()
+        self.assertFalse(term.may_send(clocks(101.0), clocks(101.0)))
+        self.assertFalse(term.may_announce(200.0))
+
+    def test_a_term_without_renewal_for_a_lease_has_lapsed(self):
+        term = held_term(now_s=100.0)
+        self.assertFalse(term.lapsed(clocks(102.9)))
+        self.assertTrue(term.lapsed(clocks(103.1)))
+        term.renewed(clocks(103.0))
+        self.assertFalse(term.lapsed(clocks(105.0)))
+        self.assertTrue(term.lapsed(clocks(105.0, suspended_s=2.0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -9,13 +9,16 @@
 from persimmonyoke.internal.fleet.interfaces import (
     ConfigurationRead,
     FleetStore,
+    HolderSeen,
     HostRemoved,
     HostSeen,
+    OrderRecorded,
     ReplicaRemoved,
     ReplicaSeen,
     StoreChanges,
     StoreEvent,
 )
+from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
 
 WATCH_WAIT_S = 2.5
@@ -38,10 +41,12 @@
         self,
         state: GatewayState,
         store: FleetStore,
+        orders: OrderDuty,
         on_configuration: Callable[[], None],
     ) -> None:
         self._state = state
         self._store = store
+        self._orders = orders
         self._on_configuration = on_configuration
         self._revision: int | None = None
         self._connected = False
@@ -103,9 +108,13 @@
         state.apply_replica_changes(state.replicas.replace_all(replicas, now_s=now_s))
         state.hosts.replace_all(hosts, now_s=now_s)
         state.replicas_known = True
+        holders = [e.holder for e in events if isinstance(e, HolderSeen)]
+        self._orders.note_holder(holders[0] if holders else None)
         for event in events:
             if isinstance(event, ConfigurationRead):
                 self._apply_configuration(event, "snapshot")
+            elif isinstance(event, OrderRecorded):
+                self._orders.note_record(event.record)
 
     def _apply_events(self, events: tuple[StoreEvent, ...]) -> None:
         state, now_s = self._state, time.monotonic()
@@ -123,6 +132,10 @@
                     state.hosts.put(host, now_s=now_s)
                 case HostRemoved(name):
                     state.hosts.remove(name)
+                case HolderSeen(holder):
+                    self._orders.note_holder(holder)
+                case OrderRecorded(record):
+                    self._orders.note_record(record)
 
     def _apply_configuration(self, event: ConfigurationRead, source: str) -> None:
         self._state.apply_configuration(event.configuration, source)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -4,23 +4,32 @@
 
 import gevent
 
-from persimmonyoke.errors import LeaseEnded, ProtocolError, StoreUnavailable
+from persimmonyoke.errors import LeaseEnded, StoreUnavailable
 from persimmonyoke.internal.dispatch.stages import StageChange, plan_changes
 from persimmonyoke.internal.fleet.interfaces import (
     EngineReport,
     FleetStore,
+    RawCall,
     StageOrder,
-    TermRecord,
 )
 from persimmonyoke.internal.fleet.model import Replica, Stage
-from persimmonyoke.internal.fleet.term import ClockReading, OrderTerm, TermState
+from persimmonyoke.internal.fleet.term import (
+    ClockReading,
+    OrderRecord,
+    OrderTerm,
+    TermState,
+)
 from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
 
 STEP_S = 0.5
-ACQUIRE_RETRY_S = 1.0
-RENEW_SHARE = 0.25
+RENEW_S = 0.9
+"""Three renewals in a lease of three seconds."""
+
+BLIND_ACQUIRE_S = 6.0
+"""Interval of attempts although the key seems held; its removal may go unseen."""
+
 CALL_TIMEOUT_S = 0.4
 """Engines answer reports and orders within a few milliseconds."""
 
@@ -44,19 +53,30 @@
         self._term = OrderTerm(self._holder, lease_s=state.settings.lease_s)
         self._ordered_s: dict[str, float] = {}
         self._ordered_stage: dict[str, Stage] = {}
-        self._holder_seen = False
+        self._known_holder: str | None = None
+        self._next_attempt_s = 0.0
+        self._renewed_s = 0.0
+
+    def note_holder(self, holder: str | None) -> None:
+        """Note who holds the order key; a free key is tried for at once."""
+        self._known_holder = holder
+        if holder is None:
+            self._next_attempt_s = 0.0
+
+    def note_record(self, record: OrderRecord) -> None:
+        """Note the last announced order."""
+        self._term.note_record(record, time.monotonic())
 
     def run(self) -> None:
         """Carry out the duty for as long as the process runs."""
         while True:
-            delay_s = STEP_S
             try:
-                delay_s = self._step()
-            except (LeaseEnded, StoreUnavailable, ProtocolError) as error:
+                self._step()
+            except (LeaseEnded, StoreUnavailable) as error:
                 self._note_trouble(error)
             except Exception:
                 self._state.journal.unexpected("order_duty_failed")
-            gevent.sleep(delay_s * self._state.rng.uniform(0.8, 1.2))
+            gevent.sleep(STEP_S * self._state.rng.uniform(0.8, 1.2))
 
     def resign(self) -> None:
         """Give the order lease back, so that another host can take it."""
@@ -70,50 +90,42 @@
         except StoreUnavailable as error:
             self._state.journal.failure("order_lease_not_ended", error)
 
-    def _step(self) -> float:
+    def _step(self) -> None:
         if self._state.draining or not self._state.ready:
-            return STEP_S
+            return
         if self._term.lapsed(read_clocks()):
             self._lose("renewals failed for a whole lease")
         if self._term.state is TermState.NONE:
-            self._try_acquire()
-            if self._term.state is TermState.NONE:
-                return ACQUIRE_RETRY_S
-        self._renew()
-        if self._term.may_activate(time.monotonic()):
-            self._activate()
-        if self._term.state is TermState.ACTIVE:
+            self._try_acquire(time.monotonic())
+        elif time.monotonic() - self._renewed_s >= RENEW_S:
+            self._renew()
+        if self._term.may_announce(time.monotonic()):
             self._order_changes()
-        return STEP_S
 
-    def _try_acquire(self) -> None:
-        if self._store.term_holder() is not None:
+    def _try_acquire(self, now_s: float) -> None:
+        if now_s < self._next_attempt_s:
             return
+        self._next_attempt_s = now_s + BLIND_ACQUIRE_S
         sent = read_clocks()
         lease_id = self._store.grant_lease(self._state.settings.lease_s)
         fencing_number = self._store.acquire_term(self._holder, lease_id)
         if fencing_number is None:
             self._store.end_lease(lease_id)
             return
-        last = self._store.last_term()
-        now_s = time.monotonic()
-        self._term.acquired(
-            fencing_number=fencing_number,
-            lease_id=lease_id,
-            last=last,
-            sent=sent,
-            now_s=now_s,
-        )
+        self._renewed_s = now_s
+        self._term.acquired(fencing_number=fencing_number, lease_id=lease_id, sent=sent)
         self._ordered_s.clear()
+        record = self._term.record
         self._state.journal.event(
             "order_term",
             change="acquired",
             fencing_number=fencing_number,
-            former=last.holder if last else None,
+            former=record.holder if record else None,
         )
 
     def _renew(self) -> None:
         sent = read_clocks()
+        self._renewed_s = sent.steady_s
         try:
             self._store.renew_lease(self._term.lease_id)
         except LeaseEnded:
@@ -121,18 +133,9 @@
             raise
         self._term.renewed(sent)
 
-    def _activate(self) -> None:
-        record = TermRecord(self._holder, self._term.fencing_number)
-        if not self._store.record_term(record):
-            self._lose("another host holds the term")
-            return
-        self._term.activate()
-        self._state.journal.event(
-            "order_term", change="active", fencing_number=self._term.fencing_number
-        )
-
     def _lose(self, reason: str) -> None:
         self._term.lost()
+        self._next_attempt_s = 0.0
         self._state.journal.event("order_term", change="lost", reason=reason)
 
     def _note_trouble(self, error: Exception) -> None:
@@ -171,7 +174,11 @@
             fencing_number=self._term.fencing_number,
             expected_sequence=report.sequence,
         )
-        if not self._term.may_order(read_clocks()):
+        announced = read_clocks()
+        if not self._announce(order):
+            return
+        if not self._term.may_send(announced, read_clocks()):
+            self._state.journal.event("order_too_late", replica=replica.replica_id)
             return
         self._ordered_s[replica.replica_id] = time.monotonic()
         self._ordered_stage[replica.replica_id] = change.stage
@@ -186,6 +193,22 @@
             status=status,
         )
 
+    def _announce(self, order: StageOrder) -> bool:
+        """Record an order in the store; return whether this host is the holder."""
+        written = self._store.announce_order(
+            OrderRecord(
+                holder=order.holder,
+                fencing_number=order.fencing_number,
+                replica_id=order.replica_id,
+                stage=order.stage.value,
+            )
+        )
+        if written is None:
+            self._lose("another host holds the key")
+            return False
+        self._term.note_record(written, time.monotonic())
+        return True
+
     def _report(self, replica: Replica) -> EngineReport | None:
         call = self._state.wire.report_call(replica.replica_id)
         deadline_s = time.monotonic() + CALL_TIMEOUT_S
@@ -202,7 +225,7 @@
             return None
         return self._state.wire.decode_report(body)
 
-    def _call(self, replica: Replica, call) -> int | None:
+    def _call(self, replica: Replica, call: RawCall) -> int | None:
         """Return the status of an order, or ``None`` without an answer."""
         deadline_s = time.monotonic() + CALL_TIMEOUT_S
         work = Work()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -44,7 +44,9 @@
         self._peers = PeerLink(self.state)
         self._registration = HostRegistration(self.state, store)
         self._orders = OrderDuty(self.state, store)
-        self._follower = StoreFollower(self.state, store, self._peers.send_now)
+        self._follower = StoreFollower(
+            self.state, store, self._orders, self._peers.send_now
+        )
         self._stop = Event()
         self._started_s = time.monotonic()
 
