--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -26,8 +26,11 @@
 FIRST_TOKEN_S = 0.06
 """Time from the end of a prefill to the first event on a decode engine with room."""
 
-LATE_FACTOR = 1.5
-"""Share of the target latency up to which a late answer is still worth its work."""
+DEADLINE_SHARE = 0.7
+"""Share of the remaining time in which the first token is accepted to come.
+
+The rest is for the output and for estimates that are too low.
+"""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 2.0
@@ -140,7 +143,7 @@
         return self._best_decoder(decoders, limits, own_zone=own_zone, now_s=now_s)
 
     def _latest_s(self, demand: Demand) -> float:
-        return min(demand.target_latency_s * LATE_FACTOR, demand.remaining_s)
+        return demand.remaining_s * DEADLINE_SHARE
 
     def _best_decoder(
         self,
