Let prompts wait at the gateway, ordered by target, value and deadline

Cause: engines read prompts first come, first served, so a burst of long prompts delays all kinds.

Change: an engine gets a prompt only while it has at most 60 ms of others to read. The rest waits here: prompts that can meet their target first, most value for reading time first; late ones by deadline, with one turn in six. Each host tells its peers what waits.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
@@ -1,18 +1,20 @@
 """Work that engines and replicas have, as seen by this host and told by its peers."""
 
-from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 PEER_KEEP_S = 1.5
 """Age at which a peer's report of its work is no longer counted."""
 
+OVERDUE_S = 0.03
+"""Time that a prompt still counts whose answer is overdue."""
+
 
 @dataclass(frozen=True)
 class ReplicaWork:
     """Hold the work that one host has at one replica.
 
-    ``read_s`` is the estimated time of its prompts that are waiting or being read.
+    ``read_s`` is the time that its prompts still need to be read.
     """
 
     read_s: float = 0.0
@@ -23,64 +25,129 @@
 NO_WORK = ReplicaWork()
 
 
+@dataclass(frozen=True)
+class PromptJob:
+    """Hold a prompt that was sent to an engine, and when it should be read."""
+
+    replica_id: str
+    read_s: float
+    expected_done_s: float
+
+    def remaining_s(self, now_s: float) -> float:
+        """Return the time that the engine still needs if this job is read now."""
+        return min(self.read_s, max(OVERDUE_S, self.expected_done_s - now_s))
+
+
+@dataclass
+class _Runs:
+    """Hold the number and the tokens of the own runs at one replica."""
+
+    running: int = 0
+    tokens: int = 0
+
+
 @dataclass(frozen=True)
 class PeerWork:
     """Hold a peer's report and when it arrived."""
 
     heard_s: float
     by_replica: Mapping[str, ReplicaWork]
+    queued_s: float
 
 
 class WorkLedger:
     """Sum the outstanding work at each replica over all hosts."""
 
     def __init__(self) -> None:
-        self._own: dict[str, ReplicaWork] = defaultdict(ReplicaWork)
+        self._jobs: dict[str, list[PromptJob]] = {}
+        self._runs: dict[str, _Runs] = {}
         self._peers: dict[str, PeerWork] = {}
 
-    def add(
-        self, replica_id: str, *, read_s: float = 0.0, running: int = 0, tokens: int = 0
-    ) -> None:
-        """Add to the own work at a replica; amounts may be negative."""
-        known = self._own[replica_id]
-        work = ReplicaWork(
-            read_s=max(0.0, known.read_s + read_s),
-            running=max(0, known.running + running),
-            tokens=max(0, known.tokens + tokens),
-        )
-        if work.running == 0 and work.read_s < 1e-6:
-            self._own.pop(replica_id)
-        else:
-            self._own[replica_id] = work
+    def begin_read(self, replica_id: str, read_s: float, *, now_s: float) -> PromptJob:
+        """Note a prompt that is sent to an engine now."""
+        wait_s = self.backlog_s(replica_id, now_s=now_s)
+        job = PromptJob(replica_id, read_s, now_s + wait_s + read_s)
+        self._jobs.setdefault(replica_id, []).append(job)
+        return job
+
+    def end_read(self, job: PromptJob) -> None:
+        """Note that a prompt was read, or will not be."""
+        jobs = self._jobs[job.replica_id]
+        jobs.remove(job)
+        if not jobs:
+            del self._jobs[job.replica_id]
+
+    def begin_run(self, replica_id: str, tokens: int = 0) -> None:
+        """Note a request that runs at a replica from now on."""
+        runs = self._runs.setdefault(replica_id, _Runs())
+        runs.running += 1
+        runs.tokens += tokens
+
+    def end_run(self, replica_id: str, tokens: int = 0) -> None:
+        """Note the end of a request that was begun with the same tokens."""
+        runs = self._runs[replica_id]
+        runs.running -= 1
+        runs.tokens -= tokens
+        if runs.running == 0:
+            del self._runs[replica_id]
 
     def note_peer(
-        self, name: str, by_replica: Mapping[str, ReplicaWork], *, now_s: float
+        self,
+        name: str,
+        by_replica: Mapping[str, ReplicaWork],
+        *,
+        queued_s: float,
+        now_s: float,
     ) -> None:
         """Replace what a peer told."""
-        self._peers[name] = PeerWork(now_s, by_replica)
-
-    def forget_peer(self, name: str) -> None:
-        """Drop the report of a peer that is gone."""
-        self._peers.pop(name, None)
+        self._peers[name] = PeerWork(now_s, by_replica, queued_s)
 
-    def own(self) -> dict[str, ReplicaWork]:
+    def own(self, *, now_s: float) -> dict[str, ReplicaWork]:
         """Return the own work at each replica."""
-        return dict(self._own)
-
-    def own_at(self, replica_id: str) -> ReplicaWork:
-        """Return the own work at one replica."""
-        return self._own.get(replica_id, NO_WORK)
+        return {
+            replica_id: self._own_at(replica_id, now_s)
+            for replica_id in self._jobs.keys() | self._runs.keys()
+        }
 
     def total(self, replica_id: str, *, now_s: float) -> ReplicaWork:
         """Return the work at one replica over all hosts that were heard lately."""
-        work = self.own_at(replica_id)
+        work = self._own_at(replica_id, now_s)
         read_s, running, tokens = work.read_s, work.running, work.tokens
-        for peer in self._peers.values():
-            if now_s - peer.heard_s > PEER_KEEP_S:
-                continue
+        for peer in self._fresh_peers(now_s):
             other = peer.by_replica.get(replica_id)
             if other is not None:
                 read_s += other.read_s
                 running += other.running
                 tokens += other.tokens
         return ReplicaWork(read_s, running, tokens)
+
+    def backlog_s(self, replica_id: str, *, now_s: float) -> float:
+        """Return the time of the prompts that an engine has still to read."""
+        return self.total(replica_id, now_s=now_s).read_s
+
+    def peers_queued_s(self, *, now_s: float) -> float:
+        """Return the time of the prompts that wait at peers for an engine."""
+        return sum(peer.queued_s for peer in self._fresh_peers(now_s))
+
+    def _fresh_peers(self, now_s: float) -> list[PeerWork]:
+        return [p for p in self._peers.values() if now_s - p.heard_s <= PEER_KEEP_S]
+
+    def _own_at(self, replica_id: str, now_s: float) -> ReplicaWork:
+        jobs = self._jobs.get(replica_id, ())
+        runs = self._runs.get(replica_id)
+        return ReplicaWork(
+            read_s=_remaining_s(jobs, now_s),
+            running=runs.running if runs else 0,
+            tokens=runs.tokens if runs else 0,
+        )
+
+
+def _remaining_s(jobs: Sequence[PromptJob], now_s: float) -> float:
+    """Return the time of jobs that an engine reads one after the other.
+
+    Only the first one can have been read in part. The others count in full even when
+    they should be done by now, since an engine that is late is late with all of them.
+    """
+    if not jobs:
+        return 0.0
+    return jobs[0].remaining_s(now_s) + sum(job.read_s for job in jobs[1:])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -1,8 +1,7 @@
-"""Choice of the engines of a generation, or its refusal.
+"""Choice of the engines of a generation.
 
-Answers bursts in which kinds of requests take turns and one kind doubles: every host
-estimates when the first token could come and refuses what would come too late, so that
-engines spend no time on prompts whose answers nobody waits for.
+An engine gets a prompt only when it has nearly read those before it, so that prompts
+wait at the gateways, where they can be ordered and given up, and not at engines.
 """
 
 from collections.abc import Sequence
@@ -16,6 +15,7 @@
 )
 from persimmonyoke.internal.dispatch.loads import WorkLedger
 from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
+from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.model import (
     EngineLimits,
     Prompt,
@@ -23,66 +23,36 @@
     Stage,
 )
 
-FIRST_TOKEN_S = 0.06
-"""Time from the end of a prefill to the first event on a decode engine with room."""
+FIRST_EVENT_S = 0.11
+"""Fixed time of a prefill call, a transfer and the first event beside the reading.
 
-DEADLINE_SHARE = 0.7
-"""Share of the remaining time in which the first token is accepted to come.
-
-The rest is for the output and for estimates that are too low.
+Prompts on idle engines took 47 ms beside their reading, the first event 60 ms.
 """
 
-MIN_RETRY_AFTER_S = 0.1
-MAX_RETRY_AFTER_S = 2.0
-"""Bursts on the deployment sheets take turns every 2.8 s."""
+OPEN_BACKLOG_S = 0.06
+"""Backlog up to which an engine gets the next prompt.
+
+Chunks take 45 ms, and the answer and the next call some milliseconds on the network,
+in which the engine shall not be idle.
+"""
 
 MIN_FETCH_TOKENS = 256
 """A smaller part is read sooner than its transfer is set up."""
 
-ZONE_PENALTY_S = 0.004
-"""Worth of staying in the zone: transfers between zones cost twice the time."""
-
 
 @dataclass(frozen=True)
-class Placed:
-    """Name the engines of a generation and the estimates behind the choice.
+class ReadPlan:
+    """Hold how one engine would read a prompt.
 
-    ``prefill`` is ``None`` if the decode engine reads the prompt itself.
+    ``fetch_from`` is an engine that holds leading parts of the prompt. ``local`` says
+    that the engine is the one that will generate.
     """
 
-    prefill: Replica | None
-    decode: Replica
-    fetch_from: Replica | None
-    read_s: float
-    first_token_s: float
-
-
-@dataclass(frozen=True)
-class Refused:
-    """Say why no engine is used, and when a place is likely."""
-
-    reason: str
-    retry_after_s: float
-    first_token_s: float | None = None
-
-
-@dataclass(frozen=True)
-class Demand:
-    """Hold what a generation needs and how long its caller waits."""
-
-    prompt: Prompt
-    target_latency_s: float
-    remaining_s: float
-
-
-@dataclass(frozen=True)
-class _ReadPlan:
-    """Hold how one engine would read a prompt."""
-
     engine: Replica
     fetch_from: Replica | None
     wait_s: float
     read_s: float
+    local: bool = False
 
     @property
     def done_s(self) -> float:
@@ -91,104 +61,75 @@
 
 
 class Placement:
-    """Choose engines by when the first token is expected."""
+    """Choose engines by when a prompt would be read, and by room for its output."""
 
     def __init__(
-        self, ledger: WorkLedger, prefixes: PrefixIndex, speed: EngineSpeed
+        self,
+        ledger: WorkLedger,
+        prefixes: PrefixIndex,
+        factors: EngineFactors,
+        speed: EngineSpeed,
     ) -> None:
         self._ledger = ledger
         self._prefixes = prefixes
+        self._factors = factors
         self._speed = speed
 
-    def place(
+    def read_plan(
         self,
-        demand: Demand,
+        prompt: Prompt,
         engines: Sequence[Replica],
         limits: EngineLimits,
         *,
-        own_zone: str,
         now_s: float,
-    ) -> Placed | Refused:
-        """Return the engines of a generation, or why it is refused."""
-        decoders = [engine for engine in engines if engine.stage is Stage.DECODE]
-        if not decoders:
-            return Refused("no decode engine", MIN_RETRY_AFTER_S * 5)
-        decode = self._best_decoder(decoders, limits, own_zone=own_zone, now_s=now_s)
-        decode_wait_s = self._decode_wait_s(decode, limits, now_s=now_s)
-        plan = self._best_plan(demand.prompt, engines, limits, now_s=now_s)
-        if plan is None:
-            return self._place_without_prefill(demand, decode, now_s=now_s)
-        first_token_s = plan.done_s + decode_wait_s + FIRST_TOKEN_S
-        latest_s = self._latest_s(demand)
-        if first_token_s > latest_s:
-            return Refused(
-                "first token would come too late",
-                _retry_after_s(first_token_s - latest_s),
-                first_token_s,
-            )
-        return Placed(plan.engine, decode, plan.fetch_from, plan.read_s, first_token_s)
+    ) -> ReadPlan | None:
+        """Return where the prompt would be read first.
+
+        Decode engines read prompts only if there is no prefill engine.
+        """
+        readers = [engine for engine in engines if engine.stage is Stage.PREFILL]
+        if not readers:
+            return self._best_local_plan(prompt, engines, now_s=now_s)
+        plans = [
+            self._plan(prompt, reader, engines, limits, now_s=now_s)
+            for reader in readers
+        ]
+        return min(plans, key=lambda plan: plan.done_s)
+
+    def mean_backlog_s(self, engines: Sequence[Replica], *, now_s: float) -> float:
+        """Return the mean time that engines need for prompts sent to them."""
+        readers = [e for e in engines if e.stage is Stage.PREFILL] or list(engines)
+        if not readers:
+            return 0.0
+        total = sum(
+            self._ledger.backlog_s(reader.replica_id, now_s=now_s) for reader in readers
+        )
+        return total / len(readers)
 
     def decoder(
         self,
         engines: Sequence[Replica],
         limits: EngineLimits,
         *,
-        own_zone: str,
+        zone: str,
         now_s: float,
     ) -> Replica | None:
-        """Return the decode engine with the most room."""
+        """Return the decode engine with the most room, the same zone first."""
         decoders = [engine for engine in engines if engine.stage is Stage.DECODE]
-        if not decoders:
-            return None
-        return self._best_decoder(decoders, limits, own_zone=own_zone, now_s=now_s)
-
-    def _latest_s(self, demand: Demand) -> float:
-        return demand.remaining_s * DEADLINE_SHARE
 
-    def _best_decoder(
-        self,
-        decoders: Sequence[Replica],
-        limits: EngineLimits,
-        *,
-        own_zone: str,
-        now_s: float,
-    ) -> Replica:
         def rank(engine: Replica) -> tuple[float, bool, str]:
-            work = self._ledger.total(engine.replica_id, now_s=now_s)
-            slots = max(1, engine.slots or limits.slots)
-            fill = max(work.running / slots, work.tokens / limits.kv_tokens)
-            return (
-                round(fill, 1),
-                engine.availability_zone != own_zone,
-                engine.address,
-            )
+            fill = self.decode_fill(engine, limits, now_s=now_s)
+            return (round(fill, 1), engine.availability_zone != zone, engine.address)
 
-        return min(decoders, key=rank)
+        return min(decoders, key=rank, default=None)
 
-    def _decode_wait_s(
-        self, decode: Replica, limits: EngineLimits, *, now_s: float
+    def decode_fill(
+        self, engine: Replica, limits: EngineLimits, *, now_s: float
     ) -> float:
-        """Return the wait for a slot, as if streams ended evenly over a second."""
-        running = self._ledger.total(decode.replica_id, now_s=now_s).running
-        slots = max(1, decode.slots or limits.slots)
-        return max(0, running + 1 - slots) / slots
-
-    def _best_plan(
-        self,
-        prompt: Prompt,
-        engines: Sequence[Replica],
-        limits: EngineLimits,
-        *,
-        now_s: float,
-    ) -> _ReadPlan | None:
-        best = None
-        for engine in engines:
-            if engine.stage is not Stage.PREFILL:
-                continue
-            plan = self._plan(prompt, engine, engines, limits, now_s=now_s)
-            if best is None or plan.done_s < best.done_s:
-                best = plan
-        return best
+        """Return the share of an engine's slots or memory that runs take."""
+        work = self._ledger.total(engine.replica_id, now_s=now_s)
+        slots = max(1, engine.slots or limits.slots)
+        return max(work.running / slots, work.tokens / limits.kv_tokens)
 
     def _plan(
         self,
@@ -198,21 +139,20 @@
         limits: EngineLimits,
         *,
         now_s: float,
-    ) -> _ReadPlan:
-        wait_s = self._ledger.total(engine.replica_id, now_s=now_s).read_s
+    ) -> ReadPlan:
+        wait_s = self._ledger.backlog_s(engine.replica_id, now_s=now_s)
+        factor = self._factors.factor(engine.replica_id)
         cached = self._cached(engine, prompt, now_s=now_s)
         source, source_tokens = self._best_source(prompt, engine, engines, now_s=now_s)
         if source is None or source_tokens < cached + MIN_FETCH_TOKENS:
             cost_s = read_s(prompt.input_tokens - cached, cached, self._speed)
-            return _ReadPlan(engine, None, wait_s, cost_s)
+            return ReadPlan(engine, None, wait_s, cost_s * factor)
         same_zone = source.availability_zone == engine.availability_zone
         moved_s = transfer_s(
             source_tokens - cached, limits, same_zone=same_zone, speed=self._speed
         )
-        cost_s = moved_s + read_s(
-            prompt.input_tokens - source_tokens, source_tokens, self._speed
-        )
-        return _ReadPlan(engine, source, wait_s, cost_s)
+        cost_s = read_s(prompt.input_tokens - source_tokens, source_tokens, self._speed)
+        return ReadPlan(engine, source, wait_s, moved_s + cost_s * factor)
 
     def _best_source(
         self,
@@ -238,24 +178,15 @@
         )
         return min(tokens, prompt.input_tokens)
 
-    def _place_without_prefill(
-        self, demand: Demand, decode: Replica, *, now_s: float
-    ) -> Placed | Refused:
-        """Let a decode engine read the prompt when there is no prefill engine."""
-        prompt = demand.prompt
-        cached = self._cached(decode, prompt, now_s=now_s)
-        cost_s = local_read_s(prompt.input_tokens - cached, cached, self._speed)
-        wait_s = self._ledger.total(decode.replica_id, now_s=now_s).read_s
-        first_token_s = wait_s + cost_s + FIRST_TOKEN_S
-        latest_s = self._latest_s(demand)
-        if first_token_s > latest_s:
-            return Refused(
-                "no prefill engine and first token would come too late",
-                _retry_after_s(first_token_s - latest_s),
-                first_token_s,
-            )
-        return Placed(None, decode, None, cost_s, first_token_s)
-
-
-def _retry_after_s(excess_s: float) -> float:
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s))
+    def _best_local_plan(
+        self, prompt: Prompt, engines: Sequence[Replica], *, now_s: float
+    ) -> ReadPlan | None:
+        plans = []
+        for engine in engines:
+            if engine.stage is not Stage.DECODE:
+                continue
+            cached = self._cached(engine, prompt, now_s=now_s)
+            cost_s = local_read_s(prompt.input_tokens - cached, cached, self._speed)
+            wait_s = self._ledger.backlog_s(engine.replica_id, now_s=now_s)
+            plans.append(ReadPlan(engine, None, wait_s, cost_s, local=True))
+        return min(plans, key=lambda plan: plan.done_s, default=None)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/refusal.py
@@ -0,0 +1,35 @@
+"""Refusal of generations that can't be served in time."""
+
+from dataclasses import dataclass
+
+DEADLINE_SHARE = 0.7
+"""Share of the remaining time in which the first event is accepted to come.
+
+The rest is for the output and for estimates that are too low.
+"""
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 2.0
+"""Bursts on the deployment sheets take turns every 2.8 s."""
+
+
+@dataclass(frozen=True)
+class Refused:
+    """Say why a request is refused, and when a place is likely."""
+
+    reason: str
+    retry_after_s: float
+    first_event_s: float | None = None
+
+
+def refuse_if_late(first_event_s: float, remaining_s: float) -> Refused | None:
+    """Refuse a request whose first event is expected too late for its caller."""
+    latest_s = remaining_s * DEADLINE_SHARE
+    if first_event_s <= latest_s:
+        return None
+    excess_s = first_event_s - latest_s
+    return Refused(
+        "first event would come too late",
+        min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, excess_s)),
+        first_event_s,
+    )
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -0,0 +1,150 @@
+"""Waiting of prompts at this host until an engine has room."""
+
+import itertools
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import AsyncResult
+
+from persimmonyoke.internal.dispatch.loads import PromptJob
+from persimmonyoke.internal.dispatch.placement import (
+    FIRST_EVENT_S,
+    OPEN_BACKLOG_S,
+    ReadPlan,
+)
+from persimmonyoke.internal.dispatch.queue import PromptQueue, WaitingPrompt
+from persimmonyoke.internal.dispatch.refusal import Refused, refuse_if_late
+from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica
+from persimmonyoke.internal.gateway.state import GatewayState
+
+PUMP_INTERVAL_S = 0.015
+"""Interval at which waiting prompts are tried beside the ends of others."""
+
+RETRY_AFTER_NO_ENGINE_S = 0.5
+RETRY_AFTER_GIVEN_UP_S = 0.5
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """Hold the plan of an admitted prompt and its entry in the ledger."""
+
+    plan: ReadPlan
+    job: PromptJob
+
+
+@dataclass(frozen=True)
+class Demand:
+    """Hold what a generation needs and until when; times are monotonic."""
+
+    prompt: Prompt
+    limits: EngineLimits
+    target_s: float
+    deadline_s: float
+    value: float
+    engines: Callable[[], Sequence[Replica]]
+
+
+class AdmissionGate:
+    """Admit prompts in the order of the queue as engines have room."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._queue = PromptQueue()
+        self._waiters: dict[int, AsyncResult] = {}
+        self._demands: dict[int, Demand] = {}
+        self._keys = itertools.count(1)
+        self._pumping = False
+
+    @property
+    def queued_s(self) -> float:
+        """Return the reading time of the prompts that wait here."""
+        return self._queue.queued_s
+
+    def admit(
+        self, demand: Demand, on_cancel: Callable[[Callable[[], None]], None]
+    ) -> Admitted | Refused | None:
+        """Wait for an engine; ``None`` if the client left meanwhile."""
+        now_s = time.monotonic()
+        plan = self._plan(demand, now_s)
+        if plan is None:
+            return Refused("no engine", RETRY_AFTER_NO_ENGINE_S)
+        refused = refuse_if_late(
+            self._expected_s(demand, plan, now_s), demand.deadline_s - now_s
+        )
+        if refused is not None:
+            return refused
+        key = next(self._keys)
+        waiter = AsyncResult()
+        self._waiters[key] = waiter
+        self._demands[key] = demand
+        self._queue.add(
+            WaitingPrompt(
+                key=key,
+                target_s=demand.target_s,
+                deadline_s=demand.deadline_s,
+                read_s=plan.read_s,
+                fixed_s=FIRST_EVENT_S,
+                value=demand.value,
+            )
+        )
+        on_cancel(lambda: self._settle(key, None))
+        self.pump()
+        if not waiter.ready():
+            self._start_timer()
+        return waiter.get()
+
+    def pump(self) -> None:
+        """Admit waiting prompts while engines have room."""
+        now_s = time.monotonic()
+        for prompt in self._queue.hopeless(now_s):
+            self._settle(
+                prompt.key,
+                Refused("waited for an engine in vain", RETRY_AFTER_GIVEN_UP_S),
+            )
+        while (prompt := self._queue.best(now_s)) is not None:
+            plan = self._plan(self._demands[prompt.key], now_s)
+            if plan is None:
+                self._settle(prompt.key, Refused("no engine", RETRY_AFTER_NO_ENGINE_S))
+                continue
+            if plan.wait_s > OPEN_BACKLOG_S:
+                return
+            job = self._state.ledger.begin_read(
+                plan.engine.replica_id, plan.read_s, now_s=now_s
+            )
+            self._queue.note_placed(prompt, now_s)
+            self._settle(prompt.key, Admitted(plan, job))
+
+    def _plan(self, demand: Demand, now_s: float) -> ReadPlan | None:
+        return self._state.placement.read_plan(
+            demand.prompt, demand.engines(), demand.limits, now_s=now_s
+        )
+
+    def _expected_s(self, demand: Demand, plan: ReadPlan, now_s: float) -> float:
+        """Return when the first event is expected if all that waits goes first."""
+        state, engines = self._state, demand.engines()
+        readers = max(1, sum(1 for e in engines if e.stage is plan.engine.stage))
+        queued_s = self.queued_s + state.ledger.peers_queued_s(now_s=now_s)
+        backlog_s = state.placement.mean_backlog_s(engines, now_s=now_s)
+        return queued_s / readers + backlog_s + plan.read_s + FIRST_EVENT_S
+
+    def _settle(self, key: int, result: Admitted | Refused | None) -> None:
+        self._queue.remove(key)
+        self._demands.pop(key, None)
+        waiter = self._waiters.pop(key, None)
+        if waiter is not None:
+            waiter.set(result)
+
+    def _start_timer(self) -> None:
+        if not self._pumping:
+            self._pumping = True
+            gevent.spawn(self._pump_until_empty)
+
+    def _pump_until_empty(self) -> None:
+        try:
+            while len(self._queue):
+                gevent.sleep(PUMP_INTERVAL_S)
+                self.pump()
+        finally:
+            self._pumping = False
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -37,6 +37,7 @@
     config_version: int
     work: dict[str, ReplicaWork]
     placements: tuple[tuple[str, str], ...]
+    queued_ms: int = 0
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -54,6 +55,7 @@
             message.config_version,
             work,
             placements,
+            message.queued_ms,
         ]
     )
 
@@ -61,7 +63,9 @@
 def decode_message(raw: bytes) -> PeerMessage:
     """Return the message of a datagram; raise ``ProtocolError``."""
     try:
-        version, host, ready, config_version, work, placements = cbor2.loads(raw)
+        version, host, ready, config_version, work, placements, queued_ms = cbor2.loads(
+            raw
+        )
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -73,6 +77,7 @@
                 for replica_id, (ms, running, tokens) in work.items()
             },
             placements=tuple((str(part), str(engine)) for part, engine in placements),
+            queued_ms=int(queued_ms),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
@@ -112,7 +117,7 @@
 
     def _message(self) -> PeerMessage:
         state = self._state
-        work = state.ledger.own()
+        work = state.ledger.own(now_s=time.monotonic())
         if len(work) > MAX_REPLICAS:
             busiest = sorted(work, key=lambda r: work[r].read_s, reverse=True)
             work = {
@@ -125,6 +130,7 @@
             config_version=configuration.version if configuration else 0,
             work=work,
             placements=tuple(state.new_placements[:MAX_PLACEMENTS]),
+            queued_ms=int(state.queued_s() * 1_000),
         )
 
     def _send(self, message: PeerMessage, now_s: float) -> None:
@@ -159,6 +165,12 @@
             return
         peer = PeerState(now_s, message.ready, message.config_version)
         state.hosts.note_peer(message.host, peer)
-        state.ledger.note_peer(message.host, message.work, now_s=now_s)
+        state.ledger.note_peer(
+            message.host,
+            message.work,
+            queued_s=message.queued_ms / 1_000,
+            now_s=now_s,
+        )
         for part_id, replica_id in message.placements:
             state.prefixes.note_part(replica_id, part_id, now_s=now_s)
+        state.on_peer_work()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -122,11 +122,11 @@
     def _send(self, exchange: Exchange, replica: Replica) -> SendOutcome:
         started_s = time.monotonic()
         exchange.sends += 1
-        self._state.ledger.add(replica.replica_id, running=1)
+        self._state.ledger.begin_run(replica.replica_id)
         try:
             outcome = self._call(exchange, replica)
         finally:
-            self._state.ledger.add(replica.replica_id, running=-1)
+            self._state.ledger.end_run(replica.replica_id)
         result = {Answered: "answered", Lost: "lost"}.get(type(outcome), "not_run")
         if isinstance(outcome, NotRun) and not outcome.sent:
             result = "not_connected"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -5,19 +5,23 @@
 
 import gevent
 
-from persimmonyoke.internal.dispatch.placement import Placed
+from persimmonyoke.internal.dispatch.placement import ReadPlan
 from persimmonyoke.internal.fleet.interfaces import (
     PrefillResult,
     RawCall,
     UpstreamCall,
 )
 from persimmonyoke.internal.fleet.model import Replica, Stage
+from persimmonyoke.internal.gateway.admission import Admitted
 from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
 
 RELEASE_TIMEOUT_S = 1.0
+PREFILL_FIXED_S = 0.05
+"""Time of a prefill call beside the reading, on an idle engine."""
+
 _OK, _MISDIRECTED = 200, 421
 
 
@@ -50,18 +54,15 @@
         self._caller = UpstreamCaller(state)
 
     def read(
-        self, exchange: Exchange, placed: Placed, *, deadline_s: float
+        self, exchange: Exchange, admitted: Admitted, *, deadline_s: float
     ) -> PromptRead | PromptNotRead:
         """Have the prompt of a request read on the chosen engine."""
-        engine = placed.prefill
-        assert engine is not None
         started_s = time.monotonic()
-        self._state.ledger.add(engine.replica_id, read_s=placed.read_s, running=1)
         try:
-            outcome = self._call(exchange, placed, engine, deadline_s)
+            outcome = self._call(exchange, admitted.plan, deadline_s)
         finally:
-            self._state.ledger.add(engine.replica_id, read_s=-placed.read_s, running=-1)
-        self._note(exchange, engine, outcome, started_s)
+            self._state.ledger.end_read(admitted.job)
+        self._note(exchange, admitted.plan, outcome, started_s)
         return outcome
 
     def release(self, read: PromptRead) -> None:
@@ -70,16 +71,16 @@
         gevent.spawn(self._release, read)
 
     def _call(
-        self, exchange: Exchange, placed: Placed, engine: Replica, deadline_s: float
+        self, exchange: Exchange, plan: ReadPlan, deadline_s: float
     ) -> PromptRead | PromptNotRead:
-        state, request = self._state, exchange.request
+        state, request, engine = self._state, exchange.request, plan.engine
         headers = state.wire.request_headers(
             request.headers,
             UpstreamCall(
                 replica_id=engine.replica_id,
                 deadline_ms=exchange.deadline_ms,
                 stage=Stage.PREFILL,
-                kv_fetch=placed.fetch_from.address if placed.fetch_from else None,
+                kv_fetch=plan.fetch_from.address if plan.fetch_from else None,
             ),
         )
         call = RawCall(request.method, request.target, headers, request.body)
@@ -110,19 +111,34 @@
     def _note(
         self,
         exchange: Exchange,
-        engine: Replica,
+        plan: ReadPlan,
         outcome: PromptRead | PromptNotRead,
         started_s: float,
     ) -> None:
-        now_s = time.monotonic()
+        replica_id = plan.engine.replica_id
+        elapsed_s = time.monotonic() - started_s
         if isinstance(outcome, PromptRead):
             result = "answered"
-            self._state.metrics.prefill.observe(now_s - started_s)
+            self._state.metrics.prefill.observe(elapsed_s)
+            self._learn_speed(plan, elapsed_s)
         else:
             result = "not_run" if outcome.sent else "not_connected"
-        exchange.note("prefill", engine.replica_id, result, started_s)
+        exchange.note("prefill", replica_id, result, started_s)
         self._state.metrics.sends.add(stage="prefill", result=result)
 
+    def _learn_speed(self, plan: ReadPlan, elapsed_s: float) -> None:
+        """Learn from a prompt that had its engine for itself."""
+        factors, replica_id = self._state.factors, plan.engine.replica_id
+        left_s = self._state.ledger.backlog_s(replica_id, now_s=time.monotonic())
+        if plan.wait_s > 0 or left_s > 0 or plan.fetch_from is not None:
+            return
+        expected_s = plan.read_s / factors.factor(replica_id)
+        factors.note(
+            replica_id,
+            expected_s=expected_s,
+            actual_s=elapsed_s - PREFILL_FIXED_S,
+        )
+
     def _release(self, read: PromptRead) -> None:
         call = self._state.wire.release_handle(read.result.handle)
         work = Work()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
@@ -9,7 +10,9 @@
 from persimmonyoke.internal.dispatch.loads import WorkLedger
 from persimmonyoke.internal.dispatch.placement import Placement
 from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
+from persimmonyoke.internal.dispatch.queue import RouteSizes
 from persimmonyoke.internal.dispatch.routes import RouteTable
+from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.hosts import HostView
 from persimmonyoke.internal.fleet.interfaces import UpstreamWire
 from persimmonyoke.internal.fleet.model import (
@@ -62,7 +65,11 @@
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
         self.prefixes = PrefixIndex()
-        self.placement = Placement(self.ledger, self.prefixes, DEFAULT_SPEED)
+        self.factors = EngineFactors()
+        self.sizes = RouteSizes()
+        self.placement = Placement(
+            self.ledger, self.prefixes, self.factors, DEFAULT_SPEED
+        )
         self.pool = ConnectionPool()
         self.draining = False
         self.retry_budget = RetryBudget(
@@ -71,6 +78,8 @@
             floor=int(settings.retry_slack * 0.8 / EXPECTED_HOSTS),
         )
         self.new_placements: list[tuple[str, str]] = []
+        self.queued_s: Callable[[], float] = lambda: 0.0
+        self.on_peer_work: Callable[[], None] = lambda: None
 
     @property
     def ready(self) -> bool:
@@ -136,6 +145,7 @@
         self.pool.drop_replica(replica)
         self.health.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
+        self.factors.forget(replica.replica_id)
 
     def note_placement(
         self, replica: Replica, part_ids: list[str], *, now_s: float
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 
 from persimmonyoke.errors import ErrorKind, RequestError
-from persimmonyoke.internal.dispatch.placement import Demand, Placed, Refused
+from persimmonyoke.internal.dispatch.refusal import Refused
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
+from persimmonyoke.internal.gateway.admission import AdmissionGate, Admitted, Demand
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
     NotConnected,
@@ -16,7 +17,6 @@
 from persimmonyoke.internal.gateway.exchange import ANSWER_MARGIN_S, Exchange
 from persimmonyoke.internal.gateway.prefill import (
     PrefillCaller,
-    PromptNotRead,
     PromptRead,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -30,6 +30,7 @@
 """
 
 RETRY_AFTER_REJECTED_S = 0.4
+RETRY_AFTER_NO_ENGINE_S = 0.5
 _OK, _MISDIRECTED = 200, 421
 
 
@@ -67,10 +68,13 @@
         self._state = state
         self._caller = UpstreamCaller(state)
         self._prefill = PrefillCaller(state)
+        self._gate = AdmissionGate(state)
+        state.queued_s = lambda: self._gate.queued_s
+        state.on_peer_work = self._gate.pump
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` or ``StreamBroken``."""
-        _StreamRun(self._state, self._caller, self._prefill, exchange).run()
+        _StreamRun(self._state, self._caller, self._prefill, self._gate, exchange).run()
 
 
 class _StreamRun:
@@ -81,16 +85,24 @@
         state: GatewayState,
         caller: UpstreamCaller,
         prefill: PrefillCaller,
+        gate: AdmissionGate,
         exchange: Exchange,
     ) -> None:
         self._state = state
         self._caller = caller
         self._prefill = prefill
+        self._gate = gate
         self._exchange = exchange
         self._excluded: set[str] = set()
         self._prefill_tries = 0
         self._last_event_id = exchange.metadata.last_event_id
         self._begun = False
+        prompt = exchange.metadata.prompt
+        self._value = 1.0
+        if prompt is not None:
+            self._value = state.sizes.value(
+                exchange.route.name, prompt.input_tokens, prompt.max_output_tokens
+            )
 
     def run(self) -> None:
         """Run the request until its answer is complete or given up."""
@@ -113,74 +125,77 @@
         if service.engine is None or prompt is None:
             return self._choose_plain(), None
         while True:
-            placed = self._place(prompt, service.engine)
-            if placed.prefill is None:
-                return placed.decode, None
-            read = self._read_prompt(placed)
+            admitted = self._admit(prompt, service.engine)
+            if admitted.plan.local:
+                self._state.ledger.end_read(admitted.job)
+                return admitted.plan.engine, None
+            read = self._read_prompt(admitted)
             if read is None:
                 continue
             decode = self._state.placement.decoder(
                 self._engines(),
                 service.engine,
-                own_zone=read.engine.availability_zone,
+                zone=read.engine.availability_zone,
                 now_s=time.monotonic(),
             )
             if decode is None:
                 self._prefill.release(read)
-                self._raise_not_served("no decode engine", 0.5)
+                self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
             return decode, read
 
-    def _read_prompt(self, placed: Placed) -> PromptRead | None:
+    def _read_prompt(self, admitted: Admitted) -> PromptRead | None:
         """Have the prompt read; ``None`` if another engine may be tried."""
-        exchange = self._exchange
-        assert placed.prefill is not None
+        exchange, engine = self._exchange, admitted.plan.engine
         if self._prefill_tries and not self._state.retry_budget.try_spend(
             time.monotonic()
         ):
+            self._state.ledger.end_read(admitted.job)
             self._raise_not_served("retry budget is spent", RETRY_AFTER_REJECTED_S)
-        outcome = self._prefill.read(
-            exchange, placed, deadline_s=exchange.deadline_s - ANSWER_MARGIN_S
-        )
+        try:
+            outcome = self._prefill.read(
+                exchange, admitted, deadline_s=exchange.deadline_s - ANSWER_MARGIN_S
+            )
+        finally:
+            self._gate.pump()
         if isinstance(outcome, PromptRead):
             self._prefill_tries += 1
-            self._note_placement(placed)
+            self._note_placement(engine)
             return outcome
-        assert isinstance(outcome, PromptNotRead)
-        self._excluded.add(placed.prefill.replica_id)
+        self._excluded.add(engine.replica_id)
         if outcome.sent:
             self._prefill_tries += 1
         if self._prefill_tries >= MAX_PREFILL_TRIES or exchange.remaining_s < 0.1:
             self._raise_not_served(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
 
-    def _note_placement(self, placed: Placed) -> None:
+    def _note_placement(self, engine: Replica) -> None:
         prompt = self._exchange.metadata.prompt
-        assert prompt is not None and placed.prefill is not None
+        assert prompt is not None
         part_ids = [part.part_id for part in prompt.parts]
-        now_s = time.monotonic()
-        self._state.note_placement(placed.prefill, part_ids, now_s=now_s)
+        self._state.note_placement(engine, part_ids, now_s=time.monotonic())
 
-    def _place(self, prompt: Prompt, limits: EngineLimits) -> Placed:
+    def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
         exchange = self._exchange
-        engines = self._engines()
-        remaining_s = exchange.remaining_s - ANSWER_MARGIN_S
-        if self._begun:
-            # A stream that has begun is worth finishing late.
-            target_s = remaining_s
-        else:
-            target_s = exchange.route.target_latency_s
-        decision = self._state.placement.place(
-            Demand(prompt, target_s, remaining_s),
-            engines,
-            limits,
-            own_zone=self._state.settings.availability_zone,
-            now_s=time.monotonic(),
+        if not any(engine.stage is Stage.DECODE for engine in self._engines()):
+            self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
+        target_s = exchange.started_s + exchange.route.target_latency_s
+        deadline_s = exchange.deadline_s - ANSWER_MARGIN_S
+        demand = Demand(
+            prompt=prompt,
+            limits=limits,
+            # A stream that has begun is late anyway and is finished before others.
+            target_s=deadline_s if self._begun else target_s,
+            deadline_s=deadline_s,
+            value=self._value,
+            engines=self._engines,
         )
-        if isinstance(decision, Refused):
-            exchange.estimate_s = decision.first_token_s
-            self._raise_not_served(decision.reason, decision.retry_after_s)
-        exchange.estimate_s = decision.first_token_s
-        return decision
+        admitted = self._gate.admit(demand, exchange.work.on_cancel)
+        exchange.work.check()
+        if isinstance(admitted, Refused):
+            exchange.estimate_s = admitted.first_event_s
+            self._raise_not_served(admitted.reason, admitted.retry_after_s)
+        assert admitted is not None
+        return admitted
 
     def _engines(self) -> list[Replica]:
         now_s = time.monotonic()
@@ -216,13 +231,13 @@
         prompt = exchange.metadata.prompt
         tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
         started_s = time.monotonic()
-        ledger.add(engine.replica_id, running=1, tokens=tokens)
+        ledger.begin_run(engine.replica_id, tokens)
         used = False
         try:
             outcome = self._call(engine, read)
             used = not isinstance(outcome, RunRejected)
         finally:
-            ledger.add(engine.replica_id, running=-1, tokens=-tokens)
+            ledger.end_run(engine.replica_id, tokens)
             if read is not None and not used:
                 self._prefill.release(read)
         self._note(engine, outcome, started_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -1,6 +1,7 @@
 """One call to one replica, matched to its answer by the request's id."""
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.interfaces import AnswerFacts, RawCall
@@ -23,10 +24,17 @@
     def __init__(self) -> None:
         self.cancelled = False
         self._connection: UpstreamConnection | None = None
+        self._on_cancel: Callable[[], None] | None = None
+
+    def on_cancel(self, callback: Callable[[], None]) -> None:
+        """Call back when the client leaves, in place of an earlier callback."""
+        self._on_cancel = callback
 
     def cancel(self) -> None:
-        """End the call that is under way, if any."""
+        """End the wait or the call that is under way, if any."""
         self.cancelled = True
+        if self._on_cancel is not None:
+            self._on_cancel()
         if self._connection is not None:
             self._connection.interrupt()
 
