--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
@@ -4,7 +4,7 @@
 one decode engine generates what five prefill engines read.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import Replica, Stage
@@ -13,11 +13,31 @@
 """Engines of which one decodes; the others read prompts."""
 
 ORDER_KEEP_S = 6.0
-"""Time after an order in which its engine gets no other one.
+"""Time in which an accepted order is expected to show in its engine's entry.
 
 A stage change takes 3 s on the deployment sheets, and its entry is up to 2 s late.
 """
 
+REPEAT_S = 0.5
+"""Time after which an order without an answer is sent again.
+
+The engine carries out at most one of both, since both name the same sequence.
+"""
+
+
+@dataclass(frozen=True)
+class SentOrder:
+    """Hold the last order of an engine; ``accepted`` is false without an answer."""
+
+    stage: Stage
+    sent_s: float
+    accepted: bool
+
+    def pending(self, now_s: float) -> bool:
+        """Return whether the engine may still be about to change by this order."""
+        keep_s = ORDER_KEEP_S if self.accepted else REPEAT_S
+        return now_s - self.sent_s <= keep_s
+
 
 @dataclass(frozen=True)
 class StageChange:
@@ -36,49 +56,52 @@
 
 def plan_changes(
     engines: Sequence[Replica],
-    ordered_s: Mapping[str, float],
-    ordered_stage: Mapping[str, Stage],
+    orders: Mapping[str, SentOrder],
     *,
+    unreachable: Collection[str],
     now_s: float,
 ) -> list[StageChange]:
     """Return the changes that lead to the wanted stages.
 
-    ``ordered_s`` and ``ordered_stage`` hold the last order of each engine. An engine
-    whose change is under way counts with the stage that it was asked for.
+    ``orders`` holds the last order of each engine. An engine leaves the decode stage
+    only if enough others decode already: until a change is complete, nobody generates
+    in its place. Engines that can't be reached count as lost before their entries end.
     """
-    usable = [e for e in engines if not e.draining and e.stage is not None]
-    expected = {
-        e.replica_id: _expected_stage(e, ordered_s, ordered_stage, now_s=now_s)
+    usable = [
+        e
+        for e in engines
+        if not e.draining and e.stage is not None and e.replica_id not in unreachable
+    ]
+    pending = {
+        e.replica_id: orders[e.replica_id].stage
         for e in usable
+        if e.replica_id in orders
+        and orders[e.replica_id].stage is not e.stage
+        and orders[e.replica_id].pending(now_s)
     }
-    free = [
-        e for e in usable if now_s - ordered_s.get(e.replica_id, -1e9) > ORDER_KEEP_S
-    ]
-    decoding = sum(1 for stage in expected.values() if stage is Stage.DECODE)
-    surplus = decoding - decoders_wanted(len(usable))
-    if surplus > 0:
-        return _changes(free, expected, Stage.PREFILL, surplus)
-    return _changes(free, expected, Stage.DECODE, -surplus)
-
-
-def _expected_stage(
-    engine: Replica,
-    ordered_s: Mapping[str, float],
-    ordered_stage: Mapping[str, Stage],
-    *,
-    now_s: float,
-) -> Stage | None:
-    if now_s - ordered_s.get(engine.replica_id, -1e9) <= ORDER_KEEP_S:
-        return ordered_stage.get(engine.replica_id, engine.stage)
-    return engine.stage
+    free = [e for e in usable if e.replica_id not in pending]
+    decoding = [e for e in free if e.stage is Stage.DECODE]
+    becoming = [r for r, stage in pending.items() if stage is Stage.DECODE]
+    wanted = decoders_wanted(len(usable))
+    missing = wanted - len(decoding) - len(becoming)
+    if missing > 0:
+        readers = [e for e in free if e.stage is not Stage.DECODE]
+        return _changes(readers, orders, Stage.DECODE, missing)
+    return _changes(decoding, orders, Stage.PREFILL, len(decoding) - wanted)
 
 
 def _changes(
-    free: Sequence[Replica],
-    expected: Mapping[str, Stage | None],
+    candidates: Sequence[Replica],
+    orders: Mapping[str, SentOrder],
     stage: Stage,
     count: int,
 ) -> list[StageChange]:
-    candidates = [e for e in free if expected[e.replica_id] is not stage]
-    candidates.sort(key=lambda e: e.replica_id)
-    return [StageChange(engine, stage) for engine in candidates[:count]]
+    """Choose engines, first those that may have got the same order already."""
+
+    def rank(engine: Replica) -> tuple[bool, str]:
+        order = orders.get(engine.replica_id)
+        unanswered = order is not None and order.stage is stage and not order.accepted
+        return (not unanswered, engine.replica_id)
+
+    chosen = sorted(candidates, key=rank)[: max(0, count)]
+    return [StageChange(engine, stage) for engine in chosen]
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
@@ -0,0 +1,64 @@
+"""Test the plan of the stages of engines."""
+
+import unittest
+
+from persimmonyoke.internal.dispatch.stages import (
+    ORDER_KEEP_S,
+    REPEAT_S,
+    SentOrder,
+    plan_changes,
+)
+from persimmonyoke.internal.fleet.model import Stage
+from persimmonyoke_testing.builders_fleet import engine
+
+DECODE, PREFILL = Stage.DECODE, Stage.PREFILL
+
+
+def planned(engines, orders=None, *, unreachable=(), now_s=100.0):
+    changes = plan_changes(
+        engines, orders or {}, unreachable=set(unreachable), now_s=now_s
+    )
+    return [(change.replica.replica_id, change.stage) for change in changes]
+
+
+class PlanTest(unittest.TestCase):
+    def test_a_fleet_that_starts_with_three_decoders_keeps_one(self):
+        engines = [engine(f"e{i}", DECODE if i < 3 else PREFILL) for i in range(6)]
+        self.assertEqual(planned(engines), [("e0", PREFILL), ("e1", PREFILL)])
+
+    def test_the_last_decode_engine_stays_until_its_replacement_decodes(self):
+        # A restarted decode engine was sent to prefill while the engine ordered in its
+        # place was still changing, and nobody generated for seconds.
+        engines = [engine("new", DECODE), engine("other"), engine("third")]
+        orders = {"other": SentOrder(DECODE, 99.0, accepted=True)}
+        self.assertEqual(planned(engines, orders), [])
+
+    def test_a_leaving_decode_engine_is_replaced_before_it_has_left(self):
+        engines = [engine("old", DECODE, draining=True), engine("e1"), engine("e2")]
+        self.assertEqual(planned(engines), [("e1", DECODE)])
+
+    def test_an_unreachable_decode_engine_is_replaced_before_its_entry_ends(self):
+        engines = [engine("dark", DECODE), engine("e1"), engine("e2")]
+        self.assertEqual(planned(engines, unreachable=["dark"]), [("e1", DECODE)])
+
+    def test_an_order_without_answer_is_repeated_to_the_same_engine(self):
+        # Engines carry such orders out up to twelve seconds later, or never.
+        engines = [engine("e1"), engine("e2")]
+        orders = {"e2": SentOrder(DECODE, 100.0, accepted=False)}
+        self.assertEqual(planned(engines, orders, now_s=100.0 + REPEAT_S / 2), [])
+        repeated = planned(engines, orders, now_s=100.1 + REPEAT_S)
+        self.assertEqual(repeated, [("e2", DECODE)])
+
+    def test_an_accepted_order_is_not_repeated_while_the_engine_changes(self):
+        engines = [engine("e1"), engine("e2")]
+        orders = {"e2": SentOrder(DECODE, 100.0, accepted=True)}
+        self.assertEqual(planned(engines, orders, now_s=100.0 + ORDER_KEEP_S), [])
+        late = planned(engines, orders, now_s=100.1 + ORDER_KEEP_S)
+        self.assertEqual(len(late), 1)
+
+    def test_a_fleet_without_engines_needs_no_change(self):
+        self.assertEqual(planned([]), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -1,11 +1,16 @@
 """The duty of the one host that orders engines to change their stage."""
 
 import time
+from collections.abc import Sequence
 
 import gevent
 
 from persimmonyoke.errors import LeaseEnded, StoreUnavailable
-from persimmonyoke.internal.dispatch.stages import StageChange, plan_changes
+from persimmonyoke.internal.dispatch.stages import (
+    SentOrder,
+    StageChange,
+    plan_changes,
+)
 from persimmonyoke.internal.fleet.interfaces import (
     EngineReport,
     FleetStore,
@@ -23,13 +28,16 @@
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
 
-STEP_S = 0.5
+STEP_S = 0.25
 RENEW_S = 0.9
 """Three renewals in a lease of three seconds."""
 
 BLIND_ACQUIRE_S = 6.0
 """Interval of attempts although the key seems held; its removal may go unseen."""
 
+SETTLE_S = 1.5
+"""Time without a new engine after which the registered ones are taken for all."""
+
 CALL_TIMEOUT_S = 0.4
 """Engines answer reports and orders within a few milliseconds."""
 
@@ -51,8 +59,10 @@
         self._caller = UpstreamCaller(state)
         self._holder = state.settings.host_name
         self._term = OrderTerm(self._holder, lease_s=state.settings.lease_s)
-        self._ordered_s: dict[str, float] = {}
-        self._ordered_stage: dict[str, Stage] = {}
+        self._orders: dict[str, SentOrder] = {}
+        self._known_engines: set[str] = set()
+        self._engine_added_s = 0.0
+        self._had_decoder = False
         self._known_holder: str | None = None
         self._next_attempt_s = 0.0
         self._renewed_s = 0.0
@@ -65,7 +75,11 @@
 
     def note_record(self, record: OrderRecord) -> None:
         """Note the last announced order."""
-        self._term.note_record(record, time.monotonic())
+        now_s = time.monotonic()
+        self._term.note_record(record, now_s)
+        self._state.changing[record.replica_id] = (Stage(record.stage), now_s)
+        if record.stage == Stage.DECODE.value:
+            self._state.outlook.note(record.replica_id, now_s=now_s)
 
     def run(self) -> None:
         """Carry out the duty for as long as the process runs."""
@@ -114,7 +128,7 @@
             return
         self._renewed_s = now_s
         self._term.acquired(fencing_number=fencing_number, lease_id=lease_id, sent=sent)
-        self._ordered_s.clear()
+        self._orders.clear()
         record = self._term.record
         self._state.journal.event(
             "order_term",
@@ -153,15 +167,55 @@
                 for replica in self._state.replicas.all()
                 if replica.service == service.name
             ]
+            unreachable = self._confirm_unreachable(engines)
+            if not self._settled(engines, unreachable):
+                continue
             changes = plan_changes(
                 engines,
-                self._ordered_s,
-                self._ordered_stage,
+                self._orders,
+                unreachable=unreachable,
                 now_s=time.monotonic(),
             )
             for change in changes:
                 self._order(change)
 
+    def _settled(self, engines: Sequence[Replica], unreachable: set[str]) -> bool:
+        """Return whether the engines are known well enough to plan their stages.
+
+        Engines register one after the other; a plan for the first few would be undone
+        at once. The loss of the last decode engine is answered without delay.
+        """
+        now_s = time.monotonic()
+        known = {engine.replica_id for engine in engines}
+        if known - self._known_engines:
+            self._engine_added_s = now_s
+        self._known_engines |= known
+        decoding = any(
+            e.stage is Stage.DECODE
+            and not e.draining
+            and e.replica_id not in unreachable
+            for e in engines
+        )
+        if not decoding and self._had_decoder:
+            return True
+        self._had_decoder = self._had_decoder or decoding
+        return now_s - self._engine_added_s >= SETTLE_S
+
+    def _confirm_unreachable(self, engines: Sequence[Replica]) -> set[str]:
+        """Return the decode engines that do not answer a report either.
+
+        Their entries end seconds later, and without one nothing is generated.
+        """
+        now_s, health = time.monotonic(), self._state.health
+        suspects = [
+            engine
+            for engine in engines
+            if engine.stage is Stage.DECODE
+            and not engine.draining
+            and health.paused(engine.replica_id, now_s)
+        ]
+        return {e.replica_id for e in suspects if self._report(e) is None}
+
     def _order(self, change: StageChange) -> None:
         replica = change.replica
         report = self._report(replica)
@@ -180,9 +234,11 @@
         if not self._term.may_send(announced, read_clocks()):
             self._state.journal.event("order_too_late", replica=replica.replica_id)
             return
-        self._ordered_s[replica.replica_id] = time.monotonic()
-        self._ordered_stage[replica.replica_id] = change.stage
+        sent_s = time.monotonic()
         status = self._call(replica, self._state.wire.order_call(order))
+        self._orders[replica.replica_id] = SentOrder(
+            change.stage, sent_s, accepted=status in (_ACCEPTED, _HOLDS)
+        )
         self._state.metrics.orders.add(outcome=str(status))
         self._state.journal.event(
             "order",
@@ -206,7 +262,7 @@
         if written is None:
             self._lose("another host holds the key")
             return False
-        self._term.note_record(written, time.monotonic())
+        self.note_record(written)
         return True
 
     def _report(self, replica: Replica) -> EngineReport | None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -58,6 +58,8 @@
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` if it is not served."""
+        budget = self._state.retry_budget(exchange.service.name)
+        budget.note_first_attempt(time.monotonic())
         outcome = self._attempts(exchange)
         answer = outcome.answer
         exchange.first_event_s = time.monotonic()
@@ -105,7 +107,8 @@
             return False
         if exchange.remaining_s < route.target_latency_s / 4:
             return False
-        return self._state.retry_budget.try_spend(time.monotonic())
+        budget = self._state.retry_budget(exchange.service.name)
+        return budget.try_spend(time.monotonic())
 
     def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
         state = self._state
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -103,7 +103,8 @@
         if opened.head.status == _OK:
             result = state.wire.prefill_result(body)
         if result is None:
-            state.health.note_failure(engine.replica_id)
+            # An engine that changes its stage or leaves rejects prompts for a while.
+            state.health.note_unreachable(engine.replica_id, time.monotonic())
             return PromptNotRead(f"engine answered {opened.head.status}", sent=True)
         state.health.note_success(engine.replica_id)
         return PromptRead(engine, result)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -8,6 +8,7 @@
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
 from persimmonyoke.internal.dispatch.health import ReplicaHealth
 from persimmonyoke.internal.dispatch.loads import WorkLedger
+from persimmonyoke.internal.dispatch.outlook import DecoderOutlook
 from persimmonyoke.internal.dispatch.placement import Placement
 from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
 from persimmonyoke.internal.dispatch.queue import RouteSizes
@@ -20,6 +21,7 @@
     Configuration,
     HostEntry,
     Replica,
+    Stage,
 )
 from persimmonyoke.internal.fleet.replicas import (
     ReplicaChange,
@@ -40,6 +42,15 @@
 )
 """Limits until the first configuration is known, in which all requests get 503."""
 
+RETRY_MARGIN = 0.8
+"""Share of the budget that is used, since hosts count in windows of their own."""
+
+CHANGE_KEEP_S = 4.0
+"""Time for which an engine that was ordered to change gets no work.
+
+A change takes 3 s; an order may also never be carried out.
+"""
+
 EXPECTED_HOSTS = 6
 """Hosts among which the slack of the retry budget is divided at least."""
 
@@ -67,16 +78,14 @@
         self.prefixes = PrefixIndex()
         self.factors = EngineFactors()
         self.sizes = RouteSizes()
+        self.outlook = DecoderOutlook()
         self.placement = Placement(
             self.ledger, self.prefixes, self.factors, DEFAULT_SPEED
         )
         self.pool = ConnectionPool()
         self.draining = False
-        self.retry_budget = RetryBudget(
-            share=settings.retry_share * 0.8,
-            window_s=settings.retry_window_s,
-            floor=int(settings.retry_slack * 0.8 / EXPECTED_HOSTS),
-        )
+        self.changing: dict[str, tuple[Stage, float]] = {}
+        self._retry_budgets: dict[str, RetryBudget] = {}
         self.new_placements: list[tuple[str, str]] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
@@ -95,6 +104,29 @@
             return LIMITS_BEFORE_CONFIGURATION
         return self.configuration.limits
 
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return this host's share of the budget of sends beyond the first."""
+        budget = self._retry_budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            budget = self._retry_budgets[service] = RetryBudget(
+                share=settings.retry_share * RETRY_MARGIN,
+                window_s=settings.retry_window_s,
+                floor=int(settings.retry_slack * RETRY_MARGIN / EXPECTED_HOSTS),
+            )
+        return budget
+
+    def changes_stage(self, replica: Replica, now_s: float) -> bool:
+        """Return whether an engine was ordered to a stage that it has not reached."""
+        ordered = self.changing.get(replica.replica_id)
+        if ordered is None:
+            return False
+        stage, since_s = ordered
+        if stage is replica.stage or now_s - since_s > CHANGE_KEEP_S:
+            del self.changing[replica.replica_id]
+            return False
+        return True
+
     def own_entry(self) -> HostEntry:
         """Return the entry of this host."""
         return HostEntry(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -3,8 +3,12 @@
 import time
 from dataclasses import dataclass
 
+import gevent
+
 from persimmonyoke.errors import ErrorKind, RequestError
-from persimmonyoke.internal.dispatch.refusal import Refused
+from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
+from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_S
+from persimmonyoke.internal.dispatch.refusal import DEADLINE_SHARE, Refused
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
@@ -31,6 +35,10 @@
 
 RETRY_AFTER_REJECTED_S = 0.4
 RETRY_AFTER_NO_ENGINE_S = 0.5
+DECODER_POLL_S = 0.02
+HANDLE_KEEP_S = 4.5
+"""Engines keep the KV cache of a read prompt for five seconds on the sheets."""
+
 _OK, _MISDIRECTED = 200, 421
 
 
@@ -98,6 +106,8 @@
         self._last_event_id = exchange.metadata.last_event_id
         self._begun = False
         prompt = exchange.metadata.prompt
+        self._decoder_lost_s: float | None = None
+        self._budget = state.retry_budget(exchange.service.name)
         self._value = 1.0
         if prompt is not None:
             self._value = state.sizes.value(
@@ -107,6 +117,7 @@
     def run(self) -> None:
         """Run the request until its answer is complete or given up."""
         exchange = self._exchange
+        self._budget.note_first_attempt(time.monotonic())
         while True:
             engine, read = self._prepare()
             exchange.sends += 1
@@ -132,23 +143,50 @@
             read = self._read_prompt(admitted)
             if read is None:
                 continue
-            decode = self._state.placement.decoder(
-                self._engines(),
-                service.engine,
-                zone=read.engine.availability_zone,
-                now_s=time.monotonic(),
-            )
-            if decode is None:
-                self._prefill.release(read)
+            return self._decoder_for(read, service.engine), read
+
+    def _decoder_for(self, read: PromptRead, limits: EngineLimits) -> Replica:
+        """Return the engine to generate, once there is one."""
+        waited_until_s = time.monotonic() + HANDLE_KEEP_S
+        try:
+            while True:
+                decode = self._state.placement.decoder(
+                    self._engines(),
+                    limits,
+                    zone=read.engine.availability_zone,
+                    now_s=time.monotonic(),
+                )
+                if decode is not None:
+                    return decode
+                if time.monotonic() >= waited_until_s:
+                    break
+                self._await_decoder(limits)
+        except BaseException:
+            self._prefill.release(read)
+            raise
+        self._prefill.release(read)
+        self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
+
+    def _await_decoder(self, limits: EngineLimits) -> None:
+        """Wait for a moment if a decode engine may be there before it is too late."""
+        exchange, now_s = self._exchange, time.monotonic()
+        expected_s = self._state.outlook.expected_in_s(
+            stage_change_s=limits.stage_change_s, now_s=now_s
+        )
+        if expected_s is None:
+            if self._decoder_lost_s is None:
+                self._decoder_lost_s = now_s
+            if now_s - self._decoder_lost_s > ANNOUNCEMENT_WAIT_S:
                 self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
-            return decode, read
+        elif expected_s + FIRST_EVENT_S > exchange.remaining_s * DEADLINE_SHARE:
+            self._raise_not_served("decode engine comes too late", expected_s)
+        gevent.sleep(DECODER_POLL_S)
+        exchange.work.check()
 
     def _read_prompt(self, admitted: Admitted) -> PromptRead | None:
         """Have the prompt read; ``None`` if another engine may be tried."""
         exchange, engine = self._exchange, admitted.plan.engine
-        if self._prefill_tries and not self._state.retry_budget.try_spend(
-            time.monotonic()
-        ):
+        if self._prefill_tries and not self._budget.try_spend(time.monotonic()):
             self._state.ledger.end_read(admitted.job)
             self._raise_not_served("retry budget is spent", RETRY_AFTER_REJECTED_S)
         try:
@@ -176,8 +214,8 @@
 
     def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
         exchange = self._exchange
-        if not any(engine.stage is Stage.DECODE for engine in self._engines()):
-            self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
+        while not self._may_read(limits):
+            self._await_decoder(limits)
         target_s = exchange.started_s + exchange.route.target_latency_s
         deadline_s = exchange.deadline_s - ANSWER_MARGIN_S
         demand = Demand(
@@ -197,6 +235,15 @@
         assert admitted is not None
         return admitted
 
+    def _may_read(self, limits: EngineLimits) -> bool:
+        """Return whether a prompt that is read now can be generated from."""
+        if any(engine.stage is Stage.DECODE for engine in self._engines()):
+            return True
+        expected_s = self._state.outlook.expected_in_s(
+            stage_change_s=limits.stage_change_s, now_s=time.monotonic()
+        )
+        return expected_s is not None and expected_s < HANDLE_KEEP_S
+
     def _engines(self) -> list[Replica]:
         now_s = time.monotonic()
         usable = [
@@ -208,6 +255,7 @@
             engine
             for engine in usable
             if not self._state.health.paused(engine.replica_id, now_s)
+            and not self._state.changes_stage(engine, now_s)
         ]
         return healthy
 
@@ -272,13 +320,14 @@
             state.health.note_failure(engine.replica_id)
             return RunLost(str(error))
         if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
-            return self._rejected(opened)
+            return self._rejected(engine, opened)
         exchange.may_have_run = True
         return self._relay_answer(engine, opened)
 
-    def _rejected(self, opened: OpenAnswer) -> RunOutcome:
+    def _rejected(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
         exchange = self._exchange
         reason = f"engine answered {opened.head.status}"
+        self._state.health.note_unreachable(engine.replica_id, time.monotonic())
         try:
             self._caller.read_whole(
                 opened, exchange.work, deadline_s=time.monotonic() + 0.2
@@ -377,7 +426,7 @@
             return False
         if exchange.remaining_s < 0.1:
             return False
-        return self._state.retry_budget.try_spend(time.monotonic())
+        return self._budget.try_spend(time.monotonic())
 
     def _give_up(self, outcome: RunOutcome) -> None:
         assert not isinstance(outcome, RunEnded)
