--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
@@ -25,6 +25,51 @@
 """
 
 
+SETTLE_S = 1.5
+"""Time without a new engine after which the registered ones are taken for all."""
+
+
+class EngineWatch:
+    """Decide whether the engines of a service are known well enough for a plan.
+
+    Engines register one after the other, and a plan for the first few would be undone
+    at once. The loss of the last decode engine is answered without delay.
+    """
+
+    def __init__(self) -> None:
+        self._known: set[str] = set()
+        self._added_s = 0.0
+        self._had_decoder = False
+
+    def look(self, engines: Sequence[Replica], *, now_s: float) -> None:
+        """Note the engines that are registered now."""
+        known = {engine.replica_id for engine in engines}
+        if known - self._known:
+            self._added_s = now_s
+        self._known = known
+        self._had_decoder = self._had_decoder or any(
+            engine.stage is Stage.DECODE for engine in engines
+        )
+
+    def settled(
+        self,
+        engines: Sequence[Replica],
+        unreachable: Collection[str],
+        *,
+        now_s: float,
+    ) -> bool:
+        """Return whether a plan may be made."""
+        decoding = any(
+            engine.stage is Stage.DECODE
+            and not engine.draining
+            and engine.replica_id not in unreachable
+            for engine in engines
+        )
+        if self._had_decoder and not decoding:
+            return True
+        return now_s - self._added_s >= SETTLE_S
+
+
 @dataclass(frozen=True)
 class SentOrder:
     """Hold the last order of an engine; ``accepted`` is false without an answer."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
@@ -5,6 +5,8 @@
 from persimmonyoke.internal.dispatch.stages import (
     ORDER_KEEP_S,
     REPEAT_S,
+    SETTLE_S,
+    EngineWatch,
     SentOrder,
     plan_changes,
 )
@@ -60,5 +62,24 @@
         self.assertEqual(planned([]), [])
 
 
+class EngineWatchTest(unittest.TestCase):
+    def test_no_plan_is_made_while_engines_still_register(self):
+        # A plan for the first engine that registered ordered it to decode, and three
+        # more orders undid that.
+        watch = EngineWatch()
+        watch.look([engine("e1")], now_s=100.0)
+        self.assertFalse(watch.settled([engine("e1")], (), now_s=100.5))
+        watch.look([engine("e1"), engine("e2", DECODE)], now_s=101.0)
+        engines = [engine("e1"), engine("e2", DECODE)]
+        self.assertFalse(watch.settled(engines, (), now_s=101.0 + SETTLE_S / 2))
+        self.assertTrue(watch.settled(engines, (), now_s=101.0 + SETTLE_S))
+
+    def test_the_loss_of_the_last_decode_engine_is_answered_at_once(self):
+        watch = EngineWatch()
+        watch.look([engine("e1"), engine("e2", DECODE)], now_s=100.0)
+        watch.look([engine("e1"), engine("e3")], now_s=200.0)
+        self.assertTrue(watch.settled([engine("e1"), engine("e3")], (), now_s=200.0))
+
+
 if __name__ == "__main__":
     unittest.main()
