--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV ?= .venv
 DEPLOYMENT ?= kente
 PACKAGES := persimmonyoke persimmonyoke_testing persimmonyoke_node persimmonyoke_cli
-SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)
+SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform/src
 empty :=
 space := $(empty) $(empty)
 # A checkout tests its own sources, also when it shares another checkout's VENV.
@@ -32,12 +32,12 @@
 	$(VENV)/bin/python -m persimmonyoke_testing.run_tests $(TESTS)
 
 lint: $(STAMP)
-	$(VENV)/bin/ruff format --check packages
-	$(VENV)/bin/ruff check packages
+	$(VENV)/bin/ruff format --check packages platform
+	$(VENV)/bin/ruff check packages platform
 
 format: $(STAMP)
-	$(VENV)/bin/ruff format packages
-	$(VENV)/bin/ruff check --fix packages
+	$(VENV)/bin/ruff format packages platform
+	$(VENV)/bin/ruff check --fix packages platform
 
 demo: $(STAMP)
 	$(VENV)/bin/persimmonyoke demo --deployment $(DEPLOYMENT)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -63,6 +63,11 @@
         self._server.start()
         return self._server.server_port
 
+    def stop(self) -> None:
+        """Close the listener and all connections at once."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+
     def begin_drain(self, now_s: float) -> None:
         """Close each connection with its next answer from now on."""
         self._drain_started_s = now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -91,16 +91,25 @@
         self._socket: socket.socket | None = None
         self._last_sent: PeerMessage | None = None
         self._last_sent_s = 0.0
+        self._tasks: list[gevent.Greenlet] = []
         self.malformed = 0
 
     def start(self, host: str, port: int) -> int:
         """Open the socket, start both tasks and return the port."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
-        gevent.spawn(self._receive_loop)
-        gevent.spawn(self._send_loop)
+        self._tasks = [
+            gevent.spawn(self._receive_loop),
+            gevent.spawn(self._send_loop),
+        ]
         return self._socket.getsockname()[1]
 
+    def stop(self) -> None:
+        """End both tasks and close the socket."""
+        gevent.killall(self._tasks)
+        if self._socket is not None:
+            self._socket.close()
+
     def send_now(self) -> None:
         """Tell all peers the present state."""
         self._send(self._message(), time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -48,7 +48,7 @@
             self.state, store, self._orders, self._peers.send_now
         )
         self._stop = Event()
-        self._started_s = time.monotonic()
+        self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
         """Listen and start all tasks."""
@@ -58,10 +58,13 @@
         self.front.start(settings.listen_host, settings.front_port)
         self._small.start(settings.listen_host, settings.ready_port)
         self._small.start(settings.listen_host, settings.directory_port)
-        gevent.spawn(self._follower.run)
-        gevent.spawn(self._registration.run)
-        gevent.spawn(self._orders.run)
-        gevent.spawn(self._housekeeping)
+        loops = (
+            self._follower.run,
+            self._registration.run,
+            self._orders.run,
+            self._housekeeping,
+        )
+        self._tasks = [gevent.spawn(loop) for loop in loops]
         self.state.journal.event(
             "started",
             front=settings.front_address,
@@ -76,6 +79,13 @@
         self._stop.wait()
         self.drain()
 
+    def stop(self) -> None:
+        """End all tasks and close all listeners at once."""
+        gevent.killall(self._tasks)
+        self._peers.stop()
+        self._small.stop()
+        self.front.stop()
+
     def drain(self) -> None:
         """Leave the addresses, finish what has begun and return."""
         state, started_s = self.state, time.monotonic()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -43,6 +43,11 @@
         self._servers.append(server)
         return server.server_port
 
+    def stop(self) -> None:
+        """Close all listeners and connections at once."""
+        for server in self._servers:
+            server.stop(timeout=0)
+
     def _serve(self, sock: socket.socket, _address: object) -> None:
         connection = ClientConnection(sock, self._state.limits)
         try:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
@@ -26,12 +26,17 @@
     "persimmonyoke_node",
     "persimmonyoke_cli",
     "persimmonyoke_testing",
+    "persimmonyoke_platform",
 )
+ADAPTER = "persimmonyoke_platform"
 
 
 def source_root(package: str) -> Path:
     """Return the ``src`` folder of a package of the workspace."""
-    return Path(__file__).resolve().parents[3] / package / "src"
+    packages = Path(__file__).resolve().parents[3]
+    if package == ADAPTER:
+        return packages.parent / "platform" / "src"
+    return packages / package / "src"
 
 
 def run_package(package: str, names: Sequence[str]) -> bool:
