Count with the patience of callers, not only with their deadline

Callers abandon a stream after the longest of two seconds, four times its target and eight times its pause, also before the first event. A dossier waits 2.4 s and not 6, so prompts waited at the gateway for callers who had left.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/refusal.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/refusal.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-DEADLINE_SHARE = 0.7
-"""Share of the remaining time in which the first event is accepted to come.
+DEADLINE_SHARE = 0.85
+"""Share of the caller's patience in which the first event is accepted to come.
 
-The rest is for the output and for estimates that are too low.
+The rest is for estimates that are too low.
 """
 
 MIN_RETRY_AFTER_S = 0.1
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -37,12 +37,22 @@
     kind: RequestKind
     timeout_s: float
     target_latency_s: float
+    gap_target_s: float
     priority: int
     services: tuple[WeightedService, ...]
     max_attempts: int
     resumable: bool
     has_prompt: bool
 
+    @property
+    def patience_s(self) -> float:
+        """Return how long a caller of a stream waits for the next event.
+
+        Callers abandon a stream after the longest of these, also before its first
+        event.
+        """
+        return max(2.0, 4 * self.target_latency_s, 8 * self.gap_target_s)
+
     @property
     def repeatable(self) -> bool:
         """Return whether a request of this route may run more than once."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -8,7 +8,7 @@
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_S
-from persimmonyoke.internal.dispatch.refusal import DEADLINE_SHARE, Refused
+from persimmonyoke.internal.dispatch.refusal import Refused
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
@@ -105,6 +105,7 @@
         self._prefill_tries = 0
         self._last_event_id = exchange.metadata.last_event_id
         self._begun = False
+        self._last_event_s = exchange.started_s
         prompt = exchange.metadata.prompt
         self._decoder_lost_s: float | None = None
         self._budget = state.retry_budget(exchange.service.name)
@@ -178,7 +179,7 @@
                 self._decoder_lost_s = now_s
             if now_s - self._decoder_lost_s > ANNOUNCEMENT_WAIT_S:
                 self._raise_not_served("no decode engine", RETRY_AFTER_NO_ENGINE_S)
-        elif expected_s + FIRST_EVENT_S > exchange.remaining_s * DEADLINE_SHARE:
+        elif expected_s + FIRST_EVENT_S > self._patience_left_s(now_s):
             self._raise_not_served("decode engine comes too late", expected_s)
         gevent.sleep(DECODER_POLL_S)
         exchange.work.check()
@@ -217,7 +218,8 @@
         while not self._may_read(limits):
             self._await_decoder(limits)
         target_s = exchange.started_s + exchange.route.target_latency_s
-        deadline_s = exchange.deadline_s - ANSWER_MARGIN_S
+        now_s = time.monotonic()
+        deadline_s = now_s + self._patience_left_s(now_s)
         demand = Demand(
             prompt=prompt,
             limits=limits,
@@ -235,6 +237,12 @@
         assert admitted is not None
         return admitted
 
+    def _patience_left_s(self, now_s: float) -> float:
+        """Return how long the caller still waits for an event."""
+        exchange = self._exchange
+        end_s = self._last_event_s + exchange.route.patience_s
+        return min(exchange.deadline_s, end_s) - ANSWER_MARGIN_S - now_s
+
     def _may_read(self, limits: EngineLimits) -> bool:
         """Return whether a prompt that is read now can be generated from."""
         if any(engine.stage is Stage.DECODE for engine in self._engines()):
@@ -401,6 +409,7 @@
         return event.event_id <= self._last_event_id
 
     def _send(self, opened: OpenAnswer, data: bytes) -> None:
+        self._last_event_s = time.monotonic()
         if self._begun:
             self._exchange.client.send_chunk(data)
             return
