--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -54,6 +54,7 @@
     first_event_s: float | None = None
     estimate_s: float | None = None
     closing: bool = False
+    status: int = 0
 
     @property
     def remaining_s(self) -> float:
@@ -89,7 +90,8 @@
         return RequestError(kind, message, ran=Ran.UNKNOWN)
 
     def head(self, status: int, reason: bytes, headers: list) -> OutgoingHead:
-        """Return the head of the client's answer."""
+        """Return the head of the client's answer, and note its status."""
+        self.status = status
         if self.closing:
             headers = [*headers, (b"Connection", b"close")]
         return OutgoingHead(status, reason, headers)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -140,7 +140,7 @@
 
     def _relay(self, exchange: Exchange) -> bool:
         """Answer an admitted request; return whether its connection can be kept."""
-        outcome, status, reason = "delivered", 200, ""
+        outcome, reason = "delivered", ""
         try:
             if exchange.route.kind is RequestKind.STREAMING:
                 self._streams.relay(exchange)
@@ -149,7 +149,7 @@
             return True
         except RequestError as error:
             outcome = "refused" if error.answer.status in (429, 503) else "failed"
-            status, reason = error.answer.status, error.message
+            exchange.status, reason = error.answer.status, error.message
             head = _error_head(error, exchange.closing)
             exchange.client.send_whole(head, _error_body(error))
             return True
@@ -166,7 +166,7 @@
             )
             return False
         finally:
-            self._log(exchange, outcome, status, reason)
+            self._log(exchange, outcome, reason)
 
     def _admit(
         self, connection: ClientConnection, request: ClientRequest, started_s: float
@@ -236,7 +236,7 @@
         state.metrics.requests.add(kind="none", outcome="rejected")
         state.metrics.refusals.add(reason=error.message)
 
-    def _log(self, exchange: Exchange, outcome: str, status: int, reason: str) -> None:
+    def _log(self, exchange: Exchange, outcome: str, reason: str) -> None:
         state, now_s = self._state, time.monotonic()
         kind = exchange.route.kind.value
         first_ms = None
@@ -249,7 +249,7 @@
             route=exchange.route.name,
             kind=kind,
             outcome=outcome,
-            status=status,
+            status=exchange.status,
             reason=reason,
             ms=int((now_s - exchange.started_s) * 1_000),
             first_ms=first_ms,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -133,7 +133,10 @@
         result = {Answered: "answered", Lost: "lost"}.get(type(outcome), "not_run")
         if isinstance(outcome, NotRun) and not outcome.sent:
             result = "not_connected"
-        exchange.note("plain", replica.replica_id, result, started_s)
+        shown = result
+        if isinstance(outcome, Answered):
+            shown = str(outcome.answer.head.status)
+        exchange.note("plain", replica.replica_id, shown, started_s)
         self._state.metrics.sends.add(stage="plain", result=result)
         return outcome
 
