Learn the caches of engines at the start; let the budget's slack count beside its share

(2) The local retry budget took the larger of slack and share; the users' rule is their sum.

Change: one call to each engine when it is first seen tells what it holds. The budget adds slack to share; the slack is divided by the registered hosts, and 0.85 of both is used.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -14,7 +14,8 @@
     """Allow ``share`` of the first attempts of a sliding window as retries.
 
     The larger of the share and ``floor`` counts, so that the share holds as soon as
-    there are ``floor / share`` first attempts in the window.
+    there are ``floor / share`` first attempts in the window. ``slack`` is allowed
+    besides both.
     """
 
     def __init__(
@@ -23,6 +24,7 @@
         share: float = DEFAULT_SHARE,
         window_s: float = DEFAULT_WINDOW_S,
         floor: int = DEFAULT_FLOOR,
+        slack: float = 0.0,
     ) -> None:
         if not 0 <= share <= 1:
             raise ValueError(f"share must be between 0 and 1, not {share}")
@@ -30,7 +32,10 @@
             raise ValueError(f"window_s must be positive, not {window_s}")
         if floor < 0:
             raise ValueError(f"floor must not be negative, not {floor}")
+        if slack < 0:
+            raise ValueError(f"slack must not be negative, not {slack}")
         self.share = share
+        self.slack = slack
         self._floor = floor
         self._bucket_s = window_s / BUCKETS
         self._buckets: deque[list[int]] = deque()
@@ -50,7 +55,7 @@
     def try_spend(self, now_s: float) -> bool:
         """Count a retry and return whether it is allowed."""
         bucket = self._current_bucket(now_s)
-        allowed = max(self._floor, int(self.share * self._first_attempts))
+        allowed = max(self._floor, int(self.share * self._first_attempts + self.slack))
         if self._retries >= allowed:
             self.refused += 1
             return False
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -54,10 +54,6 @@
         """Return the other registered hosts."""
         return [e for e in self._entries.values() if e.name != self._own_name]
 
-    def live_peer_count(self, now_s: float) -> int:
-        """Return how many peers were heard lately."""
-        return sum(1 for entry in self.peers() if not self._silent(entry, now_s))
-
     def newest_config_version(self) -> int:
         """Return the highest version that a peer has in force."""
         return max((peer.config_version for peer in self._peers.values()), default=0)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -7,6 +7,7 @@
 from persimmonyoke.internal.fleet.model import (
     Configuration,
     HostEntry,
+    PromptPart,
     Replica,
     RequestMetadata,
     Stage,
@@ -121,6 +122,14 @@
     def decode_report(self, body: bytes) -> EngineReport | None:
         """Decode an engine's state; ``None`` if it is malformed."""
 
+    @abstractmethod
+    def cache_call(self, replica_id: str) -> RawCall:
+        """Return the call that asks an engine which parts it holds."""
+
+    @abstractmethod
+    def decode_cache(self, body: bytes) -> tuple[PromptPart, ...] | None:
+        """Decode the parts that an engine holds; ``None`` if malformed."""
+
     @abstractmethod
     def order_call(self, order: StageOrder) -> RawCall:
         """Return the call that sends an order."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_calls.py
@@ -0,0 +1,78 @@
+"""Small calls to engines: their state, their cache, and orders."""
+
+import time
+
+import gevent
+
+from persimmonyoke.internal.fleet.interfaces import (
+    EngineReport,
+    RawCall,
+    StageOrder,
+)
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    NotConnected,
+    WholeAnswer,
+)
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
+
+CALL_TIMEOUT_S = 0.4
+"""Engines answer reports and orders within a few milliseconds."""
+
+OK = 200
+
+
+class EngineCalls:
+    """Ask engines and order them; a call without an answer is logged."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._caller = UpstreamCaller(state)
+
+    def report(self, engine: Replica) -> EngineReport | None:
+        """Return the state of an engine, or ``None`` without a usable answer."""
+        wire = self._state.wire
+        answer = self._call(engine, wire.report_call(engine.replica_id), "report")
+        if answer is None or answer.head.status != OK:
+            return None
+        return wire.decode_report(answer.body)
+
+    def order(self, engine: Replica, order: StageOrder) -> int | None:
+        """Send an order; return the status, or ``None`` without an answer."""
+        answer = self._call(engine, self._state.wire.order_call(order), "order")
+        return None if answer is None else answer.head.status
+
+    def learn_cache(self, engine: Replica) -> None:
+        """Ask in the background which parts an engine holds."""
+        gevent.spawn(self._learn_cache, engine)
+
+    def _learn_cache(self, engine: Replica) -> None:
+        wire = self._state.wire
+        answer = self._call(engine, wire.cache_call(engine.replica_id), "cache")
+        if answer is None or answer.head.status != OK:
+            return
+        parts = wire.decode_cache(answer.body)
+        if parts is None:
+            self._state.journal.event("cache_malformed", replica=engine.replica_id)
+            return
+        self._state.prefixes.note(engine.replica_id, parts, now_s=time.monotonic())
+        self._state.journal.event(
+            "cache_learnt", replica=engine.replica_id, parts=len(parts)
+        )
+
+    def _call(self, engine: Replica, call: RawCall, name: str) -> WholeAnswer | None:
+        deadline_s = time.monotonic() + CALL_TIMEOUT_S
+        work = Work()
+        try:
+            opened = self._caller.start(
+                engine, call, work, request_id="", deadline_s=deadline_s
+            )
+            body = self._caller.read_whole(opened, work, deadline_s=deadline_s)
+        except (NotConnected, AnswerLost) as error:
+            self._state.journal.failure(
+                f"{name}_without_answer", error, replica=engine.replica_id
+            )
+            return None
+        return WholeAnswer(opened.head, body)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -13,9 +13,7 @@
     plan_changes,
 )
 from persimmonyoke.internal.fleet.interfaces import (
-    EngineReport,
     FleetStore,
-    RawCall,
     StageOrder,
 )
 from persimmonyoke.internal.fleet.model import Replica, Stage
@@ -25,9 +23,8 @@
     OrderTerm,
     TermState,
 )
-from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.engine_calls import EngineCalls
 from persimmonyoke.internal.gateway.state import GatewayState
-from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
 
 STEP_S = 0.25
 HOLDER_LEASE_S = 1.6
@@ -39,9 +36,6 @@
 BLIND_ACQUIRE_S = 6.0
 """Interval of attempts although the key seems held; its removal may go unseen."""
 
-CALL_TIMEOUT_S = 0.4
-"""Engines answer reports and orders within a few milliseconds."""
-
 _ACCEPTED, _HOLDS = 202, 200
 
 
@@ -57,7 +51,7 @@
     def __init__(self, state: GatewayState, store: FleetStore) -> None:
         self._state = state
         self._store = store
-        self._caller = UpstreamCaller(state)
+        self._calls = EngineCalls(state)
         self._holder = state.settings.host_name
         self._term = OrderTerm(self._holder, turn_s=state.settings.lease_s)
         self._orders: dict[str, SentOrder] = {}
@@ -192,11 +186,11 @@
             and not engine.draining
             and health.paused(engine.replica_id, now_s)
         ]
-        return {e.replica_id for e in suspects if self._report(e) is None}
+        return {e.replica_id for e in suspects if self._calls.report(e) is None}
 
     def _order(self, change: StageChange) -> None:
         replica = change.replica
-        report = self._report(replica)
+        report = self._calls.report(replica)
         if report is None or report.order_in_progress:
             return
         order = StageOrder(
@@ -213,7 +207,7 @@
             self._state.journal.event("order_too_late", replica=replica.replica_id)
             return
         sent_s = time.monotonic()
-        status = self._call(replica, self._state.wire.order_call(order))
+        status = self._calls.order(replica, order)
         self._orders[replica.replica_id] = SentOrder(
             change.stage, sent_s, accepted=status in (_ACCEPTED, _HOLDS)
         )
@@ -242,35 +236,3 @@
             return False
         self.note_record(written)
         return True
-
-    def _report(self, replica: Replica) -> EngineReport | None:
-        call = self._state.wire.report_call(replica.replica_id)
-        deadline_s = time.monotonic() + CALL_TIMEOUT_S
-        work = Work()
-        try:
-            opened = self._caller.start(
-                replica, call, work, request_id="", deadline_s=deadline_s
-            )
-            body = self._caller.read_whole(opened, work, deadline_s=deadline_s)
-        except (NotConnected, AnswerLost) as error:
-            self._state.journal.failure(
-                "report_failed", error, replica=replica.replica_id
-            )
-            return None
-        return self._state.wire.decode_report(body)
-
-    def _call(self, replica: Replica, call: RawCall) -> int | None:
-        """Return the status of an order, or ``None`` without an answer."""
-        deadline_s = time.monotonic() + CALL_TIMEOUT_S
-        work = Work()
-        try:
-            opened = self._caller.start(
-                replica, call, work, request_id="", deadline_s=deadline_s
-            )
-            self._caller.read_whole(opened, work, deadline_s=deadline_s)
-        except (NotConnected, AnswerLost) as error:
-            self._state.journal.failure(
-                "order_without_answer", error, replica=replica.replica_id
-            )
-            return None
-        return opened.head.status
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
+from persimmonyoke.internal.gateway.engine_calls import EngineCalls
 from persimmonyoke.internal.gateway.follower import HostRegistration, StoreFollower
 from persimmonyoke.internal.gateway.front_server import FrontServer
 from persimmonyoke.internal.gateway.journal import Journal
@@ -44,6 +45,7 @@
         self._peers = PeerLink(self.state)
         self._registration = HostRegistration(self.state, store)
         self._orders = OrderDuty(self.state, store)
+        self.state.on_engine = EngineCalls(self.state).learn_cache
         self._follower = StoreFollower(
             self.state, store, self._orders, self._peers.send_now
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -24,6 +24,7 @@
     Stage,
 )
 from persimmonyoke.internal.fleet.replicas import (
+    ReplicaAdded,
     ReplicaChange,
     ReplicaChanged,
     ReplicaGone,
@@ -42,7 +43,7 @@
 )
 """Limits until the first configuration is known, in which all requests get 503."""
 
-RETRY_MARGIN = 0.8
+RETRY_MARGIN = 0.85
 """Share of the budget that is used, since hosts count in windows of their own."""
 
 CHANGE_KEEP_S = 4.0
@@ -51,8 +52,8 @@
 A change takes 3 s; an order may also never be carried out.
 """
 
-EXPECTED_HOSTS = 6
-"""Hosts among which the slack of the retry budget is divided at least."""
+LEAST_HOSTS = 4
+"""Hosts among which the slack is divided at least, while hosts still register."""
 
 
 class GatewayState:
@@ -89,6 +90,7 @@
         self.new_placements: list[tuple[str, str]] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
+        self.on_engine: Callable[[Replica], None] = lambda _engine: None
 
     @property
     def ready(self) -> bool:
@@ -105,15 +107,22 @@
         return self.configuration.limits
 
     def retry_budget(self, service: str) -> RetryBudget:
-        """Return this host's share of the budget of sends beyond the first."""
+        """Return this host's part of the budget of sends beyond the first.
+
+        All hosts share the slack, so each takes its part by the number of registered
+        ones, which hosts that do not hear each other still agree on.
+        """
+        settings = self.settings
+        hosts = 1 + len(self.hosts.peers())
+        slack = settings.retry_slack * RETRY_MARGIN / max(LEAST_HOSTS, hosts)
         budget = self._retry_budgets.get(service)
         if budget is None:
-            settings = self.settings
             budget = self._retry_budgets[service] = RetryBudget(
                 share=settings.retry_share * RETRY_MARGIN,
                 window_s=settings.retry_window_s,
-                floor=int(settings.retry_slack * RETRY_MARGIN / EXPECTED_HOSTS),
+                floor=0,
             )
+        budget.slack = slack
         return budget
 
     def changes_stage(self, replica: Replica, now_s: float) -> bool:
@@ -168,6 +177,8 @@
                 draining=replica.draining,
                 reason=getattr(change, "reason", None),
             )
+            if isinstance(change, ReplicaAdded) and replica.stage is not None:
+                self.on_engine(replica)
             if isinstance(change, ReplicaGone):
                 self._forget(replica)
             elif isinstance(change, ReplicaChanged) and change.stage_changed:
