Go on at the only decode engine after a rejection or a broken stream

One request failed with a ValueError, since a connection was asked for with no time left.

Change: a rejection pauses no decode engine; a run may go on at the engine that broke it if there is no other. Peers tell whom they can't reach, so that the holder of orders asks a silent decode engine at once. No connection is opened without time.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
@@ -1,6 +1,7 @@
 """Health of replicas as this host's own calls show it."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 FIRST_PAUSE_S = 0.5
@@ -8,6 +9,9 @@
 FAILURE_WINDOW = 12
 """Number of the last calls that the failure share is taken over."""
 
+SUSPICION_KEEP_S = 0.6
+"""Time for which a peer's word counts; peers repeat it while they can't connect."""
+
 
 @dataclass
 class _Record:
@@ -27,6 +31,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._suspected_s: dict[str, float] = {}
 
     def note_success(self, replica_id: str) -> None:
         """Note an answer of a working replica."""
@@ -48,6 +53,20 @@
         record.paused_until_s = now_s + record.pause_s
         record.pause_s = min(MAX_PAUSE_S, record.pause_s * 2)
 
+    def note_suspected(self, replica_ids: Iterable[str], now_s: float) -> None:
+        """Note which replicas a peer can't reach."""
+        for replica_id in replica_ids:
+            self._suspected_s[replica_id] = now_s
+
+    def suspected(self, replica_id: str, now_s: float) -> bool:
+        """Return whether this host or a peer could not reach a replica lately."""
+        told_s = self._suspected_s.get(replica_id, float("-inf"))
+        return now_s - told_s < SUSPICION_KEEP_S or self.paused(replica_id, now_s)
+
+    def all_paused(self, now_s: float) -> list[str]:
+        """Return the replicas that this host avoids now."""
+        return [r for r in self._records if self.paused(r, now_s)]
+
     def paused(self, replica_id: str, now_s: float) -> bool:
         """Return whether the replica is avoided now."""
         record = self._records.get(replica_id)
@@ -64,6 +83,7 @@
     def forget(self, replica_id: str) -> None:
         """Drop the record of a replica that is gone."""
         self._records.pop(replica_id, None)
+        self._suspected_s.pop(replica_id, None)
 
     def _record(self, replica_id: str) -> _Record:
         record = self._records.get(replica_id)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/outlook.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/outlook.py
@@ -9,7 +9,7 @@
 ENTRY_LAG_S = 0.6
 """Time from the end of a stage change until its entry is seen."""
 
-ANNOUNCEMENT_WAIT_S = 1.0
+ANNOUNCEMENT_WAIT_S = 1.6
 """Time in which the loss of the last decode engine is noticed and answered."""
 
 OVERDUE_S = 2.0
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -63,6 +63,8 @@
         self._parser = AnswerParser()
         self._ended = False
         self._complete = True
+        if timeout_s <= 0:
+            raise NotConnected(f"{replica.address}: no time is left")
         try:
             self._sock = sockets.connect(
                 replica.host, replica.port, timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -184,7 +184,7 @@
             for engine in engines
             if engine.stage is Stage.DECODE
             and not engine.draining
-            and health.paused(engine.replica_id, now_s)
+            and health.suspected(engine.replica_id, now_s)
         ]
         return {e.replica_id for e in suspects if self._calls.report(e) is None}
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -38,6 +38,7 @@
     work: dict[str, ReplicaWork]
     placements: tuple[tuple[str, str], ...]
     queued_ms: int = 0
+    suspects: tuple[str, ...] = ()
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -56,6 +57,7 @@
             work,
             placements,
             message.queued_ms,
+            list(message.suspects),
         ]
     )
 
@@ -63,9 +65,8 @@
 def decode_message(raw: bytes) -> PeerMessage:
     """Return the message of a datagram; raise ``ProtocolError``."""
     try:
-        version, host, ready, config_version, work, placements, queued_ms = cbor2.loads(
-            raw
-        )
+        version, host, ready, config_version, *rest = cbor2.loads(raw)
+        work, placements, queued_ms, suspects = rest
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -78,6 +79,7 @@
             },
             placements=tuple((str(part), str(engine)) for part, engine in placements),
             queued_ms=int(queued_ms),
+            suspects=tuple(str(replica_id) for replica_id in suspects),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
@@ -140,6 +142,7 @@
             work=work,
             placements=tuple(state.new_placements[:MAX_PLACEMENTS]),
             queued_ms=int(state.queued_s() * 1_000),
+            suspects=tuple(state.health.all_paused(time.monotonic())[:MAX_REPLICAS]),
         )
 
     def _send(self, message: PeerMessage, now_s: float) -> None:
@@ -180,6 +183,7 @@
             queued_s=message.queued_ms / 1_000,
             now_s=now_s,
         )
+        state.health.note_suspected(message.suspects, now_s)
         for part_id, replica_id in message.placements:
             state.prefixes.note_part(replica_id, part_id, now_s=now_s)
         state.on_peer_work()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -102,6 +102,7 @@
         self._gate = gate
         self._exchange = exchange
         self._excluded: set[str] = set()
+        self._avoided: set[str] = set()
         self._prefill_tries = 0
         self._last_event_id = exchange.metadata.last_event_id
         self._begun = False
@@ -129,7 +130,7 @@
                 exchange.sends -= 1
             elif not self._may_go_on(outcome):
                 self._give_up(outcome)
-            self._excluded.add(engine.replica_id)
+            self._avoided.add(engine.replica_id)
 
     def _prepare(self) -> tuple[Replica, PromptRead | None]:
         """Return the engine to run on, and the prompt if another engine read it."""
@@ -152,7 +153,7 @@
         try:
             while True:
                 decode = self._state.placement.decoder(
-                    self._engines(),
+                    self._decoders(),
                     limits,
                     zone=read.engine.availability_zone,
                     now_s=time.monotonic(),
@@ -245,7 +246,7 @@
 
     def _may_read(self, limits: EngineLimits) -> bool:
         """Return whether a prompt that is read now can be generated from."""
-        if any(engine.stage is Stage.DECODE for engine in self._engines()):
+        if self._decoders():
             return True
         expected_s = self._state.outlook.expected_in_s(
             stage_change_s=limits.stage_change_s, now_s=time.monotonic()
@@ -253,19 +254,29 @@
         return expected_s is not None and expected_s < HANDLE_KEEP_S
 
     def _engines(self) -> list[Replica]:
+        """Return the engines that can be reached, as far as this host knows."""
         now_s = time.monotonic()
-        usable = [
+        return [
             engine
-            for engine in self._state.replicas.usable(self._exchange.service.name)
-            if engine.replica_id not in self._excluded
+            for engine in self._usable_engines(now_s)
+            if not self._state.health.paused(engine.replica_id, now_s)
         ]
-        healthy = [
+
+    def _decoders(self) -> list[Replica]:
+        """Return the engines to generate on, first those that have not failed here.
+
+        A stream that broke may go on at the same engine if there is no other one.
+        """
+        decoders = [e for e in self._engines() if e.stage is Stage.DECODE]
+        return [e for e in decoders if e.replica_id not in self._avoided] or decoders
+
+    def _usable_engines(self, now_s: float) -> list[Replica]:
+        return [
             engine
-            for engine in usable
-            if not self._state.health.paused(engine.replica_id, now_s)
+            for engine in self._state.replicas.usable(self._exchange.service.name)
+            if engine.replica_id not in self._excluded
             and not self._state.changes_stage(engine, now_s)
         ]
-        return healthy
 
     def _choose_plain(self) -> Replica:
         state = self._state
@@ -328,14 +339,13 @@
             state.health.note_failure(engine.replica_id)
             return RunLost(str(error))
         if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
-            return self._rejected(engine, opened)
+            return self._rejected(opened)
         exchange.may_have_run = True
         return self._relay_answer(engine, opened)
 
-    def _rejected(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
+    def _rejected(self, opened: OpenAnswer) -> RunOutcome:
         exchange = self._exchange
         reason = f"engine answered {opened.head.status}"
-        self._state.health.note_unreachable(engine.replica_id, time.monotonic())
         try:
             self._caller.read_whole(
                 opened, exchange.work, deadline_s=time.monotonic() + 0.2
