Count parts as held while they are read, and copies against a plan

Two requests of one dossier at a cold start had it read on two engines, since a part counted only once it was read; and each prompt went to the engine that was free first with a copy of its shared part, which displaced other parts: 1.1 million shared tokens fill half of the memory, copies all of it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -36,6 +36,12 @@
 in which the engine shall not be idle.
 """
 
+COPY_SHARE = 0.6
+"""Share of its reading time that one more copy of a part counts against a plan.
+
+A copy displaces another part, which may have to be read again.
+"""
+
 MIN_FETCH_TOKENS = 256
 """A smaller part is read sooner than its transfer is set up."""
 
@@ -53,12 +59,18 @@
     wait_s: float
     read_s: float
     local: bool = False
+    copy_cost_s: float = 0.0
 
     @property
     def done_s(self) -> float:
         """Return when the prompt would be read."""
         return self.wait_s + self.read_s
 
+    @property
+    def rank_s(self) -> float:
+        """Return the time to compare plans by; copies take memory from other parts."""
+        return self.done_s + self.copy_cost_s
+
 
 class Placement:
     """Choose engines by when a prompt would be read, and by room for its output."""
@@ -94,7 +106,7 @@
             self._plan(prompt, reader, engines, limits, now_s=now_s)
             for reader in readers
         ]
-        return min(plans, key=lambda plan: plan.done_s)
+        return min(plans, key=lambda plan: plan.rank_s)
 
     def mean_backlog_s(self, engines: Sequence[Replica], *, now_s: float) -> float:
         """Return the mean time that engines need for prompts sent to them."""
@@ -148,11 +160,16 @@
             cost_s = read_s(prompt.input_tokens - cached, cached, self._speed)
             return ReadPlan(engine, None, wait_s, cost_s * factor)
         same_zone = source.availability_zone == engine.availability_zone
-        moved_s = transfer_s(
-            source_tokens - cached, limits, same_zone=same_zone, speed=self._speed
-        )
+        copied = source_tokens - cached
+        moved_s = transfer_s(copied, limits, same_zone=same_zone, speed=self._speed)
         cost_s = read_s(prompt.input_tokens - source_tokens, source_tokens, self._speed)
-        return ReadPlan(engine, source, wait_s, moved_s + cost_s * factor)
+        return ReadPlan(
+            engine,
+            source,
+            wait_s,
+            moved_s + cost_s * factor,
+            copy_cost_s=COPY_SHARE * copied / self._speed.read_tokens_per_s,
+        )
 
     def _best_source(
         self,
@@ -166,7 +183,9 @@
         for engine in engines:
             if engine.replica_id == reader.replica_id:
                 continue
-            tokens = self._cached(engine, prompt, now_s=now_s)
+            tokens = self._prefixes.fetchable_tokens(
+                engine.replica_id, prompt.parts, now_s=now_s
+            )
             key = (tokens, engine.availability_zone == reader.availability_zone)
             if tokens and key > best_key:
                 best, best_key = engine, key
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/prefixes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/prefixes.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import PromptPart
 
@@ -16,29 +17,58 @@
 """
 
 
+@dataclass(frozen=True)
+class Holding:
+    """Hold when an engine last used a part, and from when others can fetch it."""
+
+    used_s: float
+    readable_s: float
+
+
 class PrefixIndex:
-    """Map parts of prompts to engines, from own dispatches and those of peers."""
+    """Map parts of prompts to engines, from own dispatches and those of peers.
+
+    A part counts as held from the moment its prompt is sent: the engine reads one
+    prompt after the other, so the next one finds it there. Two copies of one request
+    would otherwise have its shared part read twice.
+    """
 
     def __init__(self) -> None:
-        self._holders: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._holders: OrderedDict[str, dict[str, Holding]] = OrderedDict()
 
     def note(
-        self, replica_id: str, parts: Sequence[PromptPart], *, now_s: float
+        self,
+        replica_id: str,
+        parts: Sequence[PromptPart],
+        *,
+        now_s: float,
+        ready_in_s: float = 0.0,
     ) -> None:
-        """Record that an engine read these parts."""
+        """Record that an engine has read these parts or will have in a while."""
         for part in parts:
-            self.note_part(replica_id, part.part_id, now_s=now_s)
+            self.note_part(replica_id, part.part_id, now_s=now_s, ready_in_s=ready_in_s)
 
-    def note_part(self, replica_id: str, part_id: str, *, now_s: float) -> None:
-        """Record that an engine read one part."""
+    def note_part(
+        self, replica_id: str, part_id: str, *, now_s: float, ready_in_s: float = 0.0
+    ) -> None:
+        """Record that an engine has read one part or will have in a while."""
         holders = self._holders.get(part_id)
         if holders is None:
             holders = self._holders[part_id] = {}
-        holders[replica_id] = now_s
+        known = holders.get(replica_id)
+        readable_s = now_s + ready_in_s
+        if known is not None and now_s - known.used_s <= KEEP_S:
+            readable_s = min(readable_s, known.readable_s)
+        holders[replica_id] = Holding(now_s, readable_s)
         self._holders.move_to_end(part_id)
         if len(self._holders) > MAX_PARTS:
             self._holders.popitem(last=False)
 
+    def forget(self, replica_id: str, parts: Sequence[PromptPart]) -> None:
+        """Drop parts whose prompt the engine did not read after all."""
+        for part in parts:
+            self._holders.get(part.part_id, {}).pop(replica_id, None)
+
     def forget_replica(self, replica_id: str) -> None:
         """Drop what a replica held that is gone or started again."""
         for holders in self._holders.values():
@@ -47,11 +77,29 @@
     def cached_tokens(
         self, replica_id: str, parts: Sequence[PromptPart], *, now_s: float
     ) -> int:
-        """Return the tokens of the leading parts that an engine holds."""
+        """Return the tokens of the leading parts that the next prompt finds."""
+        return self._leading_tokens(replica_id, parts, now_s, readable=False)
+
+    def fetchable_tokens(
+        self, replica_id: str, parts: Sequence[PromptPart], *, now_s: float
+    ) -> int:
+        """Return the tokens of the leading parts that others can fetch now."""
+        return self._leading_tokens(replica_id, parts, now_s, readable=True)
+
+    def _leading_tokens(
+        self,
+        replica_id: str,
+        parts: Sequence[PromptPart],
+        now_s: float,
+        *,
+        readable: bool,
+    ) -> int:
         tokens = 0
         for part in parts:
-            used_s = self._holders.get(part.part_id, {}).get(replica_id)
-            if used_s is None or now_s - used_s > KEEP_S:
+            holding = self._holders.get(part.part_id, {}).get(replica_id)
+            if holding is None or now_s - holding.used_s > KEEP_S:
+                break
+            if readable and now_s < holding.readable_s:
                 break
             tokens += part.tokens
         return tokens
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_placement.py
@@ -0,0 +1,126 @@
+"""Test where prompts are read and generated from."""
+
+import unittest
+
+from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED, read_s
+from persimmonyoke.internal.dispatch.loads import ReplicaWork, WorkLedger
+from persimmonyoke.internal.dispatch.placement import Placement
+from persimmonyoke.internal.dispatch.prefixes import KEEP_S, PrefixIndex
+from persimmonyoke.internal.dispatch.speeds import EngineFactors
+from persimmonyoke.internal.fleet.model import Stage
+from persimmonyoke_testing.builders_fleet import ENGINE_LIMITS, engine, prompt
+
+NOW_S = 100.0
+
+
+class Fleet:
+    """Hold the state that placement decides by."""
+
+    def __init__(self, *engines):
+        self.engines = engines
+        self.ledger = WorkLedger()
+        self.prefixes = PrefixIndex()
+        self.factors = EngineFactors()
+        self.placement = Placement(
+            self.ledger, self.prefixes, self.factors, DEFAULT_SPEED
+        )
+
+    def plan(self, wanted, now_s=NOW_S):
+        return self.placement.read_plan(
+            wanted, self.engines, ENGINE_LIMITS, now_s=now_s
+        )
+
+
+class ReadPlanTest(unittest.TestCase):
+    def test_the_engine_with_the_shortest_backlog_reads_a_new_prompt(self):
+        fleet = Fleet(engine("e1"), engine("e2"))
+        fleet.ledger.begin_read("e1", 0.5, now_s=NOW_S)
+        self.assertEqual(fleet.plan(prompt(1_000)).engine.replica_id, "e2")
+
+    def test_work_of_peers_counts(self):
+        fleet = Fleet(engine("e1"), engine("e2"))
+        work = {"e1": ReplicaWork(read_s=0.5)}
+        fleet.ledger.note_peer("host-2", work, queued_s=0.0, now_s=NOW_S)
+        self.assertEqual(fleet.plan(prompt(1_000)).engine.replica_id, "e2")
+
+    def test_a_cached_shared_part_outweighs_a_short_backlog(self):
+        # Spread by load alone, 13,300 shared tokens are read again and again.
+        fleet = Fleet(engine("e1"), engine("e2"))
+        wanted = prompt(13_300, 3_700)
+        fleet.prefixes.note("e1", wanted.parts[:1], now_s=NOW_S)
+        fleet.ledger.begin_read("e1", 0.1, now_s=NOW_S)
+        self.assertEqual(fleet.plan(wanted).engine.replica_id, "e1")
+
+    def test_a_long_backlog_moves_a_shared_part_instead_of_reading_it_again(self):
+        fleet = Fleet(engine("e1"), engine("e2"))
+        wanted = prompt(13_300, 3_700)
+        fleet.prefixes.note("e1", wanted.parts[:1], now_s=NOW_S)
+        fleet.ledger.begin_read("e1", 2.0, now_s=NOW_S)
+        plan = fleet.plan(wanted)
+        self.assertEqual(plan.engine.replica_id, "e2")
+        self.assertEqual(plan.fetch_from.replica_id, "e1")
+        self.assertLess(plan.read_s, read_s(17_000, 0, DEFAULT_SPEED) / 2)
+
+    def test_a_part_that_is_being_read_is_not_read_twice(self):
+        # Two requests of one dossier at a cold start had it read on two engines.
+        fleet = Fleet(engine("e1"), engine("e2"))
+        wanted = prompt(13_300, 3_700)
+        fleet.ledger.begin_read("e1", 0.3, now_s=NOW_S)
+        fleet.prefixes.note("e1", wanted.parts[:1], now_s=NOW_S, ready_in_s=0.35)
+        self.assertEqual(fleet.plan(wanted).engine.replica_id, "e1")
+
+    def test_a_part_that_is_being_read_cannot_be_fetched_yet(self):
+        fleet = Fleet(engine("e1"), engine("e2"))
+        wanted = prompt(13_300, 3_700)
+        fleet.ledger.begin_read("e1", 3.0, now_s=NOW_S)
+        fleet.prefixes.note("e1", wanted.parts[:1], now_s=NOW_S, ready_in_s=3.0)
+        plan = fleet.plan(wanted)
+        self.assertEqual((plan.engine.replica_id, plan.fetch_from), ("e2", None))
+
+    def test_an_old_part_counts_as_evicted(self):
+        fleet = Fleet(engine("e1"))
+        wanted = prompt(13_300)
+        fleet.prefixes.note("e1", wanted.parts, now_s=NOW_S)
+        fresh = fleet.plan(wanted).read_s
+        old = fleet.plan(wanted, now_s=NOW_S + KEEP_S + 1).read_s
+        self.assertLess(fresh, old)
+
+    def test_a_slow_engine_is_expected_to_be_slow(self):
+        fleet = Fleet(engine("e1"), engine("e2"))
+        for _ in range(30):
+            fleet.factors.note("e1", expected_s=0.1, actual_s=0.2)
+        self.assertEqual(fleet.plan(prompt(5_000)).engine.replica_id, "e2")
+
+    def test_without_prefill_engines_decode_engines_read(self):
+        fleet = Fleet(engine("e1", Stage.DECODE))
+        plan = fleet.plan(prompt(1_000))
+        self.assertTrue(plan.local)
+
+    def test_without_engines_there_is_no_plan(self):
+        self.assertIsNone(Fleet().plan(prompt(1_000)))
+
+
+class DecoderTest(unittest.TestCase):
+    def test_the_decode_engine_with_more_room_is_chosen(self):
+        fleet = Fleet(engine("d1", Stage.DECODE), engine("d2", Stage.DECODE))
+        for _ in range(20):
+            fleet.ledger.begin_run("d1", 10_000)
+        chosen = fleet.placement.decoder(
+            fleet.engines, ENGINE_LIMITS, zone="zone-a", now_s=NOW_S
+        )
+        self.assertEqual(chosen.replica_id, "d2")
+
+    def test_the_zone_decides_between_equal_engines(self):
+        # Moves between zones take twice as long and cost more.
+        fleet = Fleet(
+            engine("d1", Stage.DECODE, zone="zone-b"),
+            engine("d2", Stage.DECODE, zone="zone-a"),
+        )
+        chosen = fleet.placement.decoder(
+            fleet.engines, ENGINE_LIMITS, zone="zone-a", now_s=NOW_S
+        )
+        self.assertEqual(chosen.replica_id, "d2")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -22,6 +22,9 @@
 PUMP_INTERVAL_S = 0.015
 """Interval at which waiting prompts are tried beside the ends of others."""
 
+READABLE_SLACK_S = 0.05
+"""Fixed time of a prefill call, after which others can fetch what it read."""
+
 RETRY_AFTER_NO_ENGINE_S = 0.5
 RETRY_AFTER_GIVEN_UP_S = 0.5
 
@@ -113,6 +116,12 @@
             job = self._state.ledger.begin_read(
                 plan.engine.replica_id, plan.read_s, now_s=now_s
             )
+            self._state.note_placement(
+                plan.engine,
+                self._demands[prompt.key].prompt,
+                ready_in_s=plan.done_s + READABLE_SLACK_S,
+                now_s=now_s,
+            )
             self._queue.note_placed(prompt, now_s)
             self._settle(prompt.key, Admitted(plan, job))
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -14,7 +14,7 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.fleet.hosts import PeerState
-from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
 
 FORMAT = 1
 CHANGED_INTERVAL_S = 0.05
@@ -36,7 +36,7 @@
     ready: bool
     config_version: int
     work: dict[str, ReplicaWork]
-    placements: tuple[tuple[str, str], ...]
+    placements: tuple[PartPlacement, ...]
     queued_ms: int = 0
     suspects: tuple[str, ...] = ()
 
@@ -47,7 +47,9 @@
         replica_id: [int(item.read_s * 1_000), item.running, item.tokens]
         for replica_id, item in message.work.items()
     }
-    placements = [list(placement) for placement in message.placements]
+    placements = [
+        [item.part_id, item.replica_id, item.ready_in_ms] for item in message.placements
+    ]
     return cbor2.dumps(
         [
             FORMAT,
@@ -77,7 +79,10 @@
                 str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
                 for replica_id, (ms, running, tokens) in work.items()
             },
-            placements=tuple((str(part), str(engine)) for part, engine in placements),
+            placements=tuple(
+                PartPlacement(str(part), str(engine), int(ready_in_ms))
+                for part, engine, ready_in_ms in placements
+            ),
             queued_ms=int(queued_ms),
             suspects=tuple(str(replica_id) for replica_id in suspects),
         )
@@ -184,6 +189,11 @@
             now_s=now_s,
         )
         state.health.note_suspected(message.suspects, now_s)
-        for part_id, replica_id in message.placements:
-            state.prefixes.note_part(replica_id, part_id, now_s=now_s)
+        for item in message.placements:
+            state.prefixes.note_part(
+                item.replica_id,
+                item.part_id,
+                now_s=now_s,
+                ready_in_s=item.ready_in_ms / 1_000,
+            )
         state.on_peer_work()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
@@ -20,6 +21,7 @@
     ClientLimits,
     Configuration,
     HostEntry,
+    Prompt,
     Replica,
     Stage,
 )
@@ -56,6 +58,15 @@
 """Hosts among which the slack is divided at least, while hosts still register."""
 
 
+@dataclass(frozen=True)
+class PartPlacement:
+    """Tell peers which engine reads a part, and when it will have read it."""
+
+    part_id: str
+    replica_id: str
+    ready_in_ms: int
+
+
 class GatewayState:
     """Hold configuration, replicas, hosts, work and health."""
 
@@ -87,7 +98,7 @@
         self.draining = False
         self.changing: dict[str, tuple[Stage, float]] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
-        self.new_placements: list[tuple[str, str]] = []
+        self.new_placements: list[PartPlacement] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
@@ -191,9 +202,14 @@
         self.factors.forget(replica.replica_id)
 
     def note_placement(
-        self, replica: Replica, part_ids: list[str], *, now_s: float
+        self, engine: Replica, prompt: Prompt, *, ready_in_s: float, now_s: float
     ) -> None:
-        """Record which engine read which parts, also for the peers."""
-        for part_id in part_ids:
-            self.prefixes.note_part(replica.replica_id, part_id, now_s=now_s)
-            self.new_placements.append((part_id, replica.replica_id))
+        """Record which engine reads which parts, also for the peers."""
+        self.prefixes.note(
+            engine.replica_id, prompt.parts, now_s=now_s, ready_in_s=ready_in_s
+        )
+        ready_in_ms = int(ready_in_s * 1_000)
+        for part in prompt.parts:
+            self.new_placements.append(
+                PartPlacement(part.part_id, engine.replica_id, ready_in_ms)
+            )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -199,8 +199,10 @@
             self._gate.pump()
         if isinstance(outcome, PromptRead):
             self._prefill_tries += 1
-            self._note_placement(engine)
             return outcome
+        prompt = exchange.metadata.prompt
+        assert prompt is not None
+        self._state.prefixes.forget(engine.replica_id, prompt.parts)
         self._excluded.add(engine.replica_id)
         if outcome.sent:
             self._prefill_tries += 1
@@ -208,12 +210,6 @@
             self._raise_not_served(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
 
-    def _note_placement(self, engine: Replica) -> None:
-        prompt = self._exchange.metadata.prompt
-        assert prompt is not None
-        part_ids = [part.part_id for part in prompt.parts]
-        self._state.note_placement(engine, part_ids, now_s=time.monotonic())
-
     def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
         exchange = self._exchange
         while not self._may_read(limits):
