--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -12,7 +12,7 @@
     RequestError,
 )
 from persimmonyoke.internal.dispatch.routes import choose_service
-from persimmonyoke.internal.fleet.model import RequestKind
+from persimmonyoke.internal.fleet.model import RequestKind, Stage
 from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
@@ -258,6 +258,7 @@
             attempts=[str(attempt) for attempt in exchange.attempts],
             configuration=exchange.configuration.version,
             store_age_ms=_ms(now_s - state.store_heard_s),
+            **self._load_fields(exchange, outcome),
         )
         state.metrics.requests.add(kind=kind, outcome=outcome)
         state.metrics.duration.observe(now_s - exchange.started_s, kind=kind)
@@ -266,6 +267,23 @@
         if exchange.sends > 1:
             state.metrics.repeats.add(exchange.sends - 1)
 
+    def _load_fields(self, exchange: Exchange, outcome: str) -> dict[str, int]:
+        """Return the load that a refusal or failure was decided by."""
+        if outcome == "delivered":
+            return {}
+        state, now_s = self._state, time.monotonic()
+        replicas = state.replicas.usable(exchange.service.name)
+        return {
+            "replicas": len(replicas),
+            "paused": sum(state.health.paused(r.replica_id, now_s) for r in replicas),
+            "decoders": sum(r.stage is Stage.DECODE for r in replicas),
+            "queued_ms": int(state.queued_s() * 1_000),
+            "peers_queued_ms": int(state.ledger.peers_queued_s(now_s=now_s) * 1_000),
+            "backlog_ms": int(
+                state.placement.mean_backlog_s(replicas, now_s=now_s) * 1_000
+            ),
+        }
+
 
 def _ms(seconds: float | None) -> int | None:
     return None if seconds is None else int(seconds * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Counters and histograms of one gateway process."""
 
+from collections.abc import Callable, Mapping
+
 from persimmonyoke.internal.observability.metrics import NodeMetrics, render
 
 OUTCOMES = (
@@ -21,6 +23,8 @@
     def __init__(self) -> None:
         node = NodeMetrics()
         self._node = node
+        self._store_call_counts: Mapping[str, int] = {}
+        self._dropped_lines: Callable[[], int] = lambda: 0
         self.requests = node.counter(
             "gateway_requests_total",
             "Requests by kind and outcome.",
@@ -69,10 +73,30 @@
         self.log_lines_dropped = node.gauge(
             "gateway_log_lines_dropped_number", "Log lines dropped since the start."
         )
+        self.prefill_backlog = node.gauge(
+            "gateway_prefill_backlog_seconds", "Mean backlog of prefill engines."
+        )
+        self.queued = node.gauge(
+            "gateway_queued_prefill_seconds", "Reading time of prompts that wait here."
+        )
+        self.malformed_entries = node.gauge(
+            "gateway_malformed_entries_number", "Entries of the store not understood."
+        )
         self.upstream_connections = node.gauge(
             "gateway_opened_upstream_connections", "Connections opened to replicas."
         )
 
+    def watch_store_calls(self, calls: Mapping[str, int]) -> None:
+        """Publish the number of calls to the store by name."""
+        self._store_call_counts = calls
+
+    def watch_dropped_lines(self, dropped: Callable[[], int]) -> None:
+        """Publish how many log lines were dropped."""
+        self._dropped_lines = dropped
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        for name, count in self._store_call_counts.items():
+            self.store_calls.set(count, call=name)
+        self.log_lines_dropped.set(self._dropped_lines())
         return render(self._node)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -38,6 +38,8 @@
         wire: UpstreamWire,
         store: FleetStore,
         journal: Journal,
+        *,
+        metrics_port: int | None = None,
     ) -> None:
         self.state = GatewayState(settings, wire, journal)
         self.front = FrontServer(self.state)
@@ -49,6 +51,7 @@
         self._follower = StoreFollower(
             self.state, store, self._orders, self._peers.send_now
         )
+        self._metrics_port = metrics_port
         self._stop = Event()
         self._tasks: list[gevent.Greenlet] = []
 
@@ -60,6 +63,8 @@
         self.front.start(settings.listen_host, settings.front_port)
         self._small.start(settings.listen_host, settings.ready_port)
         self._small.start(settings.listen_host, settings.directory_port)
+        if self._metrics_port is not None:
+            self._small.start(settings.listen_host, self._metrics_port)
         loops = (
             self._follower.run,
             self._registration.run,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -91,4 +91,9 @@
         version = state.configuration.version if state.configuration else 0
         metrics.configuration_version.set(version)
         metrics.upstream_connections.set(state.pool.opened)
+        metrics.queued.set(state.queued_s())
+        metrics.malformed_entries.set(state.journal.malformed_entries)
+        engines = [r for r in state.replicas.all() if r.stage is not None]
+        backlog_s = state.placement.mean_backlog_s(engines, now_s=time.monotonic())
+        metrics.prefill_backlog.set(backlog_s)
         return 200, metrics.render()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/observability/explain.py
@@ -0,0 +1,107 @@
+"""Collection of the log lines that explain one request, over all hosts."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+CONTEXT_S = 4.0
+"""Time before and after a request from which changes are shown with it.
+
+Entries of silent replicas end, and duties pass on, within four seconds.
+"""
+
+CONTEXT_EVENTS = frozenset(
+    (
+        "replica",
+        "order",
+        "order_term",
+        "order_without_answer",
+        "report_without_answer",
+        "configuration",
+        "store_lost",
+        "store_regained",
+        "started",
+        "stopping",
+        "stopped",
+    )
+)
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """Hold one structured log line."""
+
+    time_unix_s: float
+    host: str
+    event: str
+    fields: dict[str, Any]
+
+    def __str__(self) -> str:
+        shown = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.time_unix_s:.3f} {self.host} {self.event} {shown}"
+
+
+def parse_line(text: str) -> LogLine | None:
+    """Return the line of a JSON object, also behind a prefix; ``None`` otherwise."""
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        fields = json.loads(text[start:])
+    except ValueError:
+        return None
+    if not isinstance(fields, dict) or "event" not in fields:
+        return None
+    time_unix_s = fields.pop("time_unix_s", 0.0)
+    host, event = fields.pop("host", "?"), fields.pop("event")
+    fields.pop("level", None)
+    if not isinstance(time_unix_s, int | float):
+        return None
+    return LogLine(float(time_unix_s), str(host), str(event), fields)
+
+
+def explain(request_id: str, texts: Iterable[str]) -> list[LogLine]:
+    """Return the lines of a request, and what its host learnt around it, in order."""
+    lines = [line for text in texts if (line := parse_line(text)) is not None]
+    own = [line for line in lines if line.fields.get("request_id") == request_id]
+    if not own:
+        return []
+    hosts = {line.host for line in own}
+    names = _replicas(own)
+    begin_s = min(_begin_s(line) for line in own) - CONTEXT_S
+    end_s = max(line.time_unix_s for line in own) + CONTEXT_S
+    context = [
+        line
+        for line in lines
+        if line.event in CONTEXT_EVENTS
+        and begin_s <= line.time_unix_s <= end_s
+        and _belongs(line, hosts, names)
+    ]
+    return sorted(own + context, key=lambda line: line.time_unix_s)
+
+
+def _begin_s(line: LogLine) -> float:
+    return line.time_unix_s - float(line.fields.get("ms") or 0) / 1_000
+
+
+def _replicas(lines: Iterable[LogLine]) -> set[str]:
+    """Return the replicas that a request was sent to."""
+    attempts = (a for line in lines for a in line.fields.get("attempts", ()))
+    return {str(a).split(":")[1] for a in attempts if str(a).count(":") >= 3}
+
+
+def _belongs(line: LogLine, hosts: set[str], replicas: set[str]) -> bool:
+    """Return whether a change may explain the request.
+
+    Changes of replicas count if the request was sent to them or decoding changed;
+    orders count from whichever host gave them.
+    """
+    if line.event in ("order", "order_term", "order_without_answer"):
+        return True
+    if line.host not in hosts:
+        return False
+    if line.event == "replica":
+        decodes = line.fields.get("stage") == "decode"
+        return decodes or line.fields.get("replica") in replicas
+    return True
--- a/packages/persimmonyoke/src/persimmonyoke/tests/test_import_order.py
+++ b/packages/persimmonyoke/src/persimmonyoke/tests/test_import_order.py
@@ -20,12 +20,12 @@
     ),
     ("internal.platform",),
     ("internal.presets", "internal.audit"),
-    ("internal.membership",),
+    ("internal.membership", "internal.fleet"),
     ("internal.upstreams",),
-    ("internal.routing", "internal.admission", "internal.roles"),
+    ("internal.routing", "internal.admission", "internal.roles", "internal.dispatch"),
     ("internal.once", "internal.authority"),
     ("internal.delivery",),
-    ("internal.callers", "internal.operators"),
+    ("internal.callers", "internal.operators", "internal.gateway"),
     ("internal.node",),
 )
 PUBLIC_PACKAGES = ("persimmonyoke", "persimmonyoke.internal")
--- /dev/null
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/explain_command.py
@@ -0,0 +1,27 @@
+"""Command that explains one request from the logs of entry hosts."""
+
+from pathlib import Path
+
+from persimmonyoke.internal.observability.explain import explain as collect
+from persimmonyoke_cli.failures import CommandFailed, UsageError
+
+
+def explain(request_id: str, logs: list[Path]) -> None:
+    """Print the log lines of a request in order, with the changes around it.
+
+    :param request_id: id of the request, as the client sent it
+    :param logs: log files of one or more entry hosts
+    """
+    if not logs:
+        raise UsageError("name at least one log file")
+    texts: list[str] = []
+    for path in logs:
+        try:
+            texts.extend(path.read_text("utf-8", "replace").splitlines())
+        except OSError as error:
+            raise UsageError(f"{path} can't be read: {error}") from error
+    lines = collect(request_id, texts)
+    if not lines:
+        raise CommandFailed(f"no line of request {request_id} in {len(logs)} files")
+    for line in lines:
+        print(line)
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/registry.py
@@ -10,6 +10,7 @@
 from persimmonyoke_cli import (
     check_command,
     demo_command,
+    explain_command,
     preset_commands,
     status_commands,
 )
@@ -31,6 +32,7 @@
     "audit": status_commands.audit,
     "check": check_command.check,
     "demo": demo_command.demo,
+    "explain": explain_command.explain,
 }
 
 
