Let returning requests go first, use a leaving decode engine for a moment, hear of versions

Causes: a request that was refused once could be refused again although newer ones were served, since nobody knew it; a planned leaving of the only decode engine stopped generating at once although it still takes work for two seconds; a host whose watch had become silent learnt of a configuration 3.1 s late although its peers had it.

Change: hosts tell each other the digests of refused requests, which then go first and may use all of their time. A decode engine whose leaving was watched serves for 1 s if there is no other. A version heard from a peer is read if the watch does not bring it in 0.4 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -54,10 +54,6 @@
         """Return the other registered hosts."""
         return [e for e in self._entries.values() if e.name != self._own_name]
 
-    def newest_config_version(self) -> int:
-        """Return the highest version that a peer has in force."""
-        return max((peer.config_version for peer in self._peers.values()), default=0)
-
     def addresses(
         self, *, own: HostEntry, own_ready: bool, now_s: float, limit: int
     ) -> list[str]:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -11,6 +11,13 @@
 The platform's pages state about two seconds; after them a missing replica has left.
 """
 
+LEAVING_USE_S = 1.0
+"""Time for which a leaving replica is used where there is no other one.
+
+Work may reach it until two seconds after the store accepted its leaving; the rest is
+for the watch and the network.
+"""
+
 
 @dataclass(frozen=True)
 class ReplicaAdded:
@@ -54,6 +61,7 @@
         self._replicas: dict[str, Replica] = {}
         self._missing_since_s: dict[str, float] = {}
         self._outage_ended_s = float("-inf")
+        self._leaving_since_s: dict[str, float] = {}
 
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica that may be in use."""
@@ -71,6 +79,21 @@
             if replica.service == service and not replica.draining
         ]
 
+    def leaving(self, service: str, *, now_s: float) -> list[Replica]:
+        """Return the replicas whose leaving was seen in this moment.
+
+        They are for work that no other replica can do. Only a change that was watched
+        counts: one that is read after an outage may be old.
+        """
+        return [
+            replica
+            for replica in self._replicas.values()
+            if replica.service == service
+            and replica.draining
+            and now_s - self._leaving_since_s.get(replica.replica_id, float("-inf"))
+            < LEAVING_USE_S
+        ]
+
     def note_outage_end(self, now_s: float) -> None:
         """Note that the store answers again after an outage."""
         self._outage_ended_s = now_s
@@ -83,13 +106,15 @@
         seen = set()
         for replica in entries:
             seen.add(replica.replica_id)
-            changes.extend(self.put(replica, now_s=now_s))
+            changes.extend(self.put(replica, now_s=now_s, watched=False))
         for replica_id in set(self._replicas) - seen:
             changes.extend(self.remove(replica_id, now_s=now_s))
         return changes
 
-    def put(self, replica: Replica, *, now_s: float) -> list[ReplicaChange]:
-        """Apply one entry."""
+    def put(
+        self, replica: Replica, *, now_s: float, watched: bool = True
+    ) -> list[ReplicaChange]:
+        """Apply one entry; ``watched`` says that it was written just now."""
         known = self._replicas.get(replica.replica_id)
         self._missing_since_s.pop(replica.replica_id, None)
         if known is not None and replica.born_unix_ms < known.born_unix_ms:
@@ -100,6 +125,8 @@
             return [ReplicaAdded(replica)]
         if known == replica:
             return []
+        if watched and replica.draining and not known.draining:
+            self._leaving_since_s[replica.replica_id] = now_s
         if _same_incarnation(known, replica):
             return [ReplicaChanged(replica, known)]
         return [ReplicaGone(known, "started again"), ReplicaAdded(replica)]
@@ -127,6 +154,7 @@
 
     def _drop(self, replica_id: str, reason: str) -> list[ReplicaChange]:
         self._missing_since_s.pop(replica_id, None)
+        self._leaving_since_s.pop(replica_id, None)
         replica = self._replicas.pop(replica_id, None)
         return [] if replica is None else [ReplicaGone(replica, reason)]
 
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
@@ -0,0 +1,103 @@
+"""Test the view of the replicas through outages and restarts."""
+
+import unittest
+
+from persimmonyoke.internal.fleet.model import Stage
+from persimmonyoke.internal.fleet.replicas import (
+    LEAVING_USE_S,
+    RETURN_GRACE_S,
+    ReplicaAdded,
+    ReplicaChanged,
+    ReplicaGone,
+    ReplicaView,
+)
+from persimmonyoke_testing.builders_fleet import engine
+
+
+def names(changes):
+    return [(type(c).__name__, c.replica.replica_id) for c in changes]
+
+
+class OutageTest(unittest.TestCase):
+    def test_an_entry_that_lapsed_in_an_outage_stays_for_two_seconds(self):
+        # All entries lapse while the store is away; taking them for gone would leave
+        # no replica at all.
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.note_outage_end(100.0)
+        self.assertEqual(view.replace_all([], now_s=100.0), [])
+        self.assertEqual(view.expire(100.0 + RETURN_GRACE_S / 2), [])
+        self.assertEqual(len(view.usable("llm")), 1)
+        gone = view.expire(100.0 + RETURN_GRACE_S)
+        self.assertEqual(names(gone), [("ReplicaGone", "a")])
+
+    def test_a_replica_that_comes_back_after_an_outage_is_kept(self):
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.note_outage_end(100.0)
+        view.replace_all([], now_s=100.0)
+        view.put(engine("a"), now_s=101.0)
+        self.assertEqual(view.expire(110.0), [])
+        self.assertEqual(len(view.usable("llm")), 1)
+
+    def test_without_an_outage_a_removed_replica_is_gone_at_once(self):
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        self.assertEqual(names(view.remove("a", now_s=91.0)), [("ReplicaGone", "a")])
+        self.assertEqual(view.usable("llm"), [])
+
+
+class RestartTest(unittest.TestCase):
+    def test_a_replica_that_starts_again_under_its_id_is_a_new_one(self):
+        # It holds nothing of before, and connections to the old one are dead.
+        view = ReplicaView()
+        view.put(engine("a", born_unix_ms=1_000), now_s=90.0)
+        changes = view.put(engine("a", born_unix_ms=2_000), now_s=91.0)
+        self.assertEqual(names(changes), [("ReplicaGone", "a"), ("ReplicaAdded", "a")])
+
+    def test_a_late_entry_of_the_former_incarnation_is_ignored(self):
+        view = ReplicaView()
+        view.put(engine("a", born_unix_ms=2_000), now_s=90.0)
+        late = engine("a", born_unix_ms=1_000, draining=True)
+        self.assertEqual(view.put(late, now_s=91.0), [])
+        self.assertFalse(view.get("a").draining)
+
+    def test_a_replica_at_another_address_is_a_new_one(self):
+        view = ReplicaView()
+        view.put(engine("a", port=1), now_s=90.0)
+        changes = view.put(engine("a", port=2), now_s=91.0)
+        self.assertEqual([type(c) for c in changes], [ReplicaGone, ReplicaAdded])
+
+    def test_a_changed_stage_is_a_change(self):
+        view = ReplicaView()
+        view.put(engine("a", Stage.DECODE), now_s=90.0)
+        changes = view.put(engine("a", Stage.PREFILL), now_s=91.0)
+        self.assertIsInstance(changes[0], ReplicaChanged)
+        self.assertTrue(changes[0].stage_changed)
+
+
+class LeavingTest(unittest.TestCase):
+    def leaving_view(self, *, watched):
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.put(engine("a", draining=True), now_s=100.0, watched=watched)
+        return view
+
+    def test_a_leaving_replica_gets_no_new_work(self):
+        view = self.leaving_view(watched=True)
+        self.assertEqual(view.usable("llm"), [])
+
+    def test_a_replica_whose_leaving_was_watched_serves_as_the_last_one_for_a_moment(
+        self,
+    ):
+        view = self.leaving_view(watched=True)
+        self.assertEqual(len(view.leaving("llm", now_s=100.5)), 1)
+        self.assertEqual(view.leaving("llm", now_s=100.0 + LEAVING_USE_S), [])
+
+    def test_a_leaving_that_was_read_after_an_outage_may_be_old(self):
+        view = self.leaving_view(watched=False)
+        self.assertEqual(view.leaving("llm", now_s=100.1), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -46,6 +46,7 @@
     target_s: float
     deadline_s: float
     value: float
+    returning: bool
     engines: Callable[[], Sequence[Replica]]
 
 
@@ -74,7 +75,9 @@
         if plan is None:
             return Refused("no engine", RETRY_AFTER_NO_ENGINE_S)
         refused = refuse_if_late(
-            self._expected_s(demand, plan, now_s), demand.deadline_s - now_s
+            self._expected_s(demand, plan, now_s),
+            demand.deadline_s - now_s,
+            returning=demand.returning,
         )
         if refused is not None:
             return refused
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -24,6 +24,9 @@
 WATCH_WAIT_S = 2.5
 """Wait of one watch; a connection that became silent is noticed after it."""
 
+WATCH_LAG_S = 0.4
+"""Time by which a watch may be later than that of a peer, with a slow store."""
+
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
 OUTAGE_S = 1.0
@@ -50,6 +53,27 @@
         self._on_configuration = on_configuration
         self._revision: int | None = None
         self._connected = False
+        self._catching_up = False
+        state.on_newer_version = self.note_newer_version
+
+    def note_newer_version(self, version: int) -> None:
+        """Read the store if the watch does not bring a version that a peer has."""
+        if not self._catching_up:
+            self._catching_up = True
+            gevent.spawn(self._catch_up, version)
+
+    def _catch_up(self, version: int) -> None:
+        try:
+            gevent.sleep(WATCH_LAG_S)
+            if self._state.version >= version:
+                return
+            self._state.journal.event("watch_behind", version=version)
+            self._apply_snapshot(self._store.snapshot())
+        except StoreUnavailable as error:
+            # The peer goes on to tell its version, so this is tried again.
+            self._state.journal.failure("catch_up_failed", error)
+        finally:
+            self._catching_up = False
 
     def run(self) -> None:
         """Follow the store for as long as the process runs."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -231,7 +231,7 @@
             outcome="rejected",
             status=error.answer.status,
             reason=error.message,
-            configuration=_version(state),
+            configuration=state.version,
         )
         state.metrics.requests.add(kind="none", outcome="rejected")
         state.metrics.refusals.add(reason=error.message)
@@ -289,10 +289,6 @@
     return None if seconds is None else int(seconds * 1_000)
 
 
-def _version(state: GatewayState) -> int | None:
-    return state.configuration.version if state.configuration else None
-
-
 def _error_head(error: RequestError, closing: bool) -> OutgoingHead:
     status = error.answer.status
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -26,6 +26,7 @@
 
 MAX_PLACEMENTS = 24
 MAX_REPLICAS = 24
+MAX_REFUSED = 16
 
 
 @dataclass(frozen=True)
@@ -39,6 +40,7 @@
     placements: tuple[PartPlacement, ...]
     queued_ms: int = 0
     suspects: tuple[str, ...] = ()
+    refused: tuple[int, ...] = ()
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -60,6 +62,7 @@
             placements,
             message.queued_ms,
             list(message.suspects),
+            list(message.refused),
         ]
     )
 
@@ -68,7 +71,7 @@
     """Return the message of a datagram; raise ``ProtocolError``."""
     try:
         version, host, ready, config_version, *rest = cbor2.loads(raw)
-        work, placements, queued_ms, suspects = rest
+        work, placements, queued_ms, suspects, refused = rest
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -85,6 +88,7 @@
             ),
             queued_ms=int(queued_ms),
             suspects=tuple(str(replica_id) for replica_id in suspects),
+            refused=tuple(int(key) for key in refused),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
@@ -139,15 +143,15 @@
             work = {
                 replica_id: work[replica_id] for replica_id in busiest[:MAX_REPLICAS]
             }
-        configuration = state.configuration
         return PeerMessage(
             host=state.settings.host_name,
             ready=state.ready,
-            config_version=configuration.version if configuration else 0,
+            config_version=state.version,
             work=work,
             placements=tuple(state.new_placements[:MAX_PLACEMENTS]),
             queued_ms=int(state.queued_s() * 1_000),
             suspects=tuple(state.health.all_paused(time.monotonic())[:MAX_REPLICAS]),
+            refused=state.returns.take_untold(MAX_REFUSED),
         )
 
     def _send(self, message: PeerMessage, now_s: float) -> None:
@@ -189,6 +193,7 @@
             now_s=now_s,
         )
         state.health.note_suspected(message.suspects, now_s)
+        state.returns.note_peer(message.refused, now_s=now_s)
         for item in message.placements:
             state.prefixes.note_part(
                 item.replica_id,
@@ -197,3 +202,5 @@
                 ready_in_s=item.ready_in_ms / 1_000,
             )
         state.on_peer_work()
+        if message.config_version > state.version:
+            state.on_newer_version(message.config_version)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -88,8 +88,7 @@
     def _metrics(self, _request: ClientRequest) -> tuple[int, bytes]:
         state, metrics = self._state, self._state.metrics
         metrics.store_age.set(time.monotonic() - state.store_heard_s)
-        version = state.configuration.version if state.configuration else 0
-        metrics.configuration_version.set(version)
+        metrics.configuration_version.set(state.version)
         metrics.upstream_connections.set(state.pool.opened)
         metrics.queued.set(state.queued_s())
         metrics.malformed_entries.set(state.journal.malformed_entries)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -13,6 +13,7 @@
 from persimmonyoke.internal.dispatch.placement import Placement
 from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
 from persimmonyoke.internal.dispatch.queue import RouteSizes
+from persimmonyoke.internal.dispatch.returns import Returns
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.hosts import HostView
@@ -91,6 +92,7 @@
         self.factors = EngineFactors()
         self.sizes = RouteSizes()
         self.outlook = DecoderOutlook()
+        self.returns = Returns()
         self.placement = Placement(
             self.ledger, self.prefixes, self.factors, DEFAULT_SPEED
         )
@@ -101,6 +103,7 @@
         self.new_placements: list[PartPlacement] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
+        self.on_newer_version: Callable[[int], None] = lambda _version: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
 
     @property
@@ -110,6 +113,11 @@
             not self.draining and self.configuration is not None and self.replicas_known
         )
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force, 0 without one."""
+        return self.configuration.version if self.configuration else 0
+
     @property
     def limits(self) -> ClientLimits:
         """Return what clients may send."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -9,6 +9,7 @@
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_S
 from persimmonyoke.internal.dispatch.refusal import Refused
+from persimmonyoke.internal.dispatch.returns import RETURN_VALUE, request_key
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
@@ -111,10 +112,22 @@
         self._decoder_lost_s: float | None = None
         self._budget = state.retry_budget(exchange.service.name)
         self._value = 1.0
+        self._key: int | None = None
+        self._returning = False
         if prompt is not None:
             self._value = state.sizes.value(
                 exchange.route.name, prompt.input_tokens, prompt.max_output_tokens
             )
+            self._recognise(prompt)
+
+    def _recognise(self, prompt: Prompt) -> None:
+        """Let a request that comes back after a refusal go before others."""
+        key = request_key(self._exchange.request.path, prompt)
+        returns, now_s = self._state.returns, time.monotonic()
+        self._key = key
+        self._returning = returns.returning(key, now_s=now_s)
+        if self._returning:
+            self._value *= RETURN_VALUE
 
     def run(self) -> None:
         """Run the request until its answer is complete or given up."""
@@ -224,6 +237,7 @@
             target_s=deadline_s if self._begun else target_s,
             deadline_s=deadline_s,
             value=self._value,
+            returning=self._returning,
             engines=self._engines,
         )
         admitted = self._gate.admit(demand, exchange.work.on_cancel)
@@ -264,8 +278,22 @@
         A stream that broke may go on at the same engine if there is no other one.
         """
         decoders = [e for e in self._engines() if e.stage is Stage.DECODE]
+        if not decoders:
+            decoders = self._leaving_decoders()
         return [e for e in decoders if e.replica_id not in self._avoided] or decoders
 
+    def _leaving_decoders(self) -> list[Replica]:
+        """Return decode engines that have just begun to leave and still take work."""
+        now_s = time.monotonic()
+        return [
+            engine
+            for engine in self._state.replicas.leaving(
+                self._exchange.service.name, now_s=now_s
+            )
+            if engine.stage is Stage.DECODE
+            and not self._state.health.paused(engine.replica_id, now_s)
+        ]
+
     def _usable_engines(self, now_s: float) -> list[Replica]:
         return [
             engine
@@ -456,6 +484,8 @@
             raise StreamBroken(reason)
         error = self._exchange.not_served(reason, retry_after_s)
         if error.kind is ErrorKind.UPSTREAM_UNAVAILABLE:
+            if self._key is not None:
+                self._state.returns.note_refused(self._key, now_s=time.monotonic())
             # 429 tells the caller that load is the reason, 503 that a part is missing.
             raise RequestError(
                 ErrorKind.OVERLOADED, reason, retry_after_s=retry_after_s
