Read no prompt ahead of a decode engine that comes too late for its caller

While a decode engine was being replaced, prompts were read whose callers leave after 2.4 s although the engine comes after 3.6 s, and were refused only after the reading.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -261,7 +261,10 @@
         expected_s = self._state.outlook.expected_in_s(
             stage_change_s=limits.stage_change_s, now_s=time.monotonic()
         )
-        return expected_s is not None and expected_s < HANDLE_KEEP_S
+        if expected_s is None:
+            return False
+        patience_s = self._patience_left_s(time.monotonic())
+        return expected_s + FIRST_EVENT_S <= min(HANDLE_KEEP_S, patience_s)
 
     def _engines(self) -> list[Replica]:
         """Return the engines that can be reached, as far as this host knows."""
