--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
@@ -17,6 +17,9 @@
 ARRIVAL_SLACK_S = 0.6
 """Bound of the time from sending an order to its arrival, with its connection."""
 
+YIELD_S = 1.0
+"""Time in which another host has seen that the key is free and has taken it."""
+
 
 class TermState(StrEnum):
     """Name how far a host has got with becoming the holder."""
@@ -82,12 +85,20 @@
 
     def may_announce(self, now_s: float) -> bool:
         """Return whether an order may be announced, by the last holder's record."""
-        if self.state is not TermState.HELD:
-            return False
+        return self.state is TermState.HELD and not self._must_wait(now_s)
+
+    def attempt_delay_s(self, now_s: float) -> float:
+        """Return how long to leave a free key to hosts that may order sooner.
+
+        A host that has just started does not know how old the last record is.
+        """
+        return YIELD_S if self._must_wait(now_s) else 0.0
+
+    def _must_wait(self, now_s: float) -> bool:
         record = self.record
         if record is None or record.holder == self._holder:
-            return True
-        return now_s >= self._record_seen_s + self.takeover_wait_s
+            return False
+        return now_s < self._record_seen_s + self.takeover_wait_s
 
     @property
     def takeover_wait_s(self) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_term.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_term.py
@@ -54,6 +54,19 @@
         self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
 
 
+class AttemptTest(unittest.TestCase):
+    def test_a_host_that_has_just_started_leaves_a_free_key_to_others(self):
+        # It took the key after an outage and waited four seconds to order, although
+        # hosts that knew the record to be old could have ordered at once.
+        term = OrderTerm("host-a", turn_s=TURN_S)
+        term.note_record(record("host-b", 5), now_s=100.0)
+        self.assertGreater(term.attempt_delay_s(100.5), 0)
+        self.assertEqual(term.attempt_delay_s(100.0 + term.takeover_wait_s), 0)
+
+    def test_a_fleet_without_any_record_takes_the_key_at_once(self):
+        self.assertEqual(OrderTerm("host-a", turn_s=TURN_S).attempt_delay_s(5.0), 0)
+
+
 class SendingTest(unittest.TestCase):
     def test_an_order_announced_before_a_suspension_is_not_sent(self):
         # The steady clock stands still while a host is frozen; the boot clock runs on.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -132,13 +132,13 @@
         state.apply_replica_changes(state.replicas.replace_all(replicas, now_s=now_s))
         state.hosts.replace_all(hosts, now_s=now_s)
         state.replicas_known = True
-        holders = [e.holder for e in events if isinstance(e, HolderSeen)]
-        self._orders.note_holder(holders[0] if holders else None)
         for event in events:
             if isinstance(event, ConfigurationRead):
                 self._apply_configuration(event, "snapshot")
             elif isinstance(event, OrderRecorded):
                 self._orders.note_record(event.record)
+        holders = [e.holder for e in events if isinstance(e, HolderSeen)]
+        self._orders.note_holder(holders[0] if holders else None)
 
     def _apply_events(self, events: tuple[StoreEvent, ...]) -> None:
         state, now_s = self._state, time.monotonic()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -56,15 +56,14 @@
         self._term = OrderTerm(self._holder, turn_s=state.settings.lease_s)
         self._orders: dict[str, SentOrder] = {}
         self._watches: dict[str, EngineWatch] = {}
-        self._known_holder: str | None = None
         self._next_attempt_s = 0.0
         self._renewed_s = 0.0
 
     def note_holder(self, holder: str | None) -> None:
-        """Note who holds the order key; a free key is tried for at once."""
-        self._known_holder = holder
+        """Note who holds the order key; a free key is tried for soon."""
         if holder is None:
-            self._next_attempt_s = 0.0
+            now_s = time.monotonic()
+            self._next_attempt_s = now_s + self._term.attempt_delay_s(now_s)
 
     def note_record(self, record: OrderRecord) -> None:
         """Note the last announced order."""
