--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -21,6 +21,10 @@
 """Time before the client's deadline at which a final answer is given."""
 
 
+class StreamBroken(Exception):
+    """Say that a client's answer has begun and can't be completed."""
+
+
 @dataclass(frozen=True)
 class Attempt:
     """Hold one send of a request for the log."""
@@ -54,6 +58,8 @@
     first_event_s: float | None = None
     estimate_s: float | None = None
     closing: bool = False
+    begun: bool = False
+    last_event_s: float = 0.0
     status: int = 0
 
     @property
@@ -61,6 +67,11 @@
         """Return the time until a final answer is due."""
         return self.deadline_s - time.monotonic()
 
+    def patience_left_s(self, now_s: float) -> float:
+        """Return how long the caller of a stream still waits for an event."""
+        end_s = max(self.started_s, self.last_event_s) + self.route.patience_s
+        return min(self.deadline_s, end_s) - ANSWER_MARGIN_S - now_s
+
     @property
     def deadline_ms(self) -> int:
         """Return what a replica is told: the time that the client still waits."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -19,11 +19,11 @@
     ClientGone,
     OutgoingHead,
 )
-from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.plain_relay import PlainRelay
 from persimmonyoke.internal.gateway.requests import ClientRequest
 from persimmonyoke.internal.gateway.state import GatewayState
-from persimmonyoke.internal.gateway.stream_relay import StreamBroken, StreamRelay
+from persimmonyoke.internal.gateway.stream_relay import StreamRelay
 
 BACKLOG = 1_024
 RETRY_AFTER_NOT_READY_S = 0.5
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -21,6 +21,9 @@
 """Interval while work changes: half of the time that an average prompt takes."""
 
 QUIET_INTERVAL_S = 0.25
+MAX_DATAGRAMS_PER_S = 150
+"""Bound for one host: with many peers each of them is told less often."""
+
 MAX_DATAGRAM_BYTES = 1_400
 """Datagrams below the usual MTU are not fragmented."""
 
@@ -94,6 +97,11 @@
         raise ProtocolError(f"malformed datagram: {error}") from error
 
 
+def send_interval_s(peer_count: int) -> float:
+    """Return the time between two rounds of datagrams."""
+    return max(CHANGED_INTERVAL_S, peer_count / MAX_DATAGRAMS_PER_S)
+
+
 class PeerLink:
     """Send this host's state to all peers and apply theirs."""
 
@@ -127,7 +135,7 @@
 
     def _send_loop(self) -> None:
         while True:
-            gevent.sleep(CHANGED_INTERVAL_S)
+            gevent.sleep(send_interval_s(len(self._state.hosts.peers())))
             now_s = time.monotonic()
             message = self._message()
             quiet = message == self._last_sent
