End the import cycle of entry and its metrics

entry.py and entry_metrics.py imported each other for the type of the node. The metrics now name the parts that they read in a typed record; the entry hands them over.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -32,7 +32,7 @@
 from persimmonyoke.internal.node.endpoints import join_address, split_address
 from persimmonyoke.internal.node.engine_health import EngineChecks
 from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
-from persimmonyoke.internal.node.entry_metrics import entry_metrics
+from persimmonyoke.internal.node.entry_metrics import MeasuredParts, entry_metrics
 from persimmonyoke.internal.node.first_tokens import TimedDelivery
 from persimmonyoke.internal.node.fleet_view import FleetView
 from persimmonyoke.internal.node.host_list_loop import entry_hosts
@@ -253,7 +253,19 @@
             receive_s=limits.receive_s,
             max_body_bytes=MAX_BODY_BYTES,
         )
-        self.metrics = entry_metrics(self)
+        self.metrics = entry_metrics(
+            MeasuredParts(
+                budget=self.budget,
+                delivery=self.delivery,
+                callers=self.callers,
+                gate=self.gate,
+                router=self.router,
+                view=self.view,
+                peers=self.peers,
+                drains=self.drains,
+                admission=self.admission,
+            )
+        )
 
     # Life
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry_metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry_metrics.py
@@ -1,15 +1,36 @@
 """Choice of the metrics that an entry node shows."""
 
 import time
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
+from persimmonyoke.internal.callers.server import CallerServer
+from persimmonyoke.internal.delivery.delivery import Delivery
+from persimmonyoke.internal.membership.peers import PeerService
+from persimmonyoke.internal.node.admission_gate import PoolAdmission
+from persimmonyoke.internal.node.claim_gate import ClaimServiceGate
+from persimmonyoke.internal.node.drains import DrainView
+from persimmonyoke.internal.node.engine_router import EngineRouter
 from persimmonyoke.internal.node.node_metrics import MAX_POOLS, EntryMetrics
+from persimmonyoke.internal.platform import RateBudget
+from persimmonyoke.internal.presets import ConfigurationView
 
-if TYPE_CHECKING:
-    from persimmonyoke.internal.node.entry import EntryNode
 
+@dataclass(frozen=True)
+class MeasuredParts:
+    """Name the parts of an entry node that its metrics are read from."""
 
-def entry_metrics(node: "EntryNode") -> EntryMetrics:
+    budget: RateBudget
+    delivery: Delivery
+    callers: CallerServer
+    gate: ClaimServiceGate
+    router: EngineRouter
+    view: ConfigurationView
+    peers: PeerService
+    drains: DrainView
+    admission: PoolAdmission
+
+
+def entry_metrics(node: MeasuredParts) -> EntryMetrics:
     """Return the metrics of a node, read from its parts when rendered."""
     metrics = EntryMetrics()
     metrics.common(node.budget)
@@ -52,7 +73,7 @@
     return metrics
 
 
-def _add_pools(metrics: EntryMetrics, node: "EntryNode") -> None:
+def _add_pools(metrics: EntryMetrics, node: MeasuredParts) -> None:
     queues = node.admission.queues
     offered = node.router.offered
     metrics.values(
