Let a prompt that waits for its engine leave free engines to the next one

Cause: the queue stopped at its first prompt when the engine that holds its shared part was busy, although the next prompt's engine was free.

Kept, since an engine is not left idle for a prompt that waits for another one.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/queue.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/queue.py
@@ -5,12 +5,14 @@
 reading time before others; prompts that are late anyway use what is left, by deadline.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 LATE_TURN = 6
 """One of so many prompts is a late one, so that the largest prompts are served too."""
 
+LEAST_READ_S = 0.005
+"""Time of one step of an engine, which the shortest prompt takes too."""
+
 
 @dataclass(frozen=True)
 class WaitingPrompt:
@@ -63,15 +65,16 @@
         """Return the prompts whose first event can't come in time any more."""
         return [p for p in self._waiting.values() if not p.meets_deadline(now_s)]
 
-    def best(self, now_s: float) -> WaitingPrompt | None:
-        """Return the prompt to be read next."""
-        if not self._waiting:
-            return None
-        timely = [p for p in self._waiting.values() if p.meets_target(now_s)]
-        late = [p for p in self._waiting.values() if not p.meets_target(now_s)]
-        if late and (not timely or self._since_late >= LATE_TURN):
-            return _earliest_deadline(late)
-        return _most_valuable(timely)
+    def ordered(self, now_s: float) -> list[WaitingPrompt]:
+        """Return the waiting prompts in the order in which they are to be read."""
+        timely, late = [], []
+        for prompt in self._waiting.values():
+            (timely if prompt.meets_target(now_s) else late).append(prompt)
+        timely.sort(key=_by_value)
+        late.sort(key=_by_deadline)
+        if late and self._since_late >= LATE_TURN:
+            return [late[0], *timely, *late[1:]]
+        return timely + late
 
     def note_placed(self, prompt: WaitingPrompt, now_s: float) -> None:
         """Note that a prompt was sent to an engine."""
@@ -82,12 +85,12 @@
             self._since_late = 0
 
 
-def _earliest_deadline(prompts: Iterable[WaitingPrompt]) -> WaitingPrompt:
-    return min(prompts, key=lambda p: (p.deadline_s, p.key))
+def _by_deadline(prompt: WaitingPrompt) -> tuple[float, int]:
+    return (prompt.deadline_s, prompt.key)
 
 
-def _most_valuable(prompts: Iterable[WaitingPrompt]) -> WaitingPrompt:
-    return max(prompts, key=lambda p: (p.value / max(p.read_s, 0.005), -p.key))
+def _by_value(prompt: WaitingPrompt) -> tuple[float, int]:
+    return (-prompt.value / max(prompt.read_s, LEAST_READ_S), prompt.key)
 
 
 class RouteSizes:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_queue.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_queue.py
@@ -29,13 +29,13 @@
         for key in range(10):
             queue.add(prompt(key, target_s=0.6, read_s=0.33))
         queue.add(prompt(99, target_s=1.0, read_s=0.03))
-        self.assertEqual(queue.best(0.0).key, 99)
+        self.assertEqual(queue.ordered(0.0)[0].key, 99)
 
     def test_a_prompt_that_can_meet_its_target_goes_before_a_late_one(self):
         queue = PromptQueue()
         queue.add(prompt(1, target_s=0.1, deadline_s=2.0))
         queue.add(prompt(2, target_s=1.0, deadline_s=9.0))
-        self.assertEqual(queue.best(0.0).key, 2)
+        self.assertEqual(queue.ordered(0.0)[0].key, 2)
 
     def test_late_prompts_get_a_turn_while_timely_ones_keep_coming(self):
         # The largest tenth of a kind is late whenever its shared part is not cached.
@@ -44,7 +44,7 @@
         order = []
         for key in range(LATE_TURN + 1):
             queue.add(prompt(key))
-            chosen = queue.best(0.0)
+            chosen = queue.ordered(0.0)[0]
             order.append(chosen.key)
             queue.note_placed(chosen, 0.0)
         self.assertEqual(order.count(1_000), 1)
@@ -53,7 +53,15 @@
         queue = PromptQueue()
         queue.add(prompt(1, target_s=0.0, deadline_s=9.0))
         queue.add(prompt(2, target_s=0.0, deadline_s=5.0))
-        self.assertEqual(queue.best(0.0).key, 2)
+        self.assertEqual(queue.ordered(0.0)[0].key, 2)
+
+    def test_all_waiting_prompts_are_in_the_order(self):
+        # The head of the queue may wait for one engine while others are free.
+        queue = PromptQueue()
+        queue.add(prompt(1, target_s=0.0))
+        queue.add(prompt(2, read_s=0.3))
+        queue.add(prompt(3, read_s=0.1))
+        self.assertEqual([p.key for p in queue.ordered(0.0)], [3, 2, 1])
 
     def test_a_prompt_that_cannot_meet_its_deadline_is_reported(self):
         queue = PromptQueue()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -22,6 +22,9 @@
 PUMP_INTERVAL_S = 0.015
 """Interval at which waiting prompts are tried beside the ends of others."""
 
+MAX_TRIED = 8
+"""Prompts at the head of the queue that are tried; each is planned on all engines."""
+
 READABLE_SLACK_S = 0.05
 """Fixed time of a prefill call, after which others can fetch what it read."""
 
@@ -109,24 +112,38 @@
                 prompt.key,
                 Refused("waited for an engine in vain", RETRY_AFTER_GIVEN_UP_S),
             )
-        while (prompt := self._queue.best(now_s)) is not None:
+        while self._admit_one(now_s):
+            continue
+
+    def _admit_one(self, now_s: float) -> bool:
+        """Admit the first prompt whose engine has room; return whether there was one.
+
+        A prompt that is best read on a busy engine waits for it, and lets the next one
+        have an engine that is free.
+        """
+        for prompt in self._queue.ordered(now_s)[:MAX_TRIED]:
             plan = self._plan(self._demands[prompt.key], now_s)
             if plan is None:
                 self._settle(prompt.key, Refused("no engine", RETRY_AFTER_NO_ENGINE_S))
-                continue
-            if plan.wait_s > OPEN_BACKLOG_S:
-                return
-            job = self._state.ledger.begin_read(
-                plan.engine.replica_id, plan.read_s, now_s=now_s
-            )
-            self._state.note_placement(
-                plan.engine,
-                self._demands[prompt.key].prompt,
-                ready_in_s=plan.done_s + READABLE_SLACK_S,
-                now_s=now_s,
-            )
-            self._queue.note_placed(prompt, now_s)
-            self._settle(prompt.key, Admitted(plan, job))
+                return True
+            if plan.wait_s <= OPEN_BACKLOG_S:
+                self._place(prompt, plan, now_s)
+                return True
+        return False
+
+    def _place(self, prompt: WaitingPrompt, plan: ReadPlan, now_s: float) -> None:
+        """Enter a prompt in the ledger and wake its request."""
+        job = self._state.ledger.begin_read(
+            plan.engine.replica_id, plan.read_s, now_s=now_s
+        )
+        self._state.note_placement(
+            plan.engine,
+            self._demands[prompt.key].prompt,
+            ready_in_s=plan.done_s + READABLE_SLACK_S,
+            now_s=now_s,
+        )
+        self._queue.note_placed(prompt, now_s)
+        self._settle(prompt.key, Admitted(plan, job))
 
     def _plan(self, demand: Demand, now_s: float) -> ReadPlan | None:
         return self._state.placement.read_plan(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -12,6 +12,9 @@
 from persimmonyoke.internal.gateway.requests import ClientRequest, RequestParser
 
 READ_BYTES = 65_536
+READ_EVENT = 1
+"""Bit of libev that asks for input."""
+
 BODY_TIMEOUT_S = 10.0
 """Bound of the time in which a client sends the body of a request."""
 
@@ -117,7 +120,7 @@
         """Call ``on_gone`` if the client leaves until ``unwatch`` is called."""
         self._on_gone = on_gone
         if self._watcher is None:
-            self._watcher = gevent.get_hub().loop.io(self._sock.fileno(), 1)
+            self._watcher = gevent.get_hub().loop.io(self._sock.fileno(), READ_EVENT)
         self._watcher.start(self._on_readable)
 
     def unwatch(self) -> None:
@@ -128,6 +131,7 @@
 
     def _on_readable(self) -> None:
         try:
+            # This runs in the event loop, which must not wait: read the plain socket.
             data = self._sock._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -33,6 +33,7 @@
 def has_input(sock: socket.socket) -> bool:
     """Return whether bytes, the end or an error wait on an idle connection."""
     try:
+        # The plain socket below, since gevent's own recv would wait for input.
         sock._sock.recv(1, native.MSG_PEEK | native.MSG_DONTWAIT)
     except BlockingIOError:
         return False
