Drop abandoned calls in the kernel; keep ordered stages in a typed record

Found while reading: an order whose connection is closed after its time-out could still be retransmitted by the kernel and arrive up to 1.5 s later, close to a new holder's. The connection is now reset, which discards it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -144,6 +144,15 @@
         self._ended = True
         self._sock.close()
 
+    def discard(self) -> None:
+        """Close the connection so that the kernel sends nothing more of a call.
+
+        An order that was held up on the network could otherwise arrive seconds after
+        its sender has lost its authority.
+        """
+        sockets.drop_unsent(self._sock)
+        self.close()
+
     def silent_input(self) -> bool:
         """Return whether an idle connection has ended or holds unexpected bytes."""
         return sockets.has_input(self._sock)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -69,9 +69,9 @@
         """Note the last announced order."""
         now_s = time.monotonic()
         self._term.note_record(record, now_s)
-        self._state.changing[record.replica_id] = (Stage(record.stage), now_s)
-        if record.stage == Stage.DECODE.value:
-            self._state.outlook.note(record.replica_id, now_s=now_s)
+        self._state.note_stage_order(
+            record.replica_id, Stage(record.stage), now_s=now_s
+        )
 
     def run(self) -> None:
         """Carry out the duty for as long as the process runs."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -1,6 +1,7 @@
 """Options of the sockets of clients, replicas and the store."""
 
 import socket as native
+import struct
 
 from gevent import socket
 
@@ -30,6 +31,11 @@
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def drop_unsent(sock: socket.socket) -> None:
+    """Have the next close drop what the peer has not acknowledged."""
+    sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def has_input(sock: socket.socket) -> bool:
     """Return whether bytes, the end or an error wait on an idle connection."""
     try:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -1,7 +1,6 @@
 """What one gateway process believes, shared by its tasks."""
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -68,6 +67,14 @@
     ready_in_ms: int
 
 
+@dataclass(frozen=True)
+class ExpectedStage:
+    """Hold the stage that an engine was ordered to, and when."""
+
+    stage: Stage
+    since_s: float
+
+
 class GatewayState:
     """Hold configuration, replicas, hosts, work and health."""
 
@@ -81,7 +88,6 @@
         self.rng = random.Random()
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
-        self.configured_s = 0.0
         self.store_heard_s = 0.0
         self.replicas = ReplicaView()
         self.replicas_known = False
@@ -98,7 +104,7 @@
         )
         self.pool = ConnectionPool()
         self.draining = False
-        self.changing: dict[str, tuple[Stage, float]] = {}
+        self._changes: dict[str, ExpectedStage] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self.new_placements: list[PartPlacement] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
@@ -146,15 +152,20 @@
 
     def changes_stage(self, replica: Replica, now_s: float) -> bool:
         """Return whether an engine was ordered to a stage that it has not reached."""
-        ordered = self.changing.get(replica.replica_id)
-        if ordered is None:
+        expected = self._changes.get(replica.replica_id)
+        if expected is None:
             return False
-        stage, since_s = ordered
-        if stage is replica.stage or now_s - since_s > CHANGE_KEEP_S:
-            del self.changing[replica.replica_id]
+        if expected.stage is replica.stage or now_s - expected.since_s > CHANGE_KEEP_S:
+            del self._changes[replica.replica_id]
             return False
         return True
 
+    def note_stage_order(self, replica_id: str, stage: Stage, *, now_s: float) -> None:
+        """Note that an engine is being ordered to a stage."""
+        self._changes[replica_id] = ExpectedStage(stage, now_s)
+        if stage is Stage.DECODE:
+            self.outlook.note(replica_id, now_s=now_s)
+
     def own_entry(self) -> HostEntry:
         """Return the entry of this host."""
         return HostEntry(
@@ -173,7 +184,6 @@
             return
         self.configuration = configuration
         self.routes = RouteTable(configuration)
-        self.configured_s = time.monotonic()
         self.journal.event(
             "configuration",
             version=configuration.version,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -91,7 +91,7 @@
             connection.send(call, timeout_s=deadline_s - time.monotonic())
             return self._own_answer(connection, request_id, deadline_s)
         except BaseException as error:
-            connection.close()
+            connection.discard()
             work.detach()
             if isinstance(error, AnswerLost):
                 work.check()
