--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/queue.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/queue.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 LATE_TURN = 6
-"""One of so many prompts is a late one, so that the largest prompts are served too."""
+"""Timely prompts after which a late one is read, so that the largest are served too."""
 
 LEAST_READ_S = 0.005
 """Time of one step of an engine, which the shortest prompt takes too."""
