Pace the watch calls of a host in bursts of registrations

Cause: each host's watch returned with the first event, so that the registrations of all replicas and hosts of a large deployment woke each host once for each of them.

Ruled out: a wider interval between all watch calls, which would show a lost engine later; a lone event is still seen at once.

With a pacer that never waits the first test makes more than 140 calls where at most 25 are allowed.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -18,6 +18,7 @@
     StoreChanges,
     StoreEvent,
 )
+from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -54,6 +55,7 @@
         self._revision: int | None = None
         self._connected = False
         self._catching_up = False
+        self._pacer = WatchPacer()
         state.on_newer_version = self.note_newer_version
 
     def note_newer_version(self, version: int) -> None:
@@ -100,6 +102,7 @@
             self._note_answer()
             self._apply_snapshot(changes)
         else:
+            gevent.sleep(self._pacer.next_call_delay_s(time.monotonic()))
             changes = self._store.changes(
                 after_revision=self._revision, wait_s=WATCH_WAIT_S
             )
