Write a starting host's entry once, when it takes callers

Cause: a host wrote its entry before it had read the store, and once more when it was ready. Each write wakes the watches of all hosts. Since a host that is not ready takes no callers and is not to be told anything, the first write served nobody.

Ruled out: losing peers at the start; a host reads the others' entries itself. The test failed with the entry written before the configuration.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -37,6 +37,9 @@
 RENEW_S = 1.2
 """Two renewals may be lost before a host's entry ends."""
 
+READY_POLL_S = 0.1
+"""Interval at which a host that starts looks whether it can take callers."""
+
 
 class StoreFollower:
     """Keep the state of this process in step with the store."""
@@ -176,14 +179,14 @@
         self._state = state
         self._store = store
         self._lease_id: int | None = None
-        self._registered_ready: bool | None = None
+        self._registered = False
 
     def run(self) -> None:
         """Register and renew for as long as the process runs."""
         while True:
             try:
                 self._step()
-                delay_s = RENEW_S
+                delay_s = RENEW_S if self._lease_id is not None else READY_POLL_S
             except LeaseEnded as error:
                 self._state.journal.failure("host_lease_ended", error)
                 self._lease_id = None
@@ -208,14 +211,14 @@
             self._state.journal.failure("host_not_withdrawn", error)
 
     def _step(self) -> None:
-        if self._state.draining:
+        # An entry that is written before would wake the watches of all hosts twice.
+        if self._state.draining or not self._state.ready:
             return
-        ready = self._state.ready
         if self._lease_id is None:
             self._lease_id = self._store.grant_lease(HOST_LEASE_S)
-            self._registered_ready = None
-        elif ready == self._registered_ready:
+            self._registered = False
+        elif self._registered:
             self._store.renew_lease(self._lease_id)
-        if ready != self._registered_ready:
+        if not self._registered:
             self._store.register_host(self._state.own_entry(), self._lease_id)
-            self._registered_ready = ready
+            self._registered = True
