Take off what engines have read since a peer's report

Cause: a peer's prompts counted in full until its next datagram. With 73 hosts a datagram comes each half second, as long as the prompts that it tells of, so engines that were idle seemed busy.

Ruled out: taking the age off each report by itself, which lets an engine read the prompts of five hosts at once (second test).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
@@ -111,15 +111,19 @@
 
     def total(self, replica_id: str, *, now_s: float) -> ReplicaWork:
         """Return the work at one replica over all hosts that were heard lately."""
-        work = self._own_at(replica_id, now_s)
-        read_s, running, tokens = work.read_s, work.running, work.tokens
-        for peer in self._fresh_peers(now_s):
-            other = peer.by_replica.get(replica_id)
-            if other is not None:
-                read_s += other.read_s
-                running += other.running
-                tokens += other.tokens
-        return ReplicaWork(read_s, running, tokens)
+        own = self._own_at(replica_id, now_s)
+        reports = [
+            (other, now_s - peer.heard_s)
+            for peer in self._fresh_peers(now_s)
+            if (other := peer.by_replica.get(replica_id)) is not None
+        ]
+        told_s = own.read_s + sum(other.read_s for other, _ in reports)
+        return ReplicaWork(
+            read_s=own.read_s
+            + sum(_left_s(other.read_s, age_s, told_s) for other, age_s in reports),
+            running=own.running + sum(other.running for other, _ in reports),
+            tokens=own.tokens + sum(other.tokens for other, _ in reports),
+        )
 
     def backlog_s(self, replica_id: str, *, now_s: float) -> float:
         """Return the time of the prompts that an engine has still to read."""
@@ -151,3 +155,14 @@
     if not jobs:
         return 0.0
     return jobs[0].remaining_s(now_s) + sum(job.read_s for job in jobs[1:])
+
+
+def _left_s(read_s: float, age_s: float, told_s: float) -> float:
+    """Return what is left of a peer's prompts that an engine had to read ``age_s`` ago.
+
+    The engine has read on since then, also prompts of others; each had its share.
+    With many peers a report is half a second old, as long as the prompts it tells of.
+    """
+    if read_s <= 0.0:
+        return 0.0
+    return read_s * max(0.0, 1.0 - age_s / told_s)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_loads.py
@@ -0,0 +1,46 @@
+"""Test the work at engines as reports of peers tell it late."""
+
+import unittest
+
+from persimmonyoke.internal.dispatch.loads import ReplicaWork, WorkLedger
+
+ENGINE = "engine-1"
+
+
+def ledger(*reports):
+    """Return a ledger with one report for each pair of time and read time."""
+    work = WorkLedger()
+    for number, (heard_s, read_s) in enumerate(reports):
+        work.note_peer(
+            f"host-{number}",
+            {ENGINE: ReplicaWork(read_s, 1, 100)},
+            queued_s=0.0,
+            now_s=heard_s,
+        )
+    return work
+
+
+class PeerWorkTest(unittest.TestCase):
+    def test_prompts_that_were_read_since_a_report_do_not_count(self):
+        # With 73 hosts a report is half a second old, and idle engines seemed busy.
+        work = ledger((10.0, 0.3))
+        self.assertAlmostEqual(work.backlog_s(ENGINE, now_s=10.1), 0.2)
+        self.assertEqual(work.backlog_s(ENGINE, now_s=10.4), 0.0)
+
+    def test_prompts_of_several_hosts_are_read_one_after_the_other(self):
+        # Taking the age off each report would let five prompts be read at once.
+        work = ledger(*[(10.0, 0.1)] * 5)
+        self.assertAlmostEqual(work.backlog_s(ENGINE, now_s=10.1), 0.4)
+
+    def test_an_old_report_beside_a_new_one_loses_its_share_only(self):
+        work = ledger((10.0, 0.2), (10.2, 0.2))
+        self.assertAlmostEqual(work.backlog_s(ENGINE, now_s=10.2), 0.3)
+
+    def test_the_runs_of_a_report_count_until_it_is_too_old(self):
+        work = ledger((10.0, 0.0))
+        self.assertEqual(work.total(ENGINE, now_s=11.0).running, 1)
+        self.assertEqual(work.total(ENGINE, now_s=12.0).running, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
