Leave decode engines that lose their runs; let failures expire

Cause: the choice of a decode engine looked at room only. An engine that fails each run at once is always idle, so the next run went there too.

Ruled out: pausing such an engine as one that can't be reached, which would leave a deployment with a single decode engine without any.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
@@ -9,15 +9,27 @@
 FAILURE_WINDOW = 12
 """Number of the last calls that the failure share is taken over."""
 
+FAILURE_KEEP_S = 4.0
+"""Time for which a failure counts.
+
+A replica that is avoided for its failures gets no call to show that it has recovered.
+"""
+
+FAILING_SHARE = 0.25
+"""Share of failures from which work goes elsewhere, if there is another replica."""
+
 SUSPICION_KEEP_S = 0.6
 """Time for which a peer's word counts; peers repeat it while they can't connect."""
 
 
 @dataclass
 class _Record:
-    """Hold the last outcomes of one replica and until when it is avoided."""
+    """Hold the last outcomes of one replica and until when it is avoided.
 
-    outcomes: deque[bool]
+    An outcome is the time of a failure, or ``None`` for a success.
+    """
+
+    outcomes: deque[float | None]
     pause_s: float = FIRST_PAUSE_S
     paused_until_s: float = 0.0
 
@@ -36,18 +48,18 @@
     def note_success(self, replica_id: str) -> None:
         """Note an answer of a working replica."""
         record = self._record(replica_id)
-        record.outcomes.append(True)
+        record.outcomes.append(None)
         record.pause_s = FIRST_PAUSE_S
         record.paused_until_s = 0.0
 
-    def note_failure(self, replica_id: str) -> None:
+    def note_failure(self, replica_id: str, now_s: float) -> None:
         """Note a call that failed after the replica was reached."""
-        self._record(replica_id).outcomes.append(False)
+        self._record(replica_id).outcomes.append(now_s)
 
     def note_unreachable(self, replica_id: str, now_s: float) -> None:
         """Note that a replica cannot be reached; repeated notes double the pause."""
         record = self._record(replica_id)
-        record.outcomes.append(False)
+        record.outcomes.append(now_s)
         if now_s < record.paused_until_s:
             return
         record.paused_until_s = now_s + record.pause_s
@@ -72,14 +84,22 @@
         record = self._records.get(replica_id)
         return record is not None and now_s < record.paused_until_s
 
-    def failure_share(self, replica_id: str) -> float:
-        """Return the share of failures among the last calls."""
+    def failure_share(self, replica_id: str, now_s: float) -> float:
+        """Return the share of recent failures among the last calls."""
         record = self._records.get(replica_id)
-        if record is None or not record.outcomes:
+        if record is None:
             return 0.0
-        failures = sum(1 for ok in record.outcomes if not ok)
+        failures = sum(
+            1
+            for failed_s in record.outcomes
+            if failed_s is not None and now_s - failed_s < FAILURE_KEEP_S
+        )
         return failures / FAILURE_WINDOW
 
+    def failing(self, replica_id: str, now_s: float) -> bool:
+        """Return whether so many calls failed that others are to be preferred."""
+        return self.failure_share(replica_id, now_s) >= FAILING_SHARE
+
     def forget(self, replica_id: str) -> None:
         """Drop the record of a replica that is gone."""
         self._records.pop(replica_id, None)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/services.py
@@ -29,7 +29,7 @@
     def rank(replica: Replica) -> tuple[bool, float, bool, float]:
         running = ledger.total(replica.replica_id, now_s=now_s).running
         load = running / max(1, replica.slots)
-        load += FAILURE_WEIGHT * health.failure_share(replica.replica_id)
+        load += FAILURE_WEIGHT * health.failure_share(replica.replica_id, now_s)
         return (
             health.paused(replica.replica_id, now_s),
             round(load, 1),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_health.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonyoke.internal.dispatch.health import (
+    FAILURE_KEEP_S,
     FIRST_PAUSE_S,
     MAX_PAUSE_S,
     SUSPICION_KEEP_S,
@@ -42,9 +43,23 @@
         health = ReplicaHealth()
         for _ in range(3):
             health.note_success("a")
-            health.note_failure("a")
-        self.assertAlmostEqual(health.failure_share("a"), 0.25)
-        self.assertEqual(health.failure_share("b"), 0.0)
+            health.note_failure("a", 100.0)
+        self.assertAlmostEqual(health.failure_share("a", 100.0), 0.25)
+        self.assertEqual(health.failure_share("b", 100.0), 0.0)
+
+    def test_a_replica_that_recovers_unseen_is_not_avoided_for_ever(self):
+        # It got no call that could show that it works again.
+        health = ReplicaHealth()
+        for _ in range(12):
+            health.note_failure("a", 100.0)
+        self.assertTrue(health.failing("a", 100.0 + FAILURE_KEEP_S / 2))
+        self.assertFalse(health.failing("a", 100.0 + FAILURE_KEEP_S))
+        self.assertEqual(health.failure_share("a", 100.0 + FAILURE_KEEP_S), 0.0)
+
+    def test_a_single_failure_does_not_move_work_elsewhere(self):
+        health = ReplicaHealth()
+        health.note_failure("a", 100.0)
+        self.assertFalse(health.failing("a", 100.0))
 
 
 class SuspicionTest(unittest.TestCase):
@@ -60,7 +75,7 @@
     def test_a_host_tells_its_peers_whom_it_avoids(self):
         health = ReplicaHealth()
         health.note_unreachable("a", 100.0)
-        health.note_failure("b")
+        health.note_failure("b", 100.0)
         self.assertEqual(health.all_paused(100.1), ["a"])
 
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -222,14 +222,21 @@
         ]
 
     def _decoders(self) -> list[Replica]:
-        """Return the engines to generate on, first those that have not failed here.
+        """Return the engines to generate on.
 
-        A stream that broke may go on at the same engine if there is no other one.
+        Those that fail, also the one at which this stream broke, are left out unless
+        there is no other.
         """
         decoders = [e for e in self._engines() if e.stage is Stage.DECODE]
         if not decoders:
             decoders = self._leaving_decoders()
-        return [e for e in decoders if e.replica_id not in self._avoided] or decoders
+        decoders = [
+            e for e in decoders if e.replica_id not in self._avoided
+        ] or decoders
+        health, now_s = self._state.health, time.monotonic()
+        return [
+            e for e in decoders if not health.failing(e.replica_id, now_s)
+        ] or decoders
 
     def _leaving_decoders(self) -> list[Replica]:
         """Return decode engines that have just begun to leave and still take work."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -170,14 +170,14 @@
             self._note_loss(replica, error)
             return Lost(str(error))
         if opened.facts.not_executed or opened.head.status == 421:
-            state.health.note_failure(replica.replica_id)
+            state.health.note_failure(replica.replica_id, time.monotonic())
             return NotRun(f"replica answered {opened.head.status}", sent=True)
         exchange.may_have_run = True
         if not opened.facts.stamped:
-            state.health.note_failure(replica.replica_id)
+            state.health.note_failure(replica.replica_id, time.monotonic())
             return Lost(f"answer {opened.head.status} without a stamp")
         if opened.head.status >= 500:
-            state.health.note_failure(replica.replica_id)
+            state.health.note_failure(replica.replica_id, time.monotonic())
         else:
             state.health.note_success(replica.replica_id)
         return Answered(WholeAnswer(opened.head, body))
@@ -195,4 +195,4 @@
         if isinstance(error, AnswerTimeout):
             self._state.health.note_unreachable(replica.replica_id, time.monotonic())
         else:
-            self._state.health.note_failure(replica.replica_id)
+            self._state.health.note_failure(replica.replica_id, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -155,7 +155,7 @@
             return RunRejected(str(error), sent=False)
         except AnswerLost as error:
             exchange.may_have_run = True
-            state.health.note_failure(engine.replica_id)
+            state.health.note_failure(engine.replica_id, time.monotonic())
             return RunLost(str(error))
         if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
             return self._rejected(opened)
@@ -183,7 +183,7 @@
             body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
         except AnswerLost as error:
             return RunLost(str(error))
-        self._state.health.note_failure(engine.replica_id)
+        self._state.health.note_failure(engine.replica_id, time.monotonic())
         if not opened.facts.stamped or self._exchange.begun:
             return RunLost(f"engine answered {opened.head.status}")
         headers = list(self._state.wire.client_headers(opened.head.headers))
@@ -205,7 +205,7 @@
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.work)
             self._exchange.work.check()
-            self._state.health.note_failure(engine.replica_id)
+            self._state.health.note_failure(engine.replica_id, time.monotonic())
             return RunLost(str(error))
         except BaseException:
             self._caller.abandon(opened, self._exchange.work)
