Name all of more than 64 hosts to callers; bound silence by the interval

Cause: an answer holds 64 addresses, and each took the first 64 in order, so that 9 of 73 and 21 of 85 hosts stood idle. And a host counted as silent after 1.2 s, although with 300 hosts each sends its peers one datagram in 2 s.

Ruled out: a draw for each answer, since callers close connections to addresses that an answer no longer names; the part of a zone's callers stays the same.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -1,13 +1,16 @@
 """View of the entry hosts, from their entries in the store and their datagrams."""
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import HostEntry
 
 PEER_SILENCE_S = 1.2
-"""Silence of a peer after which callers are not sent to it; datagrams may be lost, so
-it spans more than four of the slowest intervals between them."""
+"""Silence of a peer after which callers are not sent to it, in a small deployment."""
+
+SILENT_INTERVALS = 4
+"""Intervals between datagrams that a silence spans at least; datagrams may be lost."""
 
 
 @dataclass(frozen=True)
@@ -24,6 +27,7 @@
 
     def __init__(self, own_name: str) -> None:
         self._own_name = own_name
+        self._silence_s = PEER_SILENCE_S
         self._entries: dict[str, HostEntry] = {}
         self._peers: dict[str, PeerState] = {}
         self._first_seen_s: dict[str, float] = {}
@@ -50,19 +54,37 @@
         """Apply a datagram of a peer."""
         self._peers[name] = state
 
+    def set_datagram_interval(self, interval_s: float) -> None:
+        """Note how often peers send; with many hosts each of them sends less often."""
+        self._silence_s = max(PEER_SILENCE_S, SILENT_INTERVALS * interval_s)
+
     def peers(self) -> list[HostEntry]:
         """Return the other registered hosts."""
         return [e for e in self._entries.values() if e.name != self._own_name]
 
     def addresses(
-        self, *, own: HostEntry, own_ready: bool, now_s: float, limit: int
+        self,
+        *,
+        own: HostEntry,
+        own_ready: bool,
+        now_s: float,
+        limit: int,
+        caller_zone: str = "",
     ) -> list[str]:
-        """Return the front addresses of the hosts that take new connections."""
+        """Return the front addresses of the hosts that take new connections.
+
+        With more than ``limit`` hosts the callers of each zone get another part of
+        them, so that all hosts are used; the part stays the same between answers.
+        """
         found = [own.front_address] if own_ready else []
         for entry in self.peers():
             if self._takes_callers(entry, now_s):
                 found.append(entry.front_address)
-        return sorted(found)[:limit]
+        found.sort()
+        if len(found) <= limit:
+            return found
+        first = zlib.crc32(caller_zone.encode()) % len(found)
+        return (found[first:] + found[:first])[:limit]
 
     def _takes_callers(self, entry: HostEntry, now_s: float) -> bool:
         peer = self._peers.get(entry.name)
@@ -75,4 +97,4 @@
         heard_s = peer.heard_s if peer else float("-inf")
         # A host that has just registered has had no time to send a datagram.
         heard_s = max(heard_s, self._first_seen_s.get(entry.name, float("-inf")))
-        return now_s - heard_s > PEER_SILENCE_S
+        return now_s - heard_s > self._silence_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -47,5 +47,38 @@
         self.assertIn(4, ports(hosts))
 
 
+class ManyHostsTest(unittest.TestCase):
+    def hosts(self, count, *, seen_s=NOW_S):
+        hosts = HostView("host-0")
+        for number in range(1, count):
+            hosts.put(host(f"host-{number}", port=1_000 + number), now_s=seen_s)
+        return hosts
+
+    def named(self, hosts, zone):
+        return hosts.addresses(
+            own=host("host-0", port=1_000),
+            own_ready=True,
+            now_s=NOW_S,
+            limit=64,
+            caller_zone=zone,
+        )
+
+    def test_all_of_more_hosts_than_an_answer_holds_get_callers(self):
+        # The hosts beyond the 64th in the order of addresses stood idle.
+        hosts = self.hosts(85)
+        answers = [self.named(hosts, zone) for zone in ("akl", "ham", "wlg", "npl")]
+        self.assertEqual({len(set(answer)) for answer in answers}, {64})
+        self.assertEqual(len(set().union(*answers)), 85)
+        self.assertEqual(answers[0], self.named(hosts, "akl"))
+
+    def test_peers_that_send_rarely_are_not_taken_for_silent(self):
+        # 300 hosts send each other a datagram each two seconds.
+        hosts = self.hosts(300, seen_s=0.0)
+        hosts.set_datagram_interval(2.0)
+        for number in range(1, 300):
+            hosts.note_peer(f"host-{number}", PeerState(NOW_S - 3.0, True, 1))
+        self.assertEqual(len(self.named(hosts, "akl")), 64)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -135,7 +135,9 @@
 
     def _send_loop(self) -> None:
         while True:
-            gevent.sleep(send_interval_s(len(self._state.hosts.peers())))
+            interval_s = send_interval_s(len(self._state.hosts.peers()))
+            self._state.hosts.set_datagram_interval(interval_s)
+            gevent.sleep(interval_s)
             now_s = time.monotonic()
             message = self._message()
             quiet = message == self._last_sent
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from urllib.parse import parse_qs
 
 import httptools
 
@@ -35,6 +36,11 @@
         """Return the target without its query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    def query_value(self, name: str) -> str:
+        """Return the first value of a query parameter, or an empty text."""
+        _, _, query = self.target.partition(b"?")
+        return parse_qs(query.decode("latin-1")).get(name, [""])[0]
+
 
 @dataclass
 class _Partial:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -79,6 +79,7 @@
             own_ready=state.ready,
             now_s=time.monotonic(),
             limit=MAX_ADDRESSES,
+            caller_zone=request.query_value("zone"),
         )
         if not addresses:
             return 503, b"{}"
