Use the engines of the own availability zone first

Cause: with 85 hosts each one heard of the others' work after 0.56 s, longer than a prompt takes, so hosts met at the same engines. Now the hosts of a zone tell each other each 0.08 s and the hosts of other zones each 0.6 s, and a report that is so much older counts as half of its age of unknown work. Where few hosts tell all others at the same pace, nothing changes.

The bound of 150 datagrams a second is replaced by 100 to other zones and 250 within the zone; bytes between zones did not grow.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -51,7 +51,8 @@
     """Hold how one engine would read a prompt.
 
     ``fetch_from`` is an engine that holds leading parts of the prompt. ``local`` says
-    that the engine is the one that will generate.
+    that the engine is the one that will generate. ``unknown_s`` is work that hosts of
+    other zones may have sent to the engine since they last told of it.
     """
 
     engine: Replica
@@ -60,6 +61,7 @@
     read_s: float
     local: bool = False
     copy_cost_s: float = 0.0
+    unknown_s: float = 0.0
 
     @property
     def done_s(self) -> float:
@@ -69,7 +71,7 @@
     @property
     def rank_s(self) -> float:
         """Return the time to compare plans by; copies take memory from other parts."""
-        return self.done_s + self.copy_cost_s
+        return self.done_s + self.copy_cost_s + self.unknown_s
 
 
 class Placement:
@@ -81,12 +83,24 @@
         prefixes: PrefixIndex,
         factors: EngineFactors,
         speed: EngineSpeed,
+        *,
+        own_zone: str = "",
     ) -> None:
         self._ledger = ledger
+        self._own_zone = own_zone
+        self._remote_report_age_s = 0.0
         self._prefixes = prefixes
         self._factors = factors
         self._speed = speed
 
+    def set_remote_report_age(self, age_s: float) -> None:
+        """Note by how much reports from other zones are older than those from here.
+
+        Engines are used by the hosts near them before by others, so that the hosts that
+        use an engine know each other's work there.
+        """
+        self._remote_report_age_s = age_s
+
     def read_plan(
         self,
         prompt: Prompt,
@@ -153,12 +167,13 @@
         now_s: float,
     ) -> ReadPlan:
         wait_s = self._ledger.backlog_s(engine.replica_id, now_s=now_s)
+        unknown_s = self._unknown_s(engine)
         factor = self._factors.factor(engine.replica_id)
         cached = self._cached(engine, prompt, now_s=now_s)
         source, source_tokens = self._best_source(prompt, engine, engines, now_s=now_s)
         if source is None or source_tokens < cached + MIN_FETCH_TOKENS:
             cost_s = read_s(prompt.input_tokens - cached, cached, self._speed)
-            return ReadPlan(engine, None, wait_s, cost_s * factor)
+            return ReadPlan(engine, None, wait_s, cost_s * factor, unknown_s=unknown_s)
         same_zone = source.availability_zone == engine.availability_zone
         copied = source_tokens - cached
         moved_s = transfer_s(copied, limits, same_zone=same_zone, speed=self._speed)
@@ -169,8 +184,15 @@
             wait_s,
             moved_s + cost_s * factor,
             copy_cost_s=COPY_SHARE * copied / self._speed.read_tokens_per_s,
+            unknown_s=unknown_s,
         )
 
+    def _unknown_s(self, engine: Replica) -> float:
+        """Return the mean work of which a report of another zone does not tell yet."""
+        if engine.availability_zone == self._own_zone:
+            return 0.0
+        return self._remote_report_age_s / 2
+
     def _best_source(
         self,
         prompt: Prompt,
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_zone_preference.py
@@ -0,0 +1,121 @@
+"""Replay many hosts that choose engines by reports of different age."""
+
+import random
+import statistics
+import unittest
+from dataclasses import dataclass, field
+
+from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
+from persimmonyoke.internal.dispatch.loads import PromptJob, WorkLedger
+from persimmonyoke.internal.dispatch.placement import Placement
+from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
+from persimmonyoke.internal.dispatch.speeds import EngineFactors
+from persimmonyoke_testing.builders_fleet import ENGINE_LIMITS, engine, prompt
+
+SEED = 5
+ZONES = ("akl", "ham", "wlg", "npl")
+HOSTS_PER_ZONE = 18
+ENGINES_PER_ZONE = 6
+NEAR_S, FAR_S = 0.08, 0.6
+STEP_S = 0.02
+LENGTH_S = 4.0
+UTILISATION = 0.6
+TOKENS = 5_000
+
+
+@dataclass
+class Host:
+    """Hold what one host knows and its jobs in the order of their ends."""
+
+    name: str
+    zone: str
+    ledger: WorkLedger = field(default_factory=WorkLedger)
+    jobs: list[tuple[float, PromptJob]] = field(default_factory=list)
+
+    def placement(self, remote_age_s: float) -> Placement:
+        placement = Placement(
+            self.ledger,
+            PrefixIndex(),
+            EngineFactors(),
+            DEFAULT_SPEED,
+            own_zone=self.zone,
+        )
+        placement.set_remote_report_age(remote_age_s)
+        return placement
+
+    def end_jobs(self, now_s: float) -> None:
+        for end_s, job in self.jobs:
+            if end_s <= now_s:
+                self.ledger.end_read(job)
+        self.jobs = [item for item in self.jobs if item[0] > now_s]
+
+
+def replay_waits(remote_age_s: float, lost: frozenset[str] = frozenset()):
+    """Return how long prompts waited at their engines."""
+    rng = random.Random(SEED)
+    hosts = [Host(f"{z}-{n}", z) for z in ZONES for n in range(HOSTS_PER_ZONE)]
+    placements = [host.placement(remote_age_s) for host in hosts]
+    engines = [
+        engine(f"{z}-e{n}", zone=z)
+        for z in ZONES
+        for n in range(ENGINES_PER_ZONE)
+        if f"{z}-e{n}" not in lost
+    ]
+    free_s = {e.replica_id: 0.0 for e in engines}
+    read_s = TOKENS / DEFAULT_SPEED.read_tokens_per_s
+    arrivals = UTILISATION * len(engines) / read_s * STEP_S
+    told_s = {}
+    for host in hosts:
+        for peer in hosts:
+            every_s = NEAR_S if peer.zone == host.zone else FAR_S
+            told_s[host.name, peer.name] = rng.uniform(-every_s, 0.0)
+    waits, now_s = [], 0.0
+    while now_s < LENGTH_S:
+        now_s += STEP_S
+        for host in hosts:
+            host.end_jobs(now_s)
+        _tell_peers(hosts, told_s, now_s)
+        for _ in range(int(arrivals + rng.random())):
+            index = rng.randrange(len(hosts))
+            plan = placements[index].read_plan(
+                prompt(TOKENS), engines, ENGINE_LIMITS, now_s=now_s
+            )
+            name = plan.engine.replica_id
+            waits.append(max(0.0, free_s[name] - now_s))
+            free_s[name] = max(now_s, free_s[name]) + read_s
+            job = hosts[index].ledger.begin_read(name, read_s, now_s=now_s)
+            hosts[index].jobs.append((free_s[name], job))
+    return waits
+
+
+def _tell_peers(hosts, told_s, now_s):
+    for host in hosts:
+        work = host.ledger.own(now_s=now_s)
+        for peer in hosts:
+            every_s = NEAR_S if peer.zone == host.zone else FAR_S
+            if peer is host or now_s - told_s[host.name, peer.name] < every_s:
+                continue
+            told_s[host.name, peer.name] = now_s
+            peer.ledger.note_peer(host.name, work, queued_s=0.0, now_s=now_s)
+
+
+class ZonePreferenceTest(unittest.TestCase):
+    def test_hosts_that_know_each_other_late_do_not_meet_at_the_same_engines(self):
+        # 72 hosts that all use 24 engines place by reports older than the prompts.
+        print(f"seed {SEED}")
+        alike = statistics.fmean(replay_waits(0.0))
+        near_first = statistics.fmean(replay_waits(FAR_S - NEAR_S))
+        print(f"mean wait: {alike:.3f} s alike, {near_first:.3f} s near first")
+        self.assertLess(near_first, 0.7 * alike)
+
+    def test_a_zone_that_lost_most_of_its_engines_uses_those_of_others(self):
+        lost = frozenset(f"akl-e{n}" for n in range(1, ENGINES_PER_ZONE))
+        waits = replay_waits(FAR_S - NEAR_S, lost)
+        late = statistics.quantiles(waits, n=20)[-1]
+        print(f"95% of the waits are below {late:.3f} s")
+        # The backlog of the last engine grows to the age of the others' reports.
+        self.assertLess(late, 2 * FAR_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -0,0 +1,76 @@
+"""Format of the datagrams between entry hosts."""
+
+from dataclasses import dataclass
+
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.dispatch.loads import ReplicaWork
+from persimmonyoke.internal.gateway.state import PartPlacement
+
+FORMAT = 1
+
+
+@dataclass(frozen=True)
+class PeerMessage:
+    """Hold what a host tells its peers."""
+
+    host: str
+    ready: bool
+    config_version: int
+    work: dict[str, ReplicaWork]
+    placements: tuple[PartPlacement, ...]
+    queued_ms: int = 0
+    suspects: tuple[str, ...] = ()
+    refused: tuple[int, ...] = ()
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return a message as one datagram."""
+    work = {
+        replica_id: [int(item.read_s * 1_000), item.running, item.tokens]
+        for replica_id, item in message.work.items()
+    }
+    placements = [
+        [item.part_id, item.replica_id, item.ready_in_ms] for item in message.placements
+    ]
+    return cbor2.dumps(
+        [
+            FORMAT,
+            message.host,
+            message.ready,
+            message.config_version,
+            work,
+            placements,
+            message.queued_ms,
+            list(message.suspects),
+            list(message.refused),
+        ]
+    )
+
+
+def decode_message(raw: bytes) -> PeerMessage:
+    """Return the message of a datagram; raise ``ProtocolError``."""
+    try:
+        version, host, ready, config_version, *rest = cbor2.loads(raw)
+        work, placements, queued_ms, suspects, refused = rest
+        if version != FORMAT:
+            raise ProtocolError(f"format {version!r} is not known")
+        return PeerMessage(
+            host=str(host),
+            ready=ready is True,
+            config_version=int(config_version),
+            work={
+                str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
+                for replica_id, (ms, running, tokens) in work.items()
+            },
+            placements=tuple(
+                PartPlacement(str(part), str(engine), int(ready_in_ms))
+                for part, engine, ready_in_ms in placements
+            ),
+            queued_ms=int(queued_ms),
+            suspects=tuple(str(replica_id) for replica_id in suspects),
+            refused=tuple(int(key) for key in refused),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
+        raise ProtocolError(f"malformed datagram: {error}") from error
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -1,105 +1,97 @@
 """Datagrams between entry hosts: readiness, work at replicas, read prompt parts.
 
 Each datagram replaces the one before it, so a lost one needs no repeat; that is why
-datagrams are used here and not a connection.
+datagrams are used here and not a connection. Hosts of the own availability zone, which
+use the same engines first, are told more often than the others.
 """
 
 import time
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import TypeVar
 
-import cbor2
 import gevent
 from gevent import socket
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.fleet.hosts import PeerState
+from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.gateway.peer_messages import (
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
 
-FORMAT = 1
+Item = TypeVar("Item")
+
 CHANGED_INTERVAL_S = 0.05
 """Interval while work changes: half of the time that an average prompt takes."""
 
 QUIET_INTERVAL_S = 0.25
-MAX_DATAGRAMS_PER_S = 150
-"""Bound for one host: with many peers each of them is told less often."""
+MAX_NEAR_DATAGRAMS_PER_S = 250
+MAX_FAR_DATAGRAMS_PER_S = 100
+"""Bounds for one host: with many peers each of them is told less often.
 
-MAX_DATAGRAM_BYTES = 1_400
-"""Datagrams below the usual MTU are not fragmented."""
+A datagram costs some 20 us to send and 50 us to receive; those to other availability
+zones are charged for.
+"""
 
 MAX_PLACEMENTS = 24
 MAX_REPLICAS = 24
 MAX_REFUSED = 16
+MAX_PENDING = 256
+"""Placements and refused requests that wait for the next datagrams of a group."""
 
 
-@dataclass(frozen=True)
-class PeerMessage:
-    """Hold what a host tells its peers."""
-
-    host: str
-    ready: bool
-    config_version: int
-    work: dict[str, ReplicaWork]
-    placements: tuple[PartPlacement, ...]
-    queued_ms: int = 0
-    suspects: tuple[str, ...] = ()
-    refused: tuple[int, ...] = ()
-
-
-def encode_message(message: PeerMessage) -> bytes:
-    """Return a message as one datagram."""
-    work = {
-        replica_id: [int(item.read_s * 1_000), item.running, item.tokens]
-        for replica_id, item in message.work.items()
-    }
-    placements = [
-        [item.part_id, item.replica_id, item.ready_in_ms] for item in message.placements
-    ]
-    return cbor2.dumps(
-        [
-            FORMAT,
-            message.host,
-            message.ready,
-            message.config_version,
-            work,
-            placements,
-            message.queued_ms,
-            list(message.suspects),
-            list(message.refused),
-        ]
-    )
+def send_interval_s(peer_count: int, datagrams_per_s: float) -> float:
+    """Return the time between two rounds of datagrams."""
+    return max(CHANGED_INTERVAL_S, peer_count / datagrams_per_s)
 
 
-def decode_message(raw: bytes) -> PeerMessage:
-    """Return the message of a datagram; raise ``ProtocolError``."""
-    try:
-        version, host, ready, config_version, *rest = cbor2.loads(raw)
-        work, placements, queued_ms, suspects, refused = rest
-        if version != FORMAT:
-            raise ProtocolError(f"format {version!r} is not known")
-        return PeerMessage(
-            host=str(host),
-            ready=ready is True,
-            config_version=int(config_version),
-            work={
-                str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
-                for replica_id, (ms, running, tokens) in work.items()
-            },
-            placements=tuple(
-                PartPlacement(str(part), str(engine), int(ready_in_ms))
-                for part, engine, ready_in_ms in placements
-            ),
-            queued_ms=int(queued_ms),
-            suspects=tuple(str(replica_id) for replica_id in suspects),
-            refused=tuple(int(key) for key in refused),
+class PeerGroup:
+    """Hold what the peers of one group have still to be told, and when."""
+
+    def __init__(self, datagrams_per_s: float) -> None:
+        self._datagrams_per_s = datagrams_per_s
+        self._placements: deque[PartPlacement] = deque(maxlen=MAX_PENDING)
+        self._refused: deque[int] = deque(maxlen=MAX_PENDING)
+        self._last_sent: PeerMessage | None = None
+        self._last_sent_s = 0.0
+        self.interval_s = CHANGED_INTERVAL_S
+
+    def set_size(self, peer_count: int) -> None:
+        """Note how many peers the group has."""
+        self.interval_s = send_interval_s(peer_count, self._datagrams_per_s)
+
+    def add(self, placements: Sequence[PartPlacement], refused: Sequence[int]) -> None:
+        """Add what the group is to be told once."""
+        self._placements.extend(placements)
+        self._refused.extend(refused)
+
+    def due_message(self, state: PeerMessage, *, now_s: float) -> PeerMessage | None:
+        """Return the message to send now, or ``None`` if none is due."""
+        since_s = now_s - self._last_sent_s
+        if since_s < self.interval_s:
+            return None
+        untold = self._placements or self._refused
+        if state == self._last_sent and not untold and since_s < QUIET_INTERVAL_S:
+            return None
+        return self.message(state, now_s=now_s)
+
+    def message(self, state: PeerMessage, *, now_s: float) -> PeerMessage:
+        """Return the message to send now whether or not it is due."""
+        self._last_sent, self._last_sent_s = state, now_s
+        return replace(
+            state,
+            placements=_take(self._placements, MAX_PLACEMENTS),
+            refused=_take(self._refused, MAX_REFUSED),
         )
-    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
-        raise ProtocolError(f"malformed datagram: {error}") from error
 
 
-def send_interval_s(peer_count: int) -> float:
-    """Return the time between two rounds of datagrams."""
-    return max(CHANGED_INTERVAL_S, peer_count / MAX_DATAGRAMS_PER_S)
+def _take(pending: deque[Item], limit: int) -> tuple[Item, ...]:
+    return tuple(pending.popleft() for _ in range(min(limit, len(pending))))
 
 
 class PeerLink:
@@ -108,8 +100,8 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._socket: socket.socket | None = None
-        self._last_sent: PeerMessage | None = None
-        self._last_sent_s = 0.0
+        self._near = PeerGroup(MAX_NEAR_DATAGRAMS_PER_S)
+        self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._tasks: list[gevent.Greenlet] = []
         self.malformed = 0
 
@@ -131,19 +123,45 @@
 
     def send_now(self) -> None:
         """Tell all peers the present state."""
-        self._send(self._message(), time.monotonic())
+        message, now_s = self._collect(), time.monotonic()
+        near, far = self._peers()
+        self._send(near, self._near.message(message, now_s=now_s))
+        self._send(far, self._far.message(message, now_s=now_s))
 
     def _send_loop(self) -> None:
         while True:
-            interval_s = send_interval_s(len(self._state.hosts.peers()))
-            self._state.hosts.set_datagram_interval(interval_s)
-            gevent.sleep(interval_s)
-            now_s = time.monotonic()
-            message = self._message()
-            quiet = message == self._last_sent
-            if quiet and now_s - self._last_sent_s < QUIET_INTERVAL_S:
-                continue
-            self._send(message, now_s)
+            gevent.sleep(CHANGED_INTERVAL_S)
+            near, far = self._peers()
+            self._set_sizes(len(near), len(far))
+            message, now_s = self._collect(), time.monotonic()
+            for group, peers in ((self._near, near), (self._far, far)):
+                due = group.due_message(message, now_s=now_s)
+                if due is not None:
+                    self._send(peers, due)
+
+    def _peers(self) -> tuple[list[HostEntry], list[HostEntry]]:
+        """Return the peers of the own availability zone and the others."""
+        own_zone = self._state.settings.availability_zone
+        peers = self._state.hosts.peers()
+        near = [peer for peer in peers if peer.availability_zone == own_zone]
+        far = [peer for peer in peers if peer.availability_zone != own_zone]
+        return near, far
+
+    def _set_sizes(self, near_count: int, far_count: int) -> None:
+        self._near.set_size(near_count)
+        self._far.set_size(far_count)
+        far_s, near_s = self._far.interval_s, self._near.interval_s
+        self._state.hosts.set_datagram_interval(max(far_s, near_s))
+        self._state.placement.set_remote_report_age(max(0.0, far_s - near_s))
+
+    def _collect(self) -> PeerMessage:
+        """Return the present state, and hand what is new to both groups."""
+        state = self._state
+        placements = state.take_placements()
+        refused = state.returns.take_untold(MAX_REFUSED)
+        self._near.add(placements, refused)
+        self._far.add(placements, refused)
+        return self._message()
 
     def _message(self) -> PeerMessage:
         state = self._state
@@ -158,24 +176,20 @@
             ready=state.ready,
             config_version=state.version,
             work=work,
-            placements=tuple(state.new_placements[:MAX_PLACEMENTS]),
+            placements=(),
             queued_ms=int(state.queued_s() * 1_000),
             suspects=tuple(state.health.all_paused(time.monotonic())[:MAX_REPLICAS]),
-            refused=state.returns.take_untold(MAX_REFUSED),
         )
 
-    def _send(self, message: PeerMessage, now_s: float) -> None:
+    def _send(self, peers: Sequence[HostEntry], message: PeerMessage) -> None:
         assert self._socket is not None
-        del self._state.new_placements[: len(message.placements)]
         data = encode_message(message)
-        for peer in self._state.hosts.peers():
+        for peer in peers:
             try:
                 self._socket.sendto(data, (peer.peer_host, peer.peer_port))
             except OSError as error:
                 # The next datagram replaces this one; the peer's silence is noticed.
                 self._state.journal.failure("datagram_not_sent", error, peer=peer.name)
-        self._last_sent = message
-        self._last_sent_s = now_s
 
     def _receive_loop(self) -> None:
         assert self._socket is not None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -100,7 +100,11 @@
         self.outlook = DecoderOutlook()
         self.returns = Returns()
         self.placement = Placement(
-            self.ledger, self.prefixes, self.factors, DEFAULT_SPEED
+            self.ledger,
+            self.prefixes,
+            self.factors,
+            DEFAULT_SPEED,
+            own_zone=settings.availability_zone,
         )
         self.pool = ConnectionPool()
         self.draining = False
@@ -219,6 +223,11 @@
         self.prefixes.forget_replica(replica.replica_id)
         self.factors.forget(replica.replica_id)
 
+    def take_placements(self) -> list[PartPlacement]:
+        """Return the placements that the peers have not been told of."""
+        taken, self.new_placements = self.new_placements, []
+        return taken
+
     def note_placement(
         self, engine: Replica, prompt: Prompt, *, ready_in_s: float, now_s: float
     ) -> None:
