Let three hosts of a zone watch the store for the others

Cause: each change of an entry woke the watches of all hosts, for one priced call each, and each watch ended each 2.5 s. Now a host whose zone has three connected watchers before it in the order of names is told by their datagrams. It applies only changes that follow its own revision, and asks the store if a peer has been ahead for 0.3 s, so that a lost datagram costs one call. Its lease renewals show whether the store answers it.

Ruled out: longer waits of the watches, which show a silent connection later; a single watcher, whose loss would be noticed by its silence only.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -13,6 +13,14 @@
 """Intervals between datagrams that a silence spans at least; datagrams may be lost."""
 
 
+WATCHERS_PER_ZONE = 3
+"""Hosts of an availability zone that watch the store; two of them may be lost."""
+
+WATCHER_SILENCE_S = 0.6
+"""Silence after which another host watches; hosts of a zone hear each other each 0.25 s
+or more often."""
+
+
 @dataclass(frozen=True)
 class PeerState:
     """Hold what a peer last said of itself."""
@@ -20,6 +28,8 @@
     heard_s: float
     ready: bool
     config_version: int
+    store_connected: bool = False
+    store_revision: int = 0
 
 
 class HostView:
@@ -62,6 +72,36 @@
         """Return the other registered hosts."""
         return [e for e in self._entries.values() if e.name != self._own_name]
 
+    def newest_revision(self, now_s: float) -> int:
+        """Return the newest revision of the store that a peer told of lately."""
+        return max(
+            (
+                peer.store_revision
+                for peer in self._peers.values()
+                if now_s - peer.heard_s <= self._silence_s
+            ),
+            default=0,
+        )
+
+    def watches_store(self, own_zone: str, now_s: float) -> bool:
+        """Return whether this host is among those that watch the store for its zone.
+
+        The others are told by these. A host that the store does not answer does not
+        count, so that the next one in the order of names watches in its place.
+        """
+        watching = 0
+        for entry in self.peers():
+            peer = self._peers.get(entry.name)
+            if (
+                entry.name < self._own_name
+                and entry.availability_zone == own_zone
+                and peer is not None
+                and peer.store_connected
+                and now_s - peer.heard_s <= WATCHER_SILENCE_S
+            ):
+                watching += 1
+        return watching < WATCHERS_PER_ZONE
+
     def addresses(
         self,
         *,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -197,10 +197,22 @@
 
 @dataclass(frozen=True)
 class StoreChanges:
-    """Hold entries or their changes, and the revision from which to go on."""
+    """Hold entries or their changes, and the revision from which to go on.
+
+    ``encoded`` holds changes as the store told them, for other hosts.
+    """
 
     events: tuple[StoreEvent, ...]
     revision: int
+    encoded: bytes = b""
+
+
+@dataclass(frozen=True)
+class RelayedChanges:
+    """Hold changes that a peer's watch returned, and the revision they follow."""
+
+    after_revision: int
+    encoded: bytes
 
 
 class FleetStore(ABC):
@@ -214,6 +226,10 @@
     def changes(self, *, after_revision: int, wait_s: float) -> StoreChanges:
         """Wait for events; raise ``HistoryLost`` if they are gone."""
 
+    @abstractmethod
+    def decode_changes(self, encoded: bytes) -> StoreChanges:
+        """Return changes that another host passed on; raise ``StoreUnavailable``."""
+
     @abstractmethod
     def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from persimmonyoke.internal.fleet.hosts import PEER_SILENCE_S, HostView, PeerState
+from persimmonyoke.internal.fleet.hosts import (
+    PEER_SILENCE_S,
+    WATCHER_SILENCE_S,
+    HostView,
+    PeerState,
+)
 from persimmonyoke_testing.builders_fleet import host
 
 NOW_S = 100.0
@@ -47,6 +52,43 @@
         self.assertIn(4, ports(hosts))
 
 
+class WatcherTest(unittest.TestCase):
+    def view_of(self, own_name, *, zone="akl", **changes):
+        hosts = HostView(own_name)
+        for number in range(7):
+            name = f"host-{number}"
+            hosts.put(host(name, port=number, zone=zone), now_s=0.0)
+            values = {"heard_s": NOW_S, "store_connected": True, **changes}
+            state = PeerState(ready=True, config_version=1, **values)
+            hosts.note_peer(name, state)
+        return hosts
+
+    def watchers(self, **options):
+        names = [f"host-{number}" for number in range(7)]
+        return [
+            name
+            for name in names
+            if self.view_of(name, **options).watches_store("akl", NOW_S)
+        ]
+
+    def test_three_hosts_of_a_zone_watch_for_all(self):
+        # Each event of the store woke each of 85 hosts, for a call each.
+        self.assertEqual(self.watchers(), ["host-0", "host-1", "host-2"])
+
+    def test_hosts_that_do_not_answer_are_replaced(self):
+        late_s = NOW_S - WATCHER_SILENCE_S - 0.1
+        self.assertEqual(len(self.watchers(heard_s=late_s)), 7)
+        self.assertEqual(len(self.watchers(store_connected=False)), 7)
+
+    def test_hosts_of_other_zones_are_not_relied_on(self):
+        self.assertEqual(len(self.watchers(zone="ham")), 7)
+
+    def test_the_newest_revision_is_that_of_a_peer_that_is_heard(self):
+        hosts = self.view_of("host-6", store_revision=40)
+        hosts.note_peer("host-1", PeerState(NOW_S - 60.0, True, 1, True, 90))
+        self.assertEqual(hosts.newest_revision(NOW_S), 40)
+
+
 class ManyHostsTest(unittest.TestCase):
     def hosts(self, count, *, seen_s=NOW_S):
         hosts = HostView("host-0")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -1,9 +1,11 @@
 """Following the store: configuration, replicas and hosts."""
 
 import time
+from collections import deque
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 
 from persimmonyoke.errors import HistoryLost, LeaseEnded, StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
@@ -13,6 +15,7 @@
     HostRemoved,
     HostSeen,
     OrderRecorded,
+    RelayedChanges,
     ReplicaRemoved,
     ReplicaSeen,
     StoreChanges,
@@ -28,11 +31,23 @@
 WATCH_LAG_S = 0.4
 """Time by which a watch may be later than that of a peer, with a slow store."""
 
+FOLLOW_CHECK_S = 0.2
+"""Interval at which a host that does not watch looks whether it is behind its peers."""
+
+FOLLOW_LAG_S = 0.3
+"""Time for which a peer may be ahead before this host asks the store itself.
+
+A datagram with the changes takes a few milliseconds, and the next one 0.25 s.
+"""
+
+CATCH_UP_WAIT_S = 0.01
+"""Wait of a call for changes that are there already."""
+
+MAX_RELAYED = 32
+"""Changes of peers' watches that wait to be applied; later ones replace the oldest."""
+
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
-OUTAGE_S = 1.0
-"""Time without an answer after which entries may have lapsed meanwhile."""
-
 HOST_LEASE_S = 4.0
 RENEW_S = 1.2
 """Two renewals may be lost before a host's entry ends."""
@@ -50,16 +65,26 @@
         store: FleetStore,
         orders: OrderDuty,
         on_configuration: Callable[[], None],
+        pass_on: Callable[[RelayedChanges], None],
     ) -> None:
         self._state = state
         self._store = store
         self._orders = orders
         self._on_configuration = on_configuration
+        self._pass_on = pass_on
         self._revision: int | None = None
-        self._connected = False
+        self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED)
+        self._news = Event()
+        self._behind_since_s: float | None = None
         self._catching_up = False
         self._pacer = WatchPacer()
         state.on_newer_version = self.note_newer_version
+        state.on_store_changes = self.note_relayed
+
+    def note_relayed(self, changes: RelayedChanges) -> None:
+        """Take changes that a peer's watch returned."""
+        self._relayed.append(changes)
+        self._news.set()
 
     def note_newer_version(self, version: int) -> None:
         """Read the store if the watch does not bring a version that a peer has."""
@@ -91,7 +116,9 @@
                 self._state.journal.failure("store_history_lost", error)
                 self._revision = None
             except StoreUnavailable as error:
-                self._note_lost(error)
+                # Events may have been missed, and entries may lapse in an outage.
+                self._revision = None
+                self._state.note_store_lost(error)
                 gevent.sleep(delay_s * self._state.rng.uniform(0.7, 1.3))
                 delay_s = min(MAX_RETRY_S, delay_s * 2)
             except Exception:
@@ -100,35 +127,63 @@
                 gevent.sleep(MAX_RETRY_S)
 
     def _step(self) -> None:
+        now_s = time.monotonic()
+        own_zone = self._state.settings.availability_zone
         if self._revision is None:
             changes = self._store.snapshot()
-            self._note_answer()
+            self._state.note_store_answer(time.monotonic())
             self._apply_snapshot(changes)
+            self._advance(changes.revision)
+        elif self._state.hosts.watches_store(own_zone, now_s):
+            self._watch(self._revision, WATCH_WAIT_S)
         else:
-            gevent.sleep(self._pacer.next_call_delay_s(time.monotonic()))
-            changes = self._store.changes(
-                after_revision=self._revision, wait_s=WATCH_WAIT_S
-            )
-            self._note_answer()
-            self._apply_events(changes.events)
-        self._revision = changes.revision
-
-    def _note_answer(self) -> None:
-        state, now_s = self._state, time.monotonic()
-        if not self._connected:
-            self._connected = True
-            silent_s = now_s - state.store_heard_s
-            state.journal.event("store_regained", silent_ms=int(silent_s * 1_000))
-        if now_s - state.store_heard_s > WATCH_WAIT_S + OUTAGE_S:
-            state.replicas.note_outage_end(now_s)
-        state.store_heard_s = now_s
-
-    def _note_lost(self, error: StoreUnavailable) -> None:
-        # Events may have been missed, and a short outage may have let entries lapse.
-        self._revision = None
-        if self._connected:
-            self._connected = False
-            self._state.journal.failure("store_lost", error)
+            self._follow(self._revision)
+
+    def _watch(self, revision: int, wait_s: float) -> None:
+        """Apply the next changes and pass them on to the hosts that do not watch."""
+        gevent.sleep(self._pacer.next_call_delay_s(time.monotonic()))
+        changes = self._store.changes(after_revision=revision, wait_s=wait_s)
+        self._state.note_store_answer(time.monotonic())
+        self._pass_on(RelayedChanges(revision, changes.encoded))
+        self._apply_events(changes.events)
+        self._advance(changes.revision)
+
+    def _follow(self, revision: int) -> None:
+        """Apply what peers pass on; ask the store if something was missed."""
+        self._news.wait(FOLLOW_CHECK_S)
+        self._news.clear()
+        while self._relayed:
+            revision = self._apply_relayed(self._relayed.popleft(), revision)
+        if self._behind(revision, time.monotonic()):
+            self._behind_since_s = None
+            self._watch(revision, CATCH_UP_WAIT_S)
+
+    def _apply_relayed(self, relayed: RelayedChanges, revision: int) -> int:
+        """Apply changes that follow what is known; return the revision reached."""
+        if relayed.after_revision != revision:
+            return revision
+        try:
+            changes = self._store.decode_changes(relayed.encoded)
+        except StoreUnavailable as error:
+            # What it held is missed, and asked for as soon as a peer tells of it.
+            self._state.journal.failure("relayed_changes_malformed", error)
+            return revision
+        self._apply_events(changes.events)
+        self._advance(changes.revision)
+        return changes.revision
+
+    def _behind(self, revision: int, now_s: float) -> bool:
+        """Return whether a peer has been ahead for longer than changes take."""
+        if self._state.hosts.newest_revision(now_s) <= revision:
+            self._behind_since_s = None
+            return False
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        return now_s - self._behind_since_s >= FOLLOW_LAG_S
+
+    def _advance(self, revision: int) -> None:
+        self._revision = revision
+        self._state.store_revision = revision
 
     def _apply_snapshot(self, changes: StoreChanges) -> None:
         state, now_s = self._state, time.monotonic()
@@ -193,6 +248,7 @@
                 delay_s = 0.05
             except StoreUnavailable as error:
                 self._state.journal.failure("host_not_registered", error)
+                self._state.note_store_lost(error)
                 delay_s = RENEW_S / 2
             except Exception:
                 self._state.journal.unexpected("host_registration_failed")
@@ -222,3 +278,4 @@
         if not self._registered:
             self._store.register_host(self._state.own_entry(), self._lease_id)
             self._registered = True
+        self._state.note_store_answer(time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -6,9 +6,11 @@
 
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.gateway.state import PartPlacement
 
-FORMAT = 1
+FORMAT = 2
+CHANGES_FORMAT = 3
 
 
 @dataclass(frozen=True)
@@ -23,6 +25,8 @@
     queued_ms: int = 0
     suspects: tuple[str, ...] = ()
     refused: tuple[int, ...] = ()
+    store_connected: bool = False
+    store_revision: int = 0
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -45,15 +49,39 @@
             message.queued_ms,
             list(message.suspects),
             list(message.refused),
+            message.store_connected,
+            message.store_revision,
         ]
     )
 
 
+def encode_changes(message: RelayedChanges) -> bytes:
+    """Return changes of the store as one datagram."""
+    return cbor2.dumps([CHANGES_FORMAT, message.after_revision, message.encoded])
+
+
+def decode_datagram(raw: bytes) -> PeerMessage | RelayedChanges:
+    """Return what a datagram holds; raise ``ProtocolError``."""
+    try:
+        values = cbor2.loads(raw)
+        if values[0] != CHANGES_FORMAT:
+            return decode_message(raw)
+        _, after_revision, encoded = values
+        return RelayedChanges(int(after_revision), bytes(encoded))
+    except (
+        cbor2.CBORDecodeError,
+        ValueError,
+        TypeError,
+        LookupError,
+    ) as error:
+        raise ProtocolError(f"malformed datagram: {error}") from error
+
+
 def decode_message(raw: bytes) -> PeerMessage:
-    """Return the message of a datagram; raise ``ProtocolError``."""
+    """Return the state that a datagram holds; raise ``ProtocolError``."""
     try:
         version, host, ready, config_version, *rest = cbor2.loads(raw)
-        work, placements, queued_ms, suspects, refused = rest
+        work, placements, queued_ms, suspects, refused, connected, revision = rest
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -71,6 +99,8 @@
             queued_ms=int(queued_ms),
             suspects=tuple(str(replica_id) for replica_id in suspects),
             refused=tuple(int(key) for key in refused),
+            store_connected=connected is True,
+            store_revision=int(revision),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -16,10 +16,12 @@
 
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.fleet.hosts import PeerState
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.gateway.peer_messages import (
     PeerMessage,
-    decode_message,
+    decode_datagram,
+    encode_changes,
     encode_message,
 )
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
@@ -41,6 +43,9 @@
 MAX_PLACEMENTS = 24
 MAX_REPLICAS = 24
 MAX_REFUSED = 16
+MAX_DATAGRAM_BYTES = 1_400
+"""Datagrams below the usual MTU are not fragmented."""
+
 MAX_PENDING = 256
 """Placements and refused requests that wait for the next datagrams of a group."""
 
@@ -128,6 +133,12 @@
         self._send(near, self._near.message(message, now_s=now_s))
         self._send(far, self._far.message(message, now_s=now_s))
 
+    def pass_on(self, changes: RelayedChanges) -> None:
+        """Tell the peers of the own zone what the store told this host."""
+        data = encode_changes(changes)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            self._send_raw(self._peers()[0], data)
+
     def _send_loop(self) -> None:
         while True:
             gevent.sleep(CHANGED_INTERVAL_S)
@@ -178,12 +189,16 @@
             work=work,
             placements=(),
             queued_ms=int(state.queued_s() * 1_000),
+            store_connected=state.store_connected,
+            store_revision=state.store_revision,
             suspects=tuple(state.health.all_paused(time.monotonic())[:MAX_REPLICAS]),
         )
 
     def _send(self, peers: Sequence[HostEntry], message: PeerMessage) -> None:
+        self._send_raw(peers, encode_message(message))
+
+    def _send_raw(self, peers: Sequence[HostEntry], data: bytes) -> None:
         assert self._socket is not None
-        data = encode_message(message)
         for peer in peers:
             try:
                 self._socket.sendto(data, (peer.peer_host, peer.peer_port))
@@ -196,19 +211,28 @@
         while True:
             raw, _ = self._socket.recvfrom(65_536)
             try:
-                message = decode_message(raw)
+                message = decode_datagram(raw)
             except ProtocolError as error:
                 self.malformed += 1
                 if self.malformed == 1:
                     self._state.journal.failure("datagram_ignored", error)
                 continue
-            self._apply(message, time.monotonic())
+            if isinstance(message, RelayedChanges):
+                self._state.on_store_changes(message)
+            else:
+                self._apply(message, time.monotonic())
 
     def _apply(self, message: PeerMessage, now_s: float) -> None:
         state = self._state
         if message.host == state.settings.host_name:
             return
-        peer = PeerState(now_s, message.ready, message.config_version)
+        peer = PeerState(
+            now_s,
+            message.ready,
+            message.config_version,
+            message.store_connected,
+            message.store_revision,
+        )
         state.hosts.note_peer(message.host, peer)
         state.ledger.note_peer(
             message.host,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -49,7 +49,11 @@
         self._orders = OrderDuty(self.state, store)
         self.state.on_engine = EngineCalls(self.state).learn_cache
         self._follower = StoreFollower(
-            self.state, store, self._orders, self._peers.send_now
+            self.state,
+            store,
+            self._orders,
+            on_configuration=self._peers.send_now,
+            pass_on=self._peers.pass_on,
         )
         self._metrics_port = metrics_port
         self._stop = Event()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -16,7 +16,7 @@
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.hosts import HostView
-from persimmonyoke.internal.fleet.interfaces import UpstreamWire
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges, UpstreamWire
 from persimmonyoke.internal.fleet.model import (
     ClientLimits,
     Configuration,
@@ -58,6 +58,13 @@
 """Hosts among which the slack is divided at least, while hosts still register."""
 
 
+STORE_OUTAGE_S = 3.5
+"""Time without an answer after which entries may have lapsed meanwhile.
+
+A watch that waits in vain takes 2.5 s.
+"""
+
+
 @dataclass(frozen=True)
 class PartPlacement:
     """Tell peers which engine reads a part, and when it will have read it."""
@@ -89,6 +96,8 @@
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.store_heard_s = 0.0
+        self.store_connected = False
+        self.store_revision = 0
         self.replicas = ReplicaView()
         self.replicas_known = False
         self.hosts = HostView(settings.host_name)
@@ -114,6 +123,7 @@
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
         self.on_newer_version: Callable[[int], None] = lambda _version: None
+        self.on_store_changes: Callable[[RelayedChanges], None] = lambda _changes: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
 
     @property
@@ -181,6 +191,22 @@
             ready=self.ready,
         )
 
+    def note_store_answer(self, now_s: float) -> None:
+        """Note that the store answers, also if that is after an outage."""
+        silent_s = now_s - self.store_heard_s
+        if not self.store_connected:
+            self.store_connected = True
+            self.journal.event("store_regained", silent_ms=int(silent_s * 1_000))
+        if silent_s > STORE_OUTAGE_S:
+            self.replicas.note_outage_end(now_s)
+        self.store_heard_s = now_s
+
+    def note_store_lost(self, error: Exception) -> None:
+        """Note that the store does not answer this host."""
+        if self.store_connected:
+            self.store_connected = False
+            self.journal.failure("store_lost", error)
+
     def apply_configuration(self, configuration: Configuration, source: str) -> None:
         """Put a configuration in force unless a newer one is."""
         known = self.configuration
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -100,6 +100,8 @@
     return Configuration(version, routes, services, limits)
 
 
-def host(name: str, *, port: int = 1, ready: bool = True) -> HostEntry:
+def host(
+    name: str, *, port: int = 1, ready: bool = True, zone: str = "zone-a"
+) -> HostEntry:
     """Return the entry of an entry host."""
-    return HostEntry(name, f"127.0.0.1:{port}", "127.0.0.1", port, "zone-a", ready)
+    return HostEntry(name, f"127.0.0.1:{port}", "127.0.0.1", port, zone, ready)
