--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -23,22 +23,12 @@
 
     replica_id: str
     deadline_ms: int
-    priority: int | None = None
     stage: Stage | None = None
     kv_source: str | None = None
     kv_fetch: str | None = None
     last_event_id: int | None = None
 
 
-@dataclass(frozen=True)
-class ReplicaLoad:
-    """Hold the load that a replica reports with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True)
 class AnswerFacts:
     """Hold what the headers of a replica's answer say."""
@@ -46,7 +36,6 @@
     request_id: str | None
     not_executed: bool
     stamped: bool
-    load: ReplicaLoad | None
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -38,7 +38,6 @@
     timeout_s: float
     target_latency_s: float
     gap_target_s: float
-    priority: int
     services: tuple[WeightedService, ...]
     max_attempts: int
     resumable: bool
@@ -75,7 +74,6 @@
     """Describe an upstream service; ``engine`` is ``None`` for a plain service."""
 
     name: str
-    max_connections: int
     engine: EngineLimits | None
 
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -77,7 +77,6 @@
         timeout_s=timeout_s,
         target_latency_s=target_latency_s,
         gap_target_s=0.15,
-        priority=1,
         services=(WeightedService(service, 1.0),),
         max_attempts=max_attempts,
         resumable=resumable,
