Spread decode engines over the zones; notice shorter outages of the store

Cause: engines to decode were chosen by their ids, so that one zone of a large deployment could give three of its seven engines, while its hosts use the engines of their zone first. And since lease renewals tell of the store each 1.2 s, an outage of 2 to 3.5 s was no longer taken for one in which entries may have lapsed.

Ruled out: a fixed number of decode engines in each zone, which six engines in three zones can't give. The test of the spread failed before (zones 0 only).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
@@ -4,6 +4,7 @@
 one decode engine generates what five prefill engines read.
 """
 
+from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -141,12 +142,27 @@
     stage: Stage,
     count: int,
 ) -> list[StageChange]:
-    """Choose engines, first those that may have got the same order already."""
+    """Choose engines, first those that may have got the same order already.
 
-    def rank(engine: Replica) -> tuple[bool, str]:
-        order = orders.get(engine.replica_id)
-        unanswered = order is not None and order.stage is stage and not order.accepted
-        return (not unanswered, engine.replica_id)
+    The others come from the zones that have most of them, since hosts use the engines
+    of their own zone first.
+    """
 
-    chosen = sorted(candidates, key=rank)[: max(0, count)]
-    return [StageChange(engine, stage) for engine in chosen]
+    def unanswered(engine: Replica) -> bool:
+        order = orders.get(engine.replica_id)
+        return order is not None and order.stage is stage and not order.accepted
+
+    left, chosen = list(candidates), []
+    while left and len(chosen) < count:
+        in_zone = Counter(engine.availability_zone for engine in left)
+        best = min(
+            left,
+            key=lambda engine: (
+                not unanswered(engine),
+                -in_zone[engine.availability_zone],
+                engine.replica_id,
+            ),
+        )
+        left.remove(best)
+        chosen.append(StageChange(best, stage))
+    return chosen
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
@@ -43,6 +43,15 @@
         engines = [engine("dark", DECODE), engine("e1"), engine("e2")]
         self.assertEqual(planned(engines, unreachable=["dark"]), [("e1", DECODE)])
 
+    def test_decode_engines_are_spread_over_the_zones(self):
+        # A zone that gave three of its seven engines could not read its prompts.
+        engines = [
+            engine(f"e{number:02}", zone=f"zone-{number // 7}") for number in range(28)
+        ]
+        chosen = [int(name[1:]) // 7 for name, _ in planned(engines)]
+        self.assertEqual(len(chosen), 5)
+        self.assertEqual(set(chosen), {0, 1, 2, 3})
+
     def test_an_order_without_answer_is_repeated_to_the_same_engine(self):
         # Engines carry such orders out up to twelve seconds later, or never.
         engines = [engine("e1"), engine("e2")]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -58,10 +58,10 @@
 """Hosts among which the slack is divided at least, while hosts still register."""
 
 
-STORE_OUTAGE_S = 3.5
+STORE_OUTAGE_S = 2.0
 """Time without an answer after which entries may have lapsed meanwhile.
 
-A watch that waits in vain takes 2.5 s.
+The renewals of the host's lease come each 1.2 s.
 """
 
 
