Ask the store once for a new configuration at a host that does not watch

Cause: a newer version told by a peer led to a reading of all entries (three calls) beside the call for the changes that the host is behind by. Configurations are larger than a datagram, so each change cost each such host four calls in place of one.

Ruled out: leaving the reading away at hosts that watch; their watch may be silent.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -76,6 +76,7 @@
         self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED)
         self._news = Event()
         self._behind_since_s: float | None = None
+        self._watching = True
         self._catching_up = False
         self._pacer = WatchPacer()
         state.on_newer_version = self.note_newer_version
@@ -87,8 +88,11 @@
         self._news.set()
 
     def note_newer_version(self, version: int) -> None:
-        """Read the store if the watch does not bring a version that a peer has."""
-        if not self._catching_up:
+        """Read the store if the watch does not bring a version that a peer has.
+
+        A host that does not watch asks for all that its peers are ahead by.
+        """
+        if not self._catching_up and self._watching:
             self._catching_up = True
             gevent.spawn(self._catch_up, version)
 
@@ -134,7 +138,9 @@
             self._state.note_store_answer(time.monotonic())
             self._apply_snapshot(changes)
             self._advance(changes.revision)
-        elif self._state.hosts.watches_store(own_zone, now_s):
+            return
+        self._watching = self._state.hosts.watches_store(own_zone, now_s)
+        if self._watching:
             self._watch(self._revision, WATCH_WAIT_S)
         else:
             self._follow(self._revision)
