--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -139,8 +139,13 @@
             self._apply_snapshot(changes)
             self._advance(changes.revision)
             return
-        self._watching = self._state.hosts.watches_store(own_zone, now_s)
-        if self._watching:
+        watching = self._state.hosts.watches_store(own_zone, now_s)
+        if watching != self._watching:
+            self._watching = watching
+            self._state.journal.event(
+                "store_watch", watching=watching, revision=self._revision
+            )
+        if watching:
             self._watch(self._revision, WATCH_WAIT_S)
         else:
             self._follow(self._revision)
@@ -162,6 +167,11 @@
             revision = self._apply_relayed(self._relayed.popleft(), revision)
         if self._behind(revision, time.monotonic()):
             self._behind_since_s = None
+            self._state.journal.event(
+                "behind_peers",
+                revision=revision,
+                newest=self._state.hosts.newest_revision(time.monotonic()),
+            )
             self._watch(revision, CATCH_UP_WAIT_S)
 
     def _apply_relayed(self, relayed: RelayedChanges, revision: int) -> int:
