Rank the engines that hold a prompt's parts once for each plan

One test counts the questions (4,060 before, at most 70 now); one compares the choice with a comparison of all.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
@@ -62,6 +62,7 @@
         self._jobs: dict[str, list[PromptJob]] = {}
         self._runs: dict[str, _Runs] = {}
         self._peers: dict[str, PeerWork] = {}
+        self._peers_at: dict[str, set[str]] = {}
 
     def begin_read(self, replica_id: str, read_s: float, *, now_s: float) -> PromptJob:
         """Note a prompt that is sent to an engine now."""
@@ -100,8 +101,19 @@
         now_s: float,
     ) -> None:
         """Replace what a peer told."""
+        known = self._peers.get(name)
+        for replica_id in known.by_replica if known else ():
+            self._forget_peer_at(replica_id, name)
+        for replica_id in by_replica:
+            self._peers_at.setdefault(replica_id, set()).add(name)
         self._peers[name] = PeerWork(now_s, by_replica, queued_s)
 
+    def _forget_peer_at(self, replica_id: str, name: str) -> None:
+        names = self._peers_at[replica_id]
+        names.discard(name)
+        if not names:
+            del self._peers_at[replica_id]
+
     def own(self, *, now_s: float) -> dict[str, ReplicaWork]:
         """Return the own work at each replica."""
         return {
@@ -112,10 +124,11 @@
     def total(self, replica_id: str, *, now_s: float) -> ReplicaWork:
         """Return the work at one replica over all hosts that were heard lately."""
         own = self._own_at(replica_id, now_s)
+        told = (self._peers[name] for name in self._peers_at.get(replica_id, ()))
         reports = [
-            (other, now_s - peer.heard_s)
-            for peer in self._fresh_peers(now_s)
-            if (other := peer.by_replica.get(replica_id)) is not None
+            (peer.by_replica[replica_id], now_s - peer.heard_s)
+            for peer in told
+            if now_s - peer.heard_s <= PEER_KEEP_S
         ]
         told_s = own.read_s + sum(other.read_s for other, _ in reports)
         return ReplicaWork(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -74,6 +74,49 @@
         return self.done_s + self.copy_cost_s + self.unknown_s
 
 
+@dataclass(frozen=True)
+class HeldTokens:
+    """Hold how many leading tokens of a prompt an engine can give to others."""
+
+    engine: Replica
+    tokens: int
+
+
+class KvSources:
+    """Find the engine to fetch the leading parts of one prompt from.
+
+    The candidates are ranked once for all readers: with 70 engines each plan compared
+    each reader with each engine, which took most of the processor time of a host.
+    """
+
+    def __init__(self, holders: Sequence[HeldTokens]) -> None:
+        ranked = sorted(holders, key=lambda held: -held.tokens)
+        # The best may be the reader itself, so the second is kept, too.
+        self._best = ranked[:2]
+        self._best_in_zone: dict[str, list[HeldTokens]] = {}
+        for held in ranked:
+            in_zone = self._best_in_zone.setdefault(held.engine.availability_zone, [])
+            if len(in_zone) < 2:
+                in_zone.append(held)
+
+    def best_for(self, reader: Replica) -> HeldTokens | None:
+        """Return the other engine that holds most, one of the same zone first."""
+        near = self._first_other(
+            self._best_in_zone.get(reader.availability_zone, ()), reader
+        )
+        best = self._first_other(self._best, reader)
+        if near is not None and best is not None and near.tokens >= best.tokens:
+            return near
+        return best
+
+    @staticmethod
+    def _first_other(
+        ranked: Sequence[HeldTokens], reader: Replica
+    ) -> HeldTokens | None:
+        others = (h for h in ranked if h.engine.replica_id != reader.replica_id)
+        return next(others, None)
+
+
 class Placement:
     """Choose engines by when a prompt would be read, and by room for its output."""
 
@@ -116,8 +159,9 @@
         readers = [engine for engine in engines if engine.stage is Stage.PREFILL]
         if not readers:
             return self._best_local_plan(prompt, engines, now_s=now_s)
+        sources = self._sources(prompt, engines, now_s=now_s)
         plans = [
-            self._plan(prompt, reader, engines, limits, now_s=now_s)
+            self._plan(prompt, reader, sources, limits, now_s=now_s)
             for reader in readers
         ]
         return min(plans, key=lambda plan: plan.rank_s)
@@ -161,7 +205,7 @@
         self,
         prompt: Prompt,
         engine: Replica,
-        engines: Sequence[Replica],
+        sources: KvSources,
         limits: EngineLimits,
         *,
         now_s: float,
@@ -170,10 +214,11 @@
         unknown_s = self._unknown_s(engine)
         factor = self._factors.factor(engine.replica_id)
         cached = self._cached(engine, prompt, now_s=now_s)
-        source, source_tokens = self._best_source(prompt, engine, engines, now_s=now_s)
-        if source is None or source_tokens < cached + MIN_FETCH_TOKENS:
+        held = sources.best_for(engine)
+        if held is None or held.tokens < cached + MIN_FETCH_TOKENS:
             cost_s = read_s(prompt.input_tokens - cached, cached, self._speed)
             return ReadPlan(engine, None, wait_s, cost_s * factor, unknown_s=unknown_s)
+        source, source_tokens = held.engine, held.tokens
         same_zone = source.availability_zone == engine.availability_zone
         copied = source_tokens - cached
         moved_s = transfer_s(copied, limits, same_zone=same_zone, speed=self._speed)
@@ -193,25 +238,17 @@
             return 0.0
         return self._remote_report_age_s / 2
 
-    def _best_source(
-        self,
-        prompt: Prompt,
-        reader: Replica,
-        engines: Sequence[Replica],
-        *,
-        now_s: float,
-    ) -> tuple[Replica | None, int]:
-        best, best_key = None, (0, False)
+    def _sources(
+        self, prompt: Prompt, engines: Sequence[Replica], *, now_s: float
+    ) -> KvSources:
+        holders = []
         for engine in engines:
-            if engine.replica_id == reader.replica_id:
-                continue
             tokens = self._prefixes.fetchable_tokens(
                 engine.replica_id, prompt.parts, now_s=now_s
             )
-            key = (tokens, engine.availability_zone == reader.availability_zone)
-            if tokens and key > best_key:
-                best, best_key = engine, key
-        return best, best_key[0]
+            if tokens:
+                holders.append(HeldTokens(engine, tokens))
+        return KvSources(holders)
 
     def _cached(self, engine: Replica, prompt: Prompt, *, now_s: float) -> int:
         tokens = self._prefixes.cached_tokens(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_placement.py
@@ -1,16 +1,22 @@
 """Test where prompts are read and generated from."""
 
+import random
 import unittest
 
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED, read_s
 from persimmonyoke.internal.dispatch.loads import ReplicaWork, WorkLedger
-from persimmonyoke.internal.dispatch.placement import Placement
+from persimmonyoke.internal.dispatch.placement import (
+    HeldTokens,
+    KvSources,
+    Placement,
+)
 from persimmonyoke.internal.dispatch.prefixes import KEEP_S, PrefixIndex
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.model import Stage
 from persimmonyoke_testing.builders_fleet import ENGINE_LIMITS, engine, prompt
 
 NOW_S = 100.0
+SEED = 13
 
 
 class Fleet:
@@ -31,6 +37,51 @@
         )
 
 
+class CountingIndex(PrefixIndex):
+    """Count how often it is asked which tokens an engine can give."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = 0
+
+    def fetchable_tokens(self, *arguments, **options):
+        self.asked += 1
+        return super().fetchable_tokens(*arguments, **options)
+
+
+class SourceTest(unittest.TestCase):
+    def test_a_plan_over_many_engines_asks_for_each_of_them_once(self):
+        # 58 readers times 70 engines for each plan used up the processor of a host.
+        engines = [engine(f"e{number}") for number in range(70)]
+        index = CountingIndex()
+        placement = Placement(WorkLedger(), index, EngineFactors(), DEFAULT_SPEED)
+        wanted = prompt(13_300, 3_700)
+        index.note("e3", wanted.parts[:1], now_s=NOW_S)
+        placement.read_plan(wanted, engines, ENGINE_LIMITS, now_s=NOW_S)
+        self.assertLessEqual(index.asked, 70)
+
+    def test_the_source_is_the_one_that_a_comparison_with_each_engine_finds(self):
+        print(f"seed {SEED}")
+        rng = random.Random(SEED)
+        for _ in range(300):
+            engines = [
+                engine(f"e{n}", zone=f"zone-{rng.randrange(3)}") for n in range(6)
+            ]
+            held = [HeldTokens(e, rng.choice((500, 900))) for e in engines[:4]]
+            holders = rng.sample(held, rng.randrange(5))
+            sources = KvSources(holders)
+            for reader in engines:
+                found = sources.best_for(reader)
+                key = None if found is None else self.key(found, reader)
+                others = [h for h in holders if h.engine is not reader]
+                keys = [self.key(h, reader) for h in others]
+                self.assertEqual(key, max(keys, default=None))
+
+    def key(self, held, reader):
+        same_zone = held.engine.availability_zone == reader.availability_zone
+        return held.tokens, same_zone
+
+
 class ReadPlanTest(unittest.TestCase):
     def test_the_engine_with_the_shortest_backlog_reads_a_new_prompt(self):
         fleet = Fleet(engine("e1"), engine("e2"))
