Bound the processor share of pumps for news of peers

Cause: each datagram of a peer pumped the queue, with up to eight plans; with 350 datagrams a second and 1.6 ms a plan the queue of a busy host in a large fleet would take its whole processor.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -22,6 +22,13 @@
 PUMP_INTERVAL_S = 0.015
 """Interval at which waiting prompts are tried beside the ends of others."""
 
+PUMP_COST_FACTOR = 4
+"""Time between pumps for news of peers over the time that one takes.
+
+A large fleet sends some 350 datagrams a second, and a plan there takes over a
+millisecond; pumping for each would take the whole processor.
+"""
+
 MAX_TRIED = 8
 """Prompts at the head of the queue that are tried; each is planned on all engines."""
 
@@ -63,6 +70,8 @@
         self._demands: dict[int, Demand] = {}
         self._keys = itertools.count(1)
         self._pumping = False
+        self._pump_ended_s = 0.0
+        self._pump_took_s = 0.0
 
     @property
     def queued_s(self) -> float:
@@ -104,6 +113,12 @@
             self._start_timer()
         return waiter.get()
 
+    def pump_if_affordable(self) -> None:
+        """Pump for news of a peer unless pumps take too much of the processor."""
+        since_s = time.monotonic() - self._pump_ended_s
+        if len(self._queue) and since_s >= PUMP_COST_FACTOR * self._pump_took_s:
+            self.pump()
+
     def pump(self) -> None:
         """Admit waiting prompts while engines have room."""
         now_s = time.monotonic()
@@ -114,6 +129,8 @@
             )
         while self._admit_one(now_s):
             continue
+        self._pump_ended_s = time.monotonic()
+        self._pump_took_s = self._pump_ended_s - now_s
 
     def _admit_one(self, now_s: float) -> bool:
         """Admit the first prompt whose engine has room; return whether there was one.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -69,7 +69,7 @@
         self._prefill = PrefillCaller(state)
         self._gate = AdmissionGate(state)
         state.queued_s = lambda: self._gate.queued_s
-        state.on_peer_work = self._gate.pump
+        state.on_peer_work = self._gate.pump_if_affordable
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` or ``StreamBroken``."""
