Log missing replicas and the age of the view behind each send

While a removed replica was kept for the rest of the grace after an outage, the host wrote no line about it until it dropped the replica, and the lines of requests told the age of the last answer to any call, not that of the view that chose the replica.

'ReplicaMissing' and 'ReplicaReturned' lines, with the age of the outage's end; the store's revision and the age of the view on each 'replica' line; the age of the view as the last field of each attempt; the gauge gateway_view_age_seconds. No decision changes: a reading's revision is now noted before its entries are applied, so that lines name it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -47,7 +47,24 @@
     reason: str
 
 
-ReplicaChange = ReplicaAdded | ReplicaChanged | ReplicaGone
+@dataclass(frozen=True)
+class ReplicaMissing:
+    """Report a replica without an entry that stays in use for the rest of the grace."""
+
+    replica: Replica
+    outage_ended_ago_s: float
+
+
+@dataclass(frozen=True)
+class ReplicaReturned:
+    """Report that a missing replica has an entry again."""
+
+    replica: Replica
+
+
+ReplicaChange = (
+    ReplicaAdded | ReplicaChanged | ReplicaGone | ReplicaMissing | ReplicaReturned
+)
 
 
 class ReplicaView:
@@ -116,7 +133,7 @@
     ) -> list[ReplicaChange]:
         """Apply one entry; ``watched`` says that it was written just now."""
         known = self._replicas.get(replica.replica_id)
-        self._missing_since_s.pop(replica.replica_id, None)
+        returned = self._missing_since_s.pop(replica.replica_id, None) is not None
         if known is not None and replica.born_unix_ms < known.born_unix_ms:
             # A late write of the incarnation before the one that is known.
             return []
@@ -124,7 +141,7 @@
         if known is None:
             return [ReplicaAdded(replica)]
         if known == replica:
-            return []
+            return [ReplicaReturned(replica)] if returned else []
         if watched and replica.draining and not known.draining:
             self._leaving_since_s[replica.replica_id] = now_s
         if _same_incarnation(known, replica):
@@ -133,11 +150,12 @@
 
     def remove(self, replica_id: str, *, now_s: float) -> list[ReplicaChange]:
         """Apply the removal of an entry."""
-        if replica_id not in self._replicas:
+        replica = self._replicas.get(replica_id)
+        if replica is None or replica_id in self._missing_since_s:
             return []
         if now_s < self._outage_ended_s + RETURN_GRACE_S:
-            self._missing_since_s.setdefault(replica_id, now_s)
-            return []
+            self._missing_since_s[replica_id] = now_s
+            return [ReplicaMissing(replica, now_s - self._outage_ended_s)]
         return self._drop(replica_id, "entry removed")
 
     def expire(self, now_s: float) -> list[ReplicaChange]:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
@@ -25,7 +25,8 @@
         view = ReplicaView()
         view.put(engine("a"), now_s=90.0)
         view.note_outage_end(100.0)
-        self.assertEqual(view.replace_all([], now_s=100.0), [])
+        missing = view.replace_all([], now_s=100.0)
+        self.assertEqual(names(missing), [("ReplicaMissing", "a")])
         self.assertEqual(view.expire(100.0 + RETURN_GRACE_S / 2), [])
         self.assertEqual(len(view.usable("llm")), 1)
         gone = view.expire(100.0 + RETURN_GRACE_S)
@@ -36,10 +37,20 @@
         view.put(engine("a"), now_s=90.0)
         view.note_outage_end(100.0)
         view.replace_all([], now_s=100.0)
-        view.put(engine("a"), now_s=101.0)
+        returned = view.put(engine("a"), now_s=101.0)
+        self.assertEqual(names(returned), [("ReplicaReturned", "a")])
         self.assertEqual(view.expire(110.0), [])
         self.assertEqual(len(view.usable("llm")), 1)
 
+    def test_a_missing_replica_is_reported_once_with_the_age_of_the_outage(self):
+        # Without a line about it, the logs did not tell why a removed replica was used.
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.note_outage_end(100.0)
+        (missing,) = view.remove("a", now_s=100.5)
+        self.assertEqual(missing.outage_ended_ago_s, 0.5)
+        self.assertEqual(view.remove("a", now_s=100.6), [])
+
     def test_without_an_outage_a_removed_replica_is_gone_at_once(self):
         view = ReplicaView()
         view.put(engine("a"), now_s=90.0)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -10,6 +10,11 @@
     Route,
     Service,
 )
+from persimmonyoke.internal.gateway.attempts import (
+    Attempt,
+    AttemptStart,
+    end_attempt,
+)
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
     OutgoingHead,
@@ -25,19 +30,6 @@
     """Say that a client's answer has begun and can't be completed."""
 
 
-@dataclass(frozen=True)
-class Attempt:
-    """Hold one send of a request for the log."""
-
-    stage: str
-    replica: str
-    result: str
-    ms: int
-
-    def __str__(self) -> str:
-        return f"{self.stage}:{self.replica}:{self.result}:{self.ms}"
-
-
 @dataclass
 class Exchange:
     """Hold a request, its limits and what has happened to it."""
@@ -78,10 +70,9 @@
         left_s = min(self.deadline_s, self.client_deadline_s) - time.monotonic()
         return max(1, int(left_s * 1_000))
 
-    def note(self, stage: str, replica: str, result: str, since_s: float) -> None:
+    def note(self, start: AttemptStart, result: str, *, now_s: float) -> None:
         """Add an attempt to the log of this request."""
-        ms = int((time.monotonic() - since_s) * 1_000)
-        self.attempts.append(Attempt(stage, replica, result, ms))
+        self.attempts.append(end_attempt(start, result, now_s=now_s))
 
     def not_served(self, message: str, retry_after_s: float) -> RequestError:
         """Return the error of a request that no replica has run.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -136,8 +136,8 @@
         if self._revision is None:
             changes = self._store.snapshot()
             self._state.note_store_answer(time.monotonic())
-            self._apply_snapshot(changes)
             self._advance(changes.revision)
+            self._apply_snapshot(changes)
             return
         watching = self._state.hosts.watches_store(own_zone, now_s)
         if watching != self._watching:
@@ -156,8 +156,8 @@
         changes = self._store.changes(after_revision=revision, wait_s=wait_s)
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
-        self._apply_events(changes.events)
         self._advance(changes.revision)
+        self._apply_events(changes.events)
 
     def _follow(self, revision: int) -> None:
         """Apply what peers pass on; ask the store if something was missed."""
@@ -184,8 +184,8 @@
             # What it held is missed, and asked for as soon as a peer tells of it.
             self._state.journal.failure("relayed_changes_malformed", error)
             return revision
-        self._apply_events(changes.events)
         self._advance(changes.revision)
+        self._apply_events(changes.events)
         return changes.revision
 
     def _behind(self, revision: int, now_s: float) -> bool:
@@ -199,14 +199,15 @@
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
-        self._state.store_revision = revision
+        self._state.note_view_answer(revision, time.monotonic())
 
     def _apply_snapshot(self, changes: StoreChanges) -> None:
         state, now_s = self._state, time.monotonic()
         events = changes.events
         replicas = [e.replica for e in events if isinstance(e, ReplicaSeen)]
         hosts = [e.host for e in events if isinstance(e, HostSeen)]
-        state.apply_replica_changes(state.replicas.replace_all(replicas, now_s=now_s))
+        changed = state.replicas.replace_all(replicas, now_s=now_s)
+        state.apply_replica_changes(changed, now_s=now_s)
         state.hosts.replace_all(hosts, now_s=now_s)
         state.replicas_known = True
         for event in events:
@@ -225,10 +226,10 @@
                     self._apply_configuration(event, "watch")
                 case ReplicaSeen(replica):
                     changes = state.replicas.put(replica, now_s=now_s)
-                    state.apply_replica_changes(changes)
+                    state.apply_replica_changes(changes, now_s=now_s)
                 case ReplicaRemoved(replica_id):
                     changes = state.replicas.remove(replica_id, now_s=now_s)
-                    state.apply_replica_changes(changes)
+                    state.apply_replica_changes(changes, now_s=now_s)
                 case HostSeen(host):
                     state.hosts.put(host, now_s=now_s)
                 case HostRemoved(name):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -62,7 +62,11 @@
             "gateway_client_connections", "Open connections of clients."
         )
         self.store_age = node.gauge(
-            "gateway_store_age_seconds", "Time since the store last answered a watch."
+            "gateway_store_age_seconds", "Time since the store last answered any call."
+        )
+        self.view_age = node.gauge(
+            "gateway_view_age_seconds",
+            "Time since this host last learnt what had changed in the store.",
         )
         self.configuration_version = node.gauge(
             "gateway_configuration_version_number", "Version in force."
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -123,7 +123,7 @@
         )
 
     def _send(self, exchange: Exchange, replica: Replica) -> SendOutcome:
-        started_s = time.monotonic()
+        start = self._state.start_attempt("plain", replica)
         exchange.sends += 1
         self._state.ledger.begin_run(replica.replica_id)
         try:
@@ -136,7 +136,7 @@
         shown = result
         if isinstance(outcome, Answered):
             shown = str(outcome.answer.head.status)
-        exchange.note("plain", replica.replica_id, shown, started_s)
+        exchange.note(start, shown, now_s=time.monotonic())
         self._state.metrics.sends.add(stage="plain", result=result)
         return outcome
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -13,6 +13,7 @@
 )
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import Admitted
+from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -57,12 +58,12 @@
         self, exchange: Exchange, admitted: Admitted, *, deadline_s: float
     ) -> PromptRead | PromptNotRead:
         """Have the prompt of a request read on the chosen engine."""
-        started_s = time.monotonic()
+        start = self._state.start_attempt(Stage.PREFILL.value, admitted.plan.engine)
         try:
             outcome = self._call(exchange, admitted.plan, deadline_s)
         finally:
             self._state.ledger.end_read(admitted.job)
-        self._note(exchange, admitted.plan, outcome, started_s)
+        self._note(exchange, admitted.plan, outcome, start)
         return outcome
 
     def release(self, read: PromptRead) -> None:
@@ -114,17 +115,17 @@
         exchange: Exchange,
         plan: ReadPlan,
         outcome: PromptRead | PromptNotRead,
-        started_s: float,
+        start: AttemptStart,
     ) -> None:
-        replica_id = plan.engine.replica_id
-        elapsed_s = time.monotonic() - started_s
+        now_s = time.monotonic()
+        elapsed_s = now_s - start.started_s
         if isinstance(outcome, PromptRead):
             result = "answered"
             self._state.metrics.prefill.observe(elapsed_s)
             self._learn_speed(plan, elapsed_s)
         else:
             result = "not_run" if outcome.sent else "not_connected"
-        exchange.note("prefill", replica_id, result, started_s)
+        exchange.note(start, result, now_s=now_s)
         self._state.metrics.sends.add(stage="prefill", result=result)
 
     def _learn_speed(self, plan: ReadPlan, elapsed_s: float) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -88,12 +88,14 @@
 
     def _metrics(self, _request: ClientRequest) -> tuple[int, bytes]:
         state, metrics = self._state, self._state.metrics
-        metrics.store_age.set(time.monotonic() - state.store_heard_s)
+        now_s = time.monotonic()
+        metrics.store_age.set(now_s - state.store_heard_s)
+        metrics.view_age.set(state.view_age_s(now_s))
         metrics.configuration_version.set(state.version)
         metrics.upstream_connections.set(state.pool.opened)
         metrics.queued.set(state.queued_s())
         metrics.malformed_entries.set(state.journal.malformed_entries)
         engines = [r for r in state.replicas.all() if r.stage is not None]
-        backlog_s = state.placement.mean_backlog_s(engines, now_s=time.monotonic())
+        backlog_s = state.placement.mean_backlog_s(engines, now_s=now_s)
         metrics.prefill_backlog.set(backlog_s)
         return 200, metrics.render()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -1,6 +1,7 @@
 """What one gateway process believes, shared by its tasks."""
 
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -30,8 +31,10 @@
     ReplicaChange,
     ReplicaChanged,
     ReplicaGone,
+    ReplicaMissing,
     ReplicaView,
 )
+from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import ConnectionPool
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
@@ -96,6 +99,7 @@
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.store_heard_s = 0.0
+        self.view_heard_s = 0.0
         self.store_connected = False
         self.store_revision = 0
         self.replicas = ReplicaView()
@@ -201,6 +205,20 @@
             self.replicas.note_outage_end(now_s)
         self.store_heard_s = now_s
 
+    def note_view_answer(self, revision: int, now_s: float) -> None:
+        """Note an answer that tells all changes of the store up to a revision."""
+        self.store_revision = revision
+        self.view_heard_s = now_s
+
+    def view_age_s(self, now_s: float) -> float:
+        """Return how long ago this host last learnt what had changed in the store."""
+        return now_s - self.view_heard_s
+
+    def start_attempt(self, stage: str, replica: Replica) -> AttemptStart:
+        """Note for the log of a request that it is sent to a replica now."""
+        now_s = time.monotonic()
+        return AttemptStart(stage, replica.replica_id, now_s, self.view_age_s(now_s))
+
     def note_store_lost(self, error: Exception) -> None:
         """Note that the store does not answer this host."""
         if self.store_connected:
@@ -222,20 +240,13 @@
             source=source,
         )
 
-    def apply_replica_changes(self, changes: list[ReplicaChange]) -> None:
+    def apply_replica_changes(
+        self, changes: list[ReplicaChange], *, now_s: float
+    ) -> None:
         """Log changes of replicas and drop what was known of gone incarnations."""
         for change in changes:
             replica = change.replica
-            self.journal.event(
-                "replica",
-                replica=replica.replica_id,
-                change=type(change).__name__,
-                service=replica.service,
-                address=replica.address,
-                stage=replica.stage,
-                draining=replica.draining,
-                reason=getattr(change, "reason", None),
-            )
+            self._log_replica(change, now_s)
             if isinstance(change, ReplicaAdded) and replica.stage is not None:
                 self.on_engine(replica)
             if isinstance(change, ReplicaGone):
@@ -243,6 +254,26 @@
             elif isinstance(change, ReplicaChanged) and change.stage_changed:
                 self.prefixes.forget_replica(replica.replica_id)
 
+    def _log_replica(self, change: ReplicaChange, now_s: float) -> None:
+        replica = change.replica
+        reason = change.reason if isinstance(change, ReplicaGone) else None
+        outage_ended_ms = None
+        if isinstance(change, ReplicaMissing):
+            outage_ended_ms = int(change.outage_ended_ago_s * 1_000)
+        self.journal.event(
+            "replica",
+            replica=replica.replica_id,
+            change=type(change).__name__,
+            service=replica.service,
+            address=replica.address,
+            stage=replica.stage,
+            draining=replica.draining,
+            reason=reason,
+            outage_ended_ms=outage_ended_ms,
+            store_revision=self.store_revision,
+            view_age_ms=int(self.view_age_s(now_s) * 1_000),
+        )
+
     def _forget(self, replica: Replica) -> None:
         self.pool.drop_replica(replica)
         self.health.forget(replica.replica_id)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -6,6 +6,7 @@
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import AdmissionGate
+from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.client_connection import OutgoingHead
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
@@ -116,7 +117,7 @@
         exchange, ledger = self._exchange, self._state.ledger
         prompt = exchange.metadata.prompt
         tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
-        started_s = time.monotonic()
+        start = self._state.start_attempt(Stage.DECODE.value, engine)
         ledger.begin_run(engine.replica_id, tokens)
         used = False
         try:
@@ -126,7 +127,7 @@
             ledger.end_run(engine.replica_id, tokens)
             if read is not None and not used:
                 self._prefill.release(read)
-        self._note(engine, outcome, started_s)
+        self._note(start, outcome)
         return outcome
 
     def _call(self, engine: Replica, read: PromptRead | None) -> RunOutcome:
@@ -274,10 +275,9 @@
             self._selection.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         raise self._exchange.failed(outcome.reason)
 
-    def _note(self, engine: Replica, outcome: RunOutcome, started_s: float) -> None:
+    def _note(self, start: AttemptStart, outcome: RunOutcome) -> None:
         result = {RunEnded: "answered", RunLost: "lost"}.get(type(outcome), "not_run")
         if isinstance(outcome, RunRejected) and not outcome.sent:
             result = "not_connected"
-        stage = Stage.DECODE.value
-        self._exchange.note(stage, engine.replica_id, result, started_s)
-        self._state.metrics.sends.add(stage=stage, result=result)
+        self._exchange.note(start, result, now_s=time.monotonic())
+        self._state.metrics.sends.add(stage=start.stage, result=result)
