End the grace of missing replicas two seconds after the outage

Callers' requests reached replicas up to 2.5 s after the store had removed their entries, where 2 s are allowed.

Cause: after an outage, an entry that is gone stays usable for 2 s, since a living replica may not have been able to renew it. The two seconds were counted from the sight of the removal and not from the end of the outage, and they ended at a check that runs each 0.5 s only. A replica that left 1.9 s after the host had heard the store again was used for up to 2.5 s more.

A silent watch and a reading that puts an older state back are ruled out for these, as the host knew of the removal.

The grace now ends with the outage's end plus 2 s, and the view leaves a missing replica out at each use from then on.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -76,7 +76,7 @@
 
     def __init__(self) -> None:
         self._replicas: dict[str, Replica] = {}
-        self._missing_since_s: dict[str, float] = {}
+        self._missing: set[str] = set()
         self._outage_ended_s = float("-inf")
         self._leaving_since_s: dict[str, float] = {}
 
@@ -88,12 +88,15 @@
         """Return all known replicas, draining ones too."""
         return tuple(self._replicas.values())
 
-    def usable(self, service: str) -> list[Replica]:
+    def usable(self, service: str, *, now_s: float) -> list[Replica]:
         """Return the replicas of a service that may get new work."""
+        in_grace = self._in_grace(now_s)
         return [
             replica
             for replica in self._replicas.values()
-            if replica.service == service and not replica.draining
+            if replica.service == service
+            and not replica.draining
+            and (in_grace or replica.replica_id not in self._missing)
         ]
 
     def leaving(self, service: str, *, now_s: float) -> list[Replica]:
@@ -133,7 +136,8 @@
     ) -> list[ReplicaChange]:
         """Apply one entry; ``watched`` says that it was written just now."""
         known = self._replicas.get(replica.replica_id)
-        returned = self._missing_since_s.pop(replica.replica_id, None) is not None
+        returned = replica.replica_id in self._missing
+        self._missing.discard(replica.replica_id)
         if known is not None and replica.born_unix_ms < known.born_unix_ms:
             # A late write of the incarnation before the one that is known.
             return []
@@ -151,27 +155,27 @@
     def remove(self, replica_id: str, *, now_s: float) -> list[ReplicaChange]:
         """Apply the removal of an entry."""
         replica = self._replicas.get(replica_id)
-        if replica is None or replica_id in self._missing_since_s:
+        if replica is None or replica_id in self._missing:
             return []
-        if now_s < self._outage_ended_s + RETURN_GRACE_S:
-            self._missing_since_s[replica_id] = now_s
+        if self._in_grace(now_s):
+            self._missing.add(replica_id)
             return [ReplicaMissing(replica, now_s - self._outage_ended_s)]
         return self._drop(replica_id, "entry removed")
 
     def expire(self, now_s: float) -> list[ReplicaChange]:
         """Drop the replicas that did not come back after an outage."""
-        late = [
-            replica_id
-            for replica_id, since_s in self._missing_since_s.items()
-            if now_s >= max(since_s, self._outage_ended_s) + RETURN_GRACE_S
-        ]
+        if self._in_grace(now_s):
+            return []
         changes = []
-        for replica_id in late:
+        for replica_id in tuple(self._missing):
             changes.extend(self._drop(replica_id, "missing after an outage"))
         return changes
 
+    def _in_grace(self, now_s: float) -> bool:
+        return now_s < self._outage_ended_s + RETURN_GRACE_S
+
     def _drop(self, replica_id: str, reason: str) -> list[ReplicaChange]:
-        self._missing_since_s.pop(replica_id, None)
+        self._missing.discard(replica_id)
         self._leaving_since_s.pop(replica_id, None)
         replica = self._replicas.pop(replica_id, None)
         return [] if replica is None else [ReplicaGone(replica, reason)]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
@@ -13,6 +13,8 @@
 )
 from persimmonyoke_testing.builders_fleet import engine
 
+NOW_S = 100.0
+
 
 def names(changes):
     return [(type(c).__name__, c.replica.replica_id) for c in changes]
@@ -27,8 +29,9 @@
         view.note_outage_end(100.0)
         missing = view.replace_all([], now_s=100.0)
         self.assertEqual(names(missing), [("ReplicaMissing", "a")])
-        self.assertEqual(view.expire(100.0 + RETURN_GRACE_S / 2), [])
-        self.assertEqual(len(view.usable("llm")), 1)
+        middle_s = 100.0 + RETURN_GRACE_S / 2
+        self.assertEqual(view.expire(middle_s), [])
+        self.assertEqual(len(view.usable("llm", now_s=middle_s)), 1)
         gone = view.expire(100.0 + RETURN_GRACE_S)
         self.assertEqual(names(gone), [("ReplicaGone", "a")])
 
@@ -40,7 +43,28 @@
         returned = view.put(engine("a"), now_s=101.0)
         self.assertEqual(names(returned), [("ReplicaReturned", "a")])
         self.assertEqual(view.expire(110.0), [])
-        self.assertEqual(len(view.usable("llm")), 1)
+        self.assertEqual(len(view.usable("llm", now_s=NOW_S)), 1)
+
+    def test_the_grace_ends_after_the_outage_however_late_a_removal_is_seen(self):
+        # A replica that left 1.9 s after an outage was used for another 2 s.
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.note_outage_end(100.0)
+        view.remove("a", now_s=101.9)
+        gone = view.expire(100.0 + RETURN_GRACE_S)
+        self.assertEqual(names(gone), [("ReplicaGone", "a")])
+
+    def test_no_work_goes_to_a_missing_replica_between_the_grace_and_the_next_check(
+        self,
+    ):
+        # The check runs each 0.5 s, and until then the replica was used.
+        view = ReplicaView()
+        view.put(engine("a"), now_s=90.0)
+        view.put(engine("b"), now_s=90.0)
+        view.note_outage_end(100.0)
+        view.remove("a", now_s=100.0)
+        usable = view.usable("llm", now_s=100.0 + RETURN_GRACE_S)
+        self.assertEqual([replica.replica_id for replica in usable], ["b"])
 
     def test_a_missing_replica_is_reported_once_with_the_age_of_the_outage(self):
         # Without a line about it, the logs did not tell why a removed replica was used.
@@ -55,7 +79,7 @@
         view = ReplicaView()
         view.put(engine("a"), now_s=90.0)
         self.assertEqual(names(view.remove("a", now_s=91.0)), [("ReplicaGone", "a")])
-        self.assertEqual(view.usable("llm"), [])
+        self.assertEqual(view.usable("llm", now_s=NOW_S), [])
 
 
 class RestartTest(unittest.TestCase):
@@ -96,7 +120,7 @@
 
     def test_a_leaving_replica_gets_no_new_work(self):
         view = self.leaving_view(watched=True)
-        self.assertEqual(view.usable("llm"), [])
+        self.assertEqual(view.usable("llm", now_s=NOW_S), [])
 
     def test_a_replica_whose_leaving_was_watched_serves_as_the_last_one_for_a_moment(
         self,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -253,20 +253,22 @@
     def _usable_engines(self, now_s: float) -> list[Replica]:
         return [
             engine
-            for engine in self._state.replicas.usable(self._exchange.service.name)
+            for engine in self._state.replicas.usable(
+                self._exchange.service.name, now_s=now_s
+            )
             if engine.replica_id not in self._excluded
             and not self._state.changes_stage(engine, now_s)
         ]
 
     def _choose_plain(self) -> Replica:
-        state = self._state
+        state, now_s = self._state, time.monotonic()
         replica = choose_replica(
-            state.replicas.usable(self._exchange.service.name),
+            state.replicas.usable(self._exchange.service.name, now_s=now_s),
             ledger=state.ledger,
             health=state.health,
             excluded=self._excluded,
             own_zone=state.settings.availability_zone,
-            now_s=time.monotonic(),
+            now_s=now_s,
             rng=state.rng,
         )
         if replica is None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -272,7 +272,7 @@
         if outcome == "delivered":
             return {}
         state, now_s = self._state, time.monotonic()
-        replicas = state.replicas.usable(exchange.service.name)
+        replicas = state.replicas.usable(exchange.service.name, now_s=now_s)
         return {
             "replicas": len(replicas),
             "paused": sum(state.health.paused(r.replica_id, now_s) for r in replicas),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -111,14 +111,14 @@
         return budget.try_spend(time.monotonic())
 
     def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
-        state = self._state
+        state, now_s = self._state, time.monotonic()
         return choose_replica(
-            state.replicas.usable(exchange.service.name),
+            state.replicas.usable(exchange.service.name, now_s=now_s),
             ledger=state.ledger,
             health=state.health,
             excluded=excluded,
             own_zone=state.settings.availability_zone,
-            now_s=time.monotonic(),
+            now_s=now_s,
             rng=state.rng,
         )
 
