Take no cut of a host for an outage of the store

Callers' requests reached replicas whose entries had been removed, from hosts that had been cut off and were back.

Cause: a host that had not heard the store for two seconds took that for an outage of the store, in which entries of living replicas lapse, and kept the replicas without an entry for two seconds after its return. When only the host was cut off, no entry had lapsed: those that were gone had left.

Each datagram now tells for how long the store has answered its sender without a break. Where a peer that is heard after the return was in contact all along, the grace ends at once, and entries that are removed later are dropped at once too. A peer that has lost the store, or was heard before the return only, rules nothing out.

The format of datagrams changes; hosts of two versions ignore each other's during a rolling restart, as before with each change of it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -30,6 +30,8 @@
     config_version: int
     store_connected: bool = False
     store_revision: int = 0
+    store_contact_since_s: float | None = None
+    """Time since which the store has answered the peer without a break."""
 
 
 class HostView:
@@ -83,6 +85,19 @@
             default=0,
         )
 
+    def store_answering_since_s(self, *, regained_s: float, now_s: float) -> float:
+        """Return since when the store has answered without a break.
+
+        ``regained_s`` is when it answered this host again. A peer that was in contact
+        before and has been heard since shows that the store was not away.
+        """
+        since_s = regained_s
+        for peer in self._peers.values():
+            heard_since = regained_s <= peer.heard_s <= now_s
+            if heard_since and peer.store_contact_since_s is not None:
+                since_s = min(since_s, peer.store_contact_since_s)
+        return since_s
+
     def watches_store(self, own_zone: str, now_s: float) -> bool:
         """Return whether this host is among those that watch the store for its zone.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -90,7 +90,7 @@
 
     def usable(self, service: str, *, now_s: float) -> list[Replica]:
         """Return the replicas of a service that may get new work."""
-        in_grace = self._in_grace(now_s)
+        in_grace = self.in_grace(now_s)
         return [
             replica
             for replica in self._replicas.values()
@@ -114,9 +114,13 @@
             < LEAVING_USE_S
         ]
 
-    def note_outage_end(self, now_s: float) -> None:
-        """Note that the store answers again after an outage."""
-        self._outage_ended_s = now_s
+    def note_outage_end(self, ended_s: float) -> None:
+        """Note when the store began to answer again after the last outage."""
+        self._outage_ended_s = ended_s
+
+    def in_grace(self, now_s: float) -> bool:
+        """Return whether replicas may still register again after an outage."""
+        return now_s < self._outage_ended_s + RETURN_GRACE_S
 
     def replace_all(
         self, entries: Iterable[Replica], *, now_s: float
@@ -157,23 +161,20 @@
         replica = self._replicas.get(replica_id)
         if replica is None or replica_id in self._missing:
             return []
-        if self._in_grace(now_s):
+        if self.in_grace(now_s):
             self._missing.add(replica_id)
             return [ReplicaMissing(replica, now_s - self._outage_ended_s)]
         return self._drop(replica_id, "entry removed")
 
     def expire(self, now_s: float) -> list[ReplicaChange]:
         """Drop the replicas that did not come back after an outage."""
-        if self._in_grace(now_s):
+        if self.in_grace(now_s):
             return []
         changes = []
         for replica_id in tuple(self._missing):
             changes.extend(self._drop(replica_id, "missing after an outage"))
         return changes
 
-    def _in_grace(self, now_s: float) -> bool:
-        return now_s < self._outage_ended_s + RETURN_GRACE_S
-
     def _drop(self, replica_id: str, reason: str) -> list[ReplicaChange]:
         self._missing.discard(replica_id)
         self._leaving_since_s.pop(replica_id, None)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -257,7 +257,7 @@
             deadline_ms=_ms(exchange.deadline_s - exchange.started_s),
             attempts=[str(attempt) for attempt in exchange.attempts],
             configuration=exchange.configuration.version,
-            store_age_ms=_ms(now_s - state.store_heard_s),
+            store_age_ms=_ms(state.contact.silent_s(now_s)),
             **self._load_fields(exchange, outcome),
         )
         state.metrics.requests.add(kind=kind, outcome=outcome)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -1,6 +1,6 @@
 """Format of the datagrams between entry hosts."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import cbor2
 
@@ -9,7 +9,7 @@
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.gateway.state import PartPlacement
 
-FORMAT = 2
+FORMAT = 4
 CHANGES_FORMAT = 3
 
 
@@ -27,6 +27,8 @@
     refused: tuple[int, ...] = ()
     store_connected: bool = False
     store_revision: int = 0
+    store_contact_ms: int | None = field(default=None, compare=False)
+    """Time for which the store has answered the host without a break."""
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -51,6 +53,7 @@
             list(message.refused),
             message.store_connected,
             message.store_revision,
+            message.store_contact_ms,
         ]
     )
 
@@ -81,7 +84,8 @@
     """Return the state that a datagram holds; raise ``ProtocolError``."""
     try:
         version, host, ready, config_version, *rest = cbor2.loads(raw)
-        work, placements, queued_ms, suspects, refused, connected, revision = rest
+        work, placements, queued_ms, suspects, refused, *store = rest
+        connected, revision, contact_ms = store
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -101,6 +105,7 @@
             refused=tuple(int(key) for key in refused),
             store_connected=connected is True,
             store_revision=int(revision),
+            store_contact_ms=None if contact_ms is None else int(contact_ms),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -175,8 +175,9 @@
         return self._message()
 
     def _message(self) -> PeerMessage:
-        state = self._state
-        work = state.ledger.own(now_s=time.monotonic())
+        state, now_s = self._state, time.monotonic()
+        work = state.ledger.own(now_s=now_s)
+        contact_s = state.contact.unbroken_s(now_s)
         if len(work) > MAX_REPLICAS:
             busiest = sorted(work, key=lambda r: work[r].read_s, reverse=True)
             work = {
@@ -191,7 +192,8 @@
             queued_ms=int(state.queued_s() * 1_000),
             store_connected=state.store_connected,
             store_revision=state.store_revision,
-            suspects=tuple(state.health.all_paused(time.monotonic())[:MAX_REPLICAS]),
+            store_contact_ms=None if contact_s is None else int(contact_s * 1_000),
+            suspects=tuple(state.health.all_paused(now_s)[:MAX_REPLICAS]),
         )
 
     def _send(self, peers: Sequence[HostEntry], message: PeerMessage) -> None:
@@ -226,14 +228,16 @@
         state = self._state
         if message.host == state.settings.host_name:
             return
+        contact_ms = message.store_contact_ms
         peer = PeerState(
             now_s,
             message.ready,
             message.config_version,
             message.store_connected,
             message.store_revision,
+            None if contact_ms is None else now_s - contact_ms / 1_000,
         )
-        state.hosts.note_peer(message.host, peer)
+        state.note_peer(message.host, peer, now_s)
         state.ledger.note_peer(
             message.host,
             message.work,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -62,7 +62,7 @@
     def start(self) -> None:
         """Listen and start all tasks."""
         settings = self.state.settings
-        self.state.store_heard_s = self.state.view_heard_s = time.monotonic()
+        self.state.begin(time.monotonic())
         self._peers.start(settings.listen_host, settings.peer_port)
         self.front.start(settings.listen_host, settings.front_port)
         self._small.start(settings.listen_host, settings.ready_port)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -89,7 +89,7 @@
     def _metrics(self, _request: ClientRequest) -> tuple[int, bytes]:
         state, metrics = self._state, self._state.metrics
         now_s = time.monotonic()
-        metrics.store_age.set(now_s - state.store_heard_s)
+        metrics.store_age.set(state.contact.silent_s(now_s))
         metrics.view_age.set(state.view_age_s(now_s))
         metrics.configuration_version.set(state.version)
         metrics.upstream_connections.set(state.pool.opened)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -16,7 +16,7 @@
 from persimmonyoke.internal.dispatch.returns import Returns
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
-from persimmonyoke.internal.fleet.hosts import HostView
+from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges, UpstreamWire
 from persimmonyoke.internal.fleet.model import (
     ClientLimits,
@@ -34,6 +34,7 @@
     ReplicaMissing,
     ReplicaView,
 )
+from persimmonyoke.internal.fleet.store_contact import StoreContact
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import ConnectionPool
 from persimmonyoke.internal.gateway.journal import Journal
@@ -61,13 +62,6 @@
 """Hosts among which the slack is divided at least, while hosts still register."""
 
 
-STORE_OUTAGE_S = 2.0
-"""Time without an answer after which entries may have lapsed meanwhile.
-
-The renewals of the host's lease come each 1.2 s.
-"""
-
-
 @dataclass(frozen=True)
 class PartPlacement:
     """Tell peers which engine reads a part, and when it will have read it."""
@@ -98,7 +92,7 @@
         self.rng = random.Random()
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
-        self.store_heard_s = 0.0
+        self.contact = StoreContact(0.0)
         self.view_heard_s = 0.0
         self.store_connected = False
         self.store_revision = 0
@@ -195,15 +189,41 @@
             ready=self.ready,
         )
 
+    def begin(self, now_s: float) -> None:
+        """Note that the process begins to ask the store."""
+        self.contact = StoreContact(now_s)
+        self.view_heard_s = now_s
+
     def note_store_answer(self, now_s: float) -> None:
         """Note that the store answers, also if that is after an outage."""
-        silent_s = now_s - self.store_heard_s
         if not self.store_connected:
             self.store_connected = True
-            self.journal.event("store_regained", silent_ms=int(silent_s * 1_000))
-        if silent_s > STORE_OUTAGE_S:
-            self.replicas.note_outage_end(now_s)
-        self.store_heard_s = now_s
+            silent_ms = int(self.contact.silent_s(now_s) * 1_000)
+            self.journal.event("store_regained", silent_ms=silent_ms)
+        self.contact.note_answer(now_s)
+        self._review_outage(now_s)
+
+    def note_peer(self, name: str, peer: PeerState, now_s: float) -> None:
+        """Apply what a peer says of itself, also of its contact with the store."""
+        self.hosts.note_peer(name, peer)
+        if self.replicas.in_grace(now_s):
+            self._review_outage(now_s)
+
+    def _review_outage(self, now_s: float) -> None:
+        """Take an outage for a fault of this host if the store answered peers."""
+        regained_s = self.contact.outage_ended_s
+        answering_since_s = self.hosts.store_answering_since_s(
+            regained_s=regained_s, now_s=now_s
+        )
+        was_in_grace = self.replicas.in_grace(now_s)
+        self.replicas.note_outage_end(answering_since_s)
+        if was_in_grace and not self.replicas.in_grace(now_s):
+            self.journal.event(
+                "outage_ruled_out",
+                regained_ms=int((now_s - regained_s) * 1_000),
+                peer_contact_ms=int((now_s - answering_since_s) * 1_000),
+            )
+            self.apply_replica_changes(self.replicas.expire(now_s), now_s=now_s)
 
     def note_view_answer(self, revision: int, now_s: float) -> None:
         """Note an answer that tells all changes of the store up to a revision."""
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_gateway.py
@@ -0,0 +1,35 @@
+"""Builders of the state of one gateway process."""
+
+from unittest.mock import create_autospec
+
+from persimmonyoke.internal.fleet.interfaces import UpstreamWire
+from persimmonyoke.internal.gateway.journal import Journal
+from persimmonyoke.internal.gateway.settings import GatewaySettings
+from persimmonyoke.internal.gateway.state import GatewayState
+
+
+def gateway_settings(**changes) -> GatewaySettings:
+    """Return the settings of an entry host."""
+    values = {
+        "host_name": "host-1",
+        "availability_zone": "zone-a",
+        "listen_host": "127.0.0.1",
+        "front_port": 1,
+        "ready_port": 2,
+        "directory_port": 3,
+        "peer_port": 4,
+        "grace_s": 8.0,
+        "lease_s": 3.0,
+        "retry_share": 0.2,
+        "retry_slack": 50.0,
+        "retry_window_s": 10.0,
+        "address_ttl_max_s": 5.0,
+    }
+    return GatewaySettings(**{**values, **changes})
+
+
+def gateway_state(*, log: list[str], **changes) -> GatewayState:
+    """Return the state of a process that has not heard the store; it logs to a list."""
+    settings = gateway_settings(**changes)
+    journal = Journal(settings.host_name, lambda line, _now_s: log.append(line))
+    return GatewayState(settings, create_autospec(UpstreamWire), journal)
