--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -140,11 +140,11 @@
     ) -> list[ReplicaChange]:
         """Apply one entry; ``watched`` says that it was written just now."""
         known = self._replicas.get(replica.replica_id)
-        returned = replica.replica_id in self._missing
-        self._missing.discard(replica.replica_id)
         if known is not None and replica.born_unix_ms < known.born_unix_ms:
             # A late write of the incarnation before the one that is known.
             return []
+        returned = replica.replica_id in self._missing
+        self._missing.discard(replica.replica_id)
         self._replicas[replica.replica_id] = replica
         if known is None:
             return [ReplicaAdded(replica)]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
@@ -97,6 +97,17 @@
         self.assertEqual(view.put(late, now_s=91.0), [])
         self.assertFalse(view.get("a").draining)
 
+    def test_a_late_entry_of_the_former_incarnation_keeps_no_missing_replica_in_use(
+        self,
+    ):
+        # It says nothing about the incarnation that is missing.
+        view = ReplicaView()
+        view.put(engine("a", born_unix_ms=2_000), now_s=90.0)
+        view.note_outage_end(100.0)
+        view.remove("a", now_s=100.1)
+        view.put(engine("a", born_unix_ms=1_000), now_s=100.2)
+        self.assertEqual(view.usable("llm", now_s=100.0 + RETURN_GRACE_S), [])
+
     def test_a_replica_at_another_address_is_a_new_one(self):
         view = ReplicaView()
         view.put(engine("a", port=1), now_s=90.0)
