Read the store in the task that watches it

Class of fault: a belief is replaced by an older one. When a peer told a newer version of the configuration, a second task read the whole store beside the running watch and applied the reading without a look at what the watch had applied meanwhile. A replica that left during the reading was put back as ready, and stayed so until its entry was removed.

One task reads, watches and applies now. A newer version of a peer interrupts the watch, whose connection may be silent, and a linearizable reading follows; nothing can be applied after what is newer.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -3,6 +3,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 import gevent
 from gevent.event import Event
@@ -22,6 +23,7 @@
     StoreEvent,
 )
 from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
+from persimmonyoke.internal.gateway.interruptible import CallInterrupted, call_unless
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -57,7 +59,10 @@
 
 
 class StoreFollower:
-    """Keep the state of this process in step with the store."""
+    """Keep the state of this process in step with the store.
+
+    One task reads, watches and applies, so that nothing is applied after what is newer.
+    """
 
     def __init__(
         self,
@@ -77,7 +82,8 @@
         self._news = Event()
         self._behind_since_s: float | None = None
         self._watching = True
-        self._catching_up = False
+        self._checking_version = False
+        self._read_again = Event()
         self._pacer = WatchPacer()
         state.on_newer_version = self.note_newer_version
         state.on_store_changes = self.note_relayed
@@ -92,22 +98,17 @@
 
         A host that does not watch asks for all that its peers are ahead by.
         """
-        if not self._catching_up and self._watching:
-            self._catching_up = True
-            gevent.spawn(self._catch_up, version)
+        if not self._checking_version and self._watching:
+            self._checking_version = True
+            gevent.spawn_later(WATCH_LAG_S, self._check_version, version)
 
-    def _catch_up(self, version: int) -> None:
-        try:
-            gevent.sleep(WATCH_LAG_S)
-            if self._state.version >= version:
-                return
-            self._state.journal.event("watch_behind", version=version)
-            self._apply_snapshot(self._store.snapshot())
-        except StoreUnavailable as error:
-            # The peer goes on to tell its version, so this is tried again.
-            self._state.journal.failure("catch_up_failed", error)
-        finally:
-            self._catching_up = False
+    def _check_version(self, version: int) -> None:
+        self._checking_version = False
+        if self._state.version < version:
+            self._state.journal.event(
+                "watch_behind", version=version, known=self._state.version
+            )
+            self._read_again.set()
 
     def run(self) -> None:
         """Follow the store for as long as the process runs."""
@@ -116,6 +117,8 @@
             try:
                 self._step()
                 delay_s = RETRY_S
+            except CallInterrupted:
+                self._revision = None
             except HistoryLost as error:
                 self._state.journal.failure("store_history_lost", error)
                 self._revision = None
@@ -134,6 +137,7 @@
         now_s = time.monotonic()
         own_zone = self._state.settings.availability_zone
         if self._revision is None:
+            self._read_again.clear()
             changes = self._store.snapshot()
             self._state.note_store_answer(time.monotonic())
             self._advance(changes.revision)
@@ -153,7 +157,10 @@
     def _watch(self, revision: int, wait_s: float) -> None:
         """Apply the next changes and pass them on to the hosts that do not watch."""
         gevent.sleep(self._pacer.next_call_delay_s(time.monotonic()))
-        changes = self._store.changes(after_revision=revision, wait_s=wait_s)
+        changes = call_unless(
+            self._read_again,
+            partial(self._store.changes, after_revision=revision, wait_s=wait_s),
+        )
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
         self._advance(changes.revision)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -0,0 +1,64 @@
+"""Test how a host keeps step with the store while its answers come late or not."""
+
+import time
+import unittest
+
+import gevent
+
+from persimmonyoke.internal.fleet.interfaces import ReplicaSeen
+from persimmonyoke.internal.gateway.follower import StoreFollower
+from persimmonyoke.internal.gateway.orders import OrderDuty
+from persimmonyoke_testing.builders_fleet import engine
+from persimmonyoke_testing.builders_gateway import gateway_state
+from persimmonyoke_testing.gated_store import GatedStore
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.log = []
+        self.store = GatedStore()
+        self.store.events = (ReplicaSeen(engine("a")),)
+        self.state = gateway_state(log=self.log)
+        self.state.begin(time.monotonic())
+        self.passed_on = []
+        self.follower = StoreFollower(
+            self.state,
+            self.store,
+            OrderDuty(self.state, self.store),
+            on_configuration=lambda: None,
+            pass_on=self.passed_on.append,
+        )
+        task = gevent.spawn(self.follower.run)
+        self.addCleanup(task.kill)
+        self.wait_for(lambda: self.usable() == ["a"], 1.0)
+
+    def wait_for(self, condition, timeout_s):
+        with gevent.Timeout(timeout_s):
+            while not condition():
+                gevent.sleep(0.005)
+
+    def usable(self):
+        replicas = self.state.replicas.usable("llm", now_s=time.monotonic())
+        return [replica.replica_id for replica in replicas]
+
+    def leave(self, name="a"):
+        self.store.publish(ReplicaSeen(engine(name, draining=True)))
+
+
+class ReadingBesideTheWatchTest(FollowerTest):
+    def test_a_reading_that_takes_long_puts_no_older_entry_back(self):
+        # A peer's newer version started a reading beside the watch; a replica that
+        # left meanwhile was used again until its entry was removed.
+        self.store.snapshot_gate.clear()
+        self.state.on_newer_version(9)
+        self.wait_for(lambda: self.store.snapshots == 2, 2.0)
+        self.leave()
+        gevent.sleep(0.1)
+        self.store.snapshot_gate.set()
+        self.wait_for(lambda: self.usable() == [], 1.0)
+        gevent.sleep(0.3)
+        self.assertEqual(self.usable(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -0,0 +1,91 @@
+"""Store whose answers are held back and let go by a test."""
+
+import gevent
+from gevent.event import Event
+from gevent.queue import Empty, Queue
+
+from persimmonyoke.errors import StoreUnavailable
+from persimmonyoke.internal.fleet.interfaces import (
+    FleetStore,
+    StoreChanges,
+    StoreEvent,
+)
+from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.term import OrderRecord
+
+
+class GatedStore(FleetStore):
+    """Answer snapshots and watches from memory; nothing can be written by a host.
+
+    A snapshot is taken as the call begins and returned once ``snapshot_gate`` is set.
+    While ``silent`` is true, watches that wait get no answer.
+    """
+
+    def __init__(self) -> None:
+        self.events: tuple[StoreEvent, ...] = ()
+        self.revision = 1
+        self.snapshot_gate = Event()
+        self.snapshot_gate.set()
+        self.snapshots = 0
+        self.watch_calls = 0
+        self.silent = False
+        self._news: Queue = Queue()
+
+    def publish(self, *events: StoreEvent) -> None:
+        """Change the entries in one revision and tell the watch."""
+        self.revision += 1
+        self.events = (*self.events, *events)
+        self._news.put(StoreChanges(events, self.revision))
+
+    def snapshot(self) -> StoreChanges:
+        """Return the entries as of the beginning of the call."""
+        self.snapshots += 1
+        taken = StoreChanges(self.events, self.revision)
+        self.snapshot_gate.wait()
+        return taken
+
+    def changes(
+        self, *, after_revision: int, wait_s: float, timeout_s: float = 9.0
+    ) -> StoreChanges:
+        """Return the next change after a revision, or none after the wait."""
+        self.watch_calls += 1
+        if self.silent:
+            gevent.sleep(timeout_s)
+            raise StoreUnavailable("no answer in time")
+        try:
+            changes = self._news.get(timeout=wait_s)
+        except Empty:
+            return StoreChanges((), after_revision)
+        return changes
+
+    def decode_changes(self, encoded: bytes) -> StoreChanges:
+        """Refuse all; these tests pass no changes on."""
+        raise StoreUnavailable(f"not understood: {encoded!r}")
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease of {ttl_s} s")
+
+    def renew_lease(self, lease_id: int) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id}")
+
+    def end_lease(self, lease_id: int) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id}")
+
+    def register_host(self, host: HostEntry, lease_id: int) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id} for {host.name}")
+
+    def current_holder(self, *, allow_stale: bool) -> str | None:
+        """Return that nobody holds the order key."""
+        return None
+
+    def acquire_term(self, holder: str, lease_id: int) -> int | None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id} for {holder}")
+
+    def announce_order(self, record: OrderRecord) -> OrderRecord | None:
+        """Refuse."""
+        raise StoreUnavailable(f"no order for {record.replica_id}")
