--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -104,7 +104,8 @@
 
     def _check_version(self, version: int) -> None:
         self._checking_version = False
-        if self._state.version < version:
+        being_read = self._revision is None
+        if self._state.version < version and not being_read:
             self._state.journal.event(
                 "watch_behind", version=version, known=self._state.version
             )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -6,7 +6,7 @@
 import gevent
 
 from persimmonyoke.internal.fleet.interfaces import ReplicaSeen
-from persimmonyoke.internal.gateway.follower import StoreFollower
+from persimmonyoke.internal.gateway.follower import WATCH_LAG_S, StoreFollower
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke_testing.builders_fleet import engine
 from persimmonyoke_testing.builders_gateway import gateway_state
@@ -59,6 +59,17 @@
         gevent.sleep(0.3)
         self.assertEqual(self.usable(), [])
 
+    def test_a_newer_version_during_a_reading_causes_no_second_one(self):
+        # With a slow store, each reading was followed by one more.
+        self.store.snapshot_gate.clear()
+        self.state.on_newer_version(9)
+        self.wait_for(lambda: self.store.snapshots == 2, 2.0)
+        self.state.on_newer_version(9)
+        gevent.sleep(WATCH_LAG_S + 0.1)
+        self.store.snapshot_gate.set()
+        gevent.sleep(0.1)
+        self.assertEqual(self.store.snapshots, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
