Give a silent watch up before its news must be followed

Class of fault: nothing bounded the age of what a host believes. A watch waited 2.5 s and was given up after 3.1 s; a host whose connection to the store had become silent knew nothing of a replica that left for that long, where new work must end after 2 s (and a configuration be in force).

The adapter no longer decides the margin.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -212,8 +212,14 @@
         """Read all entries; the reads are linearizable."""
 
     @abstractmethod
-    def changes(self, *, after_revision: int, wait_s: float) -> StoreChanges:
-        """Wait for events; raise ``HistoryLost`` if they are gone."""
+    def changes(
+        self, *, after_revision: int, wait_s: float, timeout_s: float
+    ) -> StoreChanges:
+        """Wait for events; raise ``HistoryLost`` if they are gone.
+
+        The store answers after ``wait_s`` at the latest, and a connection on which it
+        has not answered after ``timeout_s`` is given up.
+        """
 
     @abstractmethod
     def decode_changes(self, encoded: bytes) -> StoreChanges:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -27,8 +27,13 @@
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
 
-WATCH_WAIT_S = 2.5
-"""Wait of one watch; a connection that became silent is noticed after it."""
+WATCH_MARGIN_S = 0.4
+"""Time beyond the wait of a watch after which its connection counts as silent.
+
+Answers take 4 ms, and up to 0.25 s while the store is slow.
+"""
+
+MIN_WATCH_WAIT_S = 0.1
 
 WATCH_LAG_S = 0.4
 """Time by which a watch may be later than that of a peer, with a slow store."""
@@ -151,16 +156,33 @@
                 "store_watch", watching=watching, revision=self._revision
             )
         if watching:
-            self._watch(self._revision, WATCH_WAIT_S)
+            self._watch(self._revision)
         else:
             self._follow(self._revision)
 
-    def _watch(self, revision: int, wait_s: float) -> None:
+    def _watch(self, revision: int) -> None:
+        """Wait for the next changes for as long as the view may be old."""
+        delay_s = self._pace()
+        limit_s = self._state.settings.view_age_limit_s
+        wait_s = limit_s - delay_s - WATCH_MARGIN_S
+        self._apply_changes(revision, max(MIN_WATCH_WAIT_S, wait_s))
+
+    def _pace(self) -> float:
+        """Wait while changes come in quick succession; return for how long."""
+        delay_s = self._pacer.next_call_delay_s(time.monotonic())
+        gevent.sleep(delay_s)
+        return delay_s
+
+    def _apply_changes(self, revision: int, wait_s: float) -> None:
         """Apply the next changes and pass them on to the hosts that do not watch."""
-        gevent.sleep(self._pacer.next_call_delay_s(time.monotonic()))
         changes = call_unless(
             self._read_again,
-            partial(self._store.changes, after_revision=revision, wait_s=wait_s),
+            partial(
+                self._store.changes,
+                after_revision=revision,
+                wait_s=wait_s,
+                timeout_s=wait_s + WATCH_MARGIN_S,
+            ),
         )
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
@@ -180,7 +202,8 @@
                 revision=revision,
                 newest=self._state.hosts.newest_revision(time.monotonic()),
             )
-            self._watch(revision, CATCH_UP_WAIT_S)
+            self._pace()
+            self._apply_changes(revision, CATCH_UP_WAIT_S)
 
     def _apply_relayed(self, relayed: RelayedChanges, revision: int) -> int:
         """Apply changes that follow what is known; return the revision reached."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
@@ -2,6 +2,12 @@
 
 from dataclasses import dataclass
 
+VIEW_AGE_SHARE = 0.8
+"""Share of the time in which a change must be followed that the view may be old.
+
+The rest is for a new connection to the store and a reading of all entries.
+"""
+
 
 @dataclass(frozen=True)
 class GatewaySettings:
@@ -20,6 +26,15 @@
     retry_slack: float
     retry_window_s: float
     address_ttl_max_s: float
+    drain_s: float
+    """Time after which no new work may reach a replica that leaves."""
+    config_apply_s: float
+    """Time after which a new configuration must be in force."""
+
+    @property
+    def view_age_limit_s(self) -> float:
+        """Return the age of the view of the store at which it is read anew."""
+        return VIEW_AGE_SHARE * min(self.drain_s, self.config_apply_s)
 
     @property
     def front_address(self) -> str:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_gateway.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_gateway.py
@@ -24,6 +24,8 @@
         "retry_slack": 50.0,
         "retry_window_s": 10.0,
         "address_ttl_max_s": 5.0,
+        "drain_s": 2.0,
+        "config_apply_s": 2.0,
     }
     return GatewaySettings(**{**values, **changes})
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -45,7 +45,7 @@
         return taken
 
     def changes(
-        self, *, after_revision: int, wait_s: float, timeout_s: float = 9.0
+        self, *, after_revision: int, wait_s: float, timeout_s: float
     ) -> StoreChanges:
         """Return the next change after a revision, or none after the wait."""
         self.watch_calls += 1
