Bound the view's age of hosts that are told of changes by their peers

The same class of fault at hosts that do not watch the store (zones of more than three hosts): they asked the store only when a peer told a newer revision. When the watches of all hosts fall silent together, no peer has one, and the news waits until the watchers read the store anew and the others notice it, 0.5 s and a datagram later.

Datagrams tell how old their sender's view is.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -33,6 +33,9 @@
     store_contact_since_s: float | None = None
     """Time since which the store has answered the peer without a break."""
 
+    view_confirmed_s: float = float("-inf")
+    """Time at which the peer knew of all changes up to its revision."""
+
 
 class HostView:
     """Decide which entry hosts callers are told to use."""
@@ -85,6 +88,17 @@
             default=0,
         )
 
+    def view_confirmed_s(self, revision: int) -> float:
+        """Return when a peer last knew that nothing had changed after a revision."""
+        return max(
+            (
+                peer.view_confirmed_s
+                for peer in self._peers.values()
+                if peer.store_revision <= revision
+            ),
+            default=float("-inf"),
+        )
+
     def store_answering_since_s(self, *, regained_s: float, now_s: float) -> float:
         """Return since when the store has answered without a break.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -195,12 +195,17 @@
         self._news.clear()
         while self._relayed:
             revision = self._apply_relayed(self._relayed.popleft(), revision)
-        if self._behind(revision, time.monotonic()):
+        now_s = time.monotonic()
+        self._state.note_view_confirmed(self._state.hosts.view_confirmed_s(revision))
+        view_age_s = self._state.view_age_s(now_s)
+        view_is_old = view_age_s > self._state.settings.view_age_limit_s
+        if view_is_old or self._behind(revision, now_s):
             self._behind_since_s = None
             self._state.journal.event(
                 "behind_peers",
                 revision=revision,
-                newest=self._state.hosts.newest_revision(time.monotonic()),
+                newest=self._state.hosts.newest_revision(now_s),
+                view_age_ms=int(view_age_s * 1_000),
             )
             self._pace()
             self._apply_changes(revision, CATCH_UP_WAIT_S)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -30,6 +30,9 @@
     store_contact_ms: int | None = field(default=None, compare=False)
     """Time for which the store has answered the host without a break."""
 
+    view_age_ms: int | None = field(default=None, compare=False)
+    """Time since the host knew that nothing had changed after its revision."""
+
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return a message as one datagram."""
@@ -54,6 +57,7 @@
             message.store_connected,
             message.store_revision,
             message.store_contact_ms,
+            message.view_age_ms,
         ]
     )
 
@@ -85,7 +89,7 @@
     try:
         version, host, ready, config_version, *rest = cbor2.loads(raw)
         work, placements, queued_ms, suspects, refused, *store = rest
-        connected, revision, contact_ms = store
+        connected, revision, contact_ms, view_age_ms = store
         if version != FORMAT:
             raise ProtocolError(f"format {version!r} is not known")
         return PeerMessage(
@@ -105,7 +109,12 @@
             refused=tuple(int(key) for key in refused),
             store_connected=connected is True,
             store_revision=int(revision),
-            store_contact_ms=None if contact_ms is None else int(contact_ms),
+            store_contact_ms=_optional_int(contact_ms),
+            view_age_ms=_optional_int(view_age_ms),
         )
     except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
+
+
+def _optional_int(value: object) -> int | None:
+    return None if value is None else int(value)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -55,6 +55,25 @@
     return max(CHANGED_INTERVAL_S, peer_count / datagrams_per_s)
 
 
+def peer_state(message: PeerMessage, now_s: float) -> PeerState:
+    """Return what a message received now says of its sender."""
+    contact_ms, view_age_ms = message.store_contact_ms, message.view_age_ms
+    contact_since_s, view_confirmed_s = None, float("-inf")
+    if contact_ms is not None:
+        contact_since_s = now_s - contact_ms / 1_000
+    if view_age_ms is not None:
+        view_confirmed_s = now_s - view_age_ms / 1_000
+    return PeerState(
+        heard_s=now_s,
+        ready=message.ready,
+        config_version=message.config_version,
+        store_connected=message.store_connected,
+        store_revision=message.store_revision,
+        store_contact_since_s=contact_since_s,
+        view_confirmed_s=view_confirmed_s,
+    )
+
+
 class PeerGroup:
     """Hold what the peers of one group have still to be told, and when."""
 
@@ -178,6 +197,7 @@
         state, now_s = self._state, time.monotonic()
         work = state.ledger.own(now_s=now_s)
         contact_s = state.contact.unbroken_s(now_s)
+        view_age_s = state.view_age_s(now_s) if state.store_revision else None
         if len(work) > MAX_REPLICAS:
             busiest = sorted(work, key=lambda r: work[r].read_s, reverse=True)
             work = {
@@ -192,7 +212,8 @@
             queued_ms=int(state.queued_s() * 1_000),
             store_connected=state.store_connected,
             store_revision=state.store_revision,
-            store_contact_ms=None if contact_s is None else int(contact_s * 1_000),
+            store_contact_ms=_to_ms(contact_s),
+            view_age_ms=_to_ms(view_age_s),
             suspects=tuple(state.health.all_paused(now_s)[:MAX_REPLICAS]),
         )
 
@@ -228,16 +249,7 @@
         state = self._state
         if message.host == state.settings.host_name:
             return
-        contact_ms = message.store_contact_ms
-        peer = PeerState(
-            now_s,
-            message.ready,
-            message.config_version,
-            message.store_connected,
-            message.store_revision,
-            None if contact_ms is None else now_s - contact_ms / 1_000,
-        )
-        state.note_peer(message.host, peer, now_s)
+        state.note_peer(message.host, peer_state(message, now_s), now_s)
         state.ledger.note_peer(
             message.host,
             message.work,
@@ -256,3 +268,7 @@
         state.on_peer_work()
         if message.config_version > state.version:
             state.on_newer_version(message.config_version)
+
+
+def _to_ms(duration_s: float | None) -> int | None:
+    return None if duration_s is None else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -230,6 +230,10 @@
         self.store_revision = revision
         self.view_heard_s = now_s
 
+    def note_view_confirmed(self, confirmed_s: float) -> None:
+        """Note that nothing had changed at a time, as far as a peer knew."""
+        self.view_heard_s = max(self.view_heard_s, confirmed_s)
+
     def view_age_s(self, now_s: float) -> float:
         """Return how long ago this host last learnt what had changed in the store."""
         return now_s - self.view_heard_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -5,10 +5,11 @@
 
 import gevent
 
+from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.interfaces import ReplicaSeen
 from persimmonyoke.internal.gateway.follower import WATCH_LAG_S, StoreFollower
 from persimmonyoke.internal.gateway.orders import OrderDuty
-from persimmonyoke_testing.builders_fleet import engine
+from persimmonyoke_testing.builders_fleet import engine, host
 from persimmonyoke_testing.builders_gateway import gateway_state
 from persimmonyoke_testing.gated_store import GatedStore
 
@@ -71,5 +72,55 @@
         self.assertEqual(self.store.snapshots, 2)
 
 
+class ToldByPeersTest(FollowerTest):
+    """A host whose zone has three watchers before it in the order of names."""
+
+    def setUp(self):
+        super().setUp()
+        self.watches_silent = False
+        self.revision = self.store.revision
+        for name in ("host-01", "host-02", "host-03"):
+            self.state.hosts.put(host(name), now_s=time.monotonic())
+        task = gevent.spawn(self.tell)
+        self.addCleanup(task.kill)
+        self.wait_for(lambda: self.logged("store_watch"), 3.0)
+
+    def tell(self):
+        """Say of each watcher that the store answers it and how old its view is."""
+        told_s = time.monotonic()
+        while True:
+            now_s = time.monotonic()
+            age_s = now_s - told_s if self.watches_silent else 0.1
+            if not self.watches_silent:
+                told_s = now_s
+            for name in ("host-01", "host-02", "host-03"):
+                peer = PeerState(
+                    now_s,
+                    ready=True,
+                    config_version=0,
+                    store_connected=True,
+                    store_revision=self.revision,
+                    view_confirmed_s=now_s - age_s,
+                )
+                self.state.note_peer(name, peer, now_s)
+            gevent.sleep(0.05)
+
+    def logged(self, event):
+        return [line for line in self.log if f'"event":"{event}"' in line]
+
+    def test_a_host_that_is_told_of_no_changes_for_long_asks_the_store(self):
+        # The watches of all watchers of a zone may become silent together, and the
+        # hosts that rely on them saw no later revision to ask for.
+        self.watches_silent = True
+        self.leave()
+        gevent.sleep(self.state.settings.drain_s)
+        self.assertEqual(self.usable(), [])
+
+    def test_a_host_whose_peers_hear_of_no_change_asks_nothing(self):
+        calls = self.store.watch_calls
+        gevent.sleep(self.state.settings.drain_s)
+        self.assertEqual(self.store.watch_calls, calls)
+
+
 if __name__ == "__main__":
     unittest.main()
