Use no leaving replica of which the store had to be asked

The last decode engine of a deployment takes work for a second after its leaving was seen, as that is when the store accepted it. A host that does not watch and asks for what it has missed took the answer for fresh news as well; the leaving may by then be as old as the view may be, and the second came on top. Such changes now count like those of a reading.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -165,7 +165,8 @@
         delay_s = self._pace()
         limit_s = self._state.settings.view_age_limit_s
         wait_s = limit_s - delay_s - WATCH_MARGIN_S
-        self._apply_changes(revision, max(MIN_WATCH_WAIT_S, wait_s))
+        wait_s = max(MIN_WATCH_WAIT_S, wait_s)
+        self._apply_changes(revision, wait_s=wait_s, watched=True)
 
     def _pace(self) -> float:
         """Wait while changes come in quick succession; return for how long."""
@@ -173,8 +174,11 @@
         gevent.sleep(delay_s)
         return delay_s
 
-    def _apply_changes(self, revision: int, wait_s: float) -> None:
-        """Apply the next changes and pass them on to the hosts that do not watch."""
+    def _apply_changes(self, revision: int, *, wait_s: float, watched: bool) -> None:
+        """Apply the next changes and pass them on to the hosts that do not watch.
+
+        ``watched`` says that they are new, and not those that this host has missed.
+        """
         changes = call_unless(
             self._read_again,
             partial(
@@ -187,7 +191,7 @@
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
         self._advance(changes.revision)
-        self._apply_events(changes.events)
+        self._apply_events(changes.events, watched=watched)
 
     def _follow(self, revision: int) -> None:
         """Apply what peers pass on; ask the store if something was missed."""
@@ -208,7 +212,7 @@
                 view_age_ms=int(view_age_s * 1_000),
             )
             self._pace()
-            self._apply_changes(revision, CATCH_UP_WAIT_S)
+            self._apply_changes(revision, wait_s=CATCH_UP_WAIT_S, watched=False)
 
     def _apply_relayed(self, relayed: RelayedChanges, revision: int) -> int:
         """Apply changes that follow what is known; return the revision reached."""
@@ -221,7 +225,7 @@
             self._state.journal.failure("relayed_changes_malformed", error)
             return revision
         self._advance(changes.revision)
-        self._apply_events(changes.events)
+        self._apply_events(changes.events, watched=True)
         return changes.revision
 
     def _behind(self, revision: int, now_s: float) -> bool:
@@ -254,14 +258,14 @@
         holders = [e.holder for e in events if isinstance(e, HolderSeen)]
         self._orders.note_holder(holders[0] if holders else None)
 
-    def _apply_events(self, events: tuple[StoreEvent, ...]) -> None:
+    def _apply_events(self, events: tuple[StoreEvent, ...], *, watched: bool) -> None:
         state, now_s = self._state, time.monotonic()
         for event in events:
             match event:
                 case ConfigurationRead():
                     self._apply_configuration(event, "watch")
                 case ReplicaSeen(replica):
-                    changes = state.replicas.put(replica, now_s=now_s)
+                    changes = state.replicas.put(replica, now_s=now_s, watched=watched)
                     state.apply_replica_changes(changes, now_s=now_s)
                 case ReplicaRemoved(replica_id):
                     changes = state.replicas.remove(replica_id, now_s=now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -116,6 +116,14 @@
         gevent.sleep(self.state.settings.drain_s)
         self.assertEqual(self.usable(), [])
 
+    def test_a_leaving_replica_of_which_the_store_was_asked_is_not_used_any_more(self):
+        # The last decode engine takes work for a second after its leaving was seen,
+        # and the answer to a host that asks late may be older than that.
+        self.watches_silent = True
+        self.leave()
+        self.wait_for(lambda: self.usable() == [], 3.0)
+        self.assertEqual(self.state.replicas.leaving("llm", now_s=time.monotonic()), [])
+
     def test_a_host_whose_peers_hear_of_no_change_asks_nothing(self):
         calls = self.store.watch_calls
         gevent.sleep(self.state.settings.drain_s)
