--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -54,7 +54,12 @@
 """Changes of peers' watches that wait to be applied; later ones replace the oldest."""
 
 RETRY_S = 0.15
-MAX_RETRY_S = 0.6
+MAX_RETRY_S = 0.4
+"""Longest pause between two readings while the store does not answer this host.
+
+The grace for missing replicas begins with the first answer, not with the return.
+"""
+
 HOST_LEASE_S = 4.0
 RENEW_S = 1.2
 """Two renewals may be lost before a host's entry ends."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest.mock import Mock
 
 import gevent
 
@@ -72,6 +73,20 @@
         self.assertEqual(self.store.snapshots, 2)
 
 
+class ReturnTest(FollowerTest):
+    def test_a_host_hears_the_store_soon_after_its_return(self):
+        # Where no peer can tell what happened, missing replicas are used for 2 s after
+        # the host's return, which must end within 3 s after that of the store.
+        self.state.rng = Mock(uniform=lambda _low, high: high)
+        self.store.unavailable = True
+        self.store.publish()
+        gevent.sleep(2.5)
+        attempts = self.store.snapshots
+        self.wait_for(lambda: self.store.snapshots > attempts, 1.0)
+        self.store.unavailable = False
+        self.wait_for(lambda: self.state.store_connected, 0.6)
+
+
 class ToldByPeersTest(FollowerTest):
     """A host whose zone has three watchers before it in the order of names."""
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -18,7 +18,8 @@
     """Answer snapshots and watches from memory; nothing can be written by a host.
 
     A snapshot is taken as the call begins and returned once ``snapshot_gate`` is set.
-    While ``silent`` is true, watches that wait get no answer.
+    While ``silent`` is true, watches that wait get no answer; while ``unavailable`` is,
+    all calls are refused.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,7 @@
         self.snapshots = 0
         self.watch_calls = 0
         self.silent = False
+        self.unavailable = False
         self._news: Queue = Queue()
 
     def publish(self, *events: StoreEvent) -> None:
@@ -40,6 +42,7 @@
     def snapshot(self) -> StoreChanges:
         """Return the entries as of the beginning of the call."""
         self.snapshots += 1
+        self._check_available()
         taken = StoreChanges(self.events, self.revision)
         self.snapshot_gate.wait()
         return taken
@@ -49,6 +52,7 @@
     ) -> StoreChanges:
         """Return the next change after a revision, or none after the wait."""
         self.watch_calls += 1
+        self._check_available()
         if self.silent:
             gevent.sleep(timeout_s)
             raise StoreUnavailable("no answer in time")
@@ -58,6 +62,10 @@
             return StoreChanges((), after_revision)
         return changes
 
+    def _check_available(self) -> None:
+        if self.unavailable:
+            raise StoreUnavailable("refused")
+
     def decode_changes(self, encoded: bytes) -> StoreChanges:
         """Refuse all; these tests pass no changes on."""
         raise StoreUnavailable(f"not understood: {encoded!r}")
