Split the follower: registration and the application of entries

follower.py held three duties: the pace of readings and watches, what an entry means for this process, and the registration of this host. Each has a module now; no behaviour changes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Following the store: configuration, replicas and hosts."""
+"""Following the store by readings, watches and what peers pass on."""
 
 import time
 from collections import deque
@@ -8,24 +8,16 @@
 import gevent
 from gevent.event import Event
 
-from persimmonyoke.errors import HistoryLost, LeaseEnded, StoreUnavailable
+from persimmonyoke.errors import HistoryLost, StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
-    ConfigurationRead,
     FleetStore,
-    HolderSeen,
-    HostRemoved,
-    HostSeen,
-    OrderRecorded,
     RelayedChanges,
-    ReplicaRemoved,
-    ReplicaSeen,
-    StoreChanges,
-    StoreEvent,
 )
 from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
 from persimmonyoke.internal.gateway.interruptible import CallInterrupted, call_unless
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.view_updates import ViewUpdates
 
 WATCH_MARGIN_S = 0.4
 """Time beyond the wait of a watch after which its connection counts as silent.
@@ -60,13 +52,6 @@
 The grace for missing replicas begins with the first answer, not with the return.
 """
 
-HOST_LEASE_S = 4.0
-RENEW_S = 1.2
-"""Two renewals may be lost before a host's entry ends."""
-
-READY_POLL_S = 0.1
-"""Interval at which a host that starts looks whether it can take callers."""
-
 
 class StoreFollower:
     """Keep the state of this process in step with the store.
@@ -84,8 +69,7 @@
     ) -> None:
         self._state = state
         self._store = store
-        self._orders = orders
-        self._on_configuration = on_configuration
+        self._updates = ViewUpdates(state, orders, on_configuration)
         self._pass_on = pass_on
         self._revision: int | None = None
         self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED)
@@ -152,7 +136,7 @@
             changes = self._store.snapshot()
             self._state.note_store_answer(time.monotonic())
             self._advance(changes.revision)
-            self._apply_snapshot(changes)
+            self._updates.apply_snapshot(changes.events)
             return
         watching = self._state.hosts.watches_store(own_zone, now_s)
         if watching != self._watching:
@@ -196,7 +180,7 @@
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
         self._advance(changes.revision)
-        self._apply_events(changes.events, watched=watched)
+        self._updates.apply_events(changes.events, watched=watched)
 
     def _follow(self, revision: int) -> None:
         """Apply what peers pass on; ask the store if something was missed."""
@@ -230,7 +214,7 @@
             self._state.journal.failure("relayed_changes_malformed", error)
             return revision
         self._advance(changes.revision)
-        self._apply_events(changes.events, watched=True)
+        self._updates.apply_events(changes.events, watched=True)
         return changes.revision
 
     def _behind(self, revision: int, now_s: float) -> bool:
@@ -245,99 +229,3 @@
     def _advance(self, revision: int) -> None:
         self._revision = revision
         self._state.note_view_answer(revision, time.monotonic())
-
-    def _apply_snapshot(self, changes: StoreChanges) -> None:
-        state, now_s = self._state, time.monotonic()
-        events = changes.events
-        replicas = [e.replica for e in events if isinstance(e, ReplicaSeen)]
-        hosts = [e.host for e in events if isinstance(e, HostSeen)]
-        changed = state.replicas.replace_all(replicas, now_s=now_s)
-        state.apply_replica_changes(changed, now_s=now_s)
-        state.hosts.replace_all(hosts, now_s=now_s)
-        state.replicas_known = True
-        for event in events:
-            if isinstance(event, ConfigurationRead):
-                self._apply_configuration(event, "snapshot")
-            elif isinstance(event, OrderRecorded):
-                self._orders.note_record(event.record)
-        holders = [e.holder for e in events if isinstance(e, HolderSeen)]
-        self._orders.note_holder(holders[0] if holders else None)
-
-    def _apply_events(self, events: tuple[StoreEvent, ...], *, watched: bool) -> None:
-        state, now_s = self._state, time.monotonic()
-        for event in events:
-            match event:
-                case ConfigurationRead():
-                    self._apply_configuration(event, "watch")
-                case ReplicaSeen(replica):
-                    changes = state.replicas.put(replica, now_s=now_s, watched=watched)
-                    state.apply_replica_changes(changes, now_s=now_s)
-                case ReplicaRemoved(replica_id):
-                    changes = state.replicas.remove(replica_id, now_s=now_s)
-                    state.apply_replica_changes(changes, now_s=now_s)
-                case HostSeen(host):
-                    state.hosts.put(host, now_s=now_s)
-                case HostRemoved(name):
-                    state.hosts.remove(name)
-                case HolderSeen(holder):
-                    self._orders.note_holder(holder)
-                case OrderRecorded(record):
-                    self._orders.note_record(record)
-
-    def _apply_configuration(self, event: ConfigurationRead, source: str) -> None:
-        self._state.apply_configuration(event.configuration, source)
-        self._on_configuration()
-
-
-class HostRegistration:
-    """Keep this host's entry in the store."""
-
-    def __init__(self, state: GatewayState, store: FleetStore) -> None:
-        self._state = state
-        self._store = store
-        self._lease_id: int | None = None
-        self._registered = False
-
-    def run(self) -> None:
-        """Register and renew for as long as the process runs."""
-        while True:
-            try:
-                self._step()
-                delay_s = RENEW_S if self._lease_id is not None else READY_POLL_S
-            except LeaseEnded as error:
-                self._state.journal.failure("host_lease_ended", error)
-                self._lease_id = None
-                delay_s = 0.05
-            except StoreUnavailable as error:
-                self._state.journal.failure("host_not_registered", error)
-                self._state.note_store_lost(error)
-                delay_s = RENEW_S / 2
-            except Exception:
-                self._state.journal.unexpected("host_registration_failed")
-                delay_s = RENEW_S
-            gevent.sleep(delay_s * self._state.rng.uniform(0.85, 1.0))
-
-    def withdraw(self) -> None:
-        """Remove this host's entry, so that callers are sent elsewhere."""
-        lease_id, self._lease_id = self._lease_id, None
-        if lease_id is None:
-            return
-        try:
-            self._store.end_lease(lease_id)
-        except StoreUnavailable as error:
-            # The lease ends by itself, and peers know from datagrams.
-            self._state.journal.failure("host_not_withdrawn", error)
-
-    def _step(self) -> None:
-        # An entry that is written before would wake the watches of all hosts twice.
-        if self._state.draining or not self._state.ready:
-            return
-        if self._lease_id is None:
-            self._lease_id = self._store.grant_lease(HOST_LEASE_S)
-            self._registered = False
-        elif self._registered:
-            self._store.renew_lease(self._lease_id)
-        if not self._registered:
-            self._store.register_host(self._state.own_entry(), self._lease_id)
-            self._registered = True
-        self._state.note_store_answer(time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -9,11 +9,12 @@
 
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
-from persimmonyoke.internal.gateway.follower import HostRegistration, StoreFollower
+from persimmonyoke.internal.gateway.follower import StoreFollower
 from persimmonyoke.internal.gateway.front_server import FrontServer
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.peers import PeerLink
+from persimmonyoke.internal.gateway.registration import HostRegistration
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 from persimmonyoke.internal.gateway.small_server import SmallServer
 from persimmonyoke.internal.gateway.state import GatewayState
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/registration.py
@@ -0,0 +1,70 @@
+"""Registration of this host in the store."""
+
+import time
+
+import gevent
+
+from persimmonyoke.errors import LeaseEnded, StoreUnavailable
+from persimmonyoke.internal.fleet.interfaces import FleetStore
+from persimmonyoke.internal.gateway.state import GatewayState
+
+HOST_LEASE_S = 4.0
+RENEW_S = 1.2
+"""Two renewals may be lost before a host's entry ends."""
+
+READY_POLL_S = 0.1
+"""Interval at which a host that starts looks whether it can take callers."""
+
+
+class HostRegistration:
+    """Keep this host's entry in the store."""
+
+    def __init__(self, state: GatewayState, store: FleetStore) -> None:
+        self._state = state
+        self._store = store
+        self._lease_id: int | None = None
+        self._registered = False
+
+    def run(self) -> None:
+        """Register and renew for as long as the process runs."""
+        while True:
+            try:
+                self._step()
+                delay_s = RENEW_S if self._lease_id is not None else READY_POLL_S
+            except LeaseEnded as error:
+                self._state.journal.failure("host_lease_ended", error)
+                self._lease_id = None
+                delay_s = 0.05
+            except StoreUnavailable as error:
+                self._state.journal.failure("host_not_registered", error)
+                self._state.note_store_lost(error)
+                delay_s = RENEW_S / 2
+            except Exception:
+                self._state.journal.unexpected("host_registration_failed")
+                delay_s = RENEW_S
+            gevent.sleep(delay_s * self._state.rng.uniform(0.85, 1.0))
+
+    def withdraw(self) -> None:
+        """Remove this host's entry, so that callers are sent elsewhere."""
+        lease_id, self._lease_id = self._lease_id, None
+        if lease_id is None:
+            return
+        try:
+            self._store.end_lease(lease_id)
+        except StoreUnavailable as error:
+            # The lease ends by itself, and peers know from datagrams.
+            self._state.journal.failure("host_not_withdrawn", error)
+
+    def _step(self) -> None:
+        # An entry that is written before would wake the watches of all hosts twice.
+        if self._state.draining or not self._state.ready:
+            return
+        if self._lease_id is None:
+            self._lease_id = self._store.grant_lease(HOST_LEASE_S)
+            self._registered = False
+        elif self._registered:
+            self._store.renew_lease(self._lease_id)
+        if not self._registered:
+            self._store.register_host(self._state.own_entry(), self._lease_id)
+            self._registered = True
+        self._state.note_store_answer(time.monotonic())
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -0,0 +1,74 @@
+"""Updates of what this process believes from entries of the store."""
+
+import time
+from collections.abc import Callable
+
+from persimmonyoke.internal.fleet.interfaces import (
+    ConfigurationRead,
+    HolderSeen,
+    HostRemoved,
+    HostSeen,
+    OrderRecorded,
+    ReplicaRemoved,
+    ReplicaSeen,
+    StoreEvent,
+)
+from persimmonyoke.internal.gateway.orders import OrderDuty
+from persimmonyoke.internal.gateway.state import GatewayState
+
+
+class ViewUpdates:
+    """Apply readings and changes of the store in the order of their revisions."""
+
+    def __init__(
+        self,
+        state: GatewayState,
+        orders: OrderDuty,
+        on_configuration: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._orders = orders
+        self._on_configuration = on_configuration
+
+    def apply_snapshot(self, events: tuple[StoreEvent, ...]) -> None:
+        """Replace what is known by a reading of all entries."""
+        state, now_s = self._state, time.monotonic()
+        replicas = [e.replica for e in events if isinstance(e, ReplicaSeen)]
+        hosts = [e.host for e in events if isinstance(e, HostSeen)]
+        changed = state.replicas.replace_all(replicas, now_s=now_s)
+        state.apply_replica_changes(changed, now_s=now_s)
+        state.hosts.replace_all(hosts, now_s=now_s)
+        state.replicas_known = True
+        for event in events:
+            if isinstance(event, ConfigurationRead):
+                self._apply_configuration(event, "snapshot")
+            elif isinstance(event, OrderRecorded):
+                self._orders.note_record(event.record)
+        holders = [e.holder for e in events if isinstance(e, HolderSeen)]
+        self._orders.note_holder(holders[0] if holders else None)
+
+    def apply_events(self, events: tuple[StoreEvent, ...], *, watched: bool) -> None:
+        """Apply changes; ``watched`` says that they were made just now."""
+        state, now_s = self._state, time.monotonic()
+        for event in events:
+            match event:
+                case ConfigurationRead():
+                    self._apply_configuration(event, "watch")
+                case ReplicaSeen(replica):
+                    changes = state.replicas.put(replica, now_s=now_s, watched=watched)
+                    state.apply_replica_changes(changes, now_s=now_s)
+                case ReplicaRemoved(replica_id):
+                    changes = state.replicas.remove(replica_id, now_s=now_s)
+                    state.apply_replica_changes(changes, now_s=now_s)
+                case HostSeen(host):
+                    state.hosts.put(host, now_s=now_s)
+                case HostRemoved(name):
+                    state.hosts.remove(name)
+                case HolderSeen(holder):
+                    self._orders.note_holder(holder)
+                case OrderRecorded(record):
+                    self._orders.note_record(record)
+
+    def _apply_configuration(self, event: ConfigurationRead, source: str) -> None:
+        self._state.apply_configuration(event.configuration, source)
+        self._on_configuration()
