Count the prompts that a decode engine reads itself until their first event

Cause: a prompt that its decode engine reads itself was taken out of the ledger in the moment of its admission. The engine seemed idle, nothing queued, nothing was refused, and all prompts went to it at once.

The entry now lasts until the first event of the run or its end, and the next prompt is then admitted.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -7,6 +7,7 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.dispatch.loads import PromptJob
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_S
 from persimmonyoke.internal.dispatch.refusal import Refused
@@ -57,6 +58,7 @@
         self._avoided: set[str] = set()
         self._prefill_tries = 0
         self._decoder_lost_s: float | None = None
+        self._local_read: PromptJob | None = None
         self._value = 1.0
         self._key: int | None = None
         self._returning = False
@@ -79,13 +81,20 @@
         while True:
             admitted = self._admit(prompt, service.engine)
             if admitted.plan.local:
-                self._state.ledger.end_read(admitted.job)
+                self._local_read = admitted.job
                 return EngineChoice(admitted.plan.engine, None)
             read = self._read_prompt(admitted)
             if read is None:
                 continue
             return EngineChoice(self._decoder_for(read, service.engine), read)
 
+    def end_local_read(self) -> None:
+        """Note that the engine has read a prompt that it generates from itself."""
+        job, self._local_read = self._local_read, None
+        if job is not None:
+            self._state.ledger.end_read(job)
+            self._gate.pump()
+
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
         """Raise the error of a request that is given up before it has run."""
         if self._exchange.begun:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -125,6 +125,7 @@
             used = not isinstance(outcome, RunRejected)
         finally:
             ledger.end_run(engine.replica_id, tokens)
+            self._selection.end_local_read()
             if read is not None and not used:
                 self._prefill.release(read)
         self._note(start, outcome)
@@ -239,6 +240,7 @@
         return event.event_id <= self._last_event_id
 
     def _send(self, opened: OpenAnswer, data: bytes) -> None:
+        self._selection.end_local_read()
         self._exchange.last_event_s = time.monotonic()
         if self._exchange.begun:
             self._exchange.client.send_chunk(data)
