Decode each datagram of a peer once

A host of the largest deployment gets about 375 datagrams a second. Each was decoded twice, once to see which of the two formats it has. Malformed ones are refused as before (test_datagrams_of_others_are_refused).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -1,6 +1,8 @@
 """Format of the datagrams between entry hosts."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import cbor2
 
@@ -70,50 +72,45 @@
 def decode_datagram(raw: bytes) -> PeerMessage | RelayedChanges:
     """Return what a datagram holds; raise ``ProtocolError``."""
     try:
-        values = cbor2.loads(raw)
-        if values[0] != CHANGES_FORMAT:
-            return decode_message(raw)
-        _, after_revision, encoded = values
-        return RelayedChanges(int(after_revision), bytes(encoded))
+        format_number, *values = cbor2.loads(raw)
+        if format_number == CHANGES_FORMAT:
+            after_revision, encoded = values
+            return RelayedChanges(int(after_revision), bytes(encoded))
+        if format_number != FORMAT:
+            raise ProtocolError(f"format {format_number!r} is not known")
+        return _message(values)
     except (
         cbor2.CBORDecodeError,
         ValueError,
         TypeError,
-        LookupError,
+        AttributeError,
     ) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
 
 
-def decode_message(raw: bytes) -> PeerMessage:
-    """Return the state that a datagram holds; raise ``ProtocolError``."""
-    try:
-        version, host, ready, config_version, *rest = cbor2.loads(raw)
-        work, placements, queued_ms, suspects, refused, *store = rest
-        connected, revision, contact_ms, view_age_ms = store
-        if version != FORMAT:
-            raise ProtocolError(f"format {version!r} is not known")
-        return PeerMessage(
-            host=str(host),
-            ready=ready is True,
-            config_version=int(config_version),
-            work={
-                str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
-                for replica_id, (ms, running, tokens) in work.items()
-            },
-            placements=tuple(
-                PartPlacement(str(part), str(engine), int(ready_in_ms))
-                for part, engine, ready_in_ms in placements
-            ),
-            queued_ms=int(queued_ms),
-            suspects=tuple(str(replica_id) for replica_id in suspects),
-            refused=tuple(int(key) for key in refused),
-            store_connected=connected is True,
-            store_revision=int(revision),
-            store_contact_ms=_optional_int(contact_ms),
-            view_age_ms=_optional_int(view_age_ms),
-        )
-    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
-        raise ProtocolError(f"malformed datagram: {error}") from error
+def _message(values: Sequence[Any]) -> PeerMessage:
+    host, ready, config_version, work, placements, queued_ms, *rest = values
+    suspects, refused, connected, revision, contact_ms, view_age_ms = rest
+    return PeerMessage(
+        host=str(host),
+        ready=ready is True,
+        config_version=int(config_version),
+        work={
+            str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
+            for replica_id, (ms, running, tokens) in work.items()
+        },
+        placements=tuple(
+            PartPlacement(str(part), str(engine), int(ready_in_ms))
+            for part, engine, ready_in_ms in placements
+        ),
+        queued_ms=int(queued_ms),
+        suspects=tuple(str(replica_id) for replica_id in suspects),
+        refused=tuple(int(key) for key in refused),
+        store_connected=connected is True,
+        store_revision=int(revision),
+        store_contact_ms=_optional_int(contact_ms),
+        view_age_ms=_optional_int(view_age_ms),
+    )
 
 
 def _optional_int(value: object) -> int | None:
