Let only the store's own word keep the views of other hosts young

Hosts that do not watch the store told each other how old their views were, and took each other's word for it. A datagram is read some milliseconds after it was sent, so that two such hosts would have kept each other's views young for ever while the watches of all watchers were silent: the bound on the view's age, which is new, would not have held where it matters.

A host now passes on only when the store itself told it of all changes. Revision and ages have a class of their own (fleet/view_age.py). test_what_a_host_knows_from_peers_makes_it_no_witness_for_others failed with the age that was passed on before. Hosts of the small sites all watch and are not affected.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -34,7 +34,7 @@
     """Time since which the store has answered the peer without a break."""
 
     view_confirmed_s: float = float("-inf")
-    """Time at which the peer knew of all changes up to its revision."""
+    """Time at which the store told the peer of all changes up to its revision."""
 
 
 class HostView:
@@ -89,7 +89,7 @@
         )
 
     def view_confirmed_s(self, revision: int) -> float:
-        """Return when a peer last knew that nothing had changed after a revision."""
+        """Return when the store last told a peer of no change after a revision."""
         return max(
             (
                 peer.view_confirmed_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -135,7 +135,7 @@
             self._read_again.clear()
             changes = self._store.snapshot()
             self._state.note_store_answer(time.monotonic())
-            self._advance(changes.revision)
+            self._note_told(changes.revision)
             self._updates.apply_snapshot(changes.events)
             return
         watching = self._state.hosts.watches_store(own_zone, now_s)
@@ -179,7 +179,7 @@
         )
         self._state.note_store_answer(time.monotonic())
         self._pass_on(RelayedChanges(revision, changes.encoded))
-        self._advance(changes.revision)
+        self._note_told(changes.revision)
         self._updates.apply_events(changes.events, watched=watched)
 
     def _follow(self, revision: int) -> None:
@@ -189,8 +189,8 @@
         while self._relayed:
             revision = self._apply_relayed(self._relayed.popleft(), revision)
         now_s = time.monotonic()
-        self._state.note_view_confirmed(self._state.hosts.view_confirmed_s(revision))
-        view_age_s = self._state.view_age_s(now_s)
+        self._state.view.note_confirmed(self._state.hosts.view_confirmed_s(revision))
+        view_age_s = self._state.view.age_s(now_s)
         view_is_old = view_age_s > self._state.settings.view_age_limit_s
         if view_is_old or self._behind(revision, now_s):
             self._behind_since_s = None
@@ -213,7 +213,8 @@
             # What it held is missed, and asked for as soon as a peer tells of it.
             self._state.journal.failure("relayed_changes_malformed", error)
             return revision
-        self._advance(changes.revision)
+        self._revision = changes.revision
+        self._state.view.note_relayed(changes.revision, time.monotonic())
         self._updates.apply_events(changes.events, watched=True)
         return changes.revision
 
@@ -226,6 +227,6 @@
             self._behind_since_s = now_s
         return now_s - self._behind_since_s >= FOLLOW_LAG_S
 
-    def _advance(self, revision: int) -> None:
+    def _note_told(self, revision: int) -> None:
         self._revision = revision
-        self._state.note_view_answer(revision, time.monotonic())
+        self._state.view.note_told(revision, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -33,7 +33,7 @@
     """Time for which the store has answered the host without a break."""
 
     view_age_ms: int | None = field(default=None, compare=False)
-    """Time since the host knew that nothing had changed after its revision."""
+    """Time since the store told the host of all changes up to its revision."""
 
 
 def encode_message(message: PeerMessage) -> bytes:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -197,7 +197,6 @@
         state, now_s = self._state, time.monotonic()
         work = state.ledger.own(now_s=now_s)
         contact_s = state.contact.unbroken_s(now_s)
-        view_age_s = state.view_age_s(now_s) if state.store_revision else None
         if len(work) > MAX_REPLICAS:
             busiest = sorted(work, key=lambda r: work[r].read_s, reverse=True)
             work = {
@@ -211,9 +210,9 @@
             placements=(),
             queued_ms=int(state.queued_s() * 1_000),
             store_connected=state.store_connected,
-            store_revision=state.store_revision,
+            store_revision=state.view.revision,
             store_contact_ms=_to_ms(contact_s),
-            view_age_ms=_to_ms(view_age_s),
+            view_age_ms=_to_ms(state.view.told_age_s(now_s)),
             suspects=tuple(state.health.all_paused(now_s)[:MAX_REPLICAS]),
         )
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -90,7 +90,7 @@
         state, metrics = self._state, self._state.metrics
         now_s = time.monotonic()
         metrics.store_age.set(state.contact.silent_s(now_s))
-        metrics.view_age.set(state.view_age_s(now_s))
+        metrics.view_age.set(state.view.age_s(now_s))
         metrics.configuration_version.set(state.version)
         metrics.upstream_connections.set(state.pool.opened)
         metrics.queued.set(state.queued_s())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -35,6 +35,7 @@
     ReplicaView,
 )
 from persimmonyoke.internal.fleet.store_contact import StoreContact
+from persimmonyoke.internal.fleet.view_age import ViewAge
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import ConnectionPool
 from persimmonyoke.internal.gateway.journal import Journal
@@ -93,9 +94,8 @@
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.contact = StoreContact(0.0)
-        self.view_heard_s = 0.0
+        self.view = ViewAge(0.0)
         self.store_connected = False
-        self.store_revision = 0
         self.replicas = ReplicaView()
         self.replicas_known = False
         self.hosts = HostView(settings.host_name)
@@ -192,7 +192,7 @@
     def begin(self, now_s: float) -> None:
         """Note that the process begins to ask the store."""
         self.contact = StoreContact(now_s)
-        self.view_heard_s = now_s
+        self.view = ViewAge(now_s)
 
     def note_store_answer(self, now_s: float) -> None:
         """Note that the store answers, also if that is after an outage."""
@@ -225,23 +225,10 @@
             )
             self.apply_replica_changes(self.replicas.expire(now_s), now_s=now_s)
 
-    def note_view_answer(self, revision: int, now_s: float) -> None:
-        """Note an answer that tells all changes of the store up to a revision."""
-        self.store_revision = revision
-        self.view_heard_s = now_s
-
-    def note_view_confirmed(self, confirmed_s: float) -> None:
-        """Note that nothing had changed at a time, as far as a peer knew."""
-        self.view_heard_s = max(self.view_heard_s, confirmed_s)
-
-    def view_age_s(self, now_s: float) -> float:
-        """Return how long ago this host last learnt what had changed in the store."""
-        return now_s - self.view_heard_s
-
     def start_attempt(self, stage: str, replica: Replica) -> AttemptStart:
         """Note for the log of a request that it is sent to a replica now."""
         now_s = time.monotonic()
-        return AttemptStart(stage, replica.replica_id, now_s, self.view_age_s(now_s))
+        return AttemptStart(stage, replica.replica_id, now_s, self.view.age_s(now_s))
 
     def note_store_lost(self, error: Exception) -> None:
         """Note that the store does not answer this host."""
@@ -294,8 +281,8 @@
             draining=replica.draining,
             reason=reason,
             outage_ended_ms=outage_ended_ms,
-            store_revision=self.store_revision,
-            view_age_ms=int(self.view_age_s(now_s) * 1_000),
+            store_revision=self.view.revision,
+            view_age_ms=int(self.view.age_s(now_s) * 1_000),
         )
 
     def _forget(self, replica: Replica) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -139,6 +139,14 @@
         self.wait_for(lambda: self.usable() == [], 3.0)
         self.assertEqual(self.state.replicas.leaving("llm", now_s=time.monotonic()), [])
 
+    def test_what_a_host_knows_from_peers_makes_it_no_witness_for_others(self):
+        # Two hosts that do not watch would keep each other's views young for ever,
+        # as each datagram is read a little later than it was sent.
+        gevent.sleep(0.5)
+        now_s = time.monotonic()
+        self.assertLess(self.state.view.age_s(now_s), 0.4)
+        self.assertGreater(self.state.view.told_age_s(now_s), 0.45)
+
     def test_a_host_whose_peers_hear_of_no_change_asks_nothing(self):
         calls = self.store.watch_calls
         gevent.sleep(self.state.settings.drain_s)
