--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 PYTHON ?= python3
 VENV ?= .venv
 DEPLOYMENT ?= kente
+SEEDS ?= 1 3
+SOAK_LOGS ?= target/soak
 PACKAGES := persimmonyoke persimmonyoke_testing persimmonyoke_node persimmonyoke_cli
 SOURCES := $(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src) $(CURDIR)/platform/src
 empty :=
@@ -15,7 +17,7 @@
 DIGEST := $(shell cat requirements.txt requirements-dev.txt | sha256sum | cut -c1-16)
 STAMP := $(VENV)/.installed-$(DIGEST)
 
-.PHONY: setup test lint format demo
+.PHONY: setup test lint format demo soak
 setup: $(STAMP)
 
 $(STAMP):
@@ -39,5 +41,10 @@
 	$(VENV)/bin/ruff format packages platform
 	$(VENV)/bin/ruff check --fix packages platform
 
+# make soak SEEDS="100 149" runs the fault soak with these seeds, 30 s each.
+soak: $(STAMP)
+	$(VENV)/bin/python -m persimmonyoke_platform_testing.soak --seeds $(SEEDS) \
+	    --logs $(SOAK_LOGS)
+
 demo: $(STAMP)
 	$(VENV)/bin/persimmonyoke demo --deployment $(DEPLOYMENT)
