Remove builders that nothing uses and one of which could not be called

builders_fleet.configuration passed three arguments to Service, which takes two; neither it nor route had a caller.

--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -1,18 +1,12 @@
-"""Builders of the replicas, routes and configurations of a fleet."""
+"""Builders of the replicas, prompts and hosts of a fleet."""
 
 from persimmonyoke.internal.fleet.model import (
-    ClientLimits,
-    Configuration,
     EngineLimits,
     HostEntry,
     Prompt,
     PromptPart,
     Replica,
-    RequestKind,
-    Route,
-    Service,
     Stage,
-    WeightedService,
 )
 
 ENGINE_LIMITS = EngineLimits(
@@ -57,48 +51,6 @@
     return Prompt(sum(part_tokens), output_tokens, parts)
 
 
-def route(
-    name: str = "route",
-    *,
-    kind: RequestKind = RequestKind.IDEMPOTENT,
-    prefix: str = "/api/",
-    service: str = "plain",
-    max_attempts: int = 2,
-    resumable: bool = False,
-    timeout_s: float = 2.0,
-    target_latency_s: float = 0.4,
-) -> Route:
-    """Return a route of one host."""
-    return Route(
-        name=name,
-        host="shop.example",
-        path_prefix=prefix,
-        kind=kind,
-        timeout_s=timeout_s,
-        target_latency_s=target_latency_s,
-        gap_target_s=0.15,
-        services=(WeightedService(service, 1.0),),
-        max_attempts=max_attempts,
-        resumable=resumable,
-        has_prompt=kind is RequestKind.STREAMING,
-    )
-
-
-def configuration(*routes: Route, version: int = 1) -> Configuration:
-    """Return a configuration with an engine service and a plain service."""
-    services = {
-        "llm": Service("llm", 360, ENGINE_LIMITS),
-        "plain": Service("plain", 100, None),
-    }
-    limits = ClientLimits(
-        max_header_bytes=4_096,
-        max_body_bytes=65_536,
-        header_timeout_s=0.5,
-        idle_timeout_s=5.0,
-    )
-    return Configuration(version, routes, services, limits)
-
-
 def host(
     name: str, *, port: int = 1, ready: bool = True, zone: str = "zone-a"
 ) -> HostEntry:
