--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
@@ -167,13 +167,13 @@
         return handle
 
     def load(self) -> LoadReport:
-        raise NotImplementedError
+        raise EngineFailure("this engine reports no load", refused=True)
 
     def cache_events(self, *, since: int) -> CacheEventBatch:
-        raise NotImplementedError
+        raise EngineFailure(f"no cache events since {since}", refused=True)
 
     def order(self, order: Order, *, timeout_s: float) -> OrderOutcome:
-        raise NotImplementedError
+        raise EngineFailure(f"this engine takes no order: {order}", refused=True)
 
     def _connect(self, *, sent: bool = True) -> None:
         if not self.alive:
