Let the slow host of a test catch up after it was reported, not after 0.4 s

Cause: a thread of the test let the second host catch up 0.4 s after its start, whether or not the command had asked for the status by then. The answer to 'choose' in that output shows 1 of 2, the first status 2 of 2, so the 0.4 s ended between the two. With a pause of 0.5 s before the command the test fails with the same message. Ruled out: the command itself, which prints each change that a status shows.

The host now catches up right after the first status that shows it behind. Both lines are still asked for. 14 of 14 tests of the module pass.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/tests/test_commands.py
@@ -4,8 +4,6 @@
 import io
 import os
 import tempfile
-import threading
-import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -48,6 +46,7 @@
         revisions = RevisionLog(self.store, firm="kente", settle_s=0.3)
         self.slow_host = HostRevision("tema-b-1", 0)
         self.view = ConfigurationView()
+        self.catches_up_after_status = False
         backend = OperatorBackend(
             revisions=revisions,
             view=self.view,
@@ -56,6 +55,7 @@
                 self.slow_host,
             ),
             audit_sources=(ConfigurationAudit(revisions),),
+            extra_status=self.after_status,
         )
         app = operators_app(backend, token_digest=OPERATOR_TOKEN_DIGEST)
         self.server = LoopbackServer(app)
@@ -69,6 +69,11 @@
         self.enterContext(mock.patch.dict(os.environ, variables))
         self.succeed("preset", "create", "base", self.file(preset_text("base")))
 
+    def after_status(self) -> dict[str, str]:
+        if self.catches_up_after_status:
+            self.slow_host = HostRevision("tema-b-1", self.view.number)
+        return {}
+
     def file(self, text: str, name: str = "text.toml") -> str:
         path = self.folder / name
         path.write_text(text)
@@ -101,14 +106,8 @@
 
     def test_waiting_shows_the_hosts_until_all_have_the_revision(self):
         # An operator who leaves too early misses a host on the old preset.
-        def catch_up() -> None:
-            time.sleep(0.4)
-            self.slow_host = HostRevision("tema-b-1", 2)
-
-        task = threading.Thread(target=catch_up)
-        task.start()
+        self.catches_up_after_status = True
         output = self.succeed("preset", "choose", "base", "--wait")
-        task.join()
         self.assertIn("revision 2 in force on 1 of 2 live hosts", output)
         self.assertIn("revision 2 in force on 2 of 2 live hosts", output)
 
