Let hosts that the store turns away hear from their peers who leaves

Callers of such a host saw their requests go to replicas that had said they were leaving, for as long as the store did not answer that host while it answered others; its configuration stayed as it was, too.

Cause: a host without an answer only asked again, and left what its peers passed on unread, although this tells all changes that the store makes known.

It now applies what follows on the revision that it knew. Removals wait for its own reading, since entries of living replicas lapse in an outage; changes count as seen in time past, so that no leaving replica gets work that no other can do; what came before a reading is not applied after it.

test_a_replica_that_leaves_is_not_used_any_more failed before (used until the end of the test). The other tests of TurnedAwayTest guard the three limits above; the one on changes from before a reading fails without the line that it guards.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -11,7 +11,10 @@
 from persimmonyoke.errors import HistoryLost, StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
     FleetStore,
+    HostRemoved,
     RelayedChanges,
+    ReplicaRemoved,
+    StoreChanges,
 )
 from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
 from persimmonyoke.internal.gateway.interruptible import CallInterrupted, call_unless
@@ -45,6 +48,8 @@
 MAX_RELAYED = 32
 """Changes of peers' watches that wait to be applied; later ones replace the oldest."""
 
+REMOVALS = (HostRemoved, ReplicaRemoved)
+
 RETRY_S = 0.15
 MAX_RETRY_S = 0.4
 """Longest pause between two readings while the store does not answer this host.
@@ -72,6 +77,7 @@
         self._updates = ViewUpdates(state, orders, on_configuration)
         self._pass_on = pass_on
         self._revision: int | None = None
+        self._turned_away_at: int | None = None
         self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED)
         self._news = Event()
         self._behind_since_s: float | None = None
@@ -118,16 +124,49 @@
                 self._state.journal.failure("store_history_lost", error)
                 self._revision = None
             except StoreUnavailable as error:
-                # Events may have been missed, and entries may lapse in an outage.
-                self._revision = None
-                self._state.note_store_lost(error)
-                gevent.sleep(delay_s * self._state.rng.uniform(0.7, 1.3))
+                self._note_turned_away(error)
+                self._hear_peers(delay_s * self._state.rng.uniform(0.7, 1.3))
                 delay_s = min(MAX_RETRY_S, delay_s * 2)
             except Exception:
                 self._state.journal.unexpected("store_following_failed")
                 self._revision = None
                 gevent.sleep(MAX_RETRY_S)
 
+    def _note_turned_away(self, error: StoreUnavailable) -> None:
+        """Keep up to where changes are known, and read all entries from now on.
+
+        Events may have been missed, and entries may lapse in an outage.
+        """
+        if self._revision is not None:
+            self._turned_away_at = self._revision
+        self._revision = None
+        self._state.note_store_lost(error)
+
+    def _hear_peers(self, duration_s: float) -> None:
+        """Apply for a while what peers pass on that the store still answers."""
+        until_s = time.monotonic() + duration_s
+        while (left_s := until_s - time.monotonic()) > 0:
+            while self._relayed and self._turned_away_at is not None:
+                self._turned_away_at = self._apply_additions(
+                    self._relayed.popleft(), self._turned_away_at
+                )
+            self._news.clear()
+            self._news.wait(left_s)
+
+    def _apply_additions(self, relayed: RelayedChanges, revision: int) -> int:
+        """Apply changes but for removals; return the revision reached.
+
+        Entries also lapse in an outage; removals wait for the host's own reading.
+        """
+        changes = self._decode_next(relayed, revision)
+        if changes is None:
+            return revision
+        kept = tuple(e for e in changes.events if not isinstance(e, REMOVALS))
+        self._state.view.note_relayed(changes.revision, time.monotonic())
+        # They may have waited for a call to the store, so none counts as just made.
+        self._updates.apply_events(kept, watched=False)
+        return changes.revision
+
     def _step(self) -> None:
         now_s = time.monotonic()
         own_zone = self._state.settings.availability_zone
@@ -209,19 +248,27 @@
 
     def _apply_relayed(self, relayed: RelayedChanges, revision: int) -> int:
         """Apply changes that follow what is known; return the revision reached."""
-        if relayed.after_revision != revision:
-            return revision
-        try:
-            changes = self._store.decode_changes(relayed.encoded)
-        except StoreUnavailable as error:
-            # What it held is missed, and asked for as soon as a peer tells of it.
-            self._state.journal.failure("relayed_changes_malformed", error)
+        changes = self._decode_next(relayed, revision)
+        if changes is None:
             return revision
         self._revision = changes.revision
         self._state.view.note_relayed(changes.revision, time.monotonic())
         self._updates.apply_events(changes.events, watched=True)
         return changes.revision
 
+    def _decode_next(
+        self, relayed: RelayedChanges, revision: int
+    ) -> StoreChanges | None:
+        """Return the changes that follow a revision, or ``None`` if these do not."""
+        if relayed.after_revision != revision:
+            return None
+        try:
+            return self._store.decode_changes(relayed.encoded)
+        except StoreUnavailable as error:
+            # What it held is missed, and asked for as soon as a peer tells of it.
+            self._state.journal.failure("relayed_changes_malformed", error)
+            return None
+
     def _behind(self, revision: int, now_s: float) -> bool:
         """Return whether a peer has been ahead for longer than changes take."""
         if self._state.hosts.newest_revision(now_s) <= revision:
@@ -233,4 +280,5 @@
 
     def _note_told(self, revision: int, known_s: float) -> None:
         self._revision = revision
+        self._turned_away_at = None
         self._state.view.note_told(revision, known_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -7,7 +7,7 @@
 import gevent
 
 from persimmonyoke.internal.fleet.hosts import PeerState
-from persimmonyoke.internal.fleet.interfaces import ReplicaSeen
+from persimmonyoke.internal.fleet.interfaces import ReplicaRemoved, ReplicaSeen
 from persimmonyoke.internal.gateway.follower import WATCH_LAG_S, StoreFollower
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke_testing.builders_fleet import engine, host
@@ -104,6 +104,54 @@
         self.wait_for(lambda: self.state.store_connected, 0.6)
 
 
+class TurnedAwayTest(FollowerTest):
+    """A host that the store refuses while it answers the peers."""
+
+    def setUp(self):
+        super().setUp()
+        self.store.unavailable = True
+        self.wait_for(lambda: not self.state.store_connected, 3.0)
+
+    def hear(self, *events):
+        self.follower.note_relayed(self.store.relay(*events))
+
+    def test_a_replica_that_leaves_is_not_used_any_more(self):
+        # The host sent work to leaving replicas for as long as it was turned away.
+        self.hear(ReplicaSeen(engine("b")))
+        self.hear(ReplicaSeen(engine("a", draining=True)))
+        self.wait_for(lambda: self.usable() == ["b"], 1.0)
+        self.assertEqual(self.state.replicas.leaving("llm", now_s=time.monotonic()), [])
+
+    def test_a_removed_replica_stays_until_the_store_answers(self):
+        # Entries of living replicas lapse in an outage, and peers pass this on before
+        # the host can know that there was one.
+        self.hear(ReplicaRemoved("a"), ReplicaSeen(engine("b")))
+        self.wait_for(lambda: "b" in self.usable(), 1.0)
+        self.assertEqual(self.usable(), ["a", "b"])
+
+    def test_nothing_is_applied_after_changes_that_were_missed(self):
+        # What was missed may be a later state of the same entry.
+        self.store.relay(ReplicaSeen(engine("b", draining=True)))
+        self.hear(ReplicaSeen(engine("c")))
+        gevent.sleep(0.5)
+        self.assertEqual(self.usable(), ["a"])
+
+    def test_changes_from_before_a_reading_are_not_applied_after_it(self):
+        # They wait unread at a host that watches, and would put older entries back.
+        before = self.store.relay(ReplicaSeen(engine("a", draining=True)))
+        self.store.relay(ReplicaSeen(engine("a")))
+        self.store.unavailable = False
+        self.wait_for(lambda: self.state.view.revision == self.store.revision, 2.0)
+        calls = self.store.watch_calls
+        self.wait_for(lambda: self.store.watch_calls > calls, 2.0)
+        self.follower.note_relayed(before)
+        self.state.on_newer_version(9)
+        snapshots = self.store.snapshots
+        self.store.unavailable = True
+        self.wait_for(lambda: self.store.snapshots > snapshots + 1, 3.0)
+        self.assertEqual(self.usable(), ["a"])
+
+
 class ToldByPeersTest(FollowerTest):
     """A host whose zone has three watchers before it in the order of names."""
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -7,6 +7,7 @@
 from persimmonyoke.errors import StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
     FleetStore,
+    RelayedChanges,
     StoreChanges,
     StoreEvent,
 )
@@ -32,6 +33,7 @@
         self.silent = False
         self.unavailable = False
         self._news: Queue = Queue()
+        self._encoded: dict[bytes, StoreChanges] = {}
 
     def publish(self, *events: StoreEvent) -> None:
         """Change the entries in one revision and tell the watch."""
@@ -39,6 +41,14 @@
         self.events = (*self.events, *events)
         self._news.put(StoreChanges(events, self.revision))
 
+    def relay(self, *events: StoreEvent) -> RelayedChanges:
+        """Change the entries as ``publish`` does; return what peers pass on."""
+        after_revision = self.revision
+        self.publish(*events)
+        encoded = b"changes up to %d" % self.revision
+        self._encoded[encoded] = StoreChanges(events, self.revision, encoded)
+        return RelayedChanges(after_revision, encoded)
+
     def snapshot(self) -> StoreChanges:
         """Return the entries as of the beginning of the call."""
         self.snapshots += 1
@@ -67,8 +77,10 @@
             raise StoreUnavailable("refused")
 
     def decode_changes(self, encoded: bytes) -> StoreChanges:
-        """Refuse all; these tests pass no changes on."""
-        raise StoreUnavailable(f"not understood: {encoded!r}")
+        """Return what ``relay`` encoded."""
+        if encoded not in self._encoded:
+            raise StoreUnavailable(f"not understood: {encoded!r}")
+        return self._encoded[encoded]
 
     def grant_lease(self, ttl_s: float) -> int:
         """Refuse."""
