Sum up reports in one pass, and look for sources only among holders

A plan over 70 engines takes about 1 ms, and there are 8 a second on a host. Ruled out: garbage collection (0.1%) and wake-ups (what the hub takes).

Half of a plan was the sum of the reports of peers at each engine, in four passes; a sixth was the search for an engine to fetch from among all engines, though only those that hold the first part can be one. In a scratch profile (70 engines, 72 reports) a plan took 959 us before and 679 us after; sums and choices are the same.

test_a_plan_over_many_engines_asks_only_those_that_hold_the_first_part failed before (70 engines asked, now 1; it takes the place of the test that allowed 70).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/loads.py
@@ -159,19 +159,22 @@
 
     def _sum_up(self, replica_id: str, now_s: float) -> ReplicaWork:
         own = self._own_at(replica_id, now_s)
-        told = (self._peers[name] for name in self._peers_at.get(replica_id, ()))
-        reports = [
-            (peer.by_replica[replica_id], now_s - peer.heard_s)
-            for peer in told
-            if now_s - peer.heard_s <= PEER_KEEP_S
-        ]
-        told_s = own.read_s + sum(other.read_s for other, _ in reports)
-        return ReplicaWork(
-            read_s=own.read_s
-            + sum(_left_s(other.read_s, age_s, told_s) for other, age_s in reports),
-            running=own.running + sum(other.running for other, _ in reports),
-            tokens=own.tokens + sum(other.tokens for other, _ in reports),
-        )
+        told_s, running, tokens = own.read_s, own.running, own.tokens
+        unread: list[tuple[float, float]] = []
+        # One plan sums up dozens of engines with the reports of dozens of peers.
+        for name in self._peers_at.get(replica_id, ()):
+            peer = self._peers[name]
+            age_s = now_s - peer.heard_s
+            if age_s > PEER_KEEP_S:
+                continue
+            work = peer.by_replica[replica_id]
+            running += work.running
+            tokens += work.tokens
+            if work.read_s > 0.0:
+                told_s += work.read_s
+                unread.append((work.read_s, age_s))
+        left_s = sum(_left_s(read_s, age_s, told_s) for read_s, age_s in unread)
+        return ReplicaWork(own.read_s + left_s, running, tokens)
 
     def backlog_s(self, replica_id: str, *, now_s: float) -> float:
         """Return the time of the prompts that an engine has still to read."""
@@ -211,6 +214,4 @@
     The engine has read on since then, also prompts of others; each had its share.
     With many peers a report is half a second old, as long as the prompts it tells of.
     """
-    if read_s <= 0.0:
-        return 0.0
     return read_s * max(0.0, 1.0 - age_s / told_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -259,7 +259,7 @@
         self, prompt: Prompt, engines: Sequence[Replica], *, now_s: float
     ) -> KvSources:
         holders = []
-        for engine in engines:
+        for engine in self._first_part_holders(prompt, engines):
             tokens = self._prefixes.fetchable_tokens(
                 engine.replica_id, prompt.parts, now_s=now_s
             )
@@ -267,6 +267,15 @@
                 holders.append(HeldTokens(engine, tokens))
         return KvSources(holders)
 
+    def _first_part_holders(
+        self, prompt: Prompt, engines: Sequence[Replica]
+    ) -> list[Replica]:
+        """Return the engines that can hold any leading part of a prompt."""
+        if not prompt.parts:
+            return []
+        names = frozenset(self._prefixes.holders(prompt.parts[0].part_id))
+        return [engine for engine in engines if engine.replica_id in names]
+
     def _cached(self, engine: Replica, prompt: Prompt, *, now_s: float) -> int:
         tokens = self._prefixes.cached_tokens(
             engine.replica_id, prompt.parts, now_s=now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_placement.py
@@ -51,15 +51,16 @@
 
 
 class SourceTest(unittest.TestCase):
-    def test_a_plan_over_many_engines_asks_for_each_of_them_once(self):
-        # Comparing each reader with each engine asked thousands of times for a plan.
+    def test_a_plan_over_many_engines_asks_only_those_that_hold_the_first_part(self):
+        # Comparing each reader with each engine asked thousands of times for a plan,
+        # and asking each engine once still took a sixth of it.
         engines = [engine(f"e{number}") for number in range(70)]
         index = CountingIndex()
         placement = Placement(WorkLedger(), index, EngineFactors(), DEFAULT_SPEED)
         wanted = prompt(13_300, 3_700)
         index.note("e3", wanted.parts[:1], now_s=NOW_S)
         placement.read_plan(wanted, engines, ENGINE_LIMITS, now_s=NOW_S)
-        self.assertLessEqual(index.asked, 70)
+        self.assertEqual(index.asked, 1)
 
     def test_the_source_is_the_one_that_a_comparison_with_each_engine_finds(self):
         print(f"seed {SEED}")
