Plan a prompt that finds room once

A prompt was planned when it came, to tell whether it is late, and again right after by the pump, also where nothing else waited and the first plan's engine had room: the same plan. It is now placed with its first plan in that case; all other prompts go through the queue as before.

test_a_prompt_that_finds_room_is_planned_once failed before (2 plans).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/admission.py
@@ -98,18 +98,21 @@
         waiter = AsyncResult()
         self._waiters[key] = waiter
         self._demands[key] = demand
-        self._queue.add(
-            WaitingPrompt(
-                key=key,
-                target_s=demand.target_s,
-                deadline_s=demand.deadline_s,
-                read_s=plan.read_s,
-                fixed_s=FIRST_EVENT_S,
-                value=demand.value,
-            )
+        waiting = WaitingPrompt(
+            key=key,
+            target_s=demand.target_s,
+            deadline_s=demand.deadline_s,
+            read_s=plan.read_s,
+            fixed_s=FIRST_EVENT_S,
+            value=demand.value,
         )
+        is_only_one = len(self._queue) == 0
+        self._queue.add(waiting)
         on_cancel(lambda: self._settle(key, None))
-        self.pump()
+        if is_only_one and self._can_place(waiting, plan, now_s):
+            self._place(waiting, plan, now_s)
+        else:
+            self.pump()
         if not waiter.ready():
             self._start_timer()
         return waiter.get()
@@ -153,6 +156,10 @@
                 return True
         return False
 
+    @staticmethod
+    def _can_place(prompt: WaitingPrompt, plan: ReadPlan, now_s: float) -> bool:
+        return plan.wait_s <= OPEN_BACKLOG_S and prompt.meets_deadline(now_s)
+
     def _place(self, prompt: WaitingPrompt, plan: ReadPlan, now_s: float) -> None:
         """Enter a prompt in the ledger and wake its request."""
         job = self._state.ledger.begin_read(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_admission.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_admission.py
@@ -14,7 +14,7 @@
 WAITING = 20
 
 
-class BusyFleetTest(unittest.TestCase):
+class FleetTest(unittest.TestCase):
     def setUp(self):
         self.state = gateway_state(log=[])
         self.engines = [engine(f"e{number}") for number in range(ENGINES)]
@@ -22,17 +22,6 @@
         self.read_plan = self.state.placement.read_plan
         self.state.placement.read_plan = self.count_plan
         self.gate = AdmissionGate(self.state)
-        now_s = time.monotonic()
-        self.jobs = [
-            self.state.ledger.begin_read(item.replica_id, 5.0, now_s=now_s)
-            for item in self.engines
-        ]
-        tasks = [
-            gevent.spawn(self.gate.admit, self.demand(), id) for _ in range(WAITING)
-        ]
-        self.addCleanup(gevent.killall, tasks)
-        gevent.sleep(0.01)
-        self.planned = 0
 
     def count_plan(self, *arguments, **options):
         self.planned += 1
@@ -50,6 +39,34 @@
             engines=lambda: self.engines,
         )
 
+
+class IdleFleetTest(FleetTest):
+    def test_a_prompt_that_finds_room_is_planned_once(self):
+        # Planning on 70 engines takes a fifth of the processor time of a request.
+        admitted = self.gate.admit(self.demand(), id)
+        self.assertEqual(self.planned, 1)
+        backlog_s = self.state.ledger.backlog_s(
+            admitted.plan.engine.replica_id, now_s=time.monotonic()
+        )
+        self.assertGreater(backlog_s, OPEN_BACKLOG_S)
+        self.assertEqual(self.gate.queued_s, 0.0)
+
+
+class BusyFleetTest(FleetTest):
+    def setUp(self):
+        super().setUp()
+        now_s = time.monotonic()
+        self.jobs = [
+            self.state.ledger.begin_read(item.replica_id, 5.0, now_s=now_s)
+            for item in self.engines
+        ]
+        tasks = [
+            gevent.spawn(self.gate.admit, self.demand(), id) for _ in range(WAITING)
+        ]
+        self.addCleanup(gevent.killall, tasks)
+        gevent.sleep(0.01)
+        self.planned = 0
+
     def test_no_prompt_is_planned_while_all_engines_are_busy(self):
         # Each of eight prompts was planned on all engines each 15 ms; a day of the
         # largest deployment did not end for it.
