Collect a host's state only when a message is due

test_a_state_that_is_not_sent_is_not_collected failed before (19 times a second, now at most 4.5); a host without peers still collects, so that nothing piles up.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -107,11 +107,15 @@
         self._placements.extend(placements)
         self._refused.extend(refused)
 
+    def may_send(self, now_s: float) -> bool:
+        """Return whether the interval since the last message has passed."""
+        return now_s - self._last_sent_s >= self.interval_s
+
     def due_message(self, state: PeerMessage, *, now_s: float) -> PeerMessage | None:
         """Return the message to send now, or ``None`` if none is due."""
-        since_s = now_s - self._last_sent_s
-        if since_s < self.interval_s:
+        if not self.may_send(now_s):
             return None
+        since_s = now_s - self._last_sent_s
         untold = self._placements or self._refused
         if state == self._last_sent and not untold and since_s < QUIET_INTERVAL_S:
             return None
@@ -176,11 +180,21 @@
             gevent.sleep(CHANGED_INTERVAL_S)
             near, far = self._peers()
             self._set_sizes(len(near), len(far))
-            message, now_s = self._collect(), time.monotonic()
-            for group, peers in ((self._near, near), (self._far, far)):
-                due = group.due_message(message, now_s=now_s)
-                if due is not None:
-                    self._send(peers, due)
+            self._send_due([(self._near, near), (self._far, far)], time.monotonic())
+
+    def _send_due(
+        self, groups: Sequence[tuple[PeerGroup, list[HostEntry]]], now_s: float
+    ) -> None:
+        """Send the state to each group for which it is time."""
+        told = [(group, peers) for group, peers in groups if peers]
+        if told and not any(group.may_send(now_s) for group, _ in told):
+            return
+        # A host without peers collects, too, so that nothing piles up.
+        message = self._collect()
+        for group, peers in told:
+            due = group.due_message(message, now_s=now_s)
+            if due is not None:
+                self._send(peers, due)
 
     def _peers(self) -> tuple[list[HostEntry], list[HostEntry]]:
         """Return the peers of the own availability zone and the others."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Test the datagrams between hosts."""
 
+import time
 import unittest
 
 import cbor2
@@ -23,6 +24,7 @@
     send_interval_s,
 )
 from persimmonyoke.internal.gateway.state import PartPlacement
+from persimmonyoke_testing.builders_fleet import host
 from persimmonyoke_testing.builders_gateway import gateway_state, peer_message
 
 SENT = 200
@@ -159,5 +161,41 @@
         self.wait_until_all_are_heard()
 
 
+class SendTest(unittest.TestCase):
+    PEERS = 72
+
+    def setUp(self):
+        self.state = gateway_state(log=[])
+        self.collected = 0
+        self.state.take_placements = self.count_collected
+        self.link = PeerLink(self.state)
+
+    def count_collected(self):
+        self.collected += 1
+        return []
+
+    def run_for(self, duration_s):
+        started_s = time.monotonic()
+        self.link.start("127.0.0.1", 0)
+        self.addCleanup(self.link.stop)
+        gevent.sleep(duration_s)
+        return time.monotonic() - started_s
+
+    def test_a_host_without_peers_keeps_nothing_for_them(self):
+        # What it has placed would pile up for as long as it is alone.
+        self.run_for(0.3)
+        self.assertGreater(self.collected, 0)
+
+    def test_a_state_that_is_not_sent_is_not_collected(self):
+        # With many peers a message is due each 0.3 s, and collecting the state each
+        # 0.05 s took processor time that requests need.
+        for number in range(self.PEERS):
+            self.state.hosts.put(host(f"peer-{number}"), now_s=0.0)
+        elapsed_s = self.run_for(1.0)
+        interval_s = send_interval_s(self.PEERS, MAX_NEAR_DATAGRAMS_PER_S)
+        self.assertGreaterEqual(self.collected, 2)
+        self.assertLessEqual(self.collected, elapsed_s / interval_s + 1)
+
+
 if __name__ == "__main__":
     unittest.main()
