Make the hosts of bench spreading an abstract base class

Two methods raised NotImplementedError, three more did nothing unless a subclass gave them a body, and WatchingHosts had no connect at all. All are abstract now, and the hosts that watch say why they do nothing.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/spreading_worker.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/spreading_worker.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+from abc import ABC, abstractmethod
 from pathlib import Path
 from typing import Any
 
@@ -54,7 +55,7 @@
         return counted
 
 
-class Hosts:
+class Hosts(ABC):
     """Hosts of one process, which spread revisions and load reports."""
 
     def __init__(self, names: list[str], *, seed: int) -> None:
@@ -62,27 +63,35 @@
         self.rng = random.Random(f"{seed}/{names[0]}")
         self.loads_received = 0
 
+    @abstractmethod
     def host_bytes(self) -> list[int]:
         """Return the bytes of each host so far, both ways, as its links count."""
-        raise NotImplementedError
 
+    @abstractmethod
     def has_revision(self, number: int) -> bool:
         """Return whether each host of this process has the revision."""
-        raise NotImplementedError
 
+    @abstractmethod
+    def connect(self, members: dict[str, list[str]]) -> None:
+        """Connect to the hosts of the other processes."""
+
+    @abstractmethod
     def wait_settled(self) -> bool:
         """Wait until each host hears each other; return whether that came true."""
-        return True
 
+    @abstractmethod
     def silence(self) -> None:
         """Let 5% of the links drop all that they are given."""
 
+    @abstractmethod
     def report_loads(self, engines: list[str]) -> None:
         """Start to spread a report of each engine in each interval."""
 
+    @abstractmethod
     def publish(self, number: int, size_bytes: int) -> None:
         """Spread a revision from the first host, if it belongs to this process."""
 
+    @abstractmethod
     def close(self) -> None:
         """Stop the hosts."""
 
@@ -113,9 +122,9 @@
             totals[name] += link.sent_bytes + link.received_bytes
         return list(totals.values())
 
-    def connect(self, addresses: dict[str, list[str]]) -> None:
+    def connect(self, members: dict[str, list[str]]) -> None:
         """Tell each host its members."""
-        self.members = {n: PeerAddress(*address) for n, address in addresses.items()}
+        self.members = {n: PeerAddress(*address) for n, address in members.items()}
         for service in self.services:
             service.set_members(self.members)
 
@@ -197,6 +206,25 @@
         """Return whether each host of this process has the revision."""
         return min(self.revisions.values()) >= number
 
+    def connect(self, members: dict[str, list[str]]) -> None:
+        """Do nothing; all of them speak to the key-value service only."""
+
+    def wait_settled(self) -> bool:
+        """Return at once; no host hears another."""
+        return True
+
+    def silence(self) -> None:
+        """Do nothing; there are no links between hosts."""
+
+    def report_loads(self, engines: list[str]) -> None:
+        """Do nothing; the parent process writes the reports."""
+
+    def publish(self, number: int, size_bytes: int) -> None:
+        """Do nothing; the parent process writes the revision."""
+
+    def close(self) -> None:
+        """Do nothing; the watches end with the process."""
+
 
 def sample(hosts: Hosts, sample_s: float) -> dict[str, Any]:
     """Return what the hosts of this process use over a time."""
