Build what entry nodes and controllers share in one place

Both set up name, incarnation, store, configuration, host view and fleet with the same lines. They now extend FirmNode, which does this.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/controller.py
@@ -1,7 +1,6 @@
 """Controller: holds authority over the engine pools of one firm."""
 
 import random
-import secrets
 import threading
 import time
 from dataclasses import dataclass
@@ -22,14 +21,12 @@
 )
 from persimmonyoke.internal.membership.dissemination import PeerHandlers
 from persimmonyoke.internal.membership.handshake import NodeIdentity
-from persimmonyoke.internal.membership.hosts import HostView
 from persimmonyoke.internal.membership.messages import Load
 from persimmonyoke.internal.membership.peers import PeerService
 from persimmonyoke.internal.membership.peers import PeerSettings as LinkSettings
-from persimmonyoke.internal.node.configuration import ConfigurationKeeper
 from persimmonyoke.internal.node.drains import MAX_DRAIN_S, drain_message
 from persimmonyoke.internal.node.endpoints import split_address
-from persimmonyoke.internal.node.fleet_view import FleetView
+from persimmonyoke.internal.node.firm_node import FirmNode
 from persimmonyoke.internal.node.offered_load import OfferedLoad
 from persimmonyoke.internal.node.order_audit import authority_key, order_key
 from persimmonyoke.internal.node.planners import (
@@ -43,14 +40,10 @@
 from persimmonyoke.internal.node.role_decisions import RoleDecisions
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.platform import (
-    EtcdGatewayStore,
-    HttpHostList,
     HttpWeightStore,
     Purpose,
-    RateBudget,
 )
 from persimmonyoke.internal.presets import (
-    ConfigurationView,
     ModelSpec,
     PoolKind,
     PoolPolicy,
@@ -83,7 +76,7 @@
     roles: RoleDecisions
 
 
-class ControllerNode:
+class ControllerNode(FirmNode):
     """Run one pool controller for each engine pool of the preset in force.
 
     ``role_policy`` replaces the shipped policy, for comparisons; ``time_scale`` is that
@@ -99,27 +92,10 @@
         time_scale: float = 1.0,
         rng: random.Random | None = None,
     ) -> None:
-        self.settings = settings
+        super().__init__(settings, poll_interval_s=poll_interval_s, rng=rng)
         self._role_policy = role_policy
         self._time_scale = time_scale
-        self.name = settings.process.name
-        self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
-        self._rng = rng or random.Random()
-        self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
-        self.store = EtcdGatewayStore(settings.platform.key_value, budget=self.budget)
-        self.view = ConfigurationView()
-        self.host_view = HostView()
         self.offered = OfferedLoad()
-        self.fleet = FleetView(
-            HttpHostList(settings.platform.host_list),
-            self.host_view,
-            port_offset=settings.peers.port_offset,
-            poll_interval_s=poll_interval_s,
-            rng=self._rng,
-        )
-        self._configuration = ConfigurationKeeper(
-            self.store, self.view, firm=settings.process.firm
-        )
         self.peers = self._build_peers()
         self._timer = self._build_timer()
         weights = settings.platform.weight_store
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -1,7 +1,6 @@
 """Entry node: serves callers and operators of one firm on one host."""
 
 import random
-import secrets
 import time
 
 import gevent
@@ -21,20 +20,18 @@
 )
 from persimmonyoke.internal.membership.dissemination import PeerHandlers
 from persimmonyoke.internal.membership.handshake import NodeIdentity
-from persimmonyoke.internal.membership.hosts import HostView
 from persimmonyoke.internal.membership.messages import Leaving, Roles
 from persimmonyoke.internal.membership.peers import PeerService
 from persimmonyoke.internal.membership.peers import PeerSettings as LinkSettings
 from persimmonyoke.internal.node.admission_gate import PoolAdmission
 from persimmonyoke.internal.node.claim_gate import ClaimServiceGate
-from persimmonyoke.internal.node.configuration import ConfigurationKeeper
 from persimmonyoke.internal.node.drains import DrainView
 from persimmonyoke.internal.node.endpoints import join_address, split_address
 from persimmonyoke.internal.node.engine_health import EngineChecks
 from persimmonyoke.internal.node.engine_router import DirectoryEngines, EngineRouter
 from persimmonyoke.internal.node.entry_metrics import MeasuredParts, entry_metrics
+from persimmonyoke.internal.node.firm_node import FirmNode
 from persimmonyoke.internal.node.first_tokens import TimedDelivery
-from persimmonyoke.internal.node.fleet_view import FleetView
 from persimmonyoke.internal.node.host_list_loop import entry_hosts
 from persimmonyoke.internal.node.offered_load import offered_message
 from persimmonyoke.internal.node.operator_server import OperatorServer
@@ -52,13 +49,9 @@
 )
 from persimmonyoke.internal.operators.app import MAX_BODY_BYTES
 from persimmonyoke.internal.platform import (
-    EtcdGatewayStore,
-    HttpHostList,
     Purpose,
-    RateBudget,
 )
 from persimmonyoke.internal.presets import (
-    ConfigurationView,
     PoolKind,
     Preset,
     Revision,
@@ -75,7 +68,7 @@
 log = part_logger("node")
 
 
-class EntryNode:
+class EntryNode(FirmNode):
     """Wire the slices of one entry host together and run them."""
 
     def __init__(
@@ -87,31 +80,14 @@
         offered_interval_s: float = OFFERED_INTERVAL_S,
         rng: random.Random | None = None,
     ) -> None:
-        self.settings = settings
-        self.name = settings.process.name
-        self.incarnation = f"{int(time.time()):x}-{secrets.token_hex(4)}"
-        self._rng = rng or random.Random()
+        super().__init__(settings, poll_interval_s=poll_interval_s, rng=rng)
         self._offered_interval_s = offered_interval_s
         self._tasks: list[gevent.Greenlet] = []
         self._leaving = False
         self.scales_load = True
         self.callers_address = split_address(settings.listen.callers)
         self.operators_address = split_address(settings.listen.operators)
-        self.budget = RateBudget(calls_per_s=settings.platform.key_value_calls_per_s)
-        self.store = EtcdGatewayStore(settings.platform.key_value, budget=self.budget)
-        self.view = ConfigurationView()
-        self.host_view = HostView()
         self.drains = DrainView()
-        self.fleet = FleetView(
-            HttpHostList(settings.platform.host_list),
-            self.host_view,
-            port_offset=settings.peers.port_offset,
-            poll_interval_s=poll_interval_s,
-            rng=self._rng,
-        )
-        self._configuration = ConfigurationKeeper(
-            self.store, self.view, firm=settings.process.firm
-        )
         self._build_delivery(delivery_options)
         self._build_servers()
         self.view.subscribe(self._take_preset)
