Keep following the store when changes of peers can't be applied

A host that the store turned away applied what peers pass on inside the handler of the error, where no other handler catches anything: one error there would have ended the task that follows the store, and the host's view would have stayed as it was until a restart.

It now hears its peers inside the guarded step. The event that tells of news is cleared before what has come is applied, so that none is missed.

test_changes_that_cannot_be_applied_do_not_end_the_following failed before (the host never heard the store again); all 13 tests of the module pass.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -113,9 +113,11 @@
 
     def run(self) -> None:
         """Follow the store for as long as the process runs."""
-        delay_s = RETRY_S
+        delay_s, pause_s = RETRY_S, 0.0
         while True:
             try:
+                self._hear_peers(pause_s)
+                pause_s = 0.0
                 self._step()
                 delay_s = RETRY_S
             except CallInterrupted:
@@ -125,7 +127,7 @@
                 self._revision = None
             except StoreUnavailable as error:
                 self._note_turned_away(error)
-                self._hear_peers(delay_s * self._state.rng.uniform(0.7, 1.3))
+                pause_s = delay_s * self._state.rng.uniform(0.7, 1.3)
                 delay_s = min(MAX_RETRY_S, delay_s * 2)
             except Exception:
                 self._state.journal.unexpected("store_following_failed")
@@ -146,11 +148,11 @@
         """Apply for a while what peers pass on that the store still answers."""
         until_s = time.monotonic() + duration_s
         while (left_s := until_s - time.monotonic()) > 0:
+            self._news.clear()
             while self._relayed and self._turned_away_at is not None:
                 self._turned_away_at = self._apply_additions(
                     self._relayed.popleft(), self._turned_away_at
                 )
-            self._news.clear()
             self._news.wait(left_s)
 
     def _apply_additions(self, relayed: RelayedChanges, revision: int) -> int:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -136,6 +136,16 @@
         gevent.sleep(0.5)
         self.assertEqual(self.usable(), ["a"])
 
+    def test_changes_that_cannot_be_applied_do_not_end_the_following(self):
+        # An error outside of the guarded step would have ended the task for good.
+        apply_changes = self.state.apply_replica_changes
+        self.state.apply_replica_changes = Mock(side_effect=ValueError("broken"))
+        self.hear(ReplicaSeen(engine("b")))
+        self.wait_for(lambda: self.state.apply_replica_changes.called, 1.0)
+        self.state.apply_replica_changes = apply_changes
+        self.store.unavailable = False
+        self.wait_for(lambda: self.state.store_connected, 2.0)
+
     def test_changes_from_before_a_reading_are_not_applied_after_it(self):
         # They wait unread at a host that watches, and would put older entries back.
         before = self.store.relay(ReplicaSeen(engine("a", draining=True)))
