Keep up to where changes are known while a reading is under way

Cause: a reading that begins because peers are ahead forgot up to where changes were known, so that nothing that peers passed on could follow on it. Ruled out: lost datagrams; the host heard of the version from them. That the host has to read all entries is now a mark of its own beside the revision, which only the store or a peer moves on; a separate revision for hosts that are turned away is needed no more.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -77,7 +77,7 @@
         self._updates = ViewUpdates(state, orders, on_configuration)
         self._pass_on = pass_on
         self._revision: int | None = None
-        self._turned_away_at: int | None = None
+        self._must_read = True
         self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED)
         self._news = Event()
         self._behind_since_s: float | None = None
@@ -104,8 +104,7 @@
 
     def _check_version(self, version: int) -> None:
         self._checking_version = False
-        being_read = self._revision is None
-        if self._state.version < version and not being_read:
+        if self._state.version < version and not self._must_read:
             self._state.journal.event(
                 "watch_behind", version=version, known=self._state.version
             )
@@ -121,58 +120,48 @@
                 self._step()
                 delay_s = RETRY_S
             except CallInterrupted:
-                self._revision = None
+                self._must_read = True
             except HistoryLost as error:
                 self._state.journal.failure("store_history_lost", error)
-                self._revision = None
+                self._must_read = True
             except StoreUnavailable as error:
-                self._note_turned_away(error)
+                # Events may have been missed, and entries may lapse in an outage.
+                self._must_read = True
+                self._state.note_store_lost(error)
                 pause_s = delay_s * self._state.rng.uniform(0.7, 1.3)
                 delay_s = min(MAX_RETRY_S, delay_s * 2)
             except Exception:
                 self._state.journal.unexpected("store_following_failed")
-                self._revision = None
+                self._must_read = True
                 gevent.sleep(MAX_RETRY_S)
 
-    def _note_turned_away(self, error: StoreUnavailable) -> None:
-        """Keep up to where changes are known, and read all entries from now on.
-
-        Events may have been missed, and entries may lapse in an outage.
-        """
-        if self._revision is not None:
-            self._turned_away_at = self._revision
-        self._revision = None
-        self._state.note_store_lost(error)
-
     def _hear_peers(self, duration_s: float) -> None:
         """Apply for a while what peers pass on that the store still answers."""
         until_s = time.monotonic() + duration_s
         while (left_s := until_s - time.monotonic()) > 0:
             self._news.clear()
-            while self._relayed and self._turned_away_at is not None:
-                self._turned_away_at = self._apply_additions(
-                    self._relayed.popleft(), self._turned_away_at
-                )
+            while self._relayed and self._revision is not None:
+                self._apply_additions(self._relayed.popleft(), self._revision)
             self._news.wait(left_s)
 
-    def _apply_additions(self, relayed: RelayedChanges, revision: int) -> int:
-        """Apply changes but for removals; return the revision reached.
+    def _apply_additions(self, relayed: RelayedChanges, revision: int) -> None:
+        """Apply changes that follow what is known, but for removals.
 
         Entries also lapse in an outage; removals wait for the host's own reading.
         """
         changes = self._decode_next(relayed, revision)
         if changes is None:
-            return revision
+            return
+        self._revision = changes.revision
         kept = tuple(e for e in changes.events if not isinstance(e, REMOVALS))
         self._state.view.note_relayed(changes.revision, time.monotonic())
         # They may have waited for a call to the store, so none counts as just made.
         self._updates.apply_events(kept, watched=False)
-        return changes.revision
 
     def _step(self) -> None:
         now_s = time.monotonic()
         own_zone = self._state.settings.availability_zone
-        if self._revision is None:
+        if self._must_read or self._revision is None:
             self._read()
             return
         watching = self._state.hosts.watches_store(own_zone, now_s)
@@ -194,6 +183,7 @@
         self._state.note_store_answer(time.monotonic())
         # Its first page tells nothing of what changed during the calls for the others.
         self._note_told(changes.revision, asked_s)
+        self._must_read = False
         self._updates.apply_snapshot(changes.events)
 
     def _watch(self, revision: int) -> None:
@@ -282,5 +272,4 @@
 
     def _note_told(self, revision: int, known_s: float) -> None:
         self._revision = revision
-        self._turned_away_at = None
         self._state.view.note_told(revision, known_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -104,6 +104,18 @@
         self.wait_for(lambda: self.state.store_connected, 0.6)
 
 
+class ReadingInVainTest(FollowerTest):
+    def test_a_host_that_reads_in_vain_for_a_newer_version_hears_its_peers(self):
+        # Its watch was silent when the version came, and the reading forgot up to
+        # where changes were known; the host kept its view until the store answered.
+        self.wait_for(lambda: self.store.watch_calls > 0, 1.0)
+        self.store.unavailable = True
+        self.state.on_newer_version(9)
+        self.wait_for(lambda: not self.state.store_connected, 2.0)
+        self.follower.note_relayed(self.store.relay(ReplicaSeen(engine("b"))))
+        self.wait_for(lambda: self.usable() == ["a", "b"], 1.0)
+
+
 class TurnedAwayTest(FollowerTest):
     """A host that the store refuses while it answers the peers."""
 
