Give the world of bench faults the faults that its cells share

Five modules of cells set the same fields of the stand-ins for a slow store, a lost answer, a store that is down and a late host list. World has methods for these now.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -131,7 +131,7 @@
         finally:
             world.listener = None
             world.heal()
-            world.platform.host_list.lag_s = 0.0
+            world.end_host_list_delay()
         # The kernel ends a holder that was paused past its lease when it goes on.
         gevent.sleep(max(0.0, self.resumed_s + RESUME_MARGIN_S - time.monotonic()))
         world.start_ended()
@@ -211,7 +211,7 @@
         return self.probe.holder() or ""
 
     def _act(self, detail: str) -> None:
-        world, store = self.world, self.world.platform.key_value
+        world = self.world
         match self.fault:
             case Fault.KILL:
                 world.kill(self.victim)
@@ -222,11 +222,9 @@
                 self.resumed_s = time.monotonic() + pause_s
                 world.pause(self.victim, pause_s)
             case Fault.STORE_DOWN:
-                # From another task, since the stand-in ends the task of this call.
-                gevent.spawn(store.set_down, True)
-                gevent.sleep(0.01)
+                world.stop_store()
             case Fault.ANSWER_LOST:
-                store.faults.lose_answers = 1
+                world.lose_store_answer()
             case Fault.PARTITION:
                 world.relays[self.victim].partition()
             case Fault.ENGINE_CRASH:
@@ -234,9 +232,9 @@
             case Fault.SILENT_CONNECTION:
                 self._silence()
             case Fault.STORE_SLOW:
-                store.faults.slow_s = self.rng.choice((0.3, 3.0))
+                world.slow_store(self.rng.choice((0.3, 3.0)))
             case Fault.HOST_LIST_LATE:
-                world.platform.host_list.lag_s = 5.0
+                world.delay_host_list()
                 self._crash_engine(detail)
             case Fault.OPERATORS_RACING:
                 self._race()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_claims.py
@@ -196,15 +196,8 @@
 
 
 def _host_list_late(run: ClaimRun) -> None:
-    host_list, services = run.world.platform.host_list, run.world.platform.services
-    host_list.lag_s = 5.0
-    run.rng.choice(services).stop()
-
-
-def _store_down(run: ClaimRun) -> None:
-    # From another task, since the stand-in ends the task of this call too.
-    gevent.spawn(run.world.platform.key_value.set_down, True)
-    gevent.sleep(0.01)
+    run.world.delay_host_list()
+    run.rng.choice(run.world.platform.services).stop()
 
 
 def _crash(run: ClaimRun) -> None:
@@ -227,13 +220,9 @@
     Fault.PAUSE: _pause,
     Fault.PARTITION: lambda run: run.world.relays[run.first].partition(),
     Fault.SILENT_CONNECTION: _silence,
-    Fault.STORE_DOWN: _store_down,
-    Fault.STORE_SLOW: lambda run: setattr(
-        run.world.platform.key_value.faults, "slow_s", run.rng.choice((0.3, 3.0))
-    ),
-    Fault.ANSWER_LOST: lambda run: setattr(
-        run.world.platform.key_value.faults, "lose_answers", 1
-    ),
+    Fault.STORE_DOWN: lambda run: run.world.stop_store(),
+    Fault.STORE_SLOW: lambda run: run.world.slow_store(run.rng.choice((0.3, 3.0))),
+    Fault.ANSWER_LOST: lambda run: run.world.lose_store_answer(),
     Fault.HOST_LIST_LATE: _host_list_late,
     Fault.ENGINE_CRASH: _crash,
     Fault.OPERATORS_RACING: lambda run: race_operators(run.world),
@@ -254,7 +243,7 @@
 
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
     def run(rng: random.Random) -> Outcome:
-        world.platform.host_list.lag_s = 0.0
+        world.end_host_list_delay()
         return ClaimRun(world, step, ACTIONS[fault], rng).run()
 
     return run
@@ -264,5 +253,5 @@
     """Run one step under two faults, the second shortly after the first."""
     step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
     act = draw_pair(ACTIONS, PAIRED, delay_s, rng)
-    world.platform.host_list.lag_s = 0.0
+    world.end_host_list_delay()
     return ClaimRun(world, step, act, rng).run()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_configuration.py
@@ -259,18 +259,12 @@
     )
 
 
-def _store_down(run: ConfigurationRun) -> None:
-    # From another task, since the stand-in ends the task of this call too.
-    gevent.spawn(run.world.platform.key_value.set_down, True)
-    gevent.sleep(0.01)
-
-
 def _silence(run: ConfigurationRun) -> None:
     run.world.platform.key_value.stall_open_connections()
 
 
 def _late(run: ConfigurationRun) -> None:
-    run.world.platform.host_list.lag_s = 5.0
+    run.world.delay_host_list()
 
 
 ACTIONS: Mapping[Fault, Callable[[ConfigurationRun], None]] = {
@@ -278,13 +272,9 @@
     Fault.PAUSE: lambda run: run.world.pause(run.victim, run.rng.choice((1.0, 4.0))),
     Fault.PARTITION: lambda run: run.world.relays[run.victim].partition(),
     Fault.SILENT_CONNECTION: _silence,
-    Fault.STORE_DOWN: _store_down,
-    Fault.STORE_SLOW: lambda run: setattr(
-        run.world.platform.key_value.faults, "slow_s", run.rng.choice((0.3, 3.0))
-    ),
-    Fault.ANSWER_LOST: lambda run: setattr(
-        run.world.platform.key_value.faults, "lose_answers", 1
-    ),
+    Fault.STORE_DOWN: lambda run: run.world.stop_store(),
+    Fault.STORE_SLOW: lambda run: run.world.slow_store(run.rng.choice((0.3, 3.0))),
+    Fault.ANSWER_LOST: lambda run: run.world.lose_store_answer(),
     Fault.OPERATORS_RACING: _race,
     Fault.HOST_LIST_LATE: _late,
 }
@@ -301,7 +291,7 @@
 
 def _runner(world: World, step: str, fault: Fault) -> RunCell:
     def run(rng: random.Random) -> Outcome:
-        world.platform.host_list.lag_s = 0.0
+        world.end_host_list_delay()
         return ConfigurationRun(world, step, ACTIONS[fault], rng).run()
 
     return run
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_shutdown.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_shutdown.py
@@ -80,7 +80,7 @@
         elapsed_s = time.monotonic() - started_s
         healer.join()
         load.stop()
-        world.platform.host_list.lag_s = 0.0
+        world.end_host_list_delay()
         problems += load.cut + world.violations()
         world.restart_ended()
         gevent.sleep(0.3)
@@ -118,7 +118,7 @@
 
 
 def _late(run: ShutdownRun) -> None:
-    run.world.platform.host_list.lag_s = 5.0
+    run.world.delay_host_list()
 
 
 def _race(run: ShutdownRun) -> None:
@@ -138,12 +138,8 @@
     Fault.PAUSE: lambda run: run.world.pause(run.leaving, 1.0),
     Fault.STORE_DOWN: lambda run: run.world.platform.key_value.set_down(True),
     Fault.ENGINE_CRASH: _crash,
-    Fault.ANSWER_LOST: lambda run: setattr(
-        run.world.platform.key_value.faults, "lose_answers", 1
-    ),
-    Fault.STORE_SLOW: lambda run: setattr(
-        run.world.platform.key_value.faults, "slow_s", 3.0
-    ),
+    Fault.ANSWER_LOST: lambda run: run.world.lose_store_answer(),
+    Fault.STORE_SLOW: lambda run: run.world.slow_store(3.0),
     Fault.PARTITION: lambda run: run.world.relays[run.leaving].partition(),
     Fault.SILENT_CONNECTION: _silence,
     Fault.HOST_LIST_LATE: _late,
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_streams.py
@@ -194,7 +194,7 @@
         for engine in self.world.platform.engines:
             engine.faults.crash_marker = None
             engine.faults.restart_after_s = None
-        self.world.platform.host_list.lag_s = 0.0
+        self.world.end_host_list_delay()
 
 
 def _busy(run: StreamRun) -> list:
@@ -224,7 +224,7 @@
 
 
 def _host_list_late(run: StreamRun) -> None:
-    run.world.platform.host_list.lag_s = 5.0
+    run.world.delay_host_list()
     _crash(run)
 
 
@@ -264,9 +264,7 @@
     Fault.PARTITION: _partition,
     Fault.STORE_DOWN: _store_down,
     Fault.CRASHING_REQUEST: _crashing_request,
-    Fault.STORE_SLOW: lambda run: setattr(
-        run.world.platform.key_value.faults, "slow_s", 3.0
-    ),
+    Fault.STORE_SLOW: lambda run: run.world.slow_store(3.0),
     Fault.OPERATORS_RACING: lambda run: race_operators(run.world),
     Fault.HOST_LIST_LATE: _host_list_late,
     Fault.CACHE_EVENTS_LOST: _nothing,
@@ -315,5 +313,5 @@
     """Run one step under two faults, the second shortly after the first."""
     step, delay_s = rng.choice(STEPS[PROTOCOL]), rng.uniform(0.0, PAIR_DELAY_S)
     act = draw_pair(ACTIONS, PAIRED, delay_s, rng)
-    world.platform.host_list.lag_s = 0.0
+    world.end_host_list_delay()
     return StreamRun(world, step, act, rng).run()
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
@@ -26,6 +26,7 @@
 )
 START_ATTEMPTS = 4
 START_TIMEOUT_S = 6.0
+LATE_HOST_LIST_S = 5.0
 Listener = Callable[[str, str], None]
 
 
@@ -229,6 +230,28 @@
         process.send(signal.SIGSTOP)
         gevent.spawn_later(seconds, process.send, signal.SIGCONT)
 
+    def stop_store(self) -> None:
+        """Let the store answer nobody until ``heal`` is called."""
+        # From another task, since the stand-in ends the task of the caller too.
+        gevent.spawn(self.platform.key_value.set_down, True)
+        gevent.sleep(0.01)
+
+    def slow_store(self, delay_s: float) -> None:
+        """Let the store take longer for each answer until ``heal`` is called."""
+        self.platform.key_value.faults.slow_s = delay_s
+
+    def lose_store_answer(self) -> None:
+        """Let the store carry out its next call and lose the answer."""
+        self.platform.key_value.faults.lose_answers = 1
+
+    def delay_host_list(self) -> None:
+        """Let the host list show changes late."""
+        self.platform.host_list.lag_s = LATE_HOST_LIST_S
+
+    def end_host_list_delay(self) -> None:
+        """Let the host list show changes at once again."""
+        self.platform.host_list.lag_s = 0.0
+
     def start_ended(self) -> None:
         """Start each process again that has ended."""
         for name in self.processes:
