Heed replicas that say they leave or ask for no requests

Cause: nothing read the headers Server-Leaving and Retry-After of a replica's answers. A host went on using a replica that had said it leaves until the store told so, and asked a full one again after the half second for which any failed replica is paused.

Change: the head of each answer is noted in one place, whatever call it answers. The incarnation that says it leaves gets no more work, whatever late entries and readings of the store say; a 503 with Retry-After keeps this host away from the replica for so long: plain calls, prompts, runs, resumes, reports and orders alike. Work goes to other replicas or is refused at once with the time that the replicas named.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_backoff.py
@@ -0,0 +1,28 @@
+"""Test the times for which replicas want no requests."""
+
+import unittest
+
+from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
+
+
+class BackoffTest(unittest.TestCase):
+    def test_a_replica_is_left_alone_for_as_long_as_it_asked(self):
+        backoff = ReplicaBackoff()
+        backoff.note("a", 2.0, now_s=100.0)
+        self.assertTrue(backoff.active("a", 101.9))
+        self.assertFalse(backoff.active("a", 102.0))
+        self.assertAlmostEqual(backoff.left_s("a", 101.5), 0.5)
+
+    def test_a_later_answer_with_a_shorter_time_does_not_end_the_longer_one(self):
+        # Answers on several connections overtake each other.
+        backoff = ReplicaBackoff()
+        backoff.note("a", 5.0, now_s=100.0)
+        backoff.note("a", 0.5, now_s=100.1)
+        self.assertTrue(backoff.active("a", 104.0))
+
+    def test_other_replicas_and_new_incarnations_are_not_concerned(self):
+        backoff = ReplicaBackoff()
+        backoff.note("a", 5.0, now_s=100.0)
+        self.assertFalse(backoff.active("b", 100.0))
+        backoff.forget("a")
+        self.assertFalse(backoff.active("a", 100.0))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -36,6 +36,9 @@
     request_id: str | None
     not_executed: bool
     stamped: bool
+    leaving: bool = False
+    """The replica says that it is about to leave."""
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -1,7 +1,8 @@
 """View of the replicas that are registered in the store."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from persimmonyoke.internal.fleet.model import Replica
 
@@ -18,6 +19,9 @@
 for the watch and the network.
 """
 
+MAX_LEAVING_REMEMBERED = 4_096
+"""Incarnations that said they leave; entries of theirs may come back late."""
+
 
 @dataclass(frozen=True)
 class ReplicaAdded:
@@ -47,6 +51,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class ReplicaLeaving:
+    """Report a replica that said in an answer that it leaves."""
+
+    replica: Replica
+
+
 @dataclass(frozen=True)
 class ReplicaMissing:
     """Report a replica without an entry that stays in use for the rest of the grace."""
@@ -63,10 +74,28 @@
 
 
 ReplicaChange = (
-    ReplicaAdded | ReplicaChanged | ReplicaGone | ReplicaMissing | ReplicaReturned
+    ReplicaAdded
+    | ReplicaChanged
+    | ReplicaGone
+    | ReplicaLeaving
+    | ReplicaMissing
+    | ReplicaReturned
 )
 
 
+@dataclass(frozen=True)
+class _Incarnation:
+    """Name one start of a replica."""
+
+    replica_id: str
+    address: str
+    born_unix_ms: int
+
+
+def _incarnation(replica: Replica) -> _Incarnation:
+    return _Incarnation(replica.replica_id, replica.address, replica.born_unix_ms)
+
+
 class ReplicaView:
     """Keep the registered replicas through outages of the store.
 
@@ -79,6 +108,7 @@
         self._missing: set[str] = set()
         self._outage_ended_s = float("-inf")
         self._leaving_since_s: dict[str, float] = {}
+        self._said_leaving: OrderedDict[_Incarnation, None] = OrderedDict()
 
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica that may be in use."""
@@ -143,6 +173,9 @@
         if known is not None and replica.born_unix_ms < known.born_unix_ms:
             # A late write of the incarnation before the one that is known.
             return []
+        if _incarnation(replica) in self._said_leaving:
+            # Its own word is newer than an entry that still calls it ready.
+            replica = replace(replica, draining=True)
         returned = replica.replica_id in self._missing
         self._missing.discard(replica.replica_id)
         self._replicas[replica.replica_id] = replica
@@ -156,6 +189,18 @@
             return [ReplicaChanged(replica, known)]
         return [ReplicaGone(known, "started again"), ReplicaAdded(replica)]
 
+    def note_leaving(self, told_by: Replica, *, now_s: float) -> list[ReplicaChange]:
+        """Give no more work to an incarnation that said it leaves, until it ends."""
+        self._said_leaving[_incarnation(told_by)] = None
+        if len(self._said_leaving) > MAX_LEAVING_REMEMBERED:
+            self._said_leaving.popitem(last=False)
+        known = self._replicas.get(told_by.replica_id)
+        if known is None or known.draining or not _same_incarnation(known, told_by):
+            return []
+        self._replicas[known.replica_id] = replace(known, draining=True)
+        self._leaving_since_s[known.replica_id] = now_s
+        return [ReplicaLeaving(self._replicas[known.replica_id])]
+
     def remove(self, replica_id: str, *, now_s: float) -> list[ReplicaChange]:
         """Apply the removal of an entry."""
         replica = self._replicas.get(replica_id)
@@ -183,6 +228,4 @@
 
 
 def _same_incarnation(known: Replica, replica: Replica) -> bool:
-    return (
-        known.born_unix_ms == replica.born_unix_ms and known.address == replica.address
-    )
+    return _incarnation(known) == _incarnation(replica)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replicas.py
@@ -147,3 +147,48 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class LeavingWordTest(unittest.TestCase):
+    """A replica that said in an answer that it leaves has left for this host."""
+
+    def setUp(self):
+        self.view = ReplicaView()
+        self.view.put(engine("a", Stage.DECODE), now_s=90.0)
+        self.changes = self.view.note_leaving(engine("a", Stage.DECODE), now_s=NOW_S)
+
+    def usable(self):
+        return self.view.usable("llm", now_s=NOW_S)
+
+    def test_it_gets_no_work_and_is_reported_once(self):
+        self.assertEqual(names(self.changes), [("ReplicaLeaving", "a")])
+        self.assertEqual(self.usable(), [])
+        again = self.view.note_leaving(engine("a", Stage.DECODE), now_s=NOW_S)
+        self.assertEqual(again, [])
+
+    def test_entries_and_readings_of_the_same_incarnation_do_not_bring_it_back(self):
+        ready = engine("a", Stage.DECODE)
+        self.view.put(ready, now_s=NOW_S)
+        self.assertEqual(self.usable(), [])
+        self.view.replace_all([ready], now_s=NOW_S)
+        self.assertEqual(self.usable(), [])
+        # Its entry lapses in an outage and comes back.
+        self.view.replace_all([], now_s=NOW_S)
+        self.view.put(ready, now_s=NOW_S)
+        self.assertEqual(self.usable(), [])
+
+    def test_an_answer_before_the_first_entry_counts_too(self):
+        view = ReplicaView()
+        view.note_leaving(engine("a"), now_s=NOW_S)
+        view.put(engine("a"), now_s=NOW_S)
+        self.assertEqual(view.usable("llm", now_s=NOW_S), [])
+
+    def test_the_next_incarnation_under_the_same_id_gets_work(self):
+        self.view.put(engine("a", Stage.DECODE, born_unix_ms=5), now_s=NOW_S)
+        self.assertEqual(len(self.usable()), 1)
+
+    def test_it_is_used_for_a_moment_where_no_other_engine_decodes(self):
+        # Nothing would be generated until its replacement has changed its stage.
+        self.assertEqual(len(self.view.leaving("llm", now_s=NOW_S)), 1)
+        late_s = NOW_S + LEAVING_USE_S
+        self.assertEqual(self.view.leaving("llm", now_s=late_s), [])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -36,6 +36,10 @@
     """Say that no byte of a call was sent."""
 
 
+class ReplicaWaits(NotConnected):
+    """Say that a replica asked this host to send it nothing for a while."""
+
+
 class AnswerLost(Exception):
     """Say that a call was sent, at least in part, and its answer is not complete."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -146,6 +146,9 @@
         expected_s = self._state.outlook.expected_in_s(
             stage_change_s=limits.stage_change_s, now_s=now_s
         )
+        wait_s = self._decoders_back_in_s(now_s)
+        if wait_s is not None:
+            self.refuse("decode engines are full", wait_s)
         if expected_s is None:
             if self._decoder_lost_s is None:
                 self._decoder_lost_s = now_s
@@ -247,12 +250,18 @@
             e for e in decoders if not health.failing(e.replica_id, now_s)
         ] or decoders
 
+    def _decoders_back_in_s(self, now_s: float) -> float | None:
+        """Return when a decode engine takes requests again, if it told to wait."""
+        engines = self._state.replicas.usable(self._exchange.service.name, now_s=now_s)
+        decoders = [e for e in engines if e.stage is Stage.DECODE]
+        return self._state.backoff_left_s(decoders, now_s)
+
     def _leaving_decoders(self) -> list[Replica]:
         """Return decode engines that have just begun to leave and still take work."""
         now_s = time.monotonic()
         return [
             engine
-            for engine in self._state.replicas.leaving(
+            for engine in self._state.leaving_replicas(
                 self._exchange.service.name, now_s=now_s
             )
             if engine.stage is Stage.DECODE
@@ -262,7 +271,7 @@
     def _usable_engines(self, now_s: float) -> list[Replica]:
         return [
             engine
-            for engine in self._state.replicas.usable(
+            for engine in self._state.usable_replicas(
                 self._exchange.service.name, now_s=now_s
             )
             if engine.replica_id not in self._excluded
@@ -272,7 +281,7 @@
     def _choose_plain(self) -> Replica:
         state, now_s = self._state, time.monotonic()
         replica = choose_replica(
-            state.replicas.usable(self._exchange.service.name, now_s=now_s),
+            state.usable_replicas(self._exchange.service.name, now_s=now_s),
             ledger=state.ledger,
             health=state.health,
             excluded=self._excluded,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -191,11 +191,15 @@
             if engine.stage is Stage.DECODE
             and not engine.draining
             and health.suspected(engine.replica_id, now_s)
+            # It has answered lately, and wants no further calls for a while.
+            and not self._state.backoff.active(engine.replica_id, now_s)
         ]
         return {e.replica_id for e in suspects if self._calls.report(e) is None}
 
     def _order(self, change: StageChange) -> None:
         replica = change.replica
+        if self._state.backoff.active(replica.replica_id, time.monotonic()):
+            return
         report = self._calls.report(replica)
         if report is None or report.order_in_progress:
             return
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -75,7 +75,9 @@
             if replica is None and last is not None:
                 return last
             if replica is None:
-                raise exchange.not_served("no replica is left", RETRY_AFTER_NONE_S)
+                raise exchange.not_served(
+                    "no replica is left", self._retry_after_s(exchange)
+                )
             excluded.add(replica.replica_id)
             outcome = self._send(exchange, replica)
             if isinstance(outcome, Answered):
@@ -99,6 +101,12 @@
         assert isinstance(outcome, Lost)
         raise exchange.failed(outcome.reason)
 
+    def _retry_after_s(self, exchange: Exchange) -> float:
+        """Return when a replica may be there, which full ones have told."""
+        state, now_s = self._state, time.monotonic()
+        replicas = state.replicas.usable(exchange.service.name, now_s=now_s)
+        return state.backoff_left_s(replicas, now_s) or RETRY_AFTER_NONE_S
+
     def _may_repeat(self, exchange: Exchange, outcome: SendOutcome) -> bool:
         route = exchange.route
         if not route.repeatable and not isinstance(outcome, NotRun):
@@ -113,7 +121,7 @@
     def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
         state, now_s = self._state, time.monotonic()
         return choose_replica(
-            state.replicas.usable(exchange.service.name, now_s=now_s),
+            state.usable_replicas(exchange.service.name, now_s=now_s),
             ledger=state.ledger,
             health=state.health,
             excluded=excluded,
@@ -163,7 +171,7 @@
             body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
         except NotConnected as error:
             exchange.sends -= 1
-            state.health.note_unreachable(replica.replica_id, time.monotonic())
+            state.note_not_connected(replica, error, now_s=time.monotonic())
             return NotRun(str(error), sent=False)
         except AnswerLost as error:
             exchange.may_have_run = True
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -95,7 +95,7 @@
             )
             body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
         except NotConnected as error:
-            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            state.note_not_connected(engine, error, now_s=time.monotonic())
             return PromptNotRead(str(error), sent=False)
         except AnswerLost as error:
             state.health.note_unreachable(engine.replica_id, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -2,10 +2,11 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
 from persimmonyoke.internal.dispatch.health import ReplicaHealth
 from persimmonyoke.internal.dispatch.loads import WorkLedger
@@ -17,7 +18,11 @@
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges, UpstreamWire
+from persimmonyoke.internal.fleet.interfaces import (
+    AnswerFacts,
+    RelayedChanges,
+    UpstreamWire,
+)
 from persimmonyoke.internal.fleet.model import (
     ClientLimits,
     Configuration,
@@ -37,7 +42,11 @@
 from persimmonyoke.internal.fleet.store_contact import StoreContact
 from persimmonyoke.internal.fleet.view_age import ViewAge
 from persimmonyoke.internal.gateway.attempts import AttemptStart
-from persimmonyoke.internal.gateway.connections import ConnectionPool
+from persimmonyoke.internal.gateway.connections import (
+    ConnectionPool,
+    NotConnected,
+    ReplicaWaits,
+)
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
 from persimmonyoke.internal.gateway.settings import GatewaySettings
@@ -59,6 +68,8 @@
 A change takes 3 s; an order may also never be carried out.
 """
 
+_MISDIRECTED, _UNAVAILABLE = 421, 503
+
 LEAST_HOSTS = 4
 """Hosts among which the slack is divided at least, while hosts still register."""
 
@@ -101,6 +112,7 @@
         self.hosts = HostView(settings.host_name)
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
+        self.backoff = ReplicaBackoff()
         self.prefixes = PrefixIndex()
         self.factors = EngineFactors()
         self.sizes = RouteSizes()
@@ -230,6 +242,52 @@
         now_s = time.monotonic()
         return AttemptStart(stage, replica.replica_id, now_s, self.view.age_s(now_s))
 
+    def note_answer(
+        self, replica: Replica, status: int, facts: AnswerFacts, *, now_s: float
+    ) -> None:
+        """Note what the head of an answer says of its replica."""
+        if status == _MISDIRECTED:
+            # Another replica has the address now.
+            return
+        if facts.leaving:
+            changes = self.replicas.note_leaving(replica, now_s=now_s)
+            self.apply_replica_changes(changes, now_s=now_s)
+        if status == _UNAVAILABLE and facts.retry_after_s is not None:
+            self.backoff.note(replica.replica_id, facts.retry_after_s, now_s=now_s)
+            self.journal.event(
+                "replica_turned_away",
+                replica=replica.replica_id,
+                retry_after_ms=int(facts.retry_after_s * 1_000),
+            )
+
+    def note_not_connected(
+        self, replica: Replica, error: NotConnected, *, now_s: float
+    ) -> None:
+        """Note that no byte of a call reached a replica."""
+        if not isinstance(error, ReplicaWaits):
+            self.health.note_unreachable(replica.replica_id, now_s)
+
+    def usable_replicas(self, service: str, *, now_s: float) -> list[Replica]:
+        """Return the replicas of a service that this host may send work to now."""
+        return self._without_backoff(self.replicas.usable(service, now_s=now_s), now_s)
+
+    def leaving_replicas(self, service: str, *, now_s: float) -> list[Replica]:
+        """Return replicas that have just begun to leave and still take work."""
+        return self._without_backoff(self.replicas.leaving(service, now_s=now_s), now_s)
+
+    def backoff_left_s(self, replicas: Iterable[Replica], now_s: float) -> float | None:
+        """Return when the first of some replicas takes requests from this host again.
+
+        ``None`` says that none of them asked this host to wait.
+        """
+        waits = [self.backoff.left_s(r.replica_id, now_s) for r in replicas]
+        return min((wait_s for wait_s in waits if wait_s > 0.0), default=None)
+
+    def _without_backoff(
+        self, replicas: Iterable[Replica], now_s: float
+    ) -> list[Replica]:
+        return [r for r in replicas if not self.backoff.active(r.replica_id, now_s)]
+
     def note_store_lost(self, error: Exception) -> None:
         """Note that the store does not answer this host."""
         if self.store_connected:
@@ -289,6 +347,7 @@
         self.pool.drop_replica(replica)
         self.ledger.forget(replica.replica_id)
         self.health.forget(replica.replica_id)
+        self.backoff.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
         self.factors.forget(replica.replica_id)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -153,7 +153,7 @@
                 deadline_s=exchange.deadline_s - ANSWER_MARGIN_S,
             )
         except NotConnected as error:
-            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            state.note_not_connected(engine, error, now_s=time.monotonic())
             return RunRejected(str(error), sent=False)
         except AnswerLost as error:
             exchange.may_have_run = True
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -10,6 +10,7 @@
 from persimmonyoke.internal.gateway.client_connection import ClientGone
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
+    ReplicaWaits,
     UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -83,6 +84,8 @@
         then closed.
         """
         now_s = time.monotonic()
+        if self._state.backoff.active(replica.replica_id, now_s):
+            raise ReplicaWaits(f"{replica.address} asked for no requests for a while")
         connection = self._state.pool.take(
             replica, timeout_s=deadline_s - now_s, now_s=now_s
         )
@@ -127,6 +130,9 @@
         for _ in range(MAX_FOREIGN_ANSWERS + 1):
             head = connection.read_head(timeout_s=deadline_s - time.monotonic())
             facts = self._state.wire.answer_facts(head.headers)
+            self._state.note_answer(
+                connection.replica, head.status, facts, now_s=time.monotonic()
+            )
             if facts.request_id is None or facts.request_id == request_id:
                 return OpenAnswer(connection, head, facts)
             self._state.journal.event(
