Send all that is due to a host in one datagram, and read bursts at once

Change: sums, news and states that a collecting host sends in one turn share datagrams up to 1,400 bytes, and a host waits 5 ms for the whole burst before it reads. States of hosts are sent each 0.4 s within a zone and each 0.8 s from others.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
@@ -1,7 +1,11 @@
-"""Format of the datagrams that a collecting host sends: sums, news and host states."""
+"""Format of the datagrams that a collecting host sends: sums, news and host states.
 
+A datagram holds several messages, since each one received costs more than its decoding.
+"""
+
+import io
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,11 +20,14 @@
 DIGEST_FORMAT, NEWS_FORMAT, STATES_FORMAT = 6, 7, 8
 
 SEQUENCE_PREFIX = b"\x44"
-"""Head of a CBOR byte string of four bytes: the sequence number before a digest."""
+"""Head of a CBOR byte string of four bytes: the sequence number before the messages."""
 
 SEQUENCE = struct.Struct(">I")
 PREFIX_BYTES = len(SEQUENCE_PREFIX) + SEQUENCE.size
 
+MAX_DATAGRAM_BYTES = 1_400
+"""Datagrams below the usual MTU are not fragmented."""
+
 
 @dataclass(frozen=True)
 class DigestMessage:
@@ -65,8 +72,15 @@
 CollectorMessage = DigestMessage | NewsMessage | StatesMessage
 
 
+@dataclass(frozen=True)
+class CollectorDatagram:
+    """Hold the messages that a collecting host sent at once."""
+
+    messages: tuple[CollectorMessage, ...]
+
+
 def encode_digest(message: DigestMessage) -> bytes:
-    """Return a digest as the part of a datagram that all receivers share."""
+    """Return the encoded sum."""
     digest = message.digest
     work = {
         replica_id: [int(item.read_s * 1_000), item.running, item.tokens]
@@ -85,13 +99,25 @@
     )
 
 
-def address_digest(encoded: bytes, sequence: int) -> bytes:
+def pack(messages: Iterable[bytes]) -> list[bytes]:
+    """Join messages to as few datagrams as they fit into, without their prefix."""
+    packed: list[bytes] = []
+    for message in messages:
+        room = MAX_DATAGRAM_BYTES - PREFIX_BYTES - len(message)
+        if packed and len(packed[-1]) <= room:
+            packed[-1] += message
+        else:
+            packed.append(message)
+    return packed
+
+
+def address(packed: bytes, sequence: int) -> bytes:
     """Return the datagram for the host whose report has this number."""
-    return SEQUENCE_PREFIX + SEQUENCE.pack(sequence) + encoded
+    return SEQUENCE_PREFIX + SEQUENCE.pack(sequence) + packed
 
 
 def encode_news(message: NewsMessage) -> bytes:
-    """Return news as one datagram."""
+    """Return the encoded news."""
     placements = [
         [item.part_id, item.replica_id, item.ready_in_ms] for item in message.placements
     ]
@@ -101,7 +127,7 @@
 
 
 def encode_states(message: StatesMessage, *, now_s: float) -> bytes:
-    """Return states of hosts as one datagram; times are sent as ages."""
+    """Return the encoded states of hosts; times are sent as ages."""
     rows = [
         [
             item.name,
@@ -118,30 +144,22 @@
     return cbor2.dumps([STATES_FORMAT, message.sender, rows])
 
 
-def is_digest(raw: bytes) -> bool:
-    """Return whether a datagram begins like a digest."""
+def is_collectors(raw: bytes) -> bool:
+    """Return whether a datagram begins like one of a collecting host."""
     return raw.startswith(SEQUENCE_PREFIX)
 
 
-def decode_digest(raw: bytes) -> DigestMessage:
-    """Return the digest in a datagram; raise ``ProtocolError``."""
+def decode_messages(raw: bytes, *, now_s: float) -> CollectorDatagram:
+    """Return the messages in a datagram received now; raise ``ProtocolError``."""
     try:
         (sequence,) = SEQUENCE.unpack_from(raw, len(SEQUENCE_PREFIX))
-        values = cbor2.loads(raw[PREFIX_BYTES:])
-        format_number, sender, zone, part, work, queued_ms, suspects = values
-        if format_number != DIGEST_FORMAT:
-            raise ProtocolError(f"format {format_number!r} is not known")
-        digest = WorkDigest(
-            part=int(part),
-            work={
-                str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
-                for replica_id, (ms, running, tokens) in work.items()
-            },
-            queued_s=queued_ms / 1_000,
-            suspects=tuple(str(replica_id) for replica_id in suspects),
-        )
-        zone = None if zone is None else str(zone)
-        return DigestMessage(str(sender), zone, digest, sequence)
+        source = io.BytesIO(raw)
+        source.seek(PREFIX_BYTES)
+        decoder = cbor2.CBORDecoder(source)
+        messages = []
+        while source.tell() < len(raw):
+            messages.append(_message(decoder.decode(), sequence, now_s))
+        return CollectorDatagram(tuple(messages))
     except (
         cbor2.CBORDecodeError,
         struct.error,
@@ -149,11 +167,36 @@
         TypeError,
         AttributeError,
     ) as error:
-        raise ProtocolError(f"malformed digest: {error}") from error
+        raise ProtocolError(f"malformed datagram: {error}") from error
+
+
+def _message(fields: Sequence[Any], sequence: int, now_s: float) -> CollectorMessage:
+    format_number, *values = fields
+    if format_number == DIGEST_FORMAT:
+        return _digest(values, sequence)
+    if format_number == NEWS_FORMAT:
+        return _news(values)
+    if format_number == STATES_FORMAT:
+        return _states(values, now_s)
+    raise ProtocolError(f"format {format_number!r} is not known")
+
+
+def _digest(values: Sequence[Any], sequence: int) -> DigestMessage:
+    sender, zone, part, work, queued_ms, suspects = values
+    digest = WorkDigest(
+        part=int(part),
+        work={
+            str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
+            for replica_id, (ms, running, tokens) in work.items()
+        },
+        queued_s=queued_ms / 1_000,
+        suspects=tuple(str(replica_id) for replica_id in suspects),
+    )
+    zone = None if zone is None else str(zone)
+    return DigestMessage(str(sender), zone, digest, sequence)
 
 
-def news_from(values: Sequence[Any]) -> NewsMessage:
-    """Return the news that the fields of a datagram hold."""
+def _news(values: Sequence[Any]) -> NewsMessage:
     sender, zone, placements, refused = values
     return NewsMessage(
         sender=str(sender),
@@ -166,8 +209,7 @@
     )
 
 
-def states_from(values: Sequence[Any], *, now_s: float) -> StatesMessage:
-    """Return the states that the fields of a datagram received now hold."""
+def _states(values: Sequence[Any], now_s: float) -> StatesMessage:
     sender, rows = values
     hosts = tuple(_host_state(row, now_s) for row in rows)
     return StatesMessage(str(sender), hosts)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -11,13 +11,9 @@
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.gateway.digest_messages import (
-    NEWS_FORMAT,
-    STATES_FORMAT,
-    CollectorMessage,
-    decode_digest,
-    is_digest,
-    news_from,
-    states_from,
+    CollectorDatagram,
+    decode_messages,
+    is_collectors,
 )
 from persimmonyoke.internal.gateway.state import PartPlacement
 
@@ -85,19 +81,15 @@
 
 def decode_datagram(
     raw: bytes, *, now_s: float
-) -> PeerMessage | RelayedChanges | CollectorMessage:
+) -> PeerMessage | RelayedChanges | CollectorDatagram:
     """Return what a datagram received now holds; raise ``ProtocolError``."""
-    if is_digest(raw):
-        return decode_digest(raw)
+    if is_collectors(raw):
+        return decode_messages(raw, now_s=now_s)
     try:
         format_number, *values = cbor2.loads(raw)
         if format_number == CHANGES_FORMAT:
             after_revision, encoded = values
             return RelayedChanges(int(after_revision), bytes(encoded))
-        if format_number == NEWS_FORMAT:
-            return news_from(values)
-        if format_number == STATES_FORMAT:
-            return states_from(values, now_s=now_s)
         if format_number != FORMAT:
             raise ProtocolError(f"format {format_number!r} is not known")
         return _message(values)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -20,6 +20,7 @@
 from persimmonyoke.internal.fleet.cache_duty import CollectingView
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.gateway.digest_messages import MAX_DATAGRAM_BYTES
 from persimmonyoke.internal.gateway.peer_messages import (
     PeerMessage,
     decode_datagram,
@@ -52,9 +53,6 @@
 MAX_PLACEMENTS = 24
 MAX_REPLICAS = 24
 MAX_REFUSED = 16
-MAX_DATAGRAM_BYTES = 1_400
-"""Datagrams below the usual MTU are not fragmented."""
-
 RECEIVE_PAUSE_SHARE = 0.1
 """Pause between reads of what has arrived, as a share of the interval of near peers.
 
@@ -63,6 +61,9 @@
 newest.
 """
 
+BURST_S = 0.005
+"""Time in which the datagrams that a collecting host sends at once arrive."""
+
 MAX_RECEIVED_AT_ONCE = 64
 """Datagrams that are applied before other tasks have their turn."""
 
@@ -324,11 +325,23 @@
         assert self._socket is not None
         while True:
             wait_read(self._socket.fileno())
-            while self._receive_pending():
-                gevent.sleep(RECEIVE_PAUSE_SHARE * self._near.interval_s)
-
-    def _receive_pending(self) -> bool:
-        """Apply the datagrams that have arrived; return whether there were any."""
+            if self._relays():
+                self._receive_burst()
+            else:
+                self._receive_while_any_come()
+
+    def _receive_burst(self) -> None:
+        """Apply what a collecting host sends at once."""
+        gevent.sleep(BURST_S)
+        while self._receive_pending() == MAX_RECEIVED_AT_ONCE:
+            gevent.sleep(0)
+
+    def _receive_while_any_come(self) -> None:
+        while self._receive_pending():
+            gevent.sleep(RECEIVE_PAUSE_SHARE * self._near.interval_s)
+
+    def _receive_pending(self) -> int:
+        """Apply the datagrams that have arrived; return how many there were."""
         heard_peer, received = False, 0
         while received < MAX_RECEIVED_AT_ONCE:
             raw = self._next_datagram()
@@ -338,7 +351,7 @@
             heard_peer |= self._take(raw)
         if heard_peer:
             self._state.on_peer_work()
-        return received > 0
+        return received
 
     def _next_datagram(self) -> bytes | None:
         """Return a datagram that has arrived, or ``None``."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -2,13 +2,13 @@
 
 A host reports its work to the hosts that collect for its zone. The collecting host
 sends the sum to all hosts of the zone and to those that collect for other zones, and
-the sum of what it hears from these to its zone. So a host sends and receives some fifty
-datagrams a second, however many hosts there are.
+the sum of what it hears from these to its zone. So a host sends and receives some tens
+of datagrams a second, however many hosts there are.
 """
 
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
 from persimmonyoke.internal.dispatch.digests import (
     NO_SEQUENCE,
@@ -21,15 +21,16 @@
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.gateway.digest_messages import (
-    CollectorMessage,
+    CollectorDatagram,
     DigestMessage,
     HostState,
     NewsMessage,
     StatesMessage,
-    address_digest,
+    address,
     encode_digest,
     encode_news,
     encode_states,
+    pack,
 )
 from persimmonyoke.internal.gateway.peer_messages import PeerMessage, peer_state
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
@@ -41,17 +42,16 @@
 FAR_INTERVAL_S = 0.2
 """Intervals of the sums over the own zone and over the others."""
 
-STATES_INTERVAL_S = 0.3
-FAR_STATES_INTERVAL_S = 0.6
+STATES_INTERVAL_S = 0.4
+FAR_STATES_INTERVAL_S = 0.8
 """Intervals of the states of the hosts of the own zone and of the others."""
 
 STATE_KEEP_S = 2.0
 """Age at which a host's state is no longer passed on."""
 
-STATES_PER_DATAGRAM = 20
-NEWS_PER_DATAGRAM = 32
-NEWS_DATAGRAMS = 4
-"""Datagrams with news to one host at each turn, so that none piles up."""
+STATES_PER_MESSAGE = 10
+NEWS_PER_MESSAGE = 32
+NEWS_MESSAGES_PER_TURN = 4
 
 MAX_NEWS = 4_096
 """Placements and refused requests that wait to be passed on.
@@ -108,8 +108,8 @@
         """Return the next news, or ``None`` if there are none."""
         if not self._placements and not self._refused:
             return None
-        placements = _take(self._placements, NEWS_PER_DATAGRAM)
-        refused = _take(self._refused, NEWS_PER_DATAGRAM)
+        placements = _take(self._placements, NEWS_PER_MESSAGE)
+        refused = _take(self._refused, NEWS_PER_MESSAGE)
         return NewsMessage(sender, zone, placements, refused)
 
 
@@ -117,6 +117,14 @@
     return tuple(pending.popleft() for _ in range(min(limit, len(pending))))
 
 
+@dataclass
+class Outgoing:
+    """Hold messages for the own zone and for the collecting hosts of others."""
+
+    near: list[bytes] = field(default_factory=list)
+    far: list[bytes] = field(default_factory=list)
+
+
 class HostRelay:
     """Report to the collecting hosts, and collect where this host is one of them."""
 
@@ -213,22 +221,27 @@
             self._catch_up.clear()
             return
         self._election.note_heard(self._name, now_s=now_s)
-        if self._digests.take(now_s):
-            self._send_digests(now_s)
-            self._send_news()
-        if self._states.take(now_s):
-            self._send_states(now_s)
-
-    def take(self, message: CollectorMessage, *, now_s: float) -> bool:
-        """Apply a collecting host's message; return whether it tells of work."""
-        match message:
-            case DigestMessage():
-                return self._take_digest(message, now_s)
-            case NewsMessage():
-                self._take_news(message, now_s)
-            case StatesMessage():
-                self._take_states(message, now_s)
-        return False
+        if not self._digests.take(now_s):
+            return
+        digests, states = self._digest_messages(now_s), self._state_messages(now_s)
+        near = [*digests.near, *self._news_messages(self._near_news), *states.near]
+        far = [*digests.far, *self._news_messages(self._far_news), *states.far]
+        self._send(self._members(), near)
+        self._send(self._far_collectors(), far)
+        self._send_catch_up()
+
+    def take(self, datagram: CollectorDatagram, *, now_s: float) -> bool:
+        """Apply what a collecting host sent; return whether it tells of work."""
+        tells_of_work = False
+        for message in datagram.messages:
+            match message:
+                case DigestMessage():
+                    tells_of_work |= self._take_digest(message, now_s)
+                case NewsMessage():
+                    self._take_news(message, now_s)
+                case StatesMessage():
+                    self._take_states(message, now_s)
+        return tells_of_work
 
     def _is_fresh(self, message: PeerMessage) -> bool:
         """Return whether a report is from a host that has just started."""
@@ -270,78 +283,81 @@
             found.extend(e for e in entries[FAR_COLLECTORS:] if e.name == source)
         return found
 
-    def _send_digests(self, now_s: float) -> None:
-        far_is_due = self._far_digests.take(now_s)
+    def _digest_messages(self, now_s: float) -> Outgoing:
+        """Return the sums that are due, and apply them here."""
+        out = Outgoing()
         replica_count = len(self._state.replicas.all())
-        near = self._board.near(replica_count, now_s=now_s)
-        self._send_to_members(self._zone, near, now_s)
-        if not far_is_due:
-            return
-        self._send_to_members(None, self._board.far(replica_count, now_s=now_s), now_s)
-        collectors = self._far_collectors()
-        for digest in near:
-            encoded = encode_digest(DigestMessage(self._name, self._zone, digest))
-            for entry in collectors:
-                self._send_to(entry, address_digest(encoded, 0))
-
-    def _send_to_members(
-        self, zone: str | None, digests: Sequence[WorkDigest], now_s: float
-    ) -> None:
-        """Send a sum to the hosts of the own zone, this one too."""
-        for digest in digests:
-            message = DigestMessage(self._name, zone, digest, self._sequence)
-            encoded = encode_digest(message)
-            for entry in self._members():
-                sequence = self._board.sequence_of(entry.name)
-                self._send_to(entry, address_digest(encoded, sequence))
-            self._apply_digest(message, now_s)
-
-    def _send_news(self) -> None:
-        self._send_queue(self._near_news, self._members())
-        self._send_queue(self._far_news, self._far_collectors())
-        members = {entry.name: entry for entry in self._members()}
-        for name, news in list(self._catch_up.items()):
-            receivers = [members[name]] if name in members else []
-            if not self._send_queue(news, receivers):
-                del self._catch_up[name]
-
-    def _send_queue(self, news: NewsQueue, receivers: Sequence[HostEntry]) -> bool:
-        """Send the next news; return whether there may be more."""
-        for _ in range(NEWS_DATAGRAMS):
-            message = news.take(self._name, self._zone)
-            if message is None:
-                return False
-            data = encode_news(message)
-            for entry in receivers:
-                self._send_to(entry, data)
-        return True
+        for digest in self._board.near(replica_count, now_s=now_s):
+            encoded = self._encode_and_apply(self._zone, digest, now_s)
+            out.near.append(encoded)
+            out.far.append(encoded)
+        if not self._far_digests.take(now_s):
+            out.far.clear()
+            return out
+        for digest in self._board.far(replica_count, now_s=now_s):
+            out.near.append(self._encode_and_apply(None, digest, now_s))
+        return out
+
+    def _encode_and_apply(
+        self, zone: str | None, digest: WorkDigest, now_s: float
+    ) -> bytes:
+        message = DigestMessage(self._name, zone, digest, self._sequence)
+        self._apply_digest(message, now_s)
+        return encode_digest(message)
 
-    def _send_states(self, now_s: float) -> None:
-        hosts = self._state.hosts
+    def _state_messages(self, now_s: float) -> Outgoing:
+        """Return the states of hosts that are due."""
+        out, hosts = Outgoing(), self._state.hosts
+        if not self._states.take(now_s):
+            return out
         near = hosts.states(self._zone, newer_than_s=now_s - STATE_KEEP_S)
         if self._own_state is not None:
             near[self._name] = self._own_state
-        self._send_rows(near, self._members(), now_s)
+        out.near.extend(self._encode_states(near, now_s))
         if not self._far_states.take(now_s):
-            return
-        self._send_rows(near, self._far_collectors(), now_s)
+            return out
+        out.far.extend(out.near)
         for zone in hosts.zones():
             if zone != self._zone:
                 far = hosts.states(zone, newer_than_s=now_s - STATE_KEEP_S)
-                self._send_rows(far, self._members(), now_s)
+                out.near.extend(self._encode_states(far, now_s))
+        return out
 
-    def _send_rows(
-        self,
-        states: Mapping[str, PeerState],
-        receivers: Sequence[HostEntry],
-        now_s: float,
-    ) -> None:
+    def _encode_states(
+        self, states: Mapping[str, PeerState], now_s: float
+    ) -> list[bytes]:
         rows = [HostState(name, state) for name, state in states.items()]
-        for first in range(0, len(rows), STATES_PER_DATAGRAM):
-            chunk = tuple(rows[first : first + STATES_PER_DATAGRAM])
-            data = encode_states(StatesMessage(self._name, chunk), now_s=now_s)
+        chunks = (
+            tuple(rows[first : first + STATES_PER_MESSAGE])
+            for first in range(0, len(rows), STATES_PER_MESSAGE)
+        )
+        return [
+            encode_states(StatesMessage(self._name, chunk), now_s=now_s)
+            for chunk in chunks
+        ]
+
+    def _news_messages(self, news: NewsQueue) -> list[bytes]:
+        """Return the next news, so much that none piles up."""
+        messages = (
+            news.take(self._name, self._zone) for _ in range(NEWS_MESSAGES_PER_TURN)
+        )
+        return [encode_news(message) for message in messages if message is not None]
+
+    def _send_catch_up(self) -> None:
+        """Send hosts that have just started what they missed."""
+        members = {entry.name: entry for entry in self._members()}
+        for name, news in list(self._catch_up.items()):
+            messages = self._news_messages(news)
+            if name in members:
+                self._send([members[name]], messages)
+            if not messages or name not in members:
+                del self._catch_up[name]
+
+    def _send(self, receivers: Sequence[HostEntry], messages: Sequence[bytes]) -> None:
+        for packed in pack(messages):
             for entry in receivers:
-                self._send_to(entry, data)
+                sequence = self._board.sequence_of(entry.name)
+                self._send_to(entry, address(packed, sequence))
 
     def _take_digest(self, message: DigestMessage, now_s: float) -> bool:
         if message.zone is not None and message.zone != self._zone:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -2,8 +2,20 @@
 
 import unittest
 
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.dispatch.digests import WorkDigest
 from persimmonyoke.internal.fleet.collectors import COPIES
-from persimmonyoke.internal.gateway.peers import MAX_DATAGRAM_BYTES
+from persimmonyoke.internal.gateway.digest_messages import (
+    MAX_DATAGRAM_BYTES,
+    DigestMessage,
+    address,
+    decode_messages,
+    encode_digest,
+    pack,
+)
+from persimmonyoke.internal.gateway.peer_messages import decode_datagram
 from persimmonyoke.internal.gateway.state import PartPlacement
 from persimmonyoke_testing.relay_network import STARTED_S, RelayNetwork
 
@@ -93,6 +105,28 @@
         self.assertLessEqual(self.network.longest_bytes, MAX_DATAGRAM_BYTES)
 
 
+class MalformedTest(unittest.TestCase):
+    def test_malformed_datagrams_of_collecting_hosts_are_refused(self):
+        digest = encode_digest(DigestMessage("a", "z1", WorkDigest(0, {})))
+        whole = address(digest, 3)
+        (message,) = decode_messages(whole, now_s=STARTED_S).messages
+        self.assertEqual(message.sequence, 3)
+        cases = {
+            "cut": whole[:-1],
+            "no number": whole[:3],
+            "other format": address(cbor2.dumps([99, 1]), 3),
+            "no list": address(cbor2.dumps(5), 3),
+            "field": address(cbor2.dumps([6, "a", "z1", 0, {"e": 5}, 0, []]), 3),
+        }
+        for name, raw in cases.items():
+            with self.subTest(name), self.assertRaises(ProtocolError):
+                decode_datagram(raw, now_s=STARTED_S)
+
+    def test_messages_share_datagrams_up_to_their_size(self):
+        packed = pack([b"a" * 600, b"b" * 600, b"c" * 600])
+        self.assertEqual([len(part) for part in packed], [1_200, 600])
+
+
 class CostTest(unittest.TestCase):
     def test_a_host_gets_no_more_datagrams_when_there_are_more_hosts(self):
         # With datagrams of each host to each other, a host of 195 got 350 a second.
