Pass changes of the store on in parts, and only by hosts that watch

Cause: changes above 1,400 bytes were not passed on. A configuration of 29 routes is larger, as are registrations that one call brings, so each host that does not watch asked the store itself, and then passed on to its whole zone what it had missed.

Change: changes are compressed and sent in up to 32 datagrams, which the receiver joins; only hosts that watch pass on.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -213,7 +213,9 @@
             ),
         )
         self._state.note_store_answer(time.monotonic())
-        self._pass_on(RelayedChanges(revision, changes.encoded))
+        # What a host has missed and asks for, each of its peers may ask for as well.
+        if watched and changes.revision != revision:
+            self._pass_on(RelayedChanges(revision, changes.encoded))
         self._note_told(changes.revision, time.monotonic())
         self._updates.apply_events(changes.events, watched=watched)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -9,7 +9,11 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.fleet.hosts import PeerState
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.gateway.change_parts import (
+    CHANGES_FORMAT,
+    ChangesPart,
+    part_from,
+)
 from persimmonyoke.internal.gateway.digest_messages import (
     CollectorDatagram,
     decode_messages,
@@ -18,7 +22,6 @@
 from persimmonyoke.internal.gateway.state import PartPlacement
 
 FORMAT = 5
-CHANGES_FORMAT = 3
 
 
 @dataclass(frozen=True)
@@ -74,22 +77,16 @@
     )
 
 
-def encode_changes(message: RelayedChanges) -> bytes:
-    """Return changes of the store as one datagram."""
-    return cbor2.dumps([CHANGES_FORMAT, message.after_revision, message.encoded])
-
-
 def decode_datagram(
     raw: bytes, *, now_s: float
-) -> PeerMessage | RelayedChanges | CollectorDatagram:
+) -> PeerMessage | ChangesPart | CollectorDatagram:
     """Return what a datagram received now holds; raise ``ProtocolError``."""
     if is_collectors(raw):
         return decode_messages(raw, now_s=now_s)
     try:
         format_number, *values = cbor2.loads(raw)
         if format_number == CHANGES_FORMAT:
-            after_revision, encoded = values
-            return RelayedChanges(int(after_revision), bytes(encoded))
+            return part_from(values)
         if format_number != FORMAT:
             raise ProtocolError(f"format {format_number!r} is not known")
         return _message(values)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -20,11 +20,14 @@
 from persimmonyoke.internal.fleet.cache_duty import CollectingView
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
-from persimmonyoke.internal.gateway.digest_messages import MAX_DATAGRAM_BYTES
+from persimmonyoke.internal.gateway.change_parts import (
+    ChangesAssembler,
+    ChangesPart,
+    encode_changes,
+)
 from persimmonyoke.internal.gateway.peer_messages import (
     PeerMessage,
     decode_datagram,
-    encode_changes,
     encode_message,
     peer_state,
 )
@@ -156,6 +159,7 @@
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._relay = HostRelay(state, self._send_to, now_s=time.monotonic())
         self._reported_changes = -1
+        self._changes = ChangesAssembler()
         self._tasks: list[gevent.Greenlet] = []
         self.malformed = 0
 
@@ -191,9 +195,9 @@
 
     def pass_on(self, changes: RelayedChanges) -> None:
         """Tell the peers of the own zone what the store told this host."""
-        data = encode_changes(changes)
-        if len(data) <= MAX_DATAGRAM_BYTES:
-            self._send_raw(self._peers()[0], data)
+        near, _far = self._peers()
+        for data in encode_changes(changes):
+            self._send_raw(near, data)
 
     def _send_loop(self) -> None:
         while True:
@@ -372,13 +376,23 @@
             if self.malformed == 1:
                 self._state.journal.failure("datagram_ignored", error)
             return False
-        if isinstance(message, RelayedChanges):
-            self._state.on_store_changes(message)
+        if isinstance(message, ChangesPart):
+            self._take_changes(message)
             return False
         if not isinstance(message, PeerMessage):
             return self._relay.take(message, now_s=now_s)
         return self._apply(message, now_s)
 
+    def _take_changes(self, part: ChangesPart) -> None:
+        """Apply what the store told a peer, once all of it is here."""
+        try:
+            changes = self._changes.add(part)
+        except ProtocolError as error:
+            self._state.journal.failure("relayed_changes_malformed", error)
+            return
+        if changes is not None:
+            self._state.on_store_changes(changes)
+
     def _apply(self, message: PeerMessage, now_s: float) -> bool:
         """Apply a peer's state; return whether its work counts by itself."""
         state = self._state
