--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -76,6 +76,17 @@
                 holders = running.state.prefixes.holders("p")
                 self.assertEqual(holders, ("e1",), name)
 
+    def test_a_restarted_host_learns_what_engines_hold_from_the_collecting_one(self):
+        # Asking each engine would delay all of them at each restart.
+        parts = [PartPlacement(f"p{number}", "e1", 0) for number in range(300)]
+        self.network.hosts["z1-007"].placements.extend(parts)
+        self.network.run(2.0)
+        self.network.restart("z1-004")
+        self.network.run(2.0)
+        prefixes = self.network.hosts["z1-004"].state.prefixes
+        known = [p for p in parts if prefixes.holders(p.part_id) == ("e1",)]
+        self.assertEqual(len(known), len(parts))
+
     def test_hosts_hear_of_each_other_through_the_collecting_ones(self):
         # Callers are sent to hosts that are heard, and not to silent ones.
         self.network.lost.add("z3-005")
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/relay_network.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/relay_network.py
@@ -56,6 +56,11 @@
                 if name not in self.lost:
                     self._turn(name, running)
 
+    def restart(self, name: str) -> None:
+        """Start a host anew, so that it knows nothing."""
+        (entry,) = (entry for entry in self.entries if entry.name == name)
+        self.hosts[name] = self._start(entry)
+
     def forget_counts(self) -> None:
         """Count datagrams anew."""
         self.sent.clear()
