Let engines decode as the runs need it

Cause: one engine in six decodes, whatever the mix. With answers four times as long the one decode engine of six was full, streams were begun on it and ended without an event, and prefill engines stood idle.

Change: each host follows how many engines the runs fill and how many the prompts keep reading. The holder of orders gives the decode stage the engines that the runs need, at most their share of the load of both, and at least one in six as before; one at a time is taken back ten seconds after the load.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/placement.py
@@ -13,6 +13,7 @@
     read_s,
     transfer_s,
 )
+from persimmonyoke.internal.dispatch.decode_demand import MAX_FILL, StageLoad
 from persimmonyoke.internal.dispatch.loads import WorkLedger
 from persimmonyoke.internal.dispatch.prefixes import PrefixIndex
 from persimmonyoke.internal.dispatch.speeds import EngineFactors
@@ -213,6 +214,38 @@
         slots = max(1, engine.slots or limits.slots)
         return max(work.running / slots, work.tokens / limits.kv_tokens)
 
+    def _decode_fills(
+        self, engines: Sequence[Replica], limits: EngineLimits, now_s: float
+    ) -> list[float]:
+        return [
+            self.decode_fill(engine, limits, now_s=now_s)
+            for engine in engines
+            if engine.stage is Stage.DECODE
+        ]
+
+    def stage_load(
+        self,
+        engines: Sequence[Replica],
+        limits: EngineLimits,
+        *,
+        waiting_s: float,
+        now_s: float,
+    ) -> StageLoad:
+        """Return how many engines the work of all hosts fills or keeps reading.
+
+        A second of reading that waits for an engine counts as one more of them.
+        """
+        fills = self._decode_fills(engines, limits, now_s)
+        readers = [engine for engine in engines if engine.stage is Stage.PREFILL]
+        busy = sum(
+            1
+            for engine in readers
+            if self._ledger.backlog_s(engine.replica_id, now_s=now_s) > 0.0
+        )
+        reading = min(MAX_FILL * len(readers), busy + waiting_s)
+        decoding = sum(min(MAX_FILL, fill) for fill in fills)
+        return StageLoad(decoding=decoding, reading=reading)
+
     def _plan(
         self,
         prompt: Prompt,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
@@ -1,17 +1,18 @@
 """Plan of the stages of the engines of one service.
 
 Prefill bounds what a deployment can serve: with the engines of the deployment sheets,
-one decode engine generates what five prefill engines read.
+one decode engine generates what five prefill engines read. More of them decode when the
+runs need it (``decode_demand``).
 """
 
 from collections import Counter
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import Replica, Stage
 
 ENGINES_PER_DECODER = 6
-"""Engines of which one decodes; the others read prompts."""
+"""Engines of which one decodes at least; the others read prompts."""
 
 ORDER_KEEP_S = 6.0
 """Time in which an accepted order is expected to show in its engine's entry.
@@ -106,9 +107,12 @@
     *,
     unreachable: Collection[str],
     now_s: float,
+    wanted_of: Callable[[int], int] = decoders_wanted,
 ) -> list[StageChange]:
     """Return the changes that lead to the wanted stages.
 
+    ``wanted_of`` tells how many of a number of engines shall decode.
+
     ``orders`` holds the last order of each engine. An engine leaves the decode stage
     only if enough others decode already: until a change is complete, nobody generates
     in its place. Engines that can't be reached count as lost before their entries end.
@@ -128,7 +132,7 @@
     free = [e for e in usable if e.replica_id not in pending]
     decoding = [e for e in free if e.stage is Stage.DECODE]
     becoming = [r for r, stage in pending.items() if stage is Stage.DECODE]
-    wanted = decoders_wanted(len(usable))
+    wanted = wanted_of(len(usable))
     missing = wanted - len(decoding) - len(becoming)
     if missing > 0:
         readers = [e for e in free if e.stage is not Stage.DECODE]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -6,6 +6,7 @@
 import gevent
 
 from persimmonyoke.errors import LeaseEnded, StoreUnavailable
+from persimmonyoke.internal.dispatch.decode_demand import DecodeDemand, StageLoad
 from persimmonyoke.internal.dispatch.stages import (
     EngineWatch,
     SentOrder,
@@ -54,6 +55,7 @@
         self._term = OrderTerm(self._holder, turn_s=state.settings.lease_s)
         self._orders: dict[str, SentOrder] = {}
         self._watches: dict[str, EngineWatch] = {}
+        self._demands: dict[str, DecodeDemand] = {}
         self._attempts = AttemptSchedule(state.rng)
         self._renewed_s = 0.0
 
@@ -153,10 +155,24 @@
 
     def _look_at_engines(self) -> None:
         """Keep in mind which engines there are, whether or not this host orders."""
+        now_s = time.monotonic()
         for service, engines in self._engines_by_service().items():
-            self._watches.setdefault(service, EngineWatch()).look(
-                engines, now_s=time.monotonic()
-            )
+            self._watches.setdefault(service, EngineWatch()).look(engines, now_s=now_s)
+            demand = self._demands.setdefault(service, DecodeDemand())
+            demand.note(self._stage_load(service, engines, now_s), now_s=now_s)
+
+    def _stage_load(
+        self, service: str, engines: Sequence[Replica], now_s: float
+    ) -> StageLoad:
+        """Return the load of both stages by the work of all hosts."""
+        state = self._state
+        assert state.configuration is not None
+        limits = state.configuration.services[service].engine
+        assert limits is not None
+        waiting_s = state.queued_s() + state.ledger.peers_queued_s(now_s=now_s)
+        return state.placement.stage_load(
+            engines, limits, waiting_s=waiting_s, now_s=now_s
+        )
 
     def _engines_by_service(self) -> dict[str, list[Replica]]:
         configuration = self._state.configuration
@@ -174,7 +190,11 @@
             if not self._watches[service].settled(engines, unreachable, now_s=now_s):
                 continue
             changes = plan_changes(
-                engines, self._orders, unreachable=unreachable, now_s=now_s
+                engines,
+                self._orders,
+                unreachable=unreachable,
+                now_s=now_s,
+                wanted_of=self._demands[service].wanted,
             )
             for change in changes:
                 self._order(change)
