Name the hosts of a caller's zone first where an answer can't hold all

Cause: of 195 hosts callers of a zone got 64 in the order of addresses, from a place that depends on the zone's name. That is one or two zones, often not their own; some hosts stood idle, others had the callers of three zones, and placed work by reports from the zones where the engines of their callers' zone are.

Change: the hosts of the caller's zone come first, then a part of the others in an order without regard to zones. A test with three zones fails before (30 hosts of one zone, none of another).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -188,18 +188,20 @@
     ) -> list[str]:
         """Return the front addresses of the hosts that take new connections.
 
-        With more than ``limit`` hosts the callers of each zone get another part of
-        them, so that all hosts are used; the part stays the same between answers.
+        With more than ``limit`` hosts callers get those of their zone, which know the
+        work at its engines best, and a part of the others: another one for each zone,
+        so that all hosts are used. The part stays the same between answers.
         """
-        found = [own.front_address] if own_ready else []
-        for entry in self.peers():
-            if self._takes_callers(entry, now_s):
-                found.append(entry.front_address)
-        found.sort()
+        found = [own] if own_ready else []
+        found += [e for e in self.peers() if self._takes_callers(e, now_s)]
         if len(found) <= limit:
-            return found
-        first = zlib.crc32(caller_zone.encode()) % len(found)
-        return (found[first:] + found[:first])[:limit]
+            return sorted(entry.front_address for entry in found)
+        near = [e.front_address for e in found if e.availability_zone == caller_zone]
+        far = [e.front_address for e in found if e.availability_zone != caller_zone]
+        # An order without regard to zones, so that the part holds hosts of all.
+        far.sort(key=lambda address: zlib.crc32(address.encode()))
+        first = zlib.crc32(caller_zone.encode()) % max(1, len(far))
+        return (sorted(near) + far[first:] + far[:first])[:limit]
 
     def _takes_callers(self, entry: HostEntry, now_s: float) -> bool:
         peer = self._peers.get(entry.name)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -113,6 +113,21 @@
         self.assertEqual(len(set().union(*answers)), 85)
         self.assertEqual(answers[0], self.named(hosts, "akl"))
 
+    def test_callers_get_the_hosts_of_their_zone_and_some_of_each_other_zone(self):
+        # A part in the order of addresses was often that of one other zone: its hosts
+        # had the callers of three zones, and placed them by older reports.
+        hosts = HostView("host-0")
+        for index, zone in enumerate(("akl", "ham", "wlg")):
+            for number in range(30):
+                port = 1_000 + 100 * index + number
+                entry = host(f"{zone}-{number}", port=port, zone=zone)
+                hosts.put(entry, now_s=NOW_S)
+        zones = [address.split(":")[1][1] for address in self.named(hosts, "ham")]
+        self.assertEqual(zones.count("1"), 30)
+        self.assertGreater(zones.count("0"), 8)
+        self.assertGreater(zones.count("2"), 8)
+        self.assertEqual(len(zones), 64)
+
     def test_peers_that_send_rarely_are_not_taken_for_silent(self):
         # 300 hosts send each other a datagram each two seconds.
         hosts = self.hosts(300, seen_s=0.0)
