--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -13,6 +13,9 @@
 """Intervals between datagrams that a silence spans at least; datagrams may be lost."""
 
 
+FIRST_HEARD_S = 2.0
+"""Time after a host's first reading in which it has heard the other ones."""
+
 MESH_HOSTS = 16
 """Registered hosts up to which each one sends its datagrams to each other one."""
 
@@ -47,12 +50,15 @@
         self._silence_s = PEER_SILENCE_S
         self._watcher_silence_s = WATCHER_SILENCE_S
         self._by_zone: dict[str, list[HostEntry]] | None = None
+        self._first_read_s: float | None = None
         self._entries: dict[str, HostEntry] = {}
         self._peers: dict[str, PeerState] = {}
         self._first_seen_s: dict[str, float] = {}
 
     def replace_all(self, entries: Iterable[HostEntry], *, now_s: float) -> None:
         """Apply a full reading of the entries."""
+        if self._first_read_s is None:
+            self._first_read_s = now_s
         self._entries = {}
         self._by_zone = None
         for entry in entries:
@@ -164,19 +170,32 @@
         The others are told by these. A host that the store does not answer does not
         count, so that the next one in the order of names watches in its place.
         """
-        watching = 0
-        for entry in self.peers():
-            peer = self._peers.get(entry.name)
-            if (
-                entry.name < self._own_name
-                and entry.availability_zone == own_zone
-                and peer is not None
-                and peer.store_connected
-                and now_s - peer.heard_s <= self._watcher_silence_s
-            ):
-                watching += 1
+        watching = sum(
+            1
+            for entry in self.registered(own_zone)
+            if entry.name < self._own_name and self._may_watch(entry, now_s)
+        )
         return watching < WATCHERS_PER_ZONE
 
+    def _may_watch(self, entry: HostEntry, now_s: float) -> bool:
+        """Return whether a host is in contact with the store, as far as is known."""
+        peer = self._peers.get(entry.name)
+        if peer is None:
+            # Hosts that start together would all watch until they hear each other.
+            return (
+                self._first_read_s is not None
+                and now_s - self._first_read_s < FIRST_HEARD_S
+            )
+        heard = now_s - peer.heard_s <= self._watcher_silence_s
+        return peer.store_connected and heard
+
+    def store_answers_a_peer(self, now_s: float) -> bool:
+        """Return whether a peer that was heard lately is in contact with the store."""
+        return any(
+            peer.store_connected and now_s - peer.heard_s <= self._silence_s
+            for peer in self._peers.values()
+        )
+
     def addresses(
         self,
         *,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonyoke.internal.fleet.hosts import (
+    FIRST_HEARD_S,
     PEER_SILENCE_S,
     WATCHER_SILENCE_S,
     HostView,
@@ -80,6 +81,15 @@
         self.assertEqual(len(self.watchers(heard_s=late_s)), 7)
         self.assertEqual(len(self.watchers(store_connected=False)), 7)
 
+    def test_hosts_that_start_together_leave_the_watch_to_the_first_ones(self):
+        # Each of 195 hosts watched until it had heard the others, for five calls each.
+        started = HostView("host-6")
+        entries = [host(f"host-{number}", zone="akl") for number in range(7)]
+        started.replace_all(entries, now_s=NOW_S)
+        self.assertFalse(started.watches_store("akl", NOW_S + 0.1))
+        # Those before it may not run at all.
+        self.assertTrue(started.watches_store("akl", NOW_S + FIRST_HEARD_S))
+
     def test_hosts_of_other_zones_are_not_relied_on(self):
         self.assertEqual(len(self.watchers(zone="ham")), 7)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -52,11 +52,14 @@
 
 RETRY_S = 0.15
 MAX_RETRY_S = 0.4
-"""Longest pause between two readings while the store does not answer this host.
+"""Longest pause between two readings while the store does not answer any host.
 
 The grace for missing replicas begins with the first answer, not with the return.
 """
 
+MAX_OWN_RETRY_S = 1.2
+"""Longest pause while it answers peers, which pass on what they are told."""
+
 
 class StoreFollower:
     """Keep the state of this process in step with the store.
@@ -129,12 +132,17 @@
                 self._must_read = True
                 self._state.note_store_lost(error)
                 pause_s = delay_s * self._state.rng.uniform(0.7, 1.3)
-                delay_s = min(MAX_RETRY_S, delay_s * 2)
+                delay_s = min(self._longest_pause_s(), delay_s * 2)
             except Exception:
                 self._state.journal.unexpected("store_following_failed")
                 self._must_read = True
                 gevent.sleep(MAX_RETRY_S)
 
+    def _longest_pause_s(self) -> float:
+        """Return how long to wait at most before the store is asked again."""
+        served = self._state.hosts.store_answers_a_peer(time.monotonic())
+        return MAX_OWN_RETRY_S if served else MAX_RETRY_S
+
     def _hear_peers(self, duration_s: float) -> None:
         """Apply for a while what peers pass on that the store still answers."""
         until_s = time.monotonic() + duration_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/registration.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/registration.py
@@ -38,12 +38,17 @@
             except StoreUnavailable as error:
                 self._state.journal.failure("host_not_registered", error)
                 self._state.note_store_lost(error)
-                delay_s = RENEW_S / 2
+                delay_s = self._retry_s()
             except Exception:
                 self._state.journal.unexpected("host_registration_failed")
                 delay_s = RENEW_S
             gevent.sleep(delay_s * self._state.rng.uniform(0.85, 1.0))
 
+    def _retry_s(self) -> float:
+        """Return when to try again; a store that serves peers turns this host away."""
+        served = self._state.hosts.store_answers_a_peer(time.monotonic())
+        return RENEW_S if served else RENEW_S / 2
+
     def withdraw(self) -> None:
         """Remove this host's entry, so that callers are sent elsewhere."""
         lease_id, self._lease_id = self._lease_id, None
