--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from persimmonyoke.internal.dispatch.digests import (
     NO_SEQUENCE,
@@ -35,6 +35,12 @@
     pack,
 )
 from persimmonyoke.internal.gateway.peer_messages import PeerMessage, peer_state
+from persimmonyoke.internal.gateway.relay_queues import (
+    NewsQueue,
+    Outgoing,
+    Schedule,
+    take,
+)
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
 
 QUIET_REPORT_S = 0.3
@@ -52,11 +58,8 @@
 """Age at which a host's state is no longer passed on."""
 
 STATES_PER_MESSAGE = 10
-NEWS_PER_MESSAGE = 32
 NEWS_MESSAGES_PER_TURN = 4
 
-MAX_NEWS = 4_096
-"""Placements and refused requests that wait to be passed on."""
 
 PARTS_PER_MESSAGE = 130
 HOLDINGS_PER_TURN = 4
@@ -77,60 +80,6 @@
 SendTo = Callable[[HostEntry, bytes], None]
 
 
-class Schedule:
-    """Tell when something that is done at intervals is due."""
-
-    def __init__(self, interval_s: float) -> None:
-        self._interval_s = interval_s
-        self._done_s = float("-inf")
-
-    def take(self, now_s: float) -> bool:
-        """Return whether it is due, and count it as done if so."""
-        # Ticks are a little late; what is due at the next one is done at this one.
-        if now_s - self._done_s < 0.9 * self._interval_s:
-            return False
-        self._done_s = now_s
-        return True
-
-
-class NewsQueue:
-    """Hold placements and refused requests that are passed on once."""
-
-    def __init__(self) -> None:
-        self._placements: deque[PartPlacement] = deque(maxlen=MAX_NEWS)
-        self._refused: deque[int] = deque(maxlen=MAX_NEWS)
-
-    def add(self, placements: Sequence[PartPlacement], refused: Sequence[int]) -> None:
-        """Add what is to be passed on."""
-        self._placements.extend(placements)
-        self._refused.extend(refused)
-
-    def clear(self) -> None:
-        """Drop what another host passes on."""
-        self._placements.clear()
-        self._refused.clear()
-
-    def take(self, sender: str, zone: str) -> NewsMessage | None:
-        """Return the next news, or ``None`` if there are none."""
-        if not self._placements and not self._refused:
-            return None
-        placements = _take(self._placements, NEWS_PER_MESSAGE)
-        refused = _take(self._refused, NEWS_PER_MESSAGE)
-        return NewsMessage(sender, zone, placements, refused)
-
-
-def _take(pending: deque, limit: int) -> tuple:
-    return tuple(pending.popleft() for _ in range(min(limit, len(pending))))
-
-
-@dataclass
-class Outgoing:
-    """Hold messages for the own zone and for the collecting hosts of others."""
-
-    near: list[bytes] = field(default_factory=list)
-    far: list[bytes] = field(default_factory=list)
-
-
 class HostRelay:
     """Report to the collecting hosts, and collect where this host is one of them."""
 
@@ -235,7 +184,7 @@
             return
         digests, states = self._digest_messages(now_s), self._state_messages(now_s)
         near = [*digests.near, *self._news_messages(self._near_news), *states.near]
-        near += _take(self._cached, HOLDINGS_PER_TURN)
+        near += take(self._cached, HOLDINGS_PER_TURN)
         far = [*digests.far, *self._news_messages(self._far_news), *states.far]
         self._send(self._members(), near)
         self._send(self._far_collectors(), far)
@@ -382,7 +331,7 @@
         members = {entry.name: entry for entry in self._members()}
         for name, queue in list(self._catch_up.items()):
             if name in members:
-                self._send([members[name]], _take(queue, HOLDINGS_PER_TURN))
+                self._send([members[name]], take(queue, HOLDINGS_PER_TURN))
             if not queue or name not in members:
                 del self._catch_up[name]
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -11,19 +11,21 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.gateway import peers
+from persimmonyoke.internal.gateway.peer_group import (
+    CHANGED_INTERVAL_S,
+    PeerGroup,
+    send_interval_s,
+)
 from persimmonyoke.internal.gateway.peer_messages import (
     FORMAT,
     decode_datagram,
     encode_message,
 )
 from persimmonyoke.internal.gateway.peers import (
-    CHANGED_INTERVAL_S,
     MAX_FAR_DATAGRAMS_PER_S,
     MAX_NEAR_DATAGRAMS_PER_S,
     MAX_RECEIVED_AT_ONCE,
-    PeerGroup,
     PeerLink,
-    send_interval_s,
 )
 from persimmonyoke.internal.gateway.state import PartPlacement
 from persimmonyoke_testing.builders_fleet import host
