Tell other zones only of replicas that the own zone can't reach

Found on reading the diff, not seen in a run: a collecting host took what another zone could not reach into the sum of its own zone, so that two zones told each other of a replica for ever, and the holder of orders asked it for its state each quarter of a second. Suspects are kept apart by zone now. A host of a small deployment also counted sums, should it get any, beside the work that each host tells it. Both tests failed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/digests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/digests.py
@@ -38,6 +38,27 @@
     sequence: int
 
 
+class Suspects:
+    """Remember for a while which replicas could not be reached."""
+
+    def __init__(self) -> None:
+        self._noted_s: dict[str, float] = {}
+
+    def note(self, replica_ids: Collection[str], *, now_s: float) -> None:
+        """Note replicas that could not be reached just now."""
+        for replica_id in replica_ids:
+            self._noted_s[replica_id] = now_s
+
+    def fresh(self, now_s: float) -> tuple[str, ...]:
+        """Return those that were noted lately."""
+        self._noted_s = {
+            replica_id: noted_s
+            for replica_id, noted_s in self._noted_s.items()
+            if now_s - noted_s < SUSPECT_KEEP_S
+        }
+        return tuple(sorted(self._noted_s))[:MAX_SUSPECTS]
+
+
 class DigestBoard:
     """Sum up what the hosts of the own zone report and what other zones tell."""
 
@@ -45,7 +66,8 @@
         self._near = WorkLedger()
         self._far = WorkLedger()
         self._reports: dict[str, _Report] = {}
-        self._suspected_s: dict[str, float] = {}
+        self._near_suspects = Suspects()
+        self._far_suspects = Suspects()
 
     def note_report(
         self,
@@ -64,12 +86,11 @@
         """Replace one part of what another zone told."""
         name = f"{zone}/{digest.part}"
         self._far.note_peer(name, digest.work, queued_s=digest.queued_s, now_s=now_s)
-        self.note_suspects(digest.suspects, now_s=now_s)
+        self._far_suspects.note(digest.suspects, now_s=now_s)
 
     def note_suspects(self, replica_ids: Collection[str], *, now_s: float) -> None:
-        """Note replicas that some host can't reach."""
-        for replica_id in replica_ids:
-            self._suspected_s[replica_id] = now_s
+        """Note replicas that a host of the own zone can't reach."""
+        self._near_suspects.note(replica_ids, now_s=now_s)
 
     def sequence_of(self, host: str) -> int:
         """Return the number of the report that the sums hold of a host."""
@@ -78,34 +99,30 @@
 
     def near(self, replica_count: int, *, now_s: float) -> list[WorkDigest]:
         """Return the sum over the hosts of the own zone."""
-        return self._digest(self._near, replica_count, now_s)
+        suspects = self._near_suspects.fresh(now_s)
+        return self._digest(self._near, replica_count, suspects, now_s)
 
     def far(self, replica_count: int, *, now_s: float) -> list[WorkDigest]:
         """Return the sum over all other zones."""
-        return self._digest(self._far, replica_count, now_s)
+        suspects = self._far_suspects.fresh(now_s)
+        return self._digest(self._far, replica_count, suspects, now_s)
 
+    @staticmethod
     def _digest(
-        self, ledger: WorkLedger, replica_count: int, now_s: float
+        ledger: WorkLedger,
+        replica_count: int,
+        suspects: tuple[str, ...],
+        now_s: float,
     ) -> list[WorkDigest]:
         parts = 1 + replica_count // REPLICAS_PER_PART
         by_part: list[dict[str, ReplicaWork]] = [{} for _ in range(parts)]
         for replica_id, work in ledger.told(now_s=now_s).items():
             by_part[part_of(replica_id, parts)][replica_id] = work
         queued_s = ledger.peers_queued_s(now_s=now_s)
-        suspects = self._suspects(now_s)
         first = WorkDigest(0, by_part[0], queued_s, suspects)
         rest = [WorkDigest(n, by_part[n]) for n in range(1, parts)]
         return [first, *rest]
 
-    def _suspects(self, now_s: float) -> tuple[str, ...]:
-        fresh = {
-            replica_id: noted_s
-            for replica_id, noted_s in self._suspected_s.items()
-            if now_s - noted_s < SUSPECT_KEEP_S
-        }
-        self._suspected_s = fresh
-        return tuple(sorted(fresh))[:MAX_SUSPECTS]
-
 
 def part_of(replica_id: str, parts: int) -> int:
     """Return the part of a digest that holds a replica."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_digests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_digests.py
@@ -66,6 +66,14 @@
                 self.assertEqual(part_of(replica_id, len(parts)), digest.part)
         self.assertEqual(sum(len(digest.work) for digest in parts), 90)
 
+    def test_suspects_of_another_zone_are_not_sent_back_to_it(self):
+        # Two zones would tell each other of a replica for ever.
+        board = DigestBoard()
+        told = WorkDigest(0, {}, suspects=("e2",))
+        board.note_zone("z1", told, now_s=NOW_S)
+        self.assertEqual(board.near(10, now_s=NOW_S)[0].suspects, ())
+        self.assertEqual(board.far(10, now_s=NOW_S)[0].suspects, ("e2",))
+
     def test_suspects_are_told_while_hosts_repeat_them(self):
         board = DigestBoard()
         board.note_suspects(["e2"], now_s=NOW_S)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -305,7 +305,7 @@
             self._take_changes(message)
             return False
         if not isinstance(message, PeerMessage):
-            return self._relay.take(message, now_s=now_s)
+            return self._relays() and self._relay.take(message, now_s=now_s)
         return self._apply(message, now_s)
 
     def _take_changes(self, part: ChangesPart) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -60,7 +60,6 @@
 STATES_PER_MESSAGE = 10
 NEWS_MESSAGES_PER_TURN = 4
 
-
 PARTS_PER_MESSAGE = 130
 HOLDINGS_PER_TURN = 4
 """Messages on what engines hold, for each receiver at each turn.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -9,8 +9,14 @@
 from gevent import socket
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.dispatch.digests import WorkDigest
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.gateway import peers
+from persimmonyoke.internal.gateway.digest_messages import (
+    DigestMessage,
+    address,
+    encode_digest,
+)
 from persimmonyoke.internal.gateway.peer_group import (
     CHANGED_INTERVAL_S,
     PeerGroup,
@@ -184,6 +190,15 @@
         self.assertLess(self.heard(), SENT)
         self.wait_until_all_are_heard()
 
+    def test_a_host_of_a_small_deployment_counts_no_sums(self):
+        # It hears each host's work by itself and would count it twice.
+        work = {"replica-0": ReplicaWork(0.0, running=5)}
+        digest = DigestMessage("host-2", "zone-a", WorkDigest(0, work))
+        self.state.hosts.put(host("host-2"), now_s=time.monotonic())
+        self.sender.sendto(address(encode_digest(digest), 0), self.address)
+        gevent.sleep(0.1)
+        self.assertEqual(self.heard(), 0)
+
 
 class SendTest(unittest.TestCase):
     PEERS = 72
