End a watch early enough for the hosts that are told of it

Found on reading the code: a watch lasts as long as the watching host's own view may be old. Where a collecting host passes on that nothing has changed, the others hear it up to 0.8 s later, so with a bound of 2.4 s (grown sites) their views were old at the end of each quiet watch, and each of them asked the store. The test fails before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -13,6 +13,9 @@
 """Intervals between datagrams that a silence spans at least; datagrams may be lost."""
 
 
+HOPS_TO_TELL = 2
+"""A state reaches the hosts of a zone through the one that collects."""
+
 FIRST_HEARD_S = 2.0
 """Time after a host's first reading in which it has heard the other ones."""
 
@@ -49,6 +52,7 @@
         self._own_name = own_name
         self._silence_s = PEER_SILENCE_S
         self._watcher_silence_s = WATCHER_SILENCE_S
+        self._told_lag_s = 0.0
         self._by_zone: dict[str, list[HostEntry]] | None = None
         self._first_read_s: float | None = None
         self._entries: dict[str, HostEntry] = {}
@@ -95,6 +99,12 @@
         self._watcher_silence_s = max(
             WATCHER_SILENCE_S, SILENT_INTERVALS * near_interval_s
         )
+        self._told_lag_s = HOPS_TO_TELL * near_interval_s
+
+    @property
+    def told_lag_s(self) -> float:
+        """Return how long it takes until the zone knows what this host was told."""
+        return self._told_lag_s
 
     @property
     def needs_relay(self) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -198,7 +198,7 @@
         """Wait for the next changes for as long as the view may be old."""
         self._pace()
         view_age_s = self._state.view.age_s(time.monotonic())
-        limit_s = self._state.settings.view_age_limit_s
+        limit_s = self._state.settings.view_age_limit_s - self._state.hosts.told_lag_s
         wait_s = max(MIN_WATCH_WAIT_S, limit_s - view_age_s - WATCH_MARGIN_S)
         self._apply_changes(revision, wait_s=wait_s, watched=True)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -47,6 +47,20 @@
         self.store.publish(ReplicaSeen(engine(name, draining=True)))
 
 
+class WatchWaitTest(FollowerTest):
+    def test_a_watch_ends_so_soon_that_hosts_that_are_told_of_it_know_in_time(self):
+        # Through a collecting host it takes 0.8 s until they hear that nothing has
+        # changed; their views were old by then, and each of them asked the store.
+        limit_s = self.state.settings.view_age_limit_s
+        self.wait_for(lambda: self.store.waits_s, 1.0)
+        self.assertGreater(self.store.waits_s[-1], 0.5 * limit_s)
+        self.state.hosts.set_datagram_interval(0.8, near_interval_s=0.4)
+        waited = len(self.store.waits_s)
+        self.store.publish(ReplicaSeen(engine("b")))
+        self.wait_for(lambda: len(self.store.waits_s) > waited, 1.0)
+        self.assertLess(self.store.waits_s[-1], limit_s - 0.8)
+
+
 class ReadingBesideTheWatchTest(FollowerTest):
     def test_a_reading_that_takes_long_puts_no_older_entry_back(self):
         # A peer's newer version started a reading beside the watch; a replica that
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -30,6 +30,7 @@
         self.snapshot_gate.set()
         self.snapshots = 0
         self.watch_calls = 0
+        self.waits_s: list[float] = []
         self.silent = False
         self.unavailable = False
         self._news: Queue = Queue()
@@ -62,6 +63,7 @@
     ) -> StoreChanges:
         """Return the next change after a revision, or none after the wait."""
         self.watch_calls += 1
+        self.waits_s.append(wait_s)
         self._check_available()
         if self.silent:
             gevent.sleep(timeout_s)
