--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/prefixes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/prefixes.py
@@ -30,11 +30,10 @@
 
 @dataclass(frozen=True)
 class PartHolding:
-    """Hold one part at one engine, and in what time others can fetch it."""
+    """Name a part and an engine that is expected to hold it."""
 
     part_id: str
     replica_id: str
-    ready_in_s: float
 
 
 class PrefixIndex:
@@ -119,7 +118,7 @@
     def holdings(self, now_s: float) -> list[PartHolding]:
         """Return which engines are expected to hold which parts, the newest first."""
         return [
-            PartHolding(part_id, replica_id, max(0.0, holding.readable_s - now_s))
+            PartHolding(part_id, replica_id)
             for part_id, holders in reversed(self._holders.items())
             for replica_id, holding in holders.items()
             if now_s - holding.used_s <= KEEP_S
