Log each lost answer with the content of its request

An answer_lost line now names the digest of method, target, host, credentials and body, the replica's start, the stage and the error. Nothing is decided by it yet.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -74,6 +74,11 @@
         """Add an attempt to the log of this request."""
         self.attempts.append(end_attempt(start, result, now_s=now_s))
 
+    @property
+    def content(self) -> str:
+        """Return the digest that the log names the content of the request by."""
+        return self.request.content_digest.hex()
+
     def not_served(self, message: str, retry_after_s: float) -> RequestError:
         """Return the error of a request that no replica has run.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -19,6 +19,7 @@
     ClientGone,
     OutgoingHead,
 )
+from persimmonyoke.internal.gateway.crash_watch import CrashWatch
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.plain_relay import PlainRelay
 from persimmonyoke.internal.gateway.requests import ClientRequest
@@ -40,8 +41,9 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._plain = PlainRelay(state)
-        self._streams = StreamRelay(state)
+        crashes = CrashWatch(state)
+        self._plain = PlainRelay(state, crashes)
+        self._streams = StreamRelay(state, crashes)
         self._connections: set[ClientConnection] = set()
         self._answering = 0
         self._drain_started_s: float | None = None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -6,12 +6,14 @@
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
     AnswerTimeout,
     NotConnected,
     WholeAnswer,
 )
+from persimmonyoke.internal.gateway.crash_watch import CrashWatch
 from persimmonyoke.internal.gateway.exchange import ANSWER_MARGIN_S, Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller
@@ -52,9 +54,10 @@
 class PlainRelay:
     """Pass requests to plain services."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, crashes: CrashWatch) -> None:
         self._state = state
         self._caller = UpstreamCaller(state)
+        self._crashes = crashes
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` if it is not served."""
@@ -135,7 +138,7 @@
         exchange.sends += 1
         self._state.ledger.begin_run(replica.replica_id)
         try:
-            outcome = self._call(exchange, replica)
+            outcome = self._call(exchange, replica, start)
         finally:
             self._state.ledger.end_run(replica.replica_id)
         result = {Answered: "answered", Lost: "lost"}.get(type(outcome), "not_run")
@@ -148,7 +151,9 @@
         self._state.metrics.sends.add(stage="plain", result=result)
         return outcome
 
-    def _call(self, exchange: Exchange, replica: Replica) -> SendOutcome:
+    def _call(
+        self, exchange: Exchange, replica: Replica, start: AttemptStart
+    ) -> SendOutcome:
         state, request = self._state, exchange.request
         headers = state.wire.request_headers(
             request.headers,
@@ -175,7 +180,7 @@
             return NotRun(str(error), sent=False)
         except AnswerLost as error:
             exchange.may_have_run = True
-            self._note_loss(replica, error)
+            self._note_loss(exchange, replica, start, error)
             return Lost(str(error))
         if opened.facts.not_executed or opened.head.status == 421:
             state.health.note_failure(replica.replica_id, time.monotonic())
@@ -199,8 +204,15 @@
         hedge_s = time.monotonic() + HEDGE_FACTOR * route.target_latency_s
         return min(last_s, hedge_s)
 
-    def _note_loss(self, replica: Replica, error: AnswerLost) -> None:
+    def _note_loss(
+        self,
+        exchange: Exchange,
+        replica: Replica,
+        start: AttemptStart,
+        error: AnswerLost,
+    ) -> None:
         if isinstance(error, AnswerTimeout):
             self._state.health.note_unreachable(replica.replica_id, time.monotonic())
         else:
             self._state.health.note_failure(replica.replica_id, time.monotonic())
+        self._crashes.note_lost(exchange, replica, start, error, now_s=time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -15,6 +15,7 @@
 from persimmonyoke.internal.gateway.admission import Admitted
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.crash_watch import CrashWatch
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller, Work
@@ -50,9 +51,10 @@
 class PrefillCaller:
     """Have prompts read and free the handles that are not used."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, crashes: CrashWatch) -> None:
         self._state = state
         self._caller = UpstreamCaller(state)
+        self._crashes = crashes
 
     def read(
         self, exchange: Exchange, admitted: Admitted, *, deadline_s: float
@@ -60,7 +62,7 @@
         """Have the prompt of a request read on the chosen engine."""
         start = self._state.start_attempt(Stage.PREFILL.value, admitted.plan.engine)
         try:
-            outcome = self._call(exchange, admitted.plan, deadline_s)
+            outcome = self._call(exchange, admitted.plan, start, deadline_s)
         finally:
             self._state.ledger.end_read(admitted.job)
         self._note(exchange, admitted.plan, outcome, start)
@@ -72,7 +74,11 @@
         gevent.spawn(self._release, read)
 
     def _call(
-        self, exchange: Exchange, plan: ReadPlan, deadline_s: float
+        self,
+        exchange: Exchange,
+        plan: ReadPlan,
+        start: AttemptStart,
+        deadline_s: float,
     ) -> PromptRead | PromptNotRead:
         state, request, engine = self._state, exchange.request, plan.engine
         headers = state.wire.request_headers(
@@ -99,6 +105,9 @@
             return PromptNotRead(str(error), sent=False)
         except AnswerLost as error:
             state.health.note_unreachable(engine.replica_id, time.monotonic())
+            self._crashes.note_lost(
+                exchange, engine, start, error, now_s=time.monotonic()
+            )
             return PromptNotRead(str(error), sent=True)
         result = None
         if opened.head.status == _OK:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from functools import cached_property
+from hashlib import blake2b
 from urllib.parse import parse_qs
 
 import httptools
@@ -13,6 +15,10 @@
 _METHODS_WITHOUT_FORWARDING = (b"CONNECT", b"TRACE")
 _MAX_PIPELINED = 16
 
+CONTENT_DIGEST_BYTES = 16
+_CONTENT_HEADERS = (b"host", b"authorization")
+"""Headers that, beside method, target and body, tell what is asked and by whom."""
+
 
 @dataclass(frozen=True)
 class ClientRequest:
@@ -36,6 +42,16 @@
         """Return the target without its query."""
         return self.target.split(b"?", 1)[0].decode("latin-1")
 
+    @cached_property
+    def content_digest(self) -> bytes:
+        """Return what stays the same when a caller sends the request again."""
+        digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
+        headers = [self.header(name) or b"" for name in _CONTENT_HEADERS]
+        for part in (self.method, self.target, *headers, self.body):
+            digest.update(b"%d:" % len(part))
+            digest.update(part)
+        return digest.digest()
+
     def query_value(self, name: str) -> str:
         """Return the first value of a query parameter, or an empty text."""
         _, _, query = self.target.partition(b"?")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -12,6 +12,7 @@
     AnswerLost,
     NotConnected,
 )
+from persimmonyoke.internal.gateway.crash_watch import CrashWatch
 from persimmonyoke.internal.gateway.engine_selection import (
     RETRY_AFTER_REJECTED_S,
     EngineSelection,
@@ -64,10 +65,11 @@
 class StreamRelay:
     """Pass event streams from engines to clients."""
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, crashes: CrashWatch) -> None:
         self._state = state
         self._caller = UpstreamCaller(state)
-        self._prefill = PrefillCaller(state)
+        self._crashes = crashes
+        self._prefill = PrefillCaller(state, crashes)
         self._gate = AdmissionGate(state)
         state.queued_s = lambda: self._gate.queued_s
         state.on_peer_work = self._gate.pump_if_affordable
@@ -75,7 +77,15 @@
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` or ``StreamBroken``."""
         selection = EngineSelection(self._state, self._prefill, self._gate, exchange)
-        _StreamRun(self._state, self._caller, self._prefill, selection, exchange).run()
+        run = _StreamRun(
+            self._state,
+            self._caller,
+            self._prefill,
+            self._crashes,
+            selection,
+            exchange,
+        )
+        run.run()
 
 
 class _StreamRun:
@@ -86,12 +96,14 @@
         state: GatewayState,
         caller: UpstreamCaller,
         prefill: PrefillCaller,
+        crashes: CrashWatch,
         selection: EngineSelection,
         exchange: Exchange,
     ) -> None:
         self._state = state
         self._caller = caller
         self._prefill = prefill
+        self._crashes = crashes
         self._selection = selection
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
@@ -121,7 +133,7 @@
         ledger.begin_run(engine.replica_id, tokens)
         used = False
         try:
-            outcome = self._call(engine, read)
+            outcome = self._call(engine, read, start)
             used = not isinstance(outcome, RunRejected)
         finally:
             ledger.end_run(engine.replica_id, tokens)
@@ -131,7 +143,9 @@
         self._note(start, outcome)
         return outcome
 
-    def _call(self, engine: Replica, read: PromptRead | None) -> RunOutcome:
+    def _call(
+        self, engine: Replica, read: PromptRead | None, start: AttemptStart
+    ) -> RunOutcome:
         state, exchange = self._state, self._exchange
         headers = state.wire.request_headers(
             exchange.request.headers,
@@ -157,12 +171,19 @@
             return RunRejected(str(error), sent=False)
         except AnswerLost as error:
             exchange.may_have_run = True
-            state.health.note_failure(engine.replica_id, time.monotonic())
-            return RunLost(str(error))
+            return self._lost(engine, start, error)
         if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
             return self._rejected(opened)
         exchange.may_have_run = True
-        return self._relay_answer(engine, opened)
+        return self._relay_answer(engine, opened, start)
+
+    def _lost(
+        self, engine: Replica, start: AttemptStart, error: AnswerLost
+    ) -> RunOutcome:
+        now_s = time.monotonic()
+        self._state.health.note_failure(engine.replica_id, now_s)
+        self._crashes.note_lost(self._exchange, engine, start, error, now_s=now_s)
+        return RunLost(str(error))
 
     def _rejected(self, opened: OpenAnswer) -> RunOutcome:
         exchange = self._exchange
@@ -176,15 +197,17 @@
             reason += " and closed the connection"
         return RunRejected(reason, sent=True)
 
-    def _relay_answer(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
+    def _relay_answer(
+        self, engine: Replica, opened: OpenAnswer, start: AttemptStart
+    ) -> RunOutcome:
         exchange = self._exchange
         if opened.head.status == _OK and opened.facts.stamped:
-            return self._relay_events(engine, opened)
+            return self._relay_events(engine, opened, start)
         deadline_s = exchange.deadline_s - ANSWER_MARGIN_S
         try:
             body = self._caller.read_whole(opened, exchange.work, deadline_s=deadline_s)
         except AnswerLost as error:
-            return RunLost(str(error))
+            return self._lost(engine, start, error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
         if not opened.facts.stamped or self._exchange.begun:
             return RunLost(f"engine answered {opened.head.status}")
@@ -193,7 +216,9 @@
         exchange.client.send_whole(head, body)
         return RunEnded()
 
-    def _relay_events(self, engine: Replica, opened: OpenAnswer) -> RunOutcome:
+    def _relay_events(
+        self, engine: Replica, opened: OpenAnswer, start: AttemptStart
+    ) -> RunOutcome:
         splitter = EventSplitter()
         try:
             while True:
@@ -207,8 +232,7 @@
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.work)
             self._exchange.work.check()
-            self._state.health.note_failure(engine.replica_id, time.monotonic())
-            return RunLost(str(error))
+            return self._lost(engine, start, error)
         except BaseException:
             self._caller.abandon(opened, self._exchange.work)
             raise
