Keep reservations and types of suspects in modules of their own

The isolations, and the types that other slices use, move out; the number of crashes that proves a request becomes a rule that callers can set.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -37,7 +37,7 @@
     StreamSilent,
 )
 from persimmonyoke.internal.delivery.steps import Broken, Step
-from persimmonyoke.internal.delivery.suspects import Quarantined
+from persimmonyoke.internal.delivery.suspect_types import Quarantined
 from persimmonyoke.internal.invariants import Invariant, check_invariant
 from persimmonyoke.internal.upstreams.api import (
     EngineFailure,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -12,12 +12,12 @@
 )
 from persimmonyoke.internal.delivery.parts import DeliveryParts
 from persimmonyoke.internal.delivery.silence import DeadlinePassed
-from persimmonyoke.internal.delivery.suspects import (
-    ISOLATION_SETTLE_S,
+from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
     SuspectStatus,
 )
+from persimmonyoke.internal.delivery.suspects import ISOLATION_SETTLE_S
 
 ISOLATION_POLL_S = 0.02
 # Reservations of lost hosts end by time without a change being counted.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -10,10 +10,19 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from persimmonyoke.internal.delivery.isolations import Isolation, IsolationTable
+from persimmonyoke.internal.delivery.suspect_types import (
+    Clear,
+    Quarantined,
+    QuarantineRule,
+    Suspect,
+    SuspectNotice,
+    SuspectStatus,
+)
+
 DEFAULT_HOLD_S = 600.0
 DEFAULT_SUSPECT_TTL_S = 600.0
 DEFAULT_MAX_RECORDS = 10_000
-CRASHES_TO_QUARANTINE = 2
 # Peers hear of an isolation within milliseconds; after this time a conflict between
 # two hosts that chose the same engine at once is visible to both. On busy hosts 0.05 s
 # was too short: an innocent suspect shared the engine of the crashing one.
@@ -28,63 +37,6 @@
 SAME_CRASH_WINDOW_S = 5.0
 
 
-@dataclass(frozen=True)
-class Clear:
-    """Say that nothing speaks against a request."""
-
-
-@dataclass(frozen=True)
-class Suspect:
-    """Say that the request was running on an engine that crashed."""
-
-    crashes: int
-
-
-@dataclass(frozen=True)
-class Quarantined:
-    """Say that the request crashed engines repeatedly; it is refused until then."""
-
-    until_s: float
-
-
-SuspectStatus = Clear | Suspect | Quarantined
-
-
-@dataclass(frozen=True)
-class Isolation:
-    """Reserve an engine for one suspect until it ends or ``until_s`` passes."""
-
-    engine: str
-    digest: bytes
-    host: str
-    until_s: float
-
-    @property
-    def precedence(self) -> tuple[bytes, str]:
-        """Order conflicting reservations in the same way on every host."""
-        return (self.digest, self.host)
-
-
-@dataclass(frozen=True)
-class SuspectNotice:
-    """Tell peers what changed about one digest; durations replace clock readings.
-
-    ``crashes`` names engines with their incarnations. ``isolated_on`` is the engine
-    that ``host`` reserves for the digest, or gives up if ``isolation_left_s`` is 0;
-    ``None`` says nothing about reservations. ``number`` grows with each notice of a
-    host, since notices that pass through several peers can overtake each other.
-    """
-
-    digest: bytes
-    host: str
-    crashes: frozenset[str] = frozenset()
-    cleared: bool = False
-    quarantine_left_s: float = 0.0
-    isolated_on: str | None = None
-    isolation_left_s: float = 0.0
-    number: int = 0
-
-
 @dataclass
 class _Record:
     crashes: set[str] = field(default_factory=set)
@@ -108,6 +60,7 @@
         hold_s: float = DEFAULT_HOLD_S,
         suspect_ttl_s: float = DEFAULT_SUSPECT_TTL_S,
         max_records: int = DEFAULT_MAX_RECORDS,
+        rule: QuarantineRule | None = None,
         on_change: Callable[[SuspectNotice], None] | None = None,
     ) -> None:
         if hold_s <= 0:
@@ -118,10 +71,10 @@
         self.hold_s = hold_s
         self._suspect_ttl_s = suspect_ttl_s
         self._max_records = max_records
+        self._rule = rule or QuarantineRule()
         self._on_change = on_change
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
-        self._isolations: dict[tuple[str, str], Isolation] = {}
-        self._isolation_numbers: dict[tuple[str, str], int] = {}
+        self._isolations = IsolationTable(host)
         # The wall clock keeps the numbers growing over a restart of the host.
         self._number = int(time.time() * 1000)
         self._explained: OrderedDict[str, float] = OrderedDict()
@@ -201,50 +154,34 @@
         self, digest: bytes, engine: str, *, now_s: float, until_s: float
     ) -> bool:
         """Reserve the engine for the suspect unless it or the engine is reserved."""
-        self._drop_ended_isolations(now_s)
-        for isolation in self._isolations.values():
-            if isolation.engine == engine or isolation.digest == digest:
-                return False
-        isolation = Isolation(engine, digest, self.host, until_s)
-        self._isolations[(self.host, engine)] = isolation
+        if not self._isolations.reserve(digest, engine, now_s=now_s, until_s=until_s):
+            return False
         self._publish_isolation(digest, engine, until_s - now_s)
         return True
 
     def holds_isolation(self, digest: bytes, engine: str, now_s: float) -> bool:
         """Return whether the reservation has precedence over those of other hosts."""
-        self._drop_ended_isolations(now_s)
-        own = self._isolations.get((self.host, engine))
-        if own is None or own.digest != digest:
-            return False
-        return all(
-            own.precedence <= other.precedence
-            for other in self._isolations.values()
-            if other.engine == engine or other.digest == digest
-        )
+        return self._isolations.holds(digest, engine, now_s)
 
     def end_isolation(self, digest: bytes, engine: str) -> None:
         """Give the reservation of this host up."""
-        isolation = self._isolations.get((self.host, engine))
-        if isolation is not None and isolation.digest == digest:
-            del self._isolations[(self.host, engine)]
+        if self._isolations.end(digest, engine):
             self.version += 1
             self._publish_isolation(digest, engine, 0.0)
 
     def isolated_engines(self, now_s: float) -> frozenset[str]:
         """Return the engines that are reserved for a suspect."""
-        self._drop_ended_isolations(now_s)
-        return frozenset(item.engine for item in self._isolations.values())
+        return frozenset(item.engine for item in self._isolations.active(now_s))
 
     def is_isolated(self, digest: bytes, now_s: float) -> bool:
         """Return whether a host is running the suspect in isolation."""
-        self._drop_ended_isolations(now_s)
-        return any(item.digest == digest for item in self._isolations.values())
+        return any(item.digest == digest for item in self._isolations.active(now_s))
 
     def merge(self, notice: SuspectNotice, now_s: float) -> None:
         """Take over what a peer says; merging a notice twice changes nothing."""
         self.version += 1
         if notice.isolated_on is not None and notice.host != self.host:
-            self._merge_isolation(notice, notice.isolated_on, now_s)
+            self._isolations.merge(notice, notice.isolated_on, now_s)
         if notice.cleared:
             self._merge_cleared(notice.digest, now_s)
             return
@@ -265,12 +202,7 @@
 
     def notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
         """Return everything known, for a peer that has just started."""
-        self._drop_ended_isolations(now_s)
-        isolations = {
-            item.digest: item
-            for item in self._isolations.values()
-            if item.host == self.host
-        }
+        isolations = self._isolations.own(now_s)
         digests = list(dict.fromkeys([*self._records, *isolations]))
         return tuple(
             self._notice(digest, isolations.get(digest), now_s) for digest in digests
@@ -278,10 +210,7 @@
 
     def forget_host(self, host: str) -> None:
         """Drop the reservations of a host that is gone."""
-        for key in [key for key in self._isolations if key[0] == host]:
-            del self._isolations[key]
-        for key in [key for key in self._isolation_numbers if key[0] == host]:
-            del self._isolation_numbers[key]
+        self._isolations.forget_host(host)
         self.version += 1
 
     @property
@@ -320,7 +249,7 @@
         if record.quarantined_until_s > now_s:
             self._quarantine(record, now_s, record.quarantined_until_s)
             return
-        proven = self._unexplained(record) >= CRASHES_TO_QUARANTINE
+        proven = self._unexplained(record) >= self._rule.crashes
         if not proven and not self._weaker(record, now_s):
             return
         self.quarantined_total += 1
@@ -377,26 +306,6 @@
         if record is not None and record.quarantined_until_s <= now_s:
             del self._records[digest]
 
-    def _merge_isolation(
-        self, notice: SuspectNotice, engine: str, now_s: float
-    ) -> None:
-        key = (notice.host, engine)
-        if notice.number <= self._isolation_numbers.get(key, -1):
-            return
-        self._isolation_numbers[key] = notice.number
-        if notice.isolation_left_s > 0:
-            until_s = now_s + notice.isolation_left_s
-            self._isolations[key] = Isolation(
-                engine, notice.digest, notice.host, until_s
-            )
-        else:
-            self._isolations.pop(key, None)
-
-    def _drop_ended_isolations(self, now_s: float) -> None:
-        for key, item in list(self._isolations.items()):
-            if item.until_s <= now_s:
-                del self._isolations[key]
-
     def _notice(
         self, digest: bytes, isolation: Isolation | None, now_s: float
     ) -> SuspectNotice:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -6,12 +6,12 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
-from persimmonyoke.internal.delivery.suspects import (
+from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
     Suspect,
-    SuspectRegister,
 )
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke_testing.builders_delivery import (
     FakeEngine,
     FakeFleet,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/suspect_notices.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/suspect_notices.py
@@ -6,7 +6,8 @@
 import cbor2
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.delivery.suspects import SuspectNotice, SuspectRegister
+from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.membership.codec import decode_plain
 from persimmonyoke.internal.membership.messages import Suspect
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/tests/test_messages.py
@@ -3,11 +3,8 @@
 import unittest
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.delivery.suspects import (
-    Clear,
-    Quarantined,
-    SuspectRegister,
-)
+from persimmonyoke.internal.delivery.suspect_types import Clear, Quarantined
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.membership.codec import decode, encode
 from persimmonyoke.internal.membership.messages import Load, Roles
 from persimmonyoke.internal.node.drains import MAX_DRAIN_S, DrainView, drain_message
