Withhold requests that crash the replicas that run them, on all hosts

Callers saw: one request ended replica after replica, and most others were refused while replicas were down. Cause: hosts knew a request by its id alone, which is new with each attempt, so nothing that one attempt had met bound the next one or another host.

A request is now known by method, target, host, credentials and body. A lost answer whose replica then refuses connections, or starts again, counts as a crash against all requests that were running; delivery/suspects.py, the product's register, keeps them. Two crashes give a request a replica without others like it; a third one, met alone, withholds it for ten minutes on all hosts, at once and as not run. A completed run clears it. Hosts tell each other at once, repeat what is important and gossip it each second. Doubtful prompts are not read on decode engines.

Further tests: which ends count, what is told to callers, eviction, messages, identity.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -45,6 +45,7 @@
     quarantined_at_s: float = 0.0
     # Whether a quarantine was lifted; one more crash then restores it.
     lifted: bool = False
+    met_alone: bool = False
 
 
 class SuspectRegister:
@@ -91,10 +92,12 @@
         *,
         incarnation: str = "",
         started_s: float | None = None,
+        alone: bool = False,
     ) -> SuspectStatus:
         """Count a crash of an engine that was running the request.
 
-        ``started_s`` is the time at which the attempt began.
+        ``started_s`` is the time at which the attempt began. ``alone`` says that the
+        engine was reserved for the request.
         """
         self.status(digest, now_s)
         record = self._record(digest)
@@ -107,6 +110,7 @@
         if event not in record.crashes:
             self.version += 1
             record.crashes.add(event)
+            record.met_alone |= alone
             self._note_crashes((event,))
             self._quarantine_if_proven(record, now_s)
             self._publish(digest, now_s)
@@ -223,10 +227,24 @@
         if record is None:
             record = self._records[digest] = _Record()
         self._records.move_to_end(digest)
-        while len(self._records) > self._max_records:
-            self._records.popitem(last=False)
+        if len(self._records) > self._max_records:
+            self._drop_one(digest)
         return record
 
+    def _drop_one(self, kept: bytes) -> None:
+        """Drop the oldest record with one crash, or the oldest one of all.
+
+        A crash makes each request on the engine a suspect; a request that has met more
+        of them must not be forgotten for those.
+        """
+        oldest_first = (d for d in self._records if d != kept)
+        weak = (
+            digest
+            for digest, record in self._records.items()
+            if digest != kept and len(record.crashes) < 2
+        )
+        del self._records[next(weak, None) or next(oldest_first)]
+
     def _crash_event(
         self, record: _Record, engine: str, incarnation: str, now_s: float
     ) -> str:
@@ -249,12 +267,16 @@
         if record.quarantined_until_s > now_s:
             self._quarantine(record, now_s, record.quarantined_until_s)
             return
-        proven = self._unexplained(record) >= self._rule.crashes
-        if not proven and not self._weaker(record, now_s):
+        if not self._is_proven(record) and not self._weaker(record, now_s):
             return
         self.quarantined_total += 1
         self._quarantine(record, now_s, now_s + self.hold_s)
 
+    def _is_proven(self, record: _Record) -> bool:
+        if self._rule.last_alone and not record.met_alone:
+            return False
+        return self._unexplained(record) >= self._rule.crashes
+
     def _quarantine(self, record: _Record, now_s: float, until_s: float) -> None:
         if record.quarantined_until_s <= now_s:
             record.quarantined_at_s = now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -9,6 +9,7 @@
 from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
+    QuarantineRule,
     Suspect,
 )
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
@@ -77,6 +78,39 @@
                 expected = Suspect(1) if known_by is INNOCENT else Quarantined(602.1)
                 self.assertEqual(register.status(POISON, 2.2), expected)
 
+    def test_crashes_at_one_moment_withhold_no_request_that_did_not_meet_one_alone(
+        self,
+    ):
+        # Copies of a popular request ran on replicas that were lost together.
+        register = SuspectRegister("a", rule=QuarantineRule(3, last_alone=True))
+        for engine in ("e1", "e2", "e3", "e4"):
+            register.note_crash(INNOCENT, engine, 1.0, incarnation="1")
+        self.assertEqual(register.status(INNOCENT, 1.0), Suspect(4))
+        status = register.note_crash(INNOCENT, "e5", 2.0, incarnation="1", alone=True)
+        self.assertIsInstance(status, Quarantined)
+
+    def test_a_crash_met_alone_withholds_a_request_only_after_others(self):
+        register = SuspectRegister("a", rule=QuarantineRule(3, last_alone=True))
+        register.note_crash(POISON, "e1", 1.0, incarnation="1", alone=True)
+        register.note_crash(POISON, "e2", 1.0, incarnation="1")
+        self.assertEqual(register.status(POISON, 1.0), Suspect(2))
+        status = register.note_crash(POISON, "e3", 2.0, incarnation="1")
+        self.assertIsInstance(status, Quarantined)
+
+    def test_thousands_of_requests_that_met_one_crash_displace_no_stronger_suspect(
+        self,
+    ):
+        # The crash of a fleet would have made the hosts forget the crashing request.
+        rule = QuarantineRule(3)
+        register = SuspectRegister("a", max_records=50, rule=rule)
+        for engine in ("e1", "e2"):
+            register.note_crash(POISON, engine, 1.0, incarnation="1")
+        for number in range(3_000):
+            digest = b"innocent %d" % number
+            register.note_crash(digest, "e3", 2.0, incarnation="1")
+        self.assertEqual(register.size, 50)
+        self.assertEqual(register.status(POISON, 3.0), Suspect(2))
+
     def test_completion_clears_a_suspect_here_and_at_the_peers(self):
         # A request that once met a crash would be isolated for ever.
         peer = SuspectRegister("b")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -36,6 +36,10 @@
     """Say that no byte of a call was sent."""
 
 
+class ConnectionRefused(NotConnected):
+    """Say that nothing listens at the address of a replica."""
+
+
 class ReplicaWaits(NotConnected):
     """Say that a replica asked this host to send it nothing for a while."""
 
@@ -48,6 +52,10 @@
     """Say that the answer did not come in time."""
 
 
+class ConnectionEnded(AnswerLost):
+    """Say that the connection ended before the answer was complete."""
+
+
 @dataclass(frozen=True)
 class WholeAnswer:
     """Hold a complete answer."""
@@ -73,6 +81,8 @@
             self._sock = sockets.connect(
                 replica.host, replica.port, timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
             )
+        except ConnectionRefusedError as error:
+            raise ConnectionRefused(f"{replica.address}: {error}") from error
         except OSError as error:
             raise NotConnected(f"{replica.address}: {error}") from error
 
@@ -89,7 +99,7 @@
             # then on the way although the rest could not be sent.
             self._ended = not sockets.has_input(self._sock)
             if self._ended:
-                raise AnswerLost(f"sending failed: {error}") from error
+                raise ConnectionEnded(f"sending failed: {error}") from error
 
     def read_head(self, *, timeout_s: float) -> AnswerHead:
         """Return the head of the next answer."""
@@ -170,7 +180,7 @@
 
     def _receive(self, deadline_s: float) -> None:
         if self._ended:
-            raise AnswerLost("connection has ended")
+            raise ConnectionEnded("connection has ended")
         try:
             self._sock.settimeout(max(0.001, deadline_s - time.monotonic()))
             data = self._sock.recv(READ_BYTES)
@@ -178,11 +188,11 @@
             raise AnswerTimeout("no answer in time") from error
         except OSError as error:
             self._ended = True
-            raise AnswerLost(f"connection failed: {error}") from error
+            raise ConnectionEnded(f"connection failed: {error}") from error
         if not data:
             self._ended = True
             if not self._parser.feed_end():
-                raise AnswerLost("connection closed before the end of the answer")
+                raise ConnectionEnded("connection closed before the end of the answer")
             return
         try:
             self._parser.feed(data)
@@ -247,6 +257,11 @@
         else:
             connection.close()
 
+    def put_new(self, connection: UpstreamConnection, *, now_s: float) -> None:
+        """Keep a connection that has carried no call yet."""
+        connection.idle_since_s = now_s
+        self.put(connection)
+
     def drop_replica(self, replica: Replica) -> None:
         """Close the idle connections to a replica."""
         for connection in self._idle.pop(_key(replica), ()):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -1,17 +1,61 @@
-"""Answers that were lost after a request had been sent to a replica."""
+"""Requests that were running when a replica ended, found by their lost answers."""
 
+import time
+from dataclasses import dataclass
+
+from gevent.event import AsyncResult
+
+from persimmonyoke.internal.delivery.suspect_types import (
+    Clear,
+    Quarantined,
+    Suspect,
+    SuspectStatus,
+)
+from persimmonyoke.internal.dispatch.crash_evidence import (
+    Loss,
+    LossKind,
+    OpenLosses,
+    ProbeResult,
+    Verdict,
+    judge_loss,
+    needs_probe,
+)
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.attempts import AttemptStart
-from persimmonyoke.internal.gateway.connections import AnswerLost
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    AnswerTimeout,
+    ConnectionEnded,
+    ConnectionRefused,
+    NotConnected,
+    UpstreamConnection,
+)
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
 
+PROBE_TIMEOUT_S = 0.2
+"""A replica that runs accepts a connection within a round trip."""
+
+PROBE_KEEP_S = 0.1
+"""Time for which the losses of one replica share a probe."""
+
+
+@dataclass
+class _Probe:
+    """Hold a probe that has been begun; ``result`` is set at its end."""
+
+    begun_s: float
+    result: AsyncResult
+
 
 class CrashWatch:
-    """Note which requests were running when an answer was lost."""
+    """Find out which lost answers are due to the end of a replica, and tell of it."""
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
+        self._probes: dict[str, _Probe] = {}
+        self._open = OpenLosses()
+        state.on_replica_started = self.note_started
 
     def note_lost(
         self,
@@ -22,7 +66,19 @@
         *,
         now_s: float,
     ) -> None:
-        """Log a lost answer with the content of its request."""
+        """Judge a lost answer; waits for a probe of the replica where that helps."""
+        loss = Loss(
+            digest=exchange.request.content_digest,
+            replica=replica,
+            started_s=start.started_s,
+            lost_s=now_s,
+            alone=exchange.isolated_on == replica.replica_id,
+        )
+        kind, leaving = _loss_kind(error), self._leaving(replica)
+        probe = ProbeResult.NOT_MADE
+        if needs_probe(kind, leaving=leaving):
+            probe = self._probe(replica, now_s=now_s)
+        verdict = judge_loss(kind, probe, leaving=leaving)
         self._state.journal.event(
             "answer_lost",
             request_id=exchange.metadata.request_id,
@@ -32,4 +88,90 @@
             stage=start.stage,
             running_ms=int((now_s - start.started_s) * 1_000),
             error=f"{type(error).__name__}: {error}",
+            probe=probe,
+            leaving=leaving,
+            verdict=verdict,
+        )
+        if verdict is Verdict.OPEN:
+            self._open.add(loss)
+        elif verdict is Verdict.CRASHED:
+            self._state.pool.drop_replica(replica)
+            self._state.health.note_unreachable(replica.replica_id, now_s)
+            self._note_crash(loss, now_s=time.monotonic())
+
+    def note_started(self, started: Replica) -> None:
+        """Count the open losses of the incarnation that ran before this one."""
+        now_s = time.monotonic()
+        for loss in self._open.take_restarted(started, now_s=now_s):
+            self._note_crash(loss, now_s=now_s)
+
+    def _note_crash(self, loss: Loss, *, now_s: float) -> None:
+        status = self._state.suspects.note_crash(
+            loss.digest,
+            loss.replica.replica_id,
+            now_s,
+            incarnation=str(loss.replica.born_unix_ms),
+            started_s=loss.started_s,
+            alone=loss.alone,
         )
+        self._state.journal.event(
+            "replica_crashed",
+            replica=loss.replica.replica_id,
+            born_unix_ms=loss.replica.born_unix_ms,
+            content=loss.digest.hex(),
+            alone=loss.alone,
+            **status_fields(status, now_s=now_s),
+        )
+
+    def _leaving(self, replica: Replica) -> bool:
+        """Return whether the replica was about to end, as far as this host knows."""
+        known = self._state.replicas.get(replica.replica_id)
+        return known is None or known.draining
+
+    def _probe(self, replica: Replica, *, now_s: float) -> ProbeResult:
+        """Return what a new connection meets; losses at one moment share it."""
+        key = f"{replica.replica_id}@{replica.address}/{replica.born_unix_ms}"
+        known = self._probes.get(key)
+        if known is not None and now_s - known.begun_s <= PROBE_KEEP_S:
+            return known.result.get()
+        self._forget_old_probes(now_s)
+        probe = self._probes[key] = _Probe(now_s, AsyncResult())
+        result = self._connect(replica)
+        probe.result.set(result)
+        return result
+
+    def _connect(self, replica: Replica) -> ProbeResult:
+        try:
+            connection = UpstreamConnection(replica, timeout_s=PROBE_TIMEOUT_S)
+        except ConnectionRefused:
+            return ProbeResult.REFUSED
+        except NotConnected:
+            return ProbeResult.SILENT
+        self._state.pool.put_new(connection, now_s=time.monotonic())
+        return ProbeResult.CONNECTED
+
+    def _forget_old_probes(self, now_s: float) -> None:
+        for key, probe in list(self._probes.items()):
+            if now_s - probe.begun_s > PROBE_KEEP_S:
+                del self._probes[key]
+
+
+def status_fields(status: SuspectStatus, *, now_s: float) -> dict[str, object]:
+    """Return the fields by which log lines tell what is known of a request."""
+    match status:
+        case Clear():
+            return {"status": "clear"}
+        case Suspect(crashes):
+            return {"status": "suspect", "crashes": crashes}
+        case Quarantined(until_s):
+            left_ms = int((until_s - now_s) * 1_000)
+            return {"status": "quarantined", "quarantine_left_ms": left_ms}
+
+
+def _loss_kind(error: AnswerLost) -> LossKind:
+    match error:
+        case ConnectionEnded():
+            return LossKind.ENDED
+        case AnswerTimeout():
+            return LossKind.SILENT
+    return LossKind.MALFORMED
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -1,12 +1,14 @@
 """Engines for one generation: where its prompt is read and where it runs."""
 
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import NoReturn
 
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.delivery.suspect_types import Clear
 from persimmonyoke.internal.dispatch.loads import PromptJob
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_S
@@ -22,6 +24,7 @@
 )
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PromptRead
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 
 MAX_PREFILL_TRIES = 3
 RETRY_AFTER_REJECTED_S = 0.4
@@ -47,9 +50,12 @@
         state: GatewayState,
         prefill: PrefillCaller,
         gate: AdmissionGate,
+        guard: SuspectGuard,
         exchange: Exchange,
     ) -> None:
         self._state = state
+        self._guard = guard
+        self._doubtful = False
         self._prefill = prefill
         self._gate = gate
         self._exchange = exchange
@@ -77,16 +83,21 @@
         """Return the engine to run on, and the prompt if another engine read it."""
         service, prompt = self._exchange.service, self._exchange.metadata.prompt
         if service.engine is None or prompt is None:
-            return EngineChoice(self._choose_plain(), None)
+            reserved = self._reserve(self._engines)
+            return EngineChoice(reserved or self._choose_plain(), None)
         while True:
-            admitted = self._admit(prompt, service.engine)
-            if admitted.plan.local:
-                self._local_read = admitted.job
-                return EngineChoice(admitted.plan.engine, None)
-            read = self._read_prompt(admitted)
-            if read is None:
-                continue
-            return EngineChoice(self._decoder_for(read, service.engine), read)
+            self._doubtful = not isinstance(self._guard.status(self._exchange), Clear)
+            self._reserve(self._readers)
+            try:
+                admitted = self._admit(prompt, service.engine)
+                if admitted.plan.local:
+                    self._local_read = admitted.job
+                    return EngineChoice(admitted.plan.engine, None)
+                read = self._read_prompt(admitted)
+            finally:
+                self._guard.end_reservation(self._exchange)
+            if read is not None:
+                return EngineChoice(self._decoder_for(read, service.engine), read)
 
     def end_local_read(self) -> None:
         """Note that the engine has read a prompt that it generates from itself."""
@@ -109,6 +120,31 @@
             )
         raise error
 
+    def _reserve(
+        self,
+        candidates: Callable[[], Sequence[Replica]],
+        *,
+        limit_s: float = float("inf"),
+    ) -> Replica | None:
+        """Return an engine for this request alone if it may crash engines."""
+        now_s = time.monotonic()
+        patience_s = self._exchange.patience_left_s(now_s)
+        until_s = now_s + min(limit_s, patience_s)
+        return self._guard.reserve(self._exchange, candidates, until_s=until_s)
+
+    def _readers(self) -> list[Replica]:
+        """Return the engines that a prompt may be read on.
+
+        A decode engine would take all its runs down with it.
+        """
+        engines = self._engines()
+        isolated_on = self._exchange.isolated_on
+        if isolated_on is not None:
+            return [e for e in engines if e.replica_id == isolated_on]
+        if self._doubtful:
+            return [e for e in engines if e.stage is Stage.PREFILL]
+        return engines
+
     def _recognise(self, prompt: Prompt) -> None:
         """Let a request that comes back after a refusal go before others."""
         key = request_key(self._exchange.request.path, prompt)
@@ -122,6 +158,9 @@
         """Return the engine to generate, once there is one."""
         waited_until_s = time.monotonic() + HANDLE_KEEP_S
         try:
+            reserved = self._reserve(self._decoders, limit_s=HANDLE_KEEP_S)
+            if reserved is not None:
+                return reserved
             while True:
                 decode = self._state.placement.decoder(
                     self._decoders(),
@@ -165,6 +204,12 @@
         if self._prefill_tries and not self._budget.try_spend(time.monotonic()):
             self._state.ledger.end_read(admitted.job)
             self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
+        try:
+            # Copies of the request may have crashed engines while this one waited.
+            self._guard.status(exchange)
+        except BaseException:
+            self._state.ledger.end_read(admitted.job)
+            raise
         try:
             outcome = self._prefill.read(
                 exchange, admitted, deadline_s=exchange.deadline_s - ANSWER_MARGIN_S
@@ -199,7 +244,7 @@
             deadline_s=deadline_s,
             value=self._value,
             returning=self._returning,
-            engines=self._engines,
+            engines=self._readers,
         )
         admitted = self._gate.admit(demand, exchange.work.on_cancel)
         if exchange.work.cancelled and isinstance(admitted, Admitted):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -53,6 +53,8 @@
     begun: bool = False
     last_event_s: float = 0.0
     status: int = 0
+    isolated_on: str | None = None
+    """Replica that is reserved for this request, since it may crash it."""
 
     @property
     def remaining_s(self) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -20,6 +20,11 @@
     is_collectors,
 )
 from persimmonyoke.internal.gateway.state import PartPlacement
+from persimmonyoke.internal.gateway.suspect_messages import (
+    SUSPECTS_FORMAT,
+    SuspectsMessage,
+    suspects_from,
+)
 
 FORMAT = 5
 
@@ -79,7 +84,7 @@
 
 def decode_datagram(
     raw: bytes, *, now_s: float
-) -> PeerMessage | ChangesPart | CollectorDatagram:
+) -> PeerMessage | ChangesPart | CollectorDatagram | SuspectsMessage:
     """Return what a datagram received now holds; raise ``ProtocolError``."""
     if is_collectors(raw):
         return decode_messages(raw, now_s=now_s)
@@ -87,6 +92,8 @@
         format_number, *values = cbor2.loads(raw)
         if format_number == CHANGES_FORMAT:
             return part_from(values)
+        if format_number == SUSPECTS_FORMAT:
+            return suspects_from(values)
         if format_number != FORMAT:
             raise ProtocolError(f"format {format_number!r} is not known")
         return _message(values)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -40,6 +40,8 @@
     HostRelay,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.suspect_link import SuspectLink
+from persimmonyoke.internal.gateway.suspect_messages import SuspectsMessage
 
 MAX_NEAR_DATAGRAMS_PER_S = 250
 MAX_FAR_DATAGRAMS_PER_S = 100
@@ -77,6 +79,7 @@
         self._near = PeerGroup(MAX_NEAR_DATAGRAMS_PER_S)
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._relay = HostRelay(state, self._send_to, now_s=time.monotonic())
+        self._suspects = SuspectLink(state, self._send_raw)
         state.on_cached = self._pass_on_cached
         self._reported_changes = -1
         self._changes = ChangesAssembler()
@@ -90,6 +93,7 @@
         self._tasks = [
             gevent.spawn(self._receive_loop),
             gevent.spawn(self._send_loop),
+            gevent.spawn(self._suspects.gossip),
         ]
         return self._socket.getsockname()[1]
 
@@ -304,6 +308,9 @@
         if isinstance(message, ChangesPart):
             self._take_changes(message)
             return False
+        if isinstance(message, SuspectsMessage):
+            self._suspects.take(message, now_s=now_s)
+            return False
         if not isinstance(message, PeerMessage):
             return self._relays() and self._relay.take(message, now_s=now_s)
         return self._apply(message, now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -16,6 +16,7 @@
 from persimmonyoke.internal.gateway.crash_watch import CrashWatch
 from persimmonyoke.internal.gateway.exchange import ANSWER_MARGIN_S, Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard, wait_limit_s
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller
 
 RETRY_AFTER_FULL_S = 0.15
@@ -58,6 +59,7 @@
         self._state = state
         self._caller = UpstreamCaller(state)
         self._crashes = crashes
+        self._guard = SuspectGuard(state)
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` if it is not served."""
@@ -74,7 +76,7 @@
         excluded: set[str] = set()
         last: Answered | None = None
         while True:
-            replica = self._choose(exchange, excluded)
+            replica = self._prepare(exchange, excluded)
             if replica is None and last is not None:
                 return last
             if replica is None:
@@ -121,6 +123,27 @@
         budget = self._state.retry_budget(exchange.service.name)
         return budget.try_spend(time.monotonic())
 
+    def _prepare(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
+        """Return the replica to send to; one that is reserved for a doubtful request.
+
+        Raises the error of a request that is withheld.
+        """
+        reserved = self._guard.reserve(
+            exchange,
+            lambda: self._reservable(exchange, excluded),
+            until_s=wait_limit_s(exchange),
+        )
+        return reserved or self._choose(exchange, excluded)
+
+    def _reservable(self, exchange: Exchange, excluded: set[str]) -> list[Replica]:
+        state, now_s = self._state, time.monotonic()
+        return [
+            replica
+            for replica in state.usable_replicas(exchange.service.name, now_s=now_s)
+            if replica.replica_id not in excluded
+            and not state.health.paused(replica.replica_id, now_s)
+        ]
+
     def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
         state, now_s = self._state, time.monotonic()
         return choose_replica(
@@ -141,6 +164,7 @@
             outcome = self._call(exchange, replica, start)
         finally:
             self._state.ledger.end_run(replica.replica_id)
+            self._guard.end_reservation(exchange)
         result = {Answered: "answered", Lost: "lost"}.get(type(outcome), "not_run")
         if isinstance(outcome, NotRun) and not outcome.sent:
             result = "not_connected"
@@ -186,6 +210,8 @@
             state.health.note_failure(replica.replica_id, time.monotonic())
             return NotRun(f"replica answered {opened.head.status}", sent=True)
         exchange.may_have_run = True
+        if opened.facts.stamped:
+            self._guard.note_completed(exchange)
         if not opened.facts.stamped:
             state.health.note_failure(replica.replica_id, time.monotonic())
             return Lost(f"answer {opened.head.status} without a stamp")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -6,6 +6,11 @@
 from dataclasses import dataclass
 
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.delivery.suspect_types import (
+    QuarantineRule,
+    SuspectNotice,
+)
+from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
 from persimmonyoke.internal.dispatch.health import ReplicaHealth
@@ -69,6 +74,12 @@
 A change takes 3 s; an order may also never be carried out.
 """
 
+MAX_SUSPECTS = 2_048
+"""Requests that met a crash and are remembered; a crash adds all that were running."""
+
+CRASHES_TO_WITHHOLD = 3
+"""Crashes after which a request is sent to no replica; the last one met it alone."""
+
 _MISDIRECTED, _UNAVAILABLE = 421, 503
 
 LEAST_HOSTS = 4
@@ -114,6 +125,12 @@
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
         self.backoff = ReplicaBackoff()
+        self.suspects = SuspectRegister(
+            settings.host_name,
+            max_records=MAX_SUSPECTS,
+            rule=QuarantineRule(CRASHES_TO_WITHHOLD, last_alone=True),
+            on_change=lambda notice: self.on_suspect(notice),
+        )
         self.prefixes = PrefixIndex()
         self.factors = EngineFactors()
         self.sizes = RouteSizes()
@@ -137,6 +154,8 @@
         self.on_store_changes: Callable[[RelayedChanges], None] = lambda _changes: None
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
+        self.on_replica_started: Callable[[Replica], None] = lambda _replica: None
+        self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
 
     @property
     def ready(self) -> bool:
@@ -335,6 +354,8 @@
         for change in changes:
             replica = change.replica
             self._log_replica(change, now_s)
+            if isinstance(change, ReplicaAdded):
+                self.on_replica_started(replica)
             if isinstance(change, ReplicaAdded) and replica.stage is not None:
                 self.on_engine(replica)
             if isinstance(change, ReplicaGone):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -28,6 +28,7 @@
     PromptRead,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenAnswer, UpstreamCaller
 
 STREAM_SILENCE_S = 1.2
@@ -70,18 +71,22 @@
         self._caller = UpstreamCaller(state)
         self._crashes = crashes
         self._prefill = PrefillCaller(state, crashes)
+        self._guard = SuspectGuard(state)
         self._gate = AdmissionGate(state)
         state.queued_s = lambda: self._gate.queued_s
         state.on_peer_work = self._gate.pump_if_affordable
 
     def relay(self, exchange: Exchange) -> None:
         """Answer a request; raise ``RequestError`` or ``StreamBroken``."""
-        selection = EngineSelection(self._state, self._prefill, self._gate, exchange)
+        selection = EngineSelection(
+            self._state, self._prefill, self._gate, self._guard, exchange
+        )
         run = _StreamRun(
             self._state,
             self._caller,
             self._prefill,
             self._crashes,
+            self._guard,
             selection,
             exchange,
         )
@@ -97,6 +102,7 @@
         caller: UpstreamCaller,
         prefill: PrefillCaller,
         crashes: CrashWatch,
+        guard: SuspectGuard,
         selection: EngineSelection,
         exchange: Exchange,
     ) -> None:
@@ -104,6 +110,7 @@
         self._caller = caller
         self._prefill = prefill
         self._crashes = crashes
+        self._guard = guard
         self._selection = selection
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
@@ -137,6 +144,7 @@
             used = not isinstance(outcome, RunRejected)
         finally:
             ledger.end_run(engine.replica_id, tokens)
+            self._guard.end_reservation(self._exchange)
             self._selection.end_local_read()
             if read is not None and not used:
                 self._prefill.release(read)
@@ -209,6 +217,8 @@
         except AnswerLost as error:
             return self._lost(engine, start, error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
+        if opened.facts.stamped:
+            self._guard.note_completed(self._exchange)
         if not opened.facts.stamped or self._exchange.begun:
             return RunLost(f"engine answered {opened.head.status}")
         headers = list(self._state.wire.client_headers(opened.head.headers))
@@ -238,6 +248,7 @@
             raise
         self._caller.finish(opened, self._exchange.work)
         self._state.health.note_success(engine.replica_id)
+        self._guard.note_completed(self._exchange)
         self._end(opened, splitter.rest)
         return RunEnded()
 
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_messages.py
@@ -0,0 +1,88 @@
+"""Format of the datagrams that tell of requests which may crash replicas."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
+
+SUSPECTS_FORMAT = 11
+MAX_MESSAGE_BYTES = 1_200
+"""Datagrams below the usual MTU are not fragmented."""
+
+MAX_CRASHES_TOLD = 16
+"""Crashes of one request that are told; three withhold it."""
+
+
+@dataclass(frozen=True)
+class SuspectsMessage:
+    """Hold what a host knows of some requests."""
+
+    notices: tuple[SuspectNotice, ...]
+
+
+def encode_suspects(notices: Iterable[SuspectNotice]) -> list[bytes]:
+    """Return the notices in as few datagrams as they fit into."""
+    datagrams: list[bytes] = []
+    rows: list[bytes] = []
+    size = 0
+    for notice in notices:
+        row = cbor2.dumps(_row(notice))
+        if rows and size + len(row) > MAX_MESSAGE_BYTES:
+            datagrams.append(cbor2.dumps([SUSPECTS_FORMAT, rows]))
+            rows, size = [], 0
+        rows.append(row)
+        size += len(row)
+    if rows:
+        datagrams.append(cbor2.dumps([SUSPECTS_FORMAT, rows]))
+    return datagrams
+
+
+def suspects_from(values: Sequence[Any]) -> SuspectsMessage:
+    """Return the message in the values of a datagram; raise ``ProtocolError``."""
+    match values:
+        case [list(rows)]:
+            notices = (_notice(cbor2.loads(row)) for row in rows)
+            return SuspectsMessage(tuple(notices))
+    raise ProtocolError("message on suspects is malformed")
+
+
+def _row(notice: SuspectNotice) -> list[Any]:
+    return [
+        notice.digest,
+        notice.host,
+        sorted(notice.crashes)[:MAX_CRASHES_TOLD],
+        notice.cleared,
+        int(notice.quarantine_left_s * 1_000),
+        notice.isolated_on,
+        int(notice.isolation_left_s * 1_000),
+        notice.number,
+    ]
+
+
+def _notice(row: Any) -> SuspectNotice:
+    match row:
+        case [
+            bytes(digest),
+            str(host),
+            list(crashes),
+            bool(cleared),
+            int(quarantine_left_ms),
+            str() | None as isolated_on,
+            int(isolation_left_ms),
+            int(number),
+        ]:
+            return SuspectNotice(
+                digest=digest,
+                host=host,
+                crashes=frozenset(str(crash) for crash in crashes),
+                cleared=cleared,
+                quarantine_left_s=quarantine_left_ms / 1_000,
+                isolated_on=isolated_on,
+                isolation_left_s=isolation_left_ms / 1_000,
+                number=number,
+            )
+    raise ProtocolError("notice of a suspect is malformed")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -64,6 +64,7 @@
                     state.hosts.put(host, now_s=now_s)
                 case HostRemoved(name):
                     state.hosts.remove(name)
+                    state.suspects.forget_host(name)
                 case HolderSeen(holder):
                     self._orders.note_holder(holder)
                 case OrderRecorded(record):
