Record withheld requests in the store, so that they outlive all hosts

Hosts that started learnt what is withheld from peers within a second, and nothing at all if every host had been lost.

The host that finds a request to crash replicas writes it under a lease of the time for which it is withheld; the store's readings and watches bring it to all hosts, before a host that starts is ready.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -212,6 +212,10 @@
             self._notice(digest, isolations.get(digest), now_s) for digest in digests
         )
 
+    def notice(self, digest: bytes, now_s: float) -> SuspectNotice:
+        """Return what is known of one request, for a peer."""
+        return self._notice(digest, None, now_s)
+
     def forget_host(self, host: str) -> None:
         """Drop the reservations of a host that is gone."""
         self._isolations.forget_host(host)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -11,6 +11,7 @@
     Replica,
     RequestMetadata,
     Stage,
+    WithheldRequest,
 )
 from persimmonyoke.internal.fleet.term import OrderRecord
 
@@ -176,6 +177,13 @@
     record: OrderRecord
 
 
+@dataclass(frozen=True)
+class WithheldSeen:
+    """Report a request that a host has found to crash replicas."""
+
+    withheld: WithheldRequest
+
+
 StoreEvent = (
     ConfigurationRead
     | ReplicaSeen
@@ -184,6 +192,7 @@
     | HostRemoved
     | HolderSeen
     | OrderRecorded
+    | WithheldSeen
 )
 
 
@@ -244,6 +253,10 @@
     def register_host(self, host: HostEntry, lease_id: int) -> None:
         """Write this host's entry under a lease; raise ``LeaseEnded``."""
 
+    @abstractmethod
+    def record_withheld(self, withheld: WithheldRequest, lease_id: int) -> None:
+        """Write which request is withheld, under a lease; raise ``LeaseEnded``."""
+
     @abstractmethod
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return the holder of orders; a stale answer may be seconds old."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -129,6 +129,18 @@
     ready: bool
 
 
+@dataclass(frozen=True)
+class WithheldRequest:
+    """Describe a request that crashed replicas and is sent to none for a while.
+
+    ``crashes`` names the replicas with their starts.
+    """
+
+    digest: bytes
+    crashes: tuple[str, ...]
+    until_unix_s: float
+
+
 @dataclass(frozen=True)
 class PromptPart:
     """Name a part of a prompt, which other prompts may share."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -122,6 +122,8 @@
             alone=loss.alone,
             **status_fields(status, now_s=now_s),
         )
+        if isinstance(status, Quarantined):
+            self._state.on_withheld(loss.digest)
 
     def _leaving(self, replica: Replica) -> bool:
         """Return whether the replica was about to end, as far as this host knows."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -19,6 +19,7 @@
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 from persimmonyoke.internal.gateway.small_server import SmallServer
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.withheld_record import WithheldRecord
 
 HOUSEKEEPING_S = 0.5
 EXIT_MARGIN_S = 0.7
@@ -53,6 +54,7 @@
             self.state, EngineCalls(self.state), self._peers.collecting_view
         )
         self.state.on_engine = learner.note_engine
+        self._withheld = WithheldRecord(self.state, store)
         self._follower = StoreFollower(
             self.state,
             store,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -155,6 +155,7 @@
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
         self.on_replica_started: Callable[[Replica], None] = lambda _replica: None
+        self.on_withheld: Callable[[bytes], None] = lambda _digest: None
         self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
 
     @property
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -53,20 +53,9 @@
             gevent.spawn(self._flush)
 
     def take(self, message: SuspectsMessage, *, now_s: float) -> None:
-        """Merge what a peer knows; log the requests that are withheld from now on."""
-        suspects = self._state.suspects
+        """Merge what a peer knows."""
         for notice in message.notices:
-            before = suspects.status(notice.digest, now_s)
-            suspects.merge(notice, now_s)
-            after = suspects.status(notice.digest, now_s)
-            if isinstance(after, Quarantined) and not isinstance(before, Quarantined):
-                self._state.journal.event(
-                    "quarantine_heard",
-                    content=notice.digest.hex(),
-                    peer=notice.host,
-                    crashes=sorted(notice.crashes),
-                    quarantine_left_ms=int(notice.quarantine_left_s * 1_000),
-                )
+            merge_notice(self._state, notice, now_s=now_s)
 
     def gossip(self) -> None:
         """Tell some peers at intervals what is important, for as long as it holds."""
@@ -95,6 +84,21 @@
                 gevent.spawn_later(delay_s, self._send, peers, datagram)
 
 
+def merge_notice(state: GatewayState, notice: SuspectNotice, *, now_s: float) -> None:
+    """Merge what a peer or the store knows, and log what it withholds."""
+    before = state.suspects.status(notice.digest, now_s)
+    state.suspects.merge(notice, now_s)
+    after = state.suspects.status(notice.digest, now_s)
+    if isinstance(after, Quarantined) and not isinstance(before, Quarantined):
+        state.journal.event(
+            "quarantine_heard",
+            content=notice.digest.hex(),
+            source=notice.host,
+            crashes=sorted(notice.crashes),
+            quarantine_left_ms=int(notice.quarantine_left_s * 1_000),
+        )
+
+
 def _is_important(notice: SuspectNotice) -> bool:
     return (
         len(notice.crashes) >= IMPORTANT_CRASHES
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -12,9 +12,12 @@
     ReplicaRemoved,
     ReplicaSeen,
     StoreEvent,
+    WithheldSeen,
 )
+from persimmonyoke.internal.fleet.model import WithheldRequest
 from persimmonyoke.internal.gateway.orders import OrderDuty
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.withheld_record import merge_withheld
 
 
 class ViewUpdates:
@@ -44,6 +47,8 @@
                 self._apply_configuration(event, "snapshot")
             elif isinstance(event, OrderRecorded):
                 self._orders.note_record(event.record)
+            elif isinstance(event, WithheldSeen):
+                self._merge_withheld(event.withheld)
         holders = [e.holder for e in events if isinstance(e, HolderSeen)]
         self._orders.note_holder(holders[0] if holders else None)
 
@@ -69,6 +74,13 @@
                     self._orders.note_holder(holder)
                 case OrderRecorded(record):
                     self._orders.note_record(record)
+                case WithheldSeen(withheld):
+                    self._merge_withheld(withheld)
+
+    def _merge_withheld(self, withheld: WithheldRequest) -> None:
+        merge_withheld(
+            self._state, withheld, unix_s=time.time(), now_s=time.monotonic()
+        )
 
     def _apply_configuration(self, event: ConfigurationRead, source: str) -> None:
         self._state.apply_configuration(event.configuration, source)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/withheld_record.py
@@ -0,0 +1,81 @@
+"""Record of withheld requests in the store, which outlives all hosts."""
+
+import time
+
+import gevent
+
+from persimmonyoke.errors import LeaseEnded, StoreUnavailable
+from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
+from persimmonyoke.internal.fleet.interfaces import FleetStore
+from persimmonyoke.internal.fleet.model import WithheldRequest
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.suspect_link import merge_notice
+
+RETRY_S = 1.0
+MAX_TRIES = 30
+"""Writes of one record while the store does not answer; peers know of it as well."""
+
+STORE_SOURCE = "store"
+
+
+class WithheldRecord:
+    """Write to the store which requests this host has found to crash replicas."""
+
+    def __init__(self, state: GatewayState, store: FleetStore) -> None:
+        self._state = state
+        self._store = store
+        self._writing: set[bytes] = set()
+        state.on_withheld = self.write
+
+    def write(self, digest: bytes) -> None:
+        """Record a request in the background, once at a time."""
+        if digest not in self._writing:
+            self._writing.add(digest)
+            gevent.spawn(self._write_until_done, digest)
+
+    def _write_until_done(self, digest: bytes) -> None:
+        try:
+            for _ in range(MAX_TRIES):
+                if self._write_once(digest):
+                    return
+                gevent.sleep(RETRY_S * self._state.rng.uniform(0.8, 1.2))
+            self._state.journal.event("withheld_not_recorded", content=digest.hex())
+        finally:
+            self._writing.discard(digest)
+
+    def _write_once(self, digest: bytes) -> bool:
+        """Return whether the request is recorded, or needs no record any more."""
+        notice = self._state.suspects.notice(digest, time.monotonic())
+        left_s = notice.quarantine_left_s
+        if left_s <= 0:
+            return True
+        crashes = tuple(sorted(notice.crashes))
+        withheld = WithheldRequest(digest, crashes, time.time() + left_s)
+        try:
+            lease_id = self._store.grant_lease(left_s)
+            self._store.record_withheld(withheld, lease_id)
+        except (LeaseEnded, StoreUnavailable) as error:
+            self._state.journal.failure(
+                "withheld_not_written", error, content=digest.hex()
+            )
+            return False
+        self._state.journal.event(
+            "withheld_recorded", content=digest.hex(), crashes=list(crashes)
+        )
+        return True
+
+
+def merge_withheld(
+    state: GatewayState, withheld: WithheldRequest, *, unix_s: float, now_s: float
+) -> None:
+    """Withhold a request that the store tells of for the rest of its time."""
+    left_s = min(state.suspects.hold_s, withheld.until_unix_s - unix_s)
+    if left_s <= 0:
+        return
+    notice = SuspectNotice(
+        digest=withheld.digest,
+        host=STORE_SOURCE,
+        crashes=frozenset(withheld.crashes),
+        quarantine_left_s=left_s,
+    )
+    merge_notice(state, notice, now_s=now_s)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -11,7 +11,7 @@
     StoreChanges,
     StoreEvent,
 )
-from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.model import HostEntry, WithheldRequest
 from persimmonyoke.internal.fleet.term import OrderRecord
 
 
@@ -100,6 +100,10 @@
         """Refuse."""
         raise StoreUnavailable(f"no lease {lease_id} for {host.name}")
 
+    def record_withheld(self, withheld: WithheldRequest, lease_id: int) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id} for {withheld.digest.hex()}")
+
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return that nobody holds the order key."""
         return None
