Bound what a peer can send that is no answer

Causes: the parser kept every header and joined a partial line with each read; a replica that sends without a pause never let the call time out, nor other tasks run; each small chunk was joined with the whole incomplete event before it; a stream was read past its deadline.

The store's answers go through the same code. Requests of clients had the same gap for one line, a chunk extension and trailers without end.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
@@ -9,6 +9,14 @@
 
 Header = tuple[bytes, bytes]
 
+MAX_FRAMING_BYTES = 131_072
+FRAMING_PER_BODY_BYTE = 2
+"""Bound of the bytes of one answer that are not its body.
+
+It holds the largest head. Heads, chunk extensions and trailers without end are above
+it, also interim answers one after the other, and chunks of single bytes.
+"""
+
 
 @dataclass(frozen=True)
 class AnswerHead:
@@ -54,6 +62,9 @@
         self._in_message = False
         self._head: AnswerHead | None = None
         self._headers_done = False
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self.without_body = False
 
     @property
@@ -61,18 +72,29 @@
         """Return whether no answer has begun and none waits to be taken."""
         return not self._in_message and not self._events
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether an event waits to be taken."""
+        return bool(self._events)
+
     def take(self) -> AnswerEvent | None:
         """Return the next event."""
         return self._events.popleft() if self._events else None
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise ``ProtocolError``, after the events before the fault."""
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise ProtocolError("unexpected upgrade") from error
         except httptools.HttpParserError as error:
             raise ProtocolError(str(error)) from error
+        finally:
+            self._join_body()
+        limit = MAX_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+        if self._framing_bytes > limit:
+            raise ProtocolError("bytes without end that are no answer")
 
     def feed_end(self) -> bool:
         """Note the end of the connection; return whether it completes the answer."""
@@ -125,12 +147,21 @@
             self._events.append(AnswerEnd())
 
     def on_body(self, part: bytes) -> None:
-        """Add a part of the body."""
-        self._events.append(BodyPart(part))
+        """Add a part of the body, which is joined with others of these bytes."""
+        self._body.append(part)
+        self._body_bytes += len(part)
+        self._framing_bytes -= len(part)
+
+    def _join_body(self) -> None:
+        if self._body:
+            self._events.append(BodyPart(b"".join(self._body)))
+            self._body = []
 
     def on_message_complete(self) -> None:
         """Store the end of the answer."""
         if self._head is None or not self._in_message:
             return
+        self._join_body()
+        self._body_bytes = self._framing_bytes = 0
         self._in_message = False
         self._events.append(AnswerEnd())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+import gevent
 from gevent import socket
 
 from persimmonyoke.errors import ProtocolError
@@ -31,6 +32,12 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Bound of an answer that is held in memory as a whole."""
 
+MAX_HELD_BYTES = 32 * 1024 * 1024
+"""Bound of all answers that are being read as a whole; hosts have 200 MB or more."""
+
+TURN_BYTES = 65_536
+"""Bytes that are read at once before other tasks have their turn."""
+
 
 class NotConnected(Exception):
     """Say that no byte of a call was sent."""
@@ -64,16 +71,40 @@
     body: bytes
 
 
+class HeldAnswers:
+    """Count the bytes of the answers that are being read as a whole."""
+
+    def __init__(self, limit_bytes: int = MAX_HELD_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._held_bytes = 0
+
+    def add(self, size_bytes: int) -> None:
+        """Count bytes; raise ``AnswerLost`` if more are held than there is room for."""
+        self._held_bytes += size_bytes
+        if self._held_bytes > self._limit_bytes:
+            raise AnswerLost("no room is left for the answer")
+
+    def remove(self, size_bytes: int) -> None:
+        """Note that bytes are no longer held here."""
+        self._held_bytes -= size_bytes
+
+
+HELD_ANSWERS = HeldAnswers()
+"""Account of this process: its memory is one, whatever reads the answers."""
+
+
 class UpstreamConnection:
     """Carry one call at a time to one replica."""
 
     def __init__(self, replica: Replica, *, timeout_s: float) -> None:
         self.replica = replica
+        self._turn_bytes = 0
         self.used = False
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self._parser = AnswerParser()
         self._ended = False
+        self._fault: str | None = None
         self._complete = True
         if timeout_s <= 0:
             raise NotConnected(f"{replica.address}: no time is left")
@@ -123,14 +154,18 @@
         """Return the rest of the body of the answer."""
         deadline_s = time.monotonic() + timeout_s
         parts, size = [], 0
-        while True:
-            part = self.read_part(timeout_s=deadline_s - time.monotonic())
-            if part is None:
-                return b"".join(parts)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                raise AnswerLost("answer is too large to be held")
-            parts.append(part)
+        try:
+            while True:
+                part = self.read_part(timeout_s=deadline_s - time.monotonic())
+                if part is None:
+                    return b"".join(parts)
+                size += len(part)
+                HELD_ANSWERS.add(len(part))
+                if size > MAX_ANSWER_BYTES:
+                    raise AnswerLost("answer is too large to be held")
+                parts.append(part)
+        finally:
+            HELD_ANSWERS.remove(size)
 
     def note_answered(self, head: AnswerHead, *, now_s: float) -> None:
         """Note a completely read answer, so that the connection may be used again."""
@@ -171,6 +206,12 @@
         """Return whether an idle connection has ended or holds unexpected bytes."""
         return sockets.has_input(self._sock)
 
+    def _take_turn(self) -> None:
+        """Let other tasks run; bytes that are there already are read without a wait."""
+        if self._turn_bytes >= TURN_BYTES:
+            self._turn_bytes = 0
+            gevent.sleep(0)
+
     def _next_event(self, deadline_s: float) -> AnswerHead | BodyPart | AnswerEnd:
         while True:
             event = self._parser.take()
@@ -179,10 +220,17 @@
             self._receive(deadline_s)
 
     def _receive(self, deadline_s: float) -> None:
+        if self._fault is not None:
+            raise AnswerLost(self._fault)
         if self._ended:
             raise ConnectionEnded("connection has ended")
+        self._take_turn()
+        left_s = deadline_s - time.monotonic()
+        if left_s <= 0 and self._turn_bytes:
+            # A replica that sends without a pause never lets the call time out.
+            raise AnswerTimeout("no complete answer in time")
         try:
-            self._sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+            self._sock.settimeout(max(0.001, left_s))
             data = self._sock.recv(READ_BYTES)
         except TimeoutError as error:
             raise AnswerTimeout("no answer in time") from error
@@ -194,14 +242,16 @@
             if not self._parser.feed_end():
                 raise ConnectionEnded("connection closed before the end of the answer")
             return
+        self._turn_bytes += len(data)
         try:
             self._parser.feed(data)
         except ProtocolError as error:
             # Events before the malformed bytes still count; a complete answer is
             # delivered although the connection can't be used again.
             self._ended = True
-            if self._parser.between_answers:
-                raise AnswerLost(f"malformed answer: {error}") from error
+            self._fault = f"malformed answer: {error}"
+            if not self._parser.has_events:
+                raise AnswerLost(self._fault) from error
 
 
 def idle_limit_s(head: AnswerHead) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
@@ -1,9 +1,14 @@
 """Splitting of an event stream into whole events, byte for byte."""
 
+import re
 from dataclasses import dataclass
 
-MAX_EVENT_BYTES = 1_048_576
+MAX_EVENT_BYTES = 131_072
+MAX_WITHOUT_ID_BYTES = 16_384
+"""Bytes of events without an id that may follow each other; answers number theirs."""
+
 _ID_PREFIX = b"id:"
+_BLANK_LINE = re.compile(rb"\n\n|\r\n\r\n")
 
 
 @dataclass(frozen=True)
@@ -19,6 +24,7 @@
 
     def __init__(self) -> None:
         self._rest = b""
+        self._without_id_bytes = 0
 
     @property
     def rest(self) -> bytes:
@@ -28,29 +34,28 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that are complete with these bytes."""
         data = self._rest + data
-        events = []
-        while True:
-            end = _event_end(data)
-            if end < 0:
+        events, start = [], 0
+        for blank_line in _BLANK_LINE.finditer(data):
+            event = data[start : blank_line.end()]
+            start = blank_line.end()
+            events.append(StreamEvent(event, _event_id(event)))
+            self._count(events[-1])
+            if self.malformed:
                 break
-            events.append(StreamEvent(data[:end], _event_id(data[:end])))
-            data = data[end:]
-        self._rest = data
+        self._rest = data[start:]
         return events
 
     @property
-    def too_large(self) -> bool:
-        """Return whether an incomplete event is larger than any valid one."""
-        return len(self._rest) > MAX_EVENT_BYTES
-
-
-def _event_end(data: bytes) -> int:
-    """Return the index after the first blank line, or -1."""
-    plain = data.find(b"\n\n")
-    with_returns = data.find(b"\r\n\r\n")
-    if with_returns >= 0 and (plain < 0 or with_returns < plain):
-        return with_returns + 4
-    return plain + 2 if plain >= 0 else -1
+    def malformed(self) -> bool:
+        """Return whether the bytes can't be those of an answer."""
+        too_large = len(self._rest) > MAX_EVENT_BYTES
+        return too_large or self._without_id_bytes > MAX_WITHOUT_ID_BYTES
+
+    def _count(self, event: StreamEvent) -> None:
+        if event.event_id is None:
+            self._without_id_bytes += len(event.data)
+        else:
+            self._without_id_bytes = 0
 
 
 def _event_id(event: bytes) -> int | None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -67,6 +67,7 @@
     body: list[bytes] = field(default_factory=list)
     body_bytes: int = 0
     head_bytes: int = 0
+    framing_bytes: int = 0
     head_complete: bool = False
     expects_continue: bool = False
 
@@ -109,6 +110,19 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise ``RequestError`` for what can't be accepted."""
+        partial, body_bytes = self._partial, self._body_bytes
+        self._parse(data)
+        if partial is None or self._partial is not partial:
+            return
+        # A line without end is no header yet, and counts as none.
+        if self._body_bytes == body_bytes:
+            self._count_framing(partial, len(data))
+
+    @property
+    def _body_bytes(self) -> int:
+        return self._partial.body_bytes if self._partial else 0
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -211,6 +225,14 @@
             self._partial = _Partial()
         return self._partial
 
+    def _count_framing(self, partial: _Partial, size: int) -> None:
+        """Count bytes that were all of a head, a chunk extension or trailers."""
+        partial.framing_bytes += size
+        if partial.framing_bytes > self._limits.max_header_bytes:
+            raise RequestError(
+                ErrorKind.HEADER_TOO_LARGE, "head of request is too large"
+            )
+
     def _count_head(self, partial: _Partial, size: int) -> None:
         partial.head_bytes += size
         if partial.head_bytes > self._limits.max_header_bytes:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -1,6 +1,7 @@
 """Generations: prefill on one engine, an event stream from another, and resuming."""
 
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
@@ -10,6 +11,7 @@
 from persimmonyoke.internal.gateway.client_connection import OutgoingHead
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
+    AnswerTimeout,
     NotConnected,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashWatch
@@ -37,6 +39,9 @@
 Pauses of over 150 ms are late; clients leave after 2.4 s or more.
 """
 
+SPARE_EVENTS = 16
+"""Events beside those of the tokens, such as a last one that tells the end."""
+
 _OK, _MISDIRECTED = 200, 421
 
 
@@ -115,6 +120,7 @@
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
         self._last_event_id = exchange.metadata.last_event_id
+        self._events_read = 0
 
     def run(self) -> None:
         """Run the request until its answer is complete or given up."""
@@ -236,9 +242,9 @@
                 self._exchange.work.check()
                 if part is None:
                     break
-                self._forward(opened, splitter.feed(part))
-                if splitter.too_large:
-                    raise AnswerLost("event is too large")
+                events = splitter.feed(part)
+                self._check_bounds(splitter, events)
+                self._forward(opened, events)
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.work)
             self._exchange.work.check()
@@ -252,6 +258,21 @@
         self._end(opened, splitter.rest)
         return RunEnded()
 
+    def _check_bounds(
+        self, splitter: EventSplitter, events: Sequence[StreamEvent]
+    ) -> None:
+        """Raise ``AnswerLost`` for a stream that has no end."""
+        prompt, last_id = self._exchange.metadata.prompt, self._last_event_id or 0
+        fresh = sum((e.event_id or 0) > last_id for e in events)
+        self._events_read += fresh
+        limit = prompt.max_output_tokens + SPARE_EVENTS if prompt else None
+        if splitter.malformed:
+            raise AnswerLost("stream holds bytes that are no events")
+        if limit is not None and self._events_read > limit:
+            raise AnswerLost("stream has more events than tokens were asked for")
+        if self._exchange.remaining_s <= ANSWER_MARGIN_S:
+            raise AnswerTimeout("stream did not end in time")
+
     def _silence_limit_s(self) -> float:
         left_s = max(0.001, self._exchange.remaining_s - ANSWER_MARGIN_S)
         if self._exchange.begun and self._exchange.route.resumable:
