Close the listener of a stopping host before its log is written out

The listener is closed first, and callers that were accepted are answered within the grace.

test_a_host_that_has_stopped_accepts_nobody_and_has_answered_all failed before (a connection was accepted after the stop).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -74,10 +74,14 @@
         """Close each connection with its next answer from now on."""
         self._drain_started_s = now_s
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections from now on."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Stop accepting and close the connections that carry no request."""
-        if self._server is not None:
-            self._server.stop_accepting()
+        self.stop_accepting()
         for connection in list(self._connections):
             if connection.idle:
                 connection.close()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -32,6 +32,11 @@
 """Time after which idle connections are closed; some callers keep addresses 6 s."""
 
 
+LAST_TURN_S = 0.01
+LAST_REQUEST_S = 0.2
+"""Time in which a caller that was accepted last sends its request."""
+
+
 class GatewayProcess:
     """Run the tasks of one entry host."""
 
@@ -115,12 +120,26 @@
         gevent.spawn(self._orders.resign)
         while not self._drained(time.monotonic() - started_s):
             gevent.sleep(0.05)
+        self._end_connections(started_s)
         state.journal.event(
             "stopped",
             answering=self.front.answering,
             after_ms=int((time.monotonic() - started_s) * 1_000),
         )
 
+    def _end_connections(self, started_s: float) -> None:
+        """Refuse new callers, and answer those that were accepted last."""
+        self.front.stop_accepting()
+        accepted_s = time.monotonic()
+        end_s = started_s + self.state.settings.grace_s - EXIT_MARGIN_S
+        while time.monotonic() < end_s:
+            # An accepted connection is counted once its task has run.
+            gevent.sleep(LAST_TURN_S)
+            if not self.front.connections:
+                return
+            if time.monotonic() - accepted_s >= LAST_REQUEST_S:
+                self.front.close_idle()
+
     def _drained(self, elapsed_s: float) -> bool:
         if elapsed_s >= self.state.settings.grace_s - EXIT_MARGIN_S:
             return True
