Tell of first crashes only the hosts that count them, where hosts are many

A crash of one engine makes suspects of up to 64 requests. Each of them was told to every host, its end three times more: the loss of 30 engines of the large site would have cost some 300,000 datagrams. Above 16 hosts a first crash goes to three hosts, the same ones for each request; a second one is told to all by whoever knows both. The end of a single suspicion is not told. A notice is compared with the requests in quarantine, no longer with all that are remembered.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspect_types.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspect_types.py
@@ -30,11 +30,17 @@
     """Hold what proves that a request crashes the engines that run it.
 
     ``crashes`` is the number of crashes that no other request explains. With
-    ``last_alone`` they count only once the request has met one in isolation.
+    ``last_alone`` they count only once the request has met one in isolation, in which
+    it runs from ``isolated_from`` crashes on.
     """
 
     crashes: int = 2
     last_alone: bool = False
+    isolated_from: int = 1
+
+    def must_run_alone(self, status: SuspectStatus) -> bool:
+        """Return whether a request may run only where no other doubtful one does."""
+        return isinstance(status, Suspect) and status.crashes >= self.isolated_from
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -72,9 +72,10 @@
         self.hold_s = hold_s
         self._suspect_ttl_s = suspect_ttl_s
         self._max_records = max_records
-        self._rule = rule or QuarantineRule()
+        self.rule = rule or QuarantineRule()
         self._on_change = on_change
         self._records: OrderedDict[bytes, _Record] = OrderedDict()
+        self._quarantined: dict[int, _Record] = {}
         self._isolations = IsolationTable(host)
         # The wall clock keeps the numbers growing over a restart of the host.
         self._number = int(time.time() * 1000)
@@ -148,7 +149,8 @@
             return
         del self._records[digest]
         self.version += 1
-        if self._on_change is not None:
+        told = len(record.crashes) >= self.rule.isolated_from
+        if told and self._on_change is not None:
             notice = SuspectNotice(
                 digest, self.host, cleared=True, number=self._next_number()
             )
@@ -212,6 +214,15 @@
             self._notice(digest, isolations.get(digest), now_s) for digest in digests
         )
 
+    def strong_notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
+        """Return what is known of requests that run in isolation or not at all."""
+        strong = [
+            digest
+            for digest, record in self._records.items()
+            if len(record.crashes) >= self.rule.isolated_from
+        ]
+        return tuple(self.notice(digest, now_s) for digest in strong)
+
     def notice(self, digest: bytes, now_s: float) -> SuspectNotice:
         """Return what is known of one request, for a peer."""
         return self._notice(digest, None, now_s)
@@ -277,14 +288,15 @@
         self._quarantine(record, now_s, now_s + self.hold_s)
 
     def _is_proven(self, record: _Record) -> bool:
-        if self._rule.last_alone and not record.met_alone:
+        if self.rule.last_alone and not record.met_alone:
             return False
-        return self._unexplained(record) >= self._rule.crashes
+        return self._unexplained(record) >= self.rule.crashes
 
     def _quarantine(self, record: _Record, now_s: float, until_s: float) -> None:
         if record.quarantined_until_s <= now_s:
             record.quarantined_at_s = now_s
         record.quarantined_until_s = until_s
+        self._quarantined[id(record)] = record
         for other in self._weaker(record, now_s):
             other.quarantined_until_s = 0.0
             other.lifted = True
@@ -303,19 +315,24 @@
         """
         return [
             other
-            for other in self._records.values()
-            if other.quarantined_until_s > now_s
-            and now_s - other.quarantined_at_s <= REVISION_WINDOW_S
+            for other in self._in_quarantine(now_s)
+            if now_s - other.quarantined_at_s <= REVISION_WINDOW_S
             and other.crashes < record.crashes
         ]
 
     def _is_explained(self, record: _Record, now_s: float) -> bool:
         """Return whether a quarantined request was part of all crashes and of more."""
         return any(
-            other.quarantined_until_s > now_s and record.crashes < other.crashes
-            for other in self._records.values()
+            record.crashes < other.crashes for other in self._in_quarantine(now_s)
         )
 
+    def _in_quarantine(self, now_s: float) -> list[_Record]:
+        """Return the records in quarantine, which are few among thousands."""
+        for key, record in list(self._quarantined.items()):
+            if record.quarantined_until_s <= now_s:
+                del self._quarantined[key]
+        return list(self._quarantined.values())
+
     def _note_crashes(self, events: Iterable[str]) -> None:
         self._crashes.update(dict.fromkeys(events))
         while len(self._crashes) > self._max_records:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -77,8 +77,12 @@
 MAX_SUSPECTS = 2_048
 """Requests that met a crash and are remembered; a crash adds all that were running."""
 
-CRASHES_TO_WITHHOLD = 3
-"""Crashes after which a request is sent to no replica; the last one met it alone."""
+QUARANTINE = QuarantineRule(crashes=3, last_alone=True, isolated_from=2)
+"""Three crashes withhold a request, by the users' bound on sends after the third.
+
+One crash makes suspects of all requests that were running, which shall not wait for a
+replica of their own.
+"""
 
 _MISDIRECTED, _UNAVAILABLE = 421, 503
 
@@ -128,7 +132,7 @@
         self.suspects = SuspectRegister(
             settings.host_name,
             max_records=MAX_SUSPECTS,
-            rule=QuarantineRule(CRASHES_TO_WITHHOLD, last_alone=True),
+            rule=QUARANTINE,
             on_change=lambda notice: self.on_suspect(notice),
         )
         self.prefixes = PrefixIndex()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_guard.py
@@ -8,7 +8,6 @@
 from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
-    Suspect,
     SuspectStatus,
 )
 from persimmonyoke.internal.delivery.suspects import ISOLATION_SETTLE_S
@@ -20,12 +19,6 @@
 )
 from persimmonyoke.internal.gateway.state import GatewayState
 
-CRASHES_TO_ISOLATE = 2
-"""Crashes after which a request runs on a replica without others like it.
-
-One crash makes suspects of all requests that were running, which shall not wait.
-"""
-
 ISOLATION_POLL_S = 0.02
 RETRY_AFTER_BUSY_S = 0.5
 QUARANTINED = "the request was running on replicas when they crashed"
@@ -138,9 +131,8 @@
                 self.end_reservation(exchange)
         return alone
 
-    @staticmethod
-    def _must_run_alone(status: SuspectStatus) -> bool:
-        return isinstance(status, Suspect) and status.crashes >= CRASHES_TO_ISOLATE
+    def _must_run_alone(self, status: SuspectStatus) -> bool:
+        return self._state.suspects.rule.must_run_alone(status)
 
     def _withhold(self, exchange: Exchange, status: Quarantined, now_s: float) -> None:
         left_s = status.until_s - now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -1,12 +1,14 @@
 """Exchange between hosts of what is known of requests that may crash replicas.
 
-A change is told to all hosts at once, since the host that saw a crash may be lost next.
-Hosts that missed it, or have just started, learn it from peers, which repeat what
-speaks strongly against a request to some of them each second.
+What speaks strongly against a request is told to all hosts at once, since the host
+that saw a crash may be lost next. Hosts that missed it, or have just started, learn it
+from peers, which repeat it to some of them each second. In a large deployment a first
+crash is told only to the hosts that count the crashes of the request.
 """
 
 import time
-from collections import deque
+import zlib
+from collections import defaultdict, deque
 from collections.abc import Callable, Sequence
 
 import gevent
@@ -26,11 +28,13 @@
 """Notices that wait for the next turn of the event loop."""
 
 REPEAT_DELAYS_S = (0.05, 0.25)
-"""Delays after which important notices are told again; datagrams may be lost."""
+"""Delays after which strong notices are told again; datagrams may be lost."""
 
 GOSSIP_INTERVAL_S = 1.0
 GOSSIP_PEERS = 3
-IMPORTANT_CRASHES = 2
+
+COUNTING_HOSTS = 3
+"""Hosts that count the crashes of one request, two of which may be lost."""
 
 Send = Callable[[Sequence[HostEntry], bytes], None]
 
@@ -46,19 +50,29 @@
         state.on_suspect = self.publish
 
     def publish(self, notice: SuspectNotice) -> None:
-        """Tell all peers of a change, with others of this moment."""
+        """Tell peers of a change, with others of this moment."""
         self._pending.append(notice)
         if not self._flushing:
             self._flushing = True
             gevent.spawn(self._flush)
 
     def take(self, message: SuspectsMessage, *, now_s: float) -> None:
-        """Merge what a peer knows."""
+        """Merge what a peer knows, and pass on what has become strong by it."""
         for notice in message.notices:
-            merge_notice(self._state, notice, now_s=now_s)
+            self._take_one(notice, now_s)
+
+    def _take_one(self, notice: SuspectNotice, now_s: float) -> None:
+        suspects = self._state.suspects
+        merge_notice(self._state, notice, now_s=now_s)
+        if self._is_strong(notice):
+            return
+        known = suspects.notice(notice.digest, now_s)
+        if self._is_strong(known):
+            # Two hosts have told of one crash each; only those that count know both.
+            self.publish(known)
 
     def gossip(self) -> None:
-        """Tell some peers at intervals what is important, for as long as it holds."""
+        """Tell some peers at intervals what is strong, for as long as it holds."""
         while True:
             gevent.sleep(GOSSIP_INTERVAL_S * self._state.rng.uniform(0.8, 1.2))
             if self._state.suspects.size:
@@ -67,8 +81,7 @@
     def _gossip_once(self, now_s: float) -> None:
         peers = self._state.hosts.peers()
         told = self._state.rng.sample(peers, min(GOSSIP_PEERS, len(peers)))
-        notices = filter(_is_important, self._state.suspects.notices(now_s))
-        for datagram in encode_suspects(notices):
+        for datagram in encode_suspects(self._state.suspects.strong_notices(now_s)):
             self._send(told, datagram)
 
     def _flush(self) -> None:
@@ -76,12 +89,50 @@
         notices = list(self._pending)
         self._pending.clear()
         peers = self._state.hosts.peers()
-        for datagram in encode_suspects(notices):
+        strong = [notice for notice in notices if self._is_strong(notice)]
+        weak = [notice for notice in notices if not self._is_strong(notice)]
+        for datagram in encode_suspects(strong):
             self._send(peers, datagram)
-        important = encode_suspects(filter(_is_important, notices))
-        for datagram in important:
             for delay_s in REPEAT_DELAYS_S:
                 gevent.spawn_later(delay_s, self._send, peers, datagram)
+        self._tell_weak(weak, peers)
+
+    def _tell_weak(
+        self, notices: Sequence[SuspectNotice], peers: Sequence[HostEntry]
+    ) -> None:
+        """Tell of first crashes, of which the loss of many engines brings thousands."""
+        if not self._state.hosts.needs_relay:
+            for datagram in encode_suspects(notices):
+                self._send(peers, datagram)
+            return
+        by_host: dict[str, list[SuspectNotice]] = defaultdict(list)
+        entries = {peer.name: peer for peer in peers}
+        for notice in notices:
+            for name in counting_hosts(notice.digest, list(entries)):
+                by_host[name].append(notice)
+        for name, told in by_host.items():
+            for datagram in encode_suspects(told):
+                self._send([entries[name]], datagram)
+
+    def _is_strong(self, notice: SuspectNotice) -> bool:
+        return (
+            len(notice.crashes) >= self._state.suspects.rule.isolated_from
+            or notice.quarantine_left_s > 0
+            or notice.isolated_on is not None
+            or notice.cleared
+        )
+
+
+def counting_hosts(digest: bytes, names: Sequence[str]) -> list[str]:
+    """Return the hosts that count the crashes of a request, the same ones everywhere.
+
+    A host that is lost or added changes the choice for few requests.
+    """
+
+    def weight(name: str) -> int:
+        return zlib.crc32(digest + name.encode())
+
+    return sorted(names, key=weight)[:COUNTING_HOSTS]
 
 
 def merge_notice(state: GatewayState, notice: SuspectNotice, *, now_s: float) -> None:
@@ -97,12 +148,3 @@
             crashes=sorted(notice.crashes),
             quarantine_left_ms=int(notice.quarantine_left_s * 1_000),
         )
-
-
-def _is_important(notice: SuspectNotice) -> bool:
-    return (
-        len(notice.crashes) >= IMPORTANT_CRASHES
-        or notice.quarantine_left_s > 0
-        or notice.isolated_on is not None
-        or notice.cleared
-    )
