Count a silent replica whose next start is known already as crashed

A request is given up seconds after its replica has lost power; by then the store may have told of the next start, and the loss waited for one that would not come.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
@@ -47,12 +47,20 @@
     return loss is LossKind.ENDED and not leaving
 
 
-def judge_loss(loss: LossKind, probe: ProbeResult, *, leaving: bool) -> Verdict:
-    """Return what a lost answer says of its replica."""
+def judge_loss(
+    loss: LossKind, probe: ProbeResult, *, leaving: bool, restarted: bool
+) -> Verdict:
+    """Return what a lost answer says of its replica.
+
+    ``restarted`` says that a later start of the replica is known already. A replica
+    that ends as planned closes its connections, so silence before it is no plan.
+    """
     if leaving or loss is LossKind.MALFORMED or probe is ProbeResult.CONNECTED:
         return Verdict.NOT_CRASHED
     if loss is LossKind.ENDED and probe is ProbeResult.REFUSED:
         return Verdict.CRASHED
+    if loss is LossKind.SILENT and restarted:
+        return Verdict.CRASHED
     return Verdict.OPEN
 
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_crash_evidence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_crash_evidence.py
@@ -38,7 +38,19 @@
             (LossKind.MALFORMED, ProbeResult.NOT_MADE, False, Verdict.NOT_CRASHED),
         ):
             with self.subTest(kind=kind, probe=probe, leaving=leaving):
-                self.assertIs(judge_loss(kind, probe, leaving=leaving), expected)
+                verdict = judge_loss(kind, probe, leaving=leaving, restarted=False)
+                self.assertIs(verdict, expected)
+
+    def test_a_silent_replica_whose_next_start_is_known_has_crashed(self):
+        # A request is given up seconds after its replica has lost power.
+        for kind, probe, leaving, expected in (
+            (LossKind.SILENT, ProbeResult.NOT_MADE, False, Verdict.CRASHED),
+            (LossKind.SILENT, ProbeResult.NOT_MADE, True, Verdict.NOT_CRASHED),
+            (LossKind.ENDED, ProbeResult.CONNECTED, False, Verdict.NOT_CRASHED),
+            (LossKind.MALFORMED, ProbeResult.NOT_MADE, False, Verdict.NOT_CRASHED),
+        ):
+            verdict = judge_loss(kind, probe, leaving=leaving, restarted=True)
+            self.assertIs(verdict, expected)
 
     def test_a_replica_is_asked_only_where_that_tells_more(self):
         self.assertTrue(needs_probe(LossKind.ENDED, leaving=False))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -78,7 +78,9 @@
         probe = ProbeResult.NOT_MADE
         if needs_probe(kind, leaving=leaving):
             probe = self._probe(replica, now_s=now_s)
-        verdict = judge_loss(kind, probe, leaving=leaving)
+        verdict = judge_loss(
+            kind, probe, leaving=leaving, restarted=self._restarted(replica)
+        )
         self._state.journal.event(
             "answer_lost",
             request_id=exchange.metadata.request_id,
@@ -130,6 +132,10 @@
         known = self._state.replicas.get(replica.replica_id)
         return known is None or known.draining
 
+    def _restarted(self, replica: Replica) -> bool:
+        known = self._state.replicas.get(replica.replica_id)
+        return known is not None and known.born_unix_ms > replica.born_unix_ms
+
     def _probe(self, replica: Replica, *, now_s: float) -> ProbeResult:
         """Return what a new connection meets; losses at one moment share it."""
         key = f"{replica.replica_id}@{replica.address}/{replica.born_unix_ms}"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -135,15 +135,18 @@
     def _readers(self) -> list[Replica]:
         """Return the engines that a prompt may be read on.
 
-        A decode engine would take all its runs down with it.
+        A doubtful one is read on no decode engine, which would take all its runs down.
         """
         engines = self._engines()
+        if not self._doubtful:
+            return engines
         isolated_on = self._exchange.isolated_on
-        if isolated_on is not None:
-            return [e for e in engines if e.replica_id == isolated_on]
-        if self._doubtful:
-            return [e for e in engines if e.stage is Stage.PREFILL]
-        return engines
+        return [
+            engine
+            for engine in engines
+            if engine.stage is Stage.PREFILL
+            and isolated_on in (None, engine.replica_id)
+        ]
 
     def _recognise(self, prompt: Prompt) -> None:
         """Let a request that comes back after a refusal go before others."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -245,6 +245,8 @@
                 events = splitter.feed(part)
                 self._check_bounds(splitter, events)
                 self._forward(opened, events)
+                if self._exchange.remaining_s <= 0:
+                    raise AnswerTimeout("stream did not end in time")
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.work)
             self._exchange.work.check()
@@ -270,8 +272,6 @@
             raise AnswerLost("stream holds bytes that are no events")
         if limit is not None and self._events_read > limit:
             raise AnswerLost("stream has more events than tokens were asked for")
-        if self._exchange.remaining_s <= ANSWER_MARGIN_S:
-            raise AnswerTimeout("stream did not end in time")
 
     def _silence_limit_s(self) -> float:
         left_s = max(0.001, self._exchange.remaining_s - ANSWER_MARGIN_S)
