Read what has arrived before an engine counts as silent after a stall

The idle check is overdue after a stall and runs before the events that have arrived are read; all streams break together and use up the budget of retries. A late check now waits half a second more.

test_a_stall_of_this_host_is_no_silence_of_the_engine failed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/silence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/silence.py
@@ -6,6 +6,12 @@
 
 from persimmonyoke.internal.delivery.api import Clock
 
+MAX_LATENESS_S = 0.1
+"""Lateness of a check from which the event loop of this host was held up."""
+
+CATCH_UP_S = 0.5
+"""Time in which events that arrived meanwhile are read."""
+
 
 class StreamSilent(BaseException):
     """Report that no event arrived within the idle timeout."""
@@ -21,12 +27,14 @@
     One timer serves a whole stream: it compares the time of the last event when it
     fires, since starting and stopping a timer for each event costs more than the
     bookkeeping of the event itself. The exception is thrown only while ``waiting`` is
-    set, so that a slow caller isn't taken for a silent engine.
+    set, so that a slow caller isn't taken for a silent engine. Time in which this host
+    stood still is no silence of the engine either: its events may be waiting.
     """
 
     __slots__ = (
         "_clock",
         "_deadline_s",
+        "_due_s",
         "_greenlet",
         "_timer",
         "idle_s",
@@ -39,6 +47,7 @@
         self._deadline_s = deadline_s
         self._greenlet = gevent.getcurrent()
         self._timer = None
+        self._due_s = clock()
         self.idle_s = idle_s
         self.last_event_s = clock()
         self.waiting = False
@@ -67,6 +76,7 @@
         return max(0.001, check_s - now_s)
 
     def _start(self, delay_s: float) -> None:
+        self._due_s = self._clock() + delay_s
         self._timer = gevent.get_hub().loop.timer(delay_s)
         self._timer.start(self._check)
 
@@ -85,7 +95,11 @@
             return
         if now_s >= self._deadline_s:
             self._greenlet.throw(DeadlinePassed())
-        elif now_s - self.last_event_s >= self.idle_s:
+            return
+        if now_s - self._due_s > MAX_LATENESS_S:
+            catch_up_s = min(self.idle_s, CATCH_UP_S)
+            self.last_event_s = max(self.last_event_s, now_s - self.idle_s + catch_up_s)
+        if now_s - self.last_event_s >= self.idle_s:
             self._greenlet.throw(StreamSilent())
         else:
             self._start(self._next_check_s(now_s))
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_silence.py
@@ -0,0 +1,53 @@
+"""Test when an engine counts as silent."""
+
+import time
+import unittest
+
+import gevent
+from gevent import monkey
+from gevent.event import Event
+
+from persimmonyoke.internal.delivery.silence import SilenceWatch, StreamSilent
+
+IDLE_S = 0.2
+STALL_S = 0.6
+
+stall = monkey.get_original("time", "sleep")
+
+
+class SilenceTest(unittest.TestCase):
+    def wait(self, event):
+        """Return whether the stream was silent, and when that was decided."""
+        now_s = time.monotonic()
+        watch = SilenceWatch(time.monotonic, idle_s=IDLE_S, deadline_s=now_s + 60.0)
+        silent = False
+        try:
+            with watch:
+                watch.waiting = True
+                event.wait(10.0)
+        except StreamSilent:
+            silent = True
+        return silent, time.monotonic() - now_s
+
+    def test_a_stall_of_this_host_is_no_silence_of_the_engine(self):
+        # All streams of a host broke at once, and used up the budget of retries.
+        event = Event()
+        waiting = gevent.spawn(self.wait, event)
+        gevent.sleep(0.05)
+        stall(STALL_S)
+        # The event was there meanwhile; the loop reads it after the overdue timer.
+        gevent.spawn_later(0.01, event.set)
+        silent, _ = waiting.get(timeout=5.0)
+        self.assertFalse(silent)
+
+    def test_an_engine_that_stays_silent_after_a_stall_is_given_up(self):
+        waiting = gevent.spawn(self.wait, Event())
+        gevent.sleep(0.05)
+        stall(STALL_S)
+        silent, after_s = waiting.get(timeout=5.0)
+        self.assertTrue(silent)
+        self.assertLess(after_s, STALL_S + 3 * IDLE_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
