Count the polls of a wait for engines, not the time on the clock

The wait counts its polls now, of 0.1 s each.

test_a_host_that_stood_still_goes_on_waiting_for_engines_that_are_down failed before (RequestError: engines are down).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -24,8 +24,10 @@
 ISOLATION_POLLS = 25
 # Several crashing requests can take all engines down at once. An engine process that
 # restarts is back within about this time, so waiting completes the request.
-ENGINES_DOWN_WAIT_S = 3.0
 ENGINES_DOWN_POLL_S = 0.1
+# Polls are counted, since time in which this host stands still is no time in which
+# engines could be seen again.
+ENGINES_DOWN_POLLS = 30
 
 
 @dataclass(frozen=True)
@@ -57,14 +59,15 @@
 
         Raises ``DeadlinePassed``.
         """
-        wait_until_s = self._parts.clock() + ENGINES_DOWN_WAIT_S
+        polls_left = ENGINES_DOWN_POLLS
         while True:
             self._check_deadline()
             status = self.status()
             if isinstance(status, Quarantined):
                 return status
             choice = self._try_choose(prefix_tokens, not isinstance(status, Clear))
-            if isinstance(choice, EnginesDown) and self._parts.clock() < wait_until_s:
+            if isinstance(choice, EnginesDown) and polls_left:
+                polls_left -= 1
                 gevent.sleep(ENGINES_DOWN_POLL_S)
             elif choice is not None:
                 return choice
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
@@ -18,6 +18,7 @@
     FakeFleet,
     Fault,
     RecordingSink,
+    StallingFleet,
     answer_text,
     build_delivery,
     build_request,
@@ -82,6 +83,15 @@
         self.assertEqual([call.prefix_tokens for call in calls], [0, 5])
         self.assertEqual(calls[1].prefix_text, answer_text("tell me", 5))
 
+    def test_a_host_that_stood_still_goes_on_waiting_for_engines_that_are_down(self):
+        # The wait was over with the stall, and the request failed with no engine.
+        fleet = StallingFleet([FakeEngine("e0")], down_choices=4)
+        delivery = build_delivery(fleet, clock=fleet.clock)
+        sink = RecordingSink()
+        request = build_request(max_tokens=WORDS, deadline_after_s=60.0)
+        delivery.complete(request, sink)
+        self.assertEqual(sink.text, WHOLE)
+
     def test_an_event_of_another_request_is_dropped_and_counted(self):
         # Text of another caller must not reach this one.
         _, delivery = self.check_whole_answer(Fault.CROSS, 3)
