--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspect_types.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspect_types.py
@@ -39,7 +39,7 @@
     isolated_from: int = 1
 
     def must_run_alone(self, status: SuspectStatus) -> bool:
-        """Return whether a request may run only where no other doubtful one does."""
+        """Return whether a request may run only where no other suspect does."""
         return isinstance(status, Suspect) and status.crashes >= self.isolated_from
 
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -55,7 +55,7 @@
     ) -> None:
         self._state = state
         self._guard = guard
-        self._doubtful = False
+        self._is_suspect = False
         self._prefill = prefill
         self._gate = gate
         self._exchange = exchange
@@ -86,7 +86,7 @@
             reserved = self._reserve(self._engines)
             return EngineChoice(reserved or self._choose_plain(), None)
         while True:
-            self._doubtful = not isinstance(self._guard.status(self._exchange), Clear)
+            self._is_suspect = not isinstance(self._guard.status(self._exchange), Clear)
             self._reserve(self._readers)
             try:
                 admitted = self._admit(prompt, service.engine)
@@ -135,10 +135,10 @@
     def _readers(self) -> list[Replica]:
         """Return the engines that a prompt may be read on.
 
-        A doubtful one is read on no decode engine, which would take all its runs down.
+        That of a suspect is read on no decode engine, whose end would break its runs.
         """
         engines = self._engines()
-        if not self._doubtful:
+        if not self._is_suspect:
             return engines
         isolated_on = self._exchange.isolated_on
         return [
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -124,7 +124,7 @@
         return budget.try_spend(time.monotonic())
 
     def _prepare(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
-        """Return the replica to send to; one that is reserved for a doubtful request.
+        """Return the replica to send to; one that is reserved for a suspect.
 
         Raises the error of a request that is withheld.
         """
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_guard.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Sequence
+from typing import NoReturn
 
 import gevent
 
@@ -27,7 +28,7 @@
 
 
 class SuspectGuard:
-    """Withhold requests that crash replicas, and run doubtful ones one at a time."""
+    """Withhold requests that crash replicas, and run strong suspects one at a time."""
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
@@ -57,7 +58,7 @@
         *,
         until_s: float,
     ) -> Replica | None:
-        """Return a replica without other doubtful requests, once there is one.
+        """Return a replica without other suspects, once there is one.
 
         Returns ``None`` if the request may run like others.
         """
@@ -75,7 +76,7 @@
         return None
 
     def end_reservation(self, exchange: Exchange) -> None:
-        """Let other doubtful requests use the replica that was reserved."""
+        """Let other suspects use the replica that was reserved."""
         replica_id, exchange.isolated_on = exchange.isolated_on, None
         if replica_id is not None:
             digest = exchange.request.content_digest
@@ -134,7 +135,9 @@
     def _must_run_alone(self, status: SuspectStatus) -> bool:
         return self._state.suspects.rule.must_run_alone(status)
 
-    def _withhold(self, exchange: Exchange, status: Quarantined, now_s: float) -> None:
+    def _withhold(
+        self, exchange: Exchange, status: Quarantined, now_s: float
+    ) -> NoReturn:
         left_s = status.until_s - now_s
         self._state.journal.event(
             "request_withheld",
@@ -146,7 +149,7 @@
         self._raise(exchange, QUARANTINED, left_s)
 
     @staticmethod
-    def _raise(exchange: Exchange, reason: str, retry_after_s: float) -> None:
+    def _raise(exchange: Exchange, reason: str, retry_after_s: float) -> NoReturn:
         if exchange.begun:
             raise StreamBroken(reason)
         raise exchange.not_served(reason, retry_after_s)
