Tighten the bounds on bytes that are no answer

Each of six floods was parsed for up to 262 KB of chunks and 8,192 events before it was given up. A head of 64 KB, one byte of framing for one of the body, and 4 KB of events without an id are enough for answers.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
@@ -9,8 +9,8 @@
 
 Header = tuple[bytes, bytes]
 
-MAX_FRAMING_BYTES = 131_072
-FRAMING_PER_BODY_BYTE = 2
+MAX_FRAMING_BYTES = 65_536
+FRAMING_PER_BODY_BYTE = 1
 """Bound of the bytes of one answer that are not its body.
 
 It holds the largest head. Heads, chunk extensions and trailers without end are above
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 MAX_EVENT_BYTES = 131_072
-MAX_WITHOUT_ID_BYTES = 16_384
+MAX_WITHOUT_ID_BYTES = 4_096
 """Bytes of events without an id that may follow each other; answers number theirs."""
 
 _ID_PREFIX = b"id:"
