--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_completion.py
@@ -18,11 +18,11 @@
     FakeFleet,
     Fault,
     RecordingSink,
-    StallingFleet,
     answer_text,
     build_delivery,
     build_request,
 )
+from persimmonyoke_testing.builders_stalls import StallingFleet
 
 WORDS = 8
 WHOLE = answer_text("tell me", WORDS)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_delivery.py
@@ -25,7 +25,6 @@
 )
 from persimmonyoke.internal.delivery.delivery import Delivery
 from persimmonyoke.internal.delivery.parts import DeliveryOptions
-from persimmonyoke.internal.delivery.placement import EnginesDown
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.upstreams.api import (
@@ -291,26 +290,6 @@
         return sum(engine.crashes for engine in self.engines.values())
 
 
-class StallingFleet(FakeFleet):
-    """Be down for a few choices, after the first of which the host stands still."""
-
-    def __init__(self, engines: list[FakeEngine], *, down_choices: int) -> None:
-        super().__init__(engines)
-        self._down_choices = down_choices
-        self.stalled_s = 0.0
-
-    def clock(self) -> float:
-        """Return the time, with that in which the host stood still."""
-        return time.monotonic() + self.stalled_s
-
-    def choose(self, query: RouteQuery, *, now_s: float) -> RouteChoice | NoRoute:
-        if not self._down_choices:
-            return super().choose(query, now_s=now_s)
-        self._down_choices -= 1
-        self.stalled_s = 10.0
-        return EnginesDown(ErrorKind.UPSTREAM_UNAVAILABLE, "engines are down", 1.0)
-
-
 class RecordingSink(CompletionSink):
     """Collect an answer and check that its offsets have no gaps."""
 
--- /dev/null
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_stalls.py
@@ -0,0 +1,28 @@
+"""Fakes of what a host that stands still meets when it goes on."""
+
+import time
+
+from persimmonyoke.errors import ErrorKind
+from persimmonyoke.internal.delivery.api import NoRoute, RouteChoice, RouteQuery
+from persimmonyoke.internal.delivery.placement import EnginesDown
+from persimmonyoke_testing.builders_delivery import FakeEngine, FakeFleet
+
+
+class StallingFleet(FakeFleet):
+    """Be down for a few choices, after the first of which the host stands still."""
+
+    def __init__(self, engines: list[FakeEngine], *, down_choices: int) -> None:
+        super().__init__(engines)
+        self._down_choices = down_choices
+        self.stalled_s = 0.0
+
+    def clock(self) -> float:
+        """Return the time, with that in which the host stood still."""
+        return time.monotonic() + self.stalled_s
+
+    def choose(self, query: RouteQuery, *, now_s: float) -> RouteChoice | NoRoute:
+        if not self._down_choices:
+            return super().choose(query, now_s=now_s)
+        self._down_choices -= 1
+        self.stalled_s = 10.0
+        return EnginesDown(ErrorKind.UPSTREAM_UNAVAILABLE, "engines are down", 1.0)
