--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -64,7 +64,7 @@
     def _take_one(self, notice: SuspectNotice, now_s: float) -> None:
         suspects = self._state.suspects
         merge_notice(self._state, notice, now_s=now_s)
-        if self._is_strong(notice):
+        if self._is_strong(notice) or not self._state.hosts.needs_relay:
             return
         known = suspects.notice(notice.digest, now_s)
         if self._is_strong(known):
