--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_suspect_link.py
@@ -110,8 +110,10 @@
     def test_the_news_of_many_lost_engines_keeps_a_host_busy_for_a_moment(self):
         # Each notice was compared with all requests that are remembered.
         fleet = Fleet(2)
-        # What the tests before have left would be collected meanwhile.
+        # The collector would look through what all tests before have left.
         gc.collect()
+        gc.freeze()
+        self.addCleanup(gc.unfreeze)
         started_s = time.process_time()
         for number in range(LOST_ENGINES * RUNS_PER_ENGINE):
             fleet.crash("h0", f"e{number % LOST_ENGINES}", digest=b"%16d" % number)
