Stop deleting old revisions at the first deletion that failed

Cause: the pruner deletes the two oldest headers, each by its own call, and went on to the second one where the first deletion was lost or met a document that another host was just replacing by its header. Numbers then have a gap. The history ends at the first page of ten numbers without a revision, so that a wider gap would hide what lies below it.

A deletion that another host has done is told apart by the conflict with an absent key and doesn't stop the pruner; the second new test guards this.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/retention.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/retention.py
@@ -4,7 +4,13 @@
 
 from persimmonyoke.errors import ProtocolError, StoreUnavailable
 from persimmonyoke.internal.observability import part_logger
-from persimmonyoke.internal.platform import KeyValue, KeyValueStore
+from persimmonyoke.internal.platform import (
+    KeyValue,
+    KeyValueStore,
+    WriteApplied,
+    WriteConflict,
+    WriteOutcome,
+)
 from persimmonyoke.internal.presets.stored_form import (
     HEADER_ONLY,
     MAGIC,
@@ -88,8 +94,21 @@
             return
         last_key = f"{self._prefix}{newest_deleted:010d}"
         for found in self._store.list_prefix(self._prefix, limit=MAX_DELETIONS):
-            if found.key <= last_key:
-                self._store.delete(found.key, expected_revision=found.mod_revision)
+            if found.key > last_key:
+                return
+            outcome = self._store.delete(
+                found.key, expected_revision=found.mod_revision
+            )
+            if not _is_gone(outcome):
+                # A later one must not go first, since numbers have no gaps.
+                return
+
+
+def _is_gone(outcome: WriteOutcome) -> bool:
+    """Say whether a deletion took effect, here or on another host."""
+    if isinstance(outcome, WriteConflict):
+        return outcome.current is None
+    return isinstance(outcome, WriteApplied)
 
 
 def _is_header(found: KeyValue) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.platform import KeyValue
 from persimmonyoke.internal.presets import (
     Accepted,
     ConfigurationView,
@@ -214,6 +215,49 @@
         self.assertEqual(numbers, list(range(20, 20 - len(numbers), -1)))
         self.assertGreaterEqual(len(numbers), 12)
 
+    def test_a_revision_whose_deletion_failed_is_not_left_below_a_deleted_one(self):
+        # The history ends at a page without revisions, so that a gap could hide some.
+        for cause in ("request lost", "document replaced meanwhile"):
+            with self.subTest(cause):
+                self.check_that_a_failed_deletion_leaves_no_gap(cause)
+
+    def check_that_a_failed_deletion_leaves_no_gap(self, cause: str) -> None:
+        self.state = KeyValueState()
+        _, log = self.new_log(run_later=lambda prune: None)
+        self.accept(20, log)
+        store, _ = self.new_log()
+        list_prefix = store.list_prefix
+
+        def list_and_fail(prefix: str, *, limit: int) -> tuple[KeyValue, ...]:
+            found = list_prefix(prefix, limit=limit)
+            if cause == "request lost":
+                store.faults.lose_requests = 1
+            else:
+                self.state.put(found[0].key, found[0].value)
+            return found
+
+        store.list_prefix = list_and_fail
+        Pruner(store, prefix=log.prefix, retention=RETENTION).prune_after(20)
+        numbers = [entry.number for entry in log.history(100)]
+        self.assertEqual(numbers, list(range(20, 0, -1)))
+
+    def test_a_revision_that_another_host_deleted_does_not_stop_the_deletions(self):
+        # Each of two hosts that prune at once would leave the second revision.
+        _, log = self.new_log(run_later=lambda prune: None)
+        self.accept(20, log)
+        store, _ = self.new_log()
+        list_prefix = store.list_prefix
+
+        def list_and_delete(prefix: str, *, limit: int) -> tuple[KeyValue, ...]:
+            found = list_prefix(prefix, limit=limit)
+            self.state.delete(found[0].key)
+            return found
+
+        store.list_prefix = list_and_delete
+        Pruner(store, prefix=log.prefix, retention=RETENTION).prune_after(20)
+        numbers = [entry.number for entry in log.history(100)]
+        self.assertEqual(numbers, list(range(20, 2, -1)))
+
     def test_a_writer_stopped_for_days_does_not_win_a_deleted_number(self):
         # Its operator would be told that a change is in force which nobody has.
         self.accept(3)
