Count the silence of an engine in time in which this host ran

Cause: after a stall of 1.55 s the idle check of 18 streams found them silent, each 0.01 to 0.4 s after the stall. The check excused only a stall during which it fell due, by its own lateness. A stall that ended shortly before left the engines what remained of the timeout. All streams broke together and used up the budget of retries.

Silence is counted in awake time now: from beat to beat of the event loop, a late beat only up to 0.1 s. The beats run only while streams wait.

A wrong answer in this test now keeps the body of the error.

--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/awake_time.py
@@ -0,0 +1,48 @@
+"""Time in which the event loop of this process ran, without its stalls."""
+
+import gevent
+
+from persimmonyoke.internal.delivery.api import Clock
+
+BEAT_S = 0.05
+MAX_BEAT_S = 0.1
+"""Longest part of the time between two beats that counts as awake."""
+
+
+class AwakeTime:
+    """Count the time from beat to beat, and a late beat only up to a bound.
+
+    Beats run while at least one user needs the time, so that an idle process sleeps.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._users = 0
+        self._timer = None
+        self._awake_s = 0.0
+        self._beat_s = clock()
+
+    def now_s(self) -> float:
+        """Return the awake time up to now; only differences have a meaning."""
+        return self._awake_s + min(self._clock() - self._beat_s, MAX_BEAT_S)
+
+    def start(self) -> None:
+        """Count time for one more user."""
+        self._users += 1
+        if self._users == 1:
+            self._beat_s = self._clock()
+            self._timer = gevent.get_hub().loop.timer(BEAT_S, BEAT_S)
+            self._timer.start(self._beat)
+
+    def stop(self) -> None:
+        """Count time for one user less."""
+        self._users -= 1
+        if not self._users:
+            self._beat()
+            self._timer.stop()
+            self._timer.close()
+            self._timer = None
+
+    def _beat(self) -> None:
+        self._awake_s = self.now_s()
+        self._beat_s = self._clock()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/delivery.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/delivery.py
@@ -17,6 +17,7 @@
     Router,
     ServicePool,
 )
+from persimmonyoke.internal.delivery.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.completion import Generation
 from persimmonyoke.internal.delivery.parts import DeliveryOptions, DeliveryParts
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
@@ -50,6 +51,7 @@
             budget=budget,
             suspects=suspects,
             clock=clock,
+            awake=AwakeTime(clock),
             options=options or DeliveryOptions(),
             counts=self.counts,
             spawn=self._background.spawn,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/parts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/parts.py
@@ -6,6 +6,7 @@
 
 from persimmonyoke.internal.delivery.answer import DeliveryCount
 from persimmonyoke.internal.delivery.api import Clock, EnginePool, Router
+from persimmonyoke.internal.delivery.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 
@@ -38,6 +39,7 @@
     budget: RetryBudget
     suspects: SuspectRegister
     clock: Clock
+    awake: AwakeTime
     options: DeliveryOptions
     counts: Counter[DeliveryCount]
     spawn: Callable[..., object]
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
@@ -66,6 +66,8 @@
         )
         if stream.status in {429, 503}:
             self.refused += 1
+        elif stream.status != 200:
+            self.wrong.append((number, stream.status, stream.read_error()))
         elif stream.read() == expected_text(prompt, output_tokens) and stream.finished:
             self.complete += 1
         else:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
@@ -86,6 +86,10 @@
                     break
         return self.text
 
+    def read_error(self) -> str:
+        """Return the body of an answer that is no stream."""
+        return self._answer.read().decode()
+
     def close(self) -> None:
         """Disconnect."""
         self._answer.close()
