Claim at the caller's host when the shard's owner wrote nothing

Cause: the forwarding host took over when the owner's answer was open, but handed 'not written' on to its caller as the result of a claim. So an owner that alone had lost the store, or had stood still, refused the calls of all hosts for its shards. The new test, an owner without the store, failed before with 'connection refused' where the claiming host reaches the store.

The owner has given the operation up by then, so it doesn't count as one that may still write.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/document.py
@@ -143,6 +143,9 @@
 # Results that say nothing about an earlier write of the same operation.
 UNWRITTEN_EFFECTS = frozenset({Effect.STALE, Effect.FULL})
 
+# Results of an owner after which the forwarding host writes the operation itself.
+OPEN_EFFECTS = frozenset({Effect.UNSETTLED, Effect.NOT_WRITTEN})
+
 
 @dataclass(frozen=True)
 class Result:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -13,6 +13,7 @@
 from persimmonyoke.internal.invariants import Invariant, check_invariant
 from persimmonyoke.internal.once.document import (
     MAX_CONTENT_TYPE_CHARS,
+    OPEN_EFFECTS,
     Action,
     Effect,
     EntryState,
@@ -344,15 +345,14 @@
     ) -> Result:
         end_s = self._clock() + timeout_s
         forwarded = self._forward(operation, is_urgent)
-        if forwarded is not None and forwarded.effect is not Effect.UNSETTLED:
-            if forwarded.effect is not Effect.NOT_WRITTEN:
-                return forwarded
-            if operation.action is Action.CLAIM:
-                return forwarded
+        if forwarded is not None and forwarded.effect not in OPEN_EFFECTS:
+            return forwarded
         # The owner may still commit an unsettled operation. The same attempt written
-        # here settles it: the document holds an attempt once, whoever wrote it.
+        # here settles it: the document holds an attempt once, whoever wrote it. Only
+        # the owner may have lost the store, or time by a stall of its process.
         local = self._execute_here(operation, end_s=end_s)
-        return replace(local, owner_may_write=forwarded is not None)
+        owner_may_write = forwarded is not None and forwarded.effect is Effect.UNSETTLED
+        return replace(local, owner_may_write=owner_may_write)
 
     def _forward(self, operation: Operation, is_urgent: bool) -> Result | None:
         """Return the owner's result, or ``None`` if the owner did not get it."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
@@ -82,7 +82,7 @@
         granted = self.run_calls(keys)
         self.assertEqual({type(o) for o in granted}, {once.ClaimGranted})
         # A host that starts now has no copy of any segment.
-        self.cluster._add("host-3")
+        self.cluster.add("host-3")
         self.cluster.confused = {"host-3"}
         again = [self.claim(key, "host-3") for key in keys]
         kinds = {type(o) for o in again}
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -16,6 +16,7 @@
     PREFIX,
     QUICK,
     ClaimCluster,
+    FaultyStore,
     uuid7,
 )
 from persimmonyoke_testing.measure_once import measure_claims, percentiles_ms
@@ -130,6 +131,16 @@
         self.assertLess(time.monotonic() - started_s, QUICK.claim_timeout_s / 2)
         self.assert_not_run_and_claimable_later(outcome)
 
+    def test_an_owner_that_does_not_reach_the_store_does_not_stop_claims(self):
+        # The other hosts reach it, and refused all calls of the owner's shards.
+        cut_off = FaultyStore(state=self.store.state)
+        cut_off.faults.down = True
+        self.cluster.replace_store(self.owner, cut_off)
+        granted = self.claim()
+        self.assertIsInstance(granted, once.ClaimGranted)
+        self.assertTrue(self.service().finish(granted.claim, ANSWER))
+        self.assertEqual(self.claim(), once.ClaimReplay(ANSWER))
+
     def test_a_slow_store_read_does_not_commit_a_claim_that_was_given_up(self):
         # Such a claim would bar the key, though its caller heard that it did not run.
         self.store.latency_s = 0.2
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
@@ -18,6 +18,7 @@
     WriteUnknown,
 )
 from persimmonyoke_testing.builders_membership import PeerCluster
+from persimmonyoke_testing.key_value_state import KeyValueState
 from persimmonyoke_testing.memory_store import MemoryStore
 
 PREFIX = "/persimmonyoke/kente/claims/"
@@ -60,8 +61,14 @@
     ``script`` holds functions that replace the next writes, oldest first.
     """
 
-    def __init__(self, *, latency_s: float = 0.0, seed: int = 1) -> None:
-        super().__init__(sleep=gevent.sleep)
+    def __init__(
+        self,
+        *,
+        latency_s: float = 0.0,
+        seed: int = 1,
+        state: KeyValueState | None = None,
+    ) -> None:
+        super().__init__(state=state, sleep=gevent.sleep)
         self.latency_s = latency_s
         self.random_faults = RandomFaults()
         self.script: list[Callable[..., WriteOutcome]] = []
@@ -140,11 +147,12 @@
         self.settings = settings
         self.services: dict[str, ClaimService] = {}
         for index in range(count):
-            self._add(f"host-{index}")
+            self.add(f"host-{index}")
 
-    def _add(self, host: str) -> None:
+    def add(self, host: str, store: FaultyStore | None = None) -> None:
+        """Start a host, on the store of all or with a client of its own."""
         self.services[host] = ClaimService(
-            self.store,
+            store or self.store,
             prefix=PREFIX,
             host=host,
             incarnation=f"{host}-i1",
@@ -159,6 +167,11 @@
             return (host,)
         return tuple(name for name in self.services if name not in self.dead)
 
+    def replace_store(self, host: str, store: FaultyStore) -> None:
+        """Start a host anew with a store client of its own."""
+        self.services[host].stop()
+        self.add(host, store)
+
     def kill(self, host: str) -> None:
         """Let a host die: its writers end and it answers no forwards."""
         self.dead.add(host)
