Hold the ports of stand-ins and of node processes while they are down

Cause: the ports lie in the range from which the kernel serves other sockets. While a stand-in is down, any outgoing connection of the machine may get its port. It is now bound the whole time by a socket that doesn't listen, so that connections are refused as before. Node processes of a deployment, which are killed and started again, get theirs the same way; an own search for free ports went.

--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment.py
@@ -9,15 +9,14 @@
 
 from persimmonyoke.internal.delivery.parts import DeliveryOptions
 from persimmonyoke.internal.node.controller import ControllerNode
-from persimmonyoke.internal.node.endpoints import free_port
 from persimmonyoke.internal.node.entry import OFFERED_INTERVAL_S, EntryNode
 from persimmonyoke.internal.roles import RolePolicy
 from persimmonyoke.internal.settings import SettingsRole, parse_settings
 from persimmonyoke_testing.deployment_settings import (
-    LOOPBACK,
+    EntryPorts,
     controller_values,
     entry_values,
-    free_entry_port,
+    hold_entry_ports,
     platform_table,
     write_values,
 )
@@ -58,6 +57,7 @@
         self.platform = PlatformFleet(self.firm, options=fleet)
         self.entries: list[EntryNode] = []
         self.controllers: list[ControllerNode] = []
+        self._entry_ports: list[EntryPorts] = []
         self._nodes = nodes
         self._controller_count = controllers
         self._shutdown = shutdown or FAST_SHUTDOWN
@@ -183,12 +183,14 @@
         )
 
     def _entry_values(self, index: int) -> dict:
+        ports = hold_entry_ports()
+        self._entry_ports.append(ports)
         return entry_values(
             self.firm,
             index,
             platform=self._platform_table(),
-            port=free_entry_port(),
-            operators_port=free_port(LOOPBACK),
+            port=ports.callers.number,
+            operators_port=ports.operators.number,
             shutdown=self._shutdown,
         )
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment_settings.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/deployment_settings.py
@@ -1,17 +1,16 @@
 """Settings of the processes of a simulated deployment."""
 
-import socket
 from collections.abc import Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import tomli_w
 
-from persimmonyoke.internal.node.endpoints import free_port
 from persimmonyoke_testing.firms import Firm
+from persimmonyoke_testing.held_port import LOOPBACK, HeldPort
 from persimmonyoke_testing.platform_fleet import PlatformPorts
 
-LOOPBACK = "127.0.0.1"
 PEER_PORT_OFFSET = 100
 OPERATOR_PORT_OFFSET = 50
 FIRST_ENTRY_PORT = 60
@@ -23,20 +22,27 @@
 """
 
 
-def free_entry_port() -> int:
-    """Return a free port for callers whose port for peers is free as well."""
-    while True:
-        port = free_port(LOOPBACK)
-        if port + PEER_PORT_OFFSET <= MAX_PORT and _is_free(port + PEER_PORT_OFFSET):
-            return port
+@dataclass(frozen=True)
+class EntryPorts:
+    """Hold the ports of an entry host, also while its process is down."""
+
+    callers: HeldPort
+    peers: HeldPort
+    operators: HeldPort
 
 
-def _is_free(port: int) -> bool:
-    try:
-        socket.create_server((LOOPBACK, port)).close()
-    except OSError:
-        return False
-    return True
+def hold_entry_ports() -> EntryPorts:
+    """Hold free ports; the one for peers follows the one for callers by the offset."""
+    while True:
+        callers = HeldPort()
+        if callers.number + PEER_PORT_OFFSET > MAX_PORT:
+            continue
+        try:
+            peers = HeldPort(callers.number + PEER_PORT_OFFSET)
+        except OSError:
+            # Another socket has it.
+            continue
+        return EntryPorts(callers, peers, HeldPort())
 
 
 def platform_table(
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/engine.py
@@ -21,6 +21,7 @@
     EngineTiming,
 )
 from persimmonyoke_testing.engine_text import expected_text
+from persimmonyoke_testing.held_port import HeldPort
 from persimmonyoke_testing.loopback import LoopbackServer
 
 __all__ = [
@@ -57,7 +58,7 @@
         )
         self.core: EngineCore | None = None
         self._server: LoopbackServer | None = None
-        self._port = port
+        self._port = HeldPort(port)
         self._starts = itertools.count(1)
         self._watcher: gevent.Greenlet | None = None
         self._boot_id = f"{time.time_ns():x}"[-8:]
@@ -77,7 +78,7 @@
     @property
     def address(self) -> str:
         """Return ``host:port``; it stays the same over restarts."""
-        return f"127.0.0.1:{self._port}"
+        return self._port.address
 
     @property
     def incarnation(self) -> str:
@@ -114,9 +115,8 @@
             self.record,
             incarnation=incarnation,
         )
-        self._server = LoopbackServer(self._port, EngineApp(core))
+        self._server = LoopbackServer(self._port.number, EngineApp(core))
         self._server.start()
-        self._port = self._server.server_port
         core.start()
         self.core = core
         self._watcher = gevent.spawn(self._watch_for_crash, core)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
@@ -8,8 +8,9 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from gevent.select import select
 
+from persimmonyoke_testing.held_port import LOOPBACK, HeldPort
+
 SOCKET_KEY = "persimmonyoke.socket"
-LOOPBACK = "127.0.0.1"
 
 
 class ConnectionAborted(Exception):
@@ -67,12 +68,17 @@
     def __init__(self, application: Callable[..., Any], *, port: int = 0) -> None:
         self._application = application
         self._server: WSGIServer | None = None
-        self.port = port
+        self._port = HeldPort(port)
+
+    @property
+    def port(self) -> int:
+        """Return the port."""
+        return self._port.number
 
     @property
     def address(self) -> str:
         """Return ``ip:port``."""
-        return f"{LOOPBACK}:{self.port}"
+        return self._port.address
 
     @property
     def url(self) -> str:
@@ -85,7 +91,7 @@
         return self._server is not None
 
     def start(self) -> None:
-        """Accept connections; the first start chooses the port."""
+        """Accept connections."""
         if self._server is not None:
             return
         self._server = WSGIServer(
@@ -97,7 +103,6 @@
             handler_class=_Handler,
         )
         self._server.start()
-        self.port = self._server.server_port
 
     def stop(self) -> None:
         """Refuse connections and break the open ones."""
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/service.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/service.py
@@ -11,6 +11,7 @@
 import orjson
 
 from persimmonyoke.internal.upstreams.api import Upstream
+from persimmonyoke_testing.held_port import HeldPort
 from persimmonyoke_testing.loopback import CONNECTION_KEY, LoopbackServer
 
 KEPT_OUTCOMES = 100_000
@@ -102,7 +103,7 @@
         self.record = record if record is not None else ServiceRecord()
         self._outcomes = outcomes if outcomes is not None else OrderedDict()
         self._server: LoopbackServer | None = None
-        self._port = port
+        self._port = HeldPort(port)
 
     def __enter__(self) -> "ServiceStandIn":
         self.start()
@@ -114,7 +115,7 @@
     @property
     def address(self) -> str:
         """Return ``host:port``; it stays the same over restarts."""
-        return f"127.0.0.1:{self._port}"
+        return self._port.address
 
     @property
     def running(self) -> bool:
@@ -134,9 +135,8 @@
         """Start the service, on the same address after a crash."""
         if self._server is not None:
             raise RuntimeError(f"service {self.name} is running already")
-        self._server = LoopbackServer(self._port, self._answer)
+        self._server = LoopbackServer(self._port.number, self._answer)
         self._server.start()
-        self._port = self._server.server_port
 
     def stop(self) -> None:
         """Drop all connections and refuse new ones."""
