Start the servers of stand-ins without a look-up of their own name

Cause: gevent's server looks up its own name after it has begun to listen, in a thread, and the start of an engine yields meanwhile. 'heal' and the engine's own restart then both see an engine that doesn't run. The second start fails and leaves an unstarted server behind, which a later crash would close instead of the one that listens. The servers of the product are given their name already.

The new test failed with the same error.

--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback.py
@@ -9,6 +9,8 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from persimmonyoke_testing.held_port import LOOPBACK
+
 CONNECTION_KEY = "persimmonyoke.connection"
 LINGER_RESET = struct.pack("ii", 1, 0)
 MAX_CONNECTIONS = 4_096
@@ -69,11 +71,13 @@
     def __init__(self, port: int, application: object) -> None:
         self.connections: set[Connection] = set()
         super().__init__(
-            ("127.0.0.1", port),
+            (LOOPBACK, port),
             application,
             spawn=Pool(MAX_CONNECTIONS),
             backlog=LISTEN_BACKLOG,
             log=None,
+            # Without a name the server looks its own address up by DNS.
+            environ={"SERVER_NAME": LOOPBACK},
         )
 
     def silence(self) -> None:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/loopback_server.py
@@ -98,6 +98,8 @@
             (LOOPBACK, self.port),
             self._application,
             log=None,
+            # Without a name the server looks its own address up by DNS.
+            environ={"SERVER_NAME": LOOPBACK},
             # The server can end only the connections of a pool.
             spawn=Pool(),
             handler_class=_Handler,
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_held_port.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_held_port.py
@@ -3,6 +3,8 @@
 import socket
 import unittest
 
+import gevent
+
 from persimmonyoke_testing.engine import EngineStandIn
 from persimmonyoke_testing.held_port import LOOPBACK
 from persimmonyoke_testing.platform_standins import HostListStandIn
@@ -29,6 +31,20 @@
                 standin.start()
                 socket.create_connection(address).close()
 
+    def test_two_tasks_that_start_a_stand_in_at_once_start_it_once(self):
+        # A start that waits for a look-up of names lets the second task begin its own,
+        # which fails and replaces the server of the first.
+        for standin in (EngineStandIn(), ServiceStandIn()):
+            with self.subTest(standin.name):
+                self.addCleanup(standin.stop)
+                tasks = [gevent.spawn(self.start_if_down, standin) for _ in range(2)]
+                gevent.joinall(tasks, raise_error=True)
+                self.assertTrue(standin.running)
+
+    def start_if_down(self, standin):
+        if not standin.running:
+            standin.start()
+
     def address(self, standin):
         place = getattr(standin, "address", None) or standin.url
         return LOOPBACK, int(place.rpartition(":")[2])
