Split the execution of claim operations off the claim service

ClaimService had 474 lines and two duties: the promises to a call, and carrying an operation to its shard's owner, taking over and writing. The second one is OperationExecutor now; nothing it does has changed.

The test of a slow read stopped the clock of the service alone, by a private field, and failed once as writers kept their own. The cluster of the tests has one clock for all of its hosts now, and the test stops that one.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/service.py
@@ -4,16 +4,14 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 
 from gevent.pool import Group
 from loguru import logger
 
-from persimmonyoke.errors import ErrorKind, ProtocolError, StoreUnavailable
+from persimmonyoke.errors import ErrorKind, StoreUnavailable
 from persimmonyoke.internal.invariants import Invariant, check_invariant
 from persimmonyoke.internal.once.document import (
     MAX_CONTENT_TYPE_CHARS,
-    OPEN_EFFECTS,
     Action,
     Effect,
     EntryState,
@@ -21,15 +19,8 @@
     Result,
     needs_withdrawal,
 )
-from persimmonyoke.internal.once.forwarding import (
-    ClaimForwarder,
-    decode_batch,
-    decode_operation,
-    decode_result,
-    encode_batch,
-    encode_operation,
-    encode_result,
-)
+from persimmonyoke.internal.once.execution import OperationExecutor
+from persimmonyoke.internal.once.forwarding import ClaimForwarder
 from persimmonyoke.internal.once.outcomes import (
     Claim,
     ClaimBodyMismatch,
@@ -46,13 +37,10 @@
 )
 from persimmonyoke.internal.once.placement import (
     SLOT_S,
-    choose_owner,
-    is_timed,
     place,
     slot_shard,
 )
-from persimmonyoke.internal.once.settings import ClaimSettings, writer_limits
-from persimmonyoke.internal.once.writer import ShardWriter
+from persimmonyoke.internal.once.settings import ClaimSettings
 from persimmonyoke.internal.platform.store import KeyValueStore
 
 ATTEMPT_BYTES = 16
@@ -64,7 +52,6 @@
 SWEEP_MARGIN_S = 3_600.0
 SWEEP_DOCUMENTS = 4
 MAX_REMEMBERED_ATTEMPTS = 20_000
-WRITER_IDLE_S = 30.0
 
 
 class ClaimService:
@@ -92,14 +79,21 @@
         self._prefix = prefix
         self._host = host
         self._incarnation = incarnation
-        self._live_hosts = live_hosts
         self._is_dead = is_dead
-        self._forwarder = forwarder
         self._settings = settings or ClaimSettings()
         self._accepted_age_s = self._settings.keep_s
         self._clock = clock
         self._unix_clock = unix_clock
-        self._writers: dict[str, ShardWriter] = {}
+        self._executor = OperationExecutor(
+            store,
+            prefix=prefix,
+            host=host,
+            live_hosts=live_hosts,
+            forwarder=forwarder,
+            settings=self._settings,
+            clock=clock,
+            unix_clock=unix_clock,
+        )
         self._held: OrderedDict[bytes, HeldState] = OrderedDict()
         self._tasks = Group()
 
@@ -134,7 +128,7 @@
         )
         timeout_s = self._settings.claim_timeout_s
         operation = self._operation(Action.CLAIM, claim, valid_s=timeout_s)
-        result = self._execute(operation, timeout_s=timeout_s)
+        result = self._executor.execute(operation, timeout_s=timeout_s)
         if needs_withdrawal(result):
             self._withdraw(claim)
         return self._claim_outcome(claim, result)
@@ -155,7 +149,9 @@
         self._remember(claim.attempt, HeldState.FINISHED)
         operation = self._operation(Action.FINISH, claim, answer=self._sized(answer))
         timeout_s = self._settings.finish_timeout_s
-        result = self._execute(operation, timeout_s=timeout_s, is_urgent=is_urgent)
+        result = self._executor.execute(
+            operation, timeout_s=timeout_s, is_urgent=is_urgent
+        )
         check_invariant(
             result.effect is not Effect.CONTRADICTED,
             Invariant.AT_MOST_ONCE,
@@ -173,7 +169,7 @@
         self._remember(claim.attempt, HeldState.RELEASED)
         operation = self._operation(Action.RELEASE, claim)
         timeout_s = self._settings.finish_timeout_s
-        result = self._execute(operation, timeout_s=timeout_s)
+        result = self._executor.execute(operation, timeout_s=timeout_s)
         check_invariant(
             result.effect is not Effect.CONTRADICTED,
             Invariant.NOT_RUN_IS_TRUE,
@@ -212,7 +208,7 @@
         )
         operation = self._operation(Action.ABANDON, claim)
         timeout_s = self._settings.finish_timeout_s
-        result = self._execute(operation, timeout_s=timeout_s)
+        result = self._executor.execute(operation, timeout_s=timeout_s)
         check_invariant(
             result.effect is not Effect.CONTRADICTED,
             Invariant.AT_MOST_ONCE,
@@ -244,7 +240,7 @@
         )
         operation = self._operation(Action.LEARN, claim, answer=self._sized(answer))
         timeout_s = self._settings.finish_timeout_s
-        result = self._execute(operation, timeout_s=timeout_s)
+        result = self._executor.execute(operation, timeout_s=timeout_s)
         if result.effect in (Effect.CONTRADICTED, Effect.MISMATCH):
             logger.error("[once] outcome found for key {} contradicts its claim", key)
         return result.effect is Effect.STORED
@@ -253,29 +249,11 @@
 
     def handle(self, host: str, payload: bytes) -> bytes:
         """Execute operations of another host; raise ``ProtocolError``."""
-        batch = decode_batch(payload)
-        operations = [decode_operation(item) for item in batch or (payload,)]
-        for operation in operations:
-            if operation.host != host:
-                sender = operation.host
-                raise ProtocolError(f"{host} forwarded an operation of {sender}")
-        timeout_s = self._settings.forward_timeout_s
-        deadline_s = self._clock() + timeout_s
-        # The forwarding host takes over when the owner does not settle the operation,
-        # so the owner keeps no operation of others beyond the timeout.
-        waiting = [
-            self._writer(operation.shard).submit(operation, deadline_s=deadline_s)
-            for operation in operations
-        ]
-        results = [
-            encode_result(pending.wait(deadline_s - self._clock()))
-            for pending in waiting
-        ]
-        return results[0] if batch is None else encode_batch(results)
+        return self._executor.handle(host, payload)
 
     def owner(self, shard: str) -> str:
         """Return the host that groups the writes of a shard."""
-        return choose_owner(shard, self._live_hosts()) or self._host
+        return self._executor.owner(shard)
 
     # Retention
 
@@ -300,16 +278,14 @@
 
     def busy(self) -> bool:
         """Return whether operations wait for the store, for a graceful shutdown."""
-        writing = any(writer.busy for writer in list(self._writers.values()))
-        return writing or len(self._tasks) > 0
+        return self._executor.busy() or len(self._tasks) > 0
 
     def stop(self) -> None:
         """End the writers and background tasks."""
         self._tasks.kill(block=False)
-        for writer in list(self._writers.values()):
-            writer.stop()
+        self._executor.stop()
 
-    # Execution
+    # Parts
 
     def _operation(
         self,
@@ -340,72 +316,6 @@
         content_type = answer.content_type[:MAX_CONTENT_TYPE_CHARS]
         return StoredAnswer(answer.status, content_type, body, answer.body_digest)
 
-    def _execute(
-        self, operation: Operation, *, timeout_s: float, is_urgent: bool = True
-    ) -> Result:
-        end_s = self._clock() + timeout_s
-        forwarded = self._forward(operation, is_urgent)
-        if forwarded is not None and forwarded.effect not in OPEN_EFFECTS:
-            return forwarded
-        # The owner may still commit an unsettled operation. The same attempt written
-        # here settles it: the document holds an attempt once, whoever wrote it. Only
-        # the owner may have lost the store, or time by a stall of its process.
-        local = self._execute_here(operation, end_s=end_s)
-        owner_may_write = forwarded is not None and forwarded.effect is Effect.UNSETTLED
-        return replace(local, owner_may_write=owner_may_write)
-
-    def _forward(self, operation: Operation, is_urgent: bool) -> Result | None:
-        """Return the owner's result, or ``None`` if the owner did not get it."""
-        owner = self.owner(operation.shard)
-        if owner == self._host:
-            return None
-        forwarder = self._forwarder
-        send = forwarder.forward if is_urgent else forwarder.forward_later
-        try:
-            payload = send(
-                owner,
-                encode_operation(operation),
-                timeout_s=self._settings.forward_timeout_s,
-            )
-        except ConnectionError as error:
-            logger.debug("[once] owner {} not reached: {}", owner, error)
-            return None
-        if payload is None:
-            return Result(Effect.UNSETTLED, reason=f"{owner} did not answer")
-        try:
-            return decode_result(payload)
-        except ProtocolError as error:
-            return Result(Effect.UNSETTLED, reason=str(error))
-
-    def _execute_here(self, operation: Operation, *, end_s: float) -> Result:
-        persistent = operation.action is not Action.CLAIM
-        now_s = self._clock()
-        deadline_s = now_s + self._settings.retry_for_s if persistent else end_s
-        writer = self._writer(operation.shard)
-        pending = writer.submit(operation, deadline_s=deadline_s)
-        return pending.wait(end_s - now_s)
-
-    def _writer(self, shard: str) -> ShardWriter:
-        writer = self._writers.get(shard)
-        if writer is None:
-            self._drop_idle_writers()
-            limits = writer_limits(self._settings, timed=is_timed(shard))
-            writer = ShardWriter(
-                self._store,
-                self._prefix + shard,
-                limits,
-                clock=self._clock,
-                unix_clock=self._unix_clock,
-            )
-            self._writers[shard] = writer
-        return writer
-
-    def _drop_idle_writers(self) -> None:
-        oldest_s = self._clock() - WRITER_IDLE_S
-        for shard, writer in list(self._writers.items()):
-            if not writer.busy and writer.last_used_s < oldest_s:
-                del self._writers[shard]
-
     # Outcomes
 
     def _claim_outcome(self, claim: Claim, result: Result) -> ClaimOutcome:
@@ -464,7 +374,7 @@
         """Release an unsettled claim in the background, so that a resend can run."""
         operation = self._operation(Action.RELEASE, claim)
         deadline_s = self._clock() + self._settings.retry_for_s
-        self._writer(claim.shard).submit(operation, deadline_s=deadline_s)
+        self._executor.submit(operation, deadline_s=deadline_s)
 
     def _remember(self, attempt: bytes, state: HeldState) -> None:
         self._held[attempt] = state
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_archive.py
@@ -68,7 +68,7 @@
         self.run_calls(keys)
         checked = 0
         for service in self.cluster.services.values():
-            for writer in service._writers.values():
+            for writer in service._executor.writers.values():
                 kept = writer._document
                 if kept is not None and kept.entries:
                     fresh = document.ShardDocument(kept.entries)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/once/tests/test_claims.py
@@ -146,7 +146,7 @@
         self.store.latency_s = 0.2
         # A stopped clock rules out that the claim is refused for its age instead.
         unix_s = time.time()
-        self.service(self.owner)._unix_clock = lambda: unix_s
+        self.cluster.unix_clock = lambda: unix_s
         outcome = self.claim(self.owner)
         self.store.latency_s = 0.0
         self.assert_not_run_and_claimable_later(outcome)
@@ -164,7 +164,7 @@
         for loss in ("dead", "reply"):
             with self.subTest(loss):
                 self.setUp()
-                forwarder = self.service()._forwarder
+                forwarder = self.service()._executor.forwarder
                 handle = self.cluster.services[self.owner].handle
 
                 def lost(host, payload, *, timeout_s, loss=loss, handle=handle):
@@ -185,7 +185,7 @@
             payloads.append(payload)
             return None
 
-        self.service()._forwarder.forward = paused
+        self.service()._executor.forwarder.forward = paused
         self.store.faults.down = True
         outcome = self.claim()
         self.cluster.heal()
@@ -197,8 +197,8 @@
     def test_a_paused_owner_does_not_commit_the_claim_of_a_dead_host(self):
         # Nobody would dispatch its call, nor release it.
         payloads = []
-        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
-            payloads.append(payload)
+        self.service()._executor.forwarder.forward = (
+            lambda host, payload, *, timeout_s: payloads.append(payload)
         )
         self.store.faults.down = True
         self.claim()
@@ -211,8 +211,8 @@
     def test_a_paused_owner_does_not_commit_a_claim_that_found_the_key_held(self):
         # The holder may release the key before the owner applies the forwarded claim.
         payloads = []
-        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
-            payloads.append(payload)
+        self.service()._executor.forwarder.forward = (
+            lambda host, payload, *, timeout_s: payloads.append(payload)
         )
         held = self.claim(self.owner)
         self.assertEqual(self.claim(), once.ClaimInProgress(self.owner))
@@ -281,8 +281,8 @@
             with self.assertRaises(ProtocolError):
                 decode_operation(payload)
         payloads = []
-        self.service()._forwarder.forward = lambda host, payload, *, timeout_s: (
-            payloads.append(payload)
+        self.service()._executor.forwarder.forward = (
+            lambda host, payload, *, timeout_s: payloads.append(payload)
         )
         self.claim()
         with self.assertRaises(ProtocolError):
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_once.py
@@ -144,6 +144,7 @@
         self.forward_latency_s = 0.0
         # Hosts whose view of the members is wrong, so that two owners exist at once.
         self.confused: set[str] = set()
+        self.unix_clock = time.time
         self.settings = settings
         self.services: dict[str, ClaimService] = {}
         for index in range(count):
@@ -160,6 +161,7 @@
             is_dead=lambda other, incarnation: other in self.dead,
             forwarder=_ClusterForwarder(self, host),
             settings=self.settings,
+            unix_clock=lambda: self.unix_clock(),
         )
 
     def _members(self, host: str) -> tuple[str, ...]:
