Leave in awake time, so that a host that stood still answers what arrived

Cause: a leaving host closes its listener when the time for which callers keep addresses is over. Stopped for a second meanwhile, it finds that time over when it goes on, and closes the listener before it has accepted the callers whose requests wait there. It is the class of the silent engines: a time that is over after a stall is acted upon before what has arrived is read.

The time is awake time now, as for silence; the class that counts it moved out of delivery. test_a_request_that_arrived_while_a_leaving_host_stood_still failed before with a reset connection.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/awake_time.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/awake_time.py
@@ -1,8 +1,9 @@
 """Time in which the event loop of this process ran, without its stalls."""
 
-import gevent
+import time
+from collections.abc import Callable
 
-from persimmonyoke.internal.delivery.api import Clock
+import gevent
 
 BEAT_S = 0.05
 MAX_BEAT_S = 0.1
@@ -15,13 +16,20 @@
     Beats run while at least one user needs the time, so that an idle process sleeps.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._users = 0
         self._timer = None
         self._awake_s = 0.0
         self._beat_s = clock()
 
+    def __enter__(self) -> "AwakeTime":
+        self.start()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self.stop()
+
     def now_s(self) -> float:
         """Return the awake time up to now; only differences have a meaning."""
         return self._awake_s + min(self._clock() - self._beat_s, MAX_BEAT_S)
@@ -46,3 +54,11 @@
     def _beat(self) -> None:
         self._awake_s = self.now_s()
         self._beat_s = self._clock()
+
+
+def sleep_awake(duration_s: float) -> None:
+    """Sleep for an awake time, so that what arrived in a stall is served in it."""
+    with AwakeTime() as awake:
+        end_s = awake.now_s() + duration_s
+        while (left_s := end_s - awake.now_s()) > 0:
+            gevent.sleep(left_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/delivery.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/delivery.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.pool import Group
 
+from persimmonyoke.internal.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.answer import DeliveryCount
 from persimmonyoke.internal.delivery.api import (
     ClaimGate,
@@ -17,7 +18,6 @@
     Router,
     ServicePool,
 )
-from persimmonyoke.internal.delivery.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.completion import Generation
 from persimmonyoke.internal.delivery.parts import DeliveryOptions, DeliveryParts
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/parts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/parts.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from persimmonyoke.internal.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.answer import DeliveryCount
 from persimmonyoke.internal.delivery.api import Clock, EnginePool, Router
-from persimmonyoke.internal.delivery.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/silence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/silence.py
@@ -4,8 +4,8 @@
 
 import gevent
 
+from persimmonyoke.internal.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.api import Clock
-from persimmonyoke.internal.delivery.awake_time import AwakeTime
 
 
 class StreamSilent(BaseException):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_silence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_silence.py
@@ -4,17 +4,15 @@
 import unittest
 
 import gevent
-from gevent import monkey
 from gevent.event import Event
 
-from persimmonyoke.internal.delivery.awake_time import AwakeTime
+from persimmonyoke.internal.awake_time import AwakeTime
 from persimmonyoke.internal.delivery.silence import SilenceWatch, StreamSilent
+from persimmonyoke_testing.builders_stalls import stall
 
 IDLE_S = 0.5
 STALL_S = 1.5
 
-stall = monkey.get_original("time", "sleep")
-
 
 class SilenceTest(unittest.TestCase):
     def wait(self, event):
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_failures.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_failures.py
@@ -8,10 +8,18 @@
 
 from persimmonyoke.internal.invariants import MONITOR
 from persimmonyoke_testing.builders_deployment import CallerStream, call, call_service
+from persimmonyoke_testing.builders_stalls import connect_without_waiting, stall
 from persimmonyoke_testing.deployment import Deployment
 from persimmonyoke_testing.engine import expected_text
 
 LONG_ANSWER_TOKENS = 60
+ADDRESSES = """\
+GET /v1/addresses HTTP/1.1\r
+Host: entry\r
+Authorization: Bearer {}\r
+Connection: close\r
+\r
+"""
 
 
 class FailureTest(unittest.TestCase):
@@ -163,6 +171,20 @@
             [h.name for h in self.deployment.entries[1].host_view.live_hosts(now_s)],
         )
 
+    def test_a_request_that_arrived_while_a_leaving_host_stood_still_is_answered(self):
+        # The time to leave was over when the host went on, and it closed its listener
+        # before it accepted the caller.
+        leaving = self.deployment.entries[0]
+        shutdown = gevent.spawn(leaving.shutdown)
+        gevent.sleep(0.05)
+        caller = connect_without_waiting(leaving.callers_address)
+        self.addCleanup(caller.close)
+        caller.sendall(ADDRESSES.format(self.firm.workspace_key).encode())
+        stall(1.0)
+        caller.settimeout(5.0)
+        self.assertIn(b"200 OK", caller.recv(65_536))
+        self.assertTrue(shutdown.get(timeout=10.0))
+
     def next_url(self):
         """Follow the address answers, as callers of the firm do."""
         answer = call(
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_stalls.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_stalls.py
@@ -2,11 +2,23 @@
 
 import time
 
+from gevent import monkey, socket
+
 from persimmonyoke.errors import ErrorKind
 from persimmonyoke.internal.delivery.api import NoRoute, RouteChoice, RouteQuery
 from persimmonyoke.internal.delivery.placement import EnginesDown
 from persimmonyoke_testing.builders_delivery import FakeEngine, FakeFleet
 
+stall = monkey.get_original("time", "sleep")
+"""Hold this process up for some seconds."""
+
+
+def connect_without_waiting(address: tuple[str, int]) -> socket.socket:
+    """Return a connection that no task of this process could accept yet."""
+    blocking = monkey.get_original("socket", "socket")()
+    blocking.connect(address)
+    return socket.socket(fileno=blocking.detach())
+
 
 class StallingFleet(FakeFleet):
     """Be down for a few choices, after the first of which the host stands still."""
