Offer the shifted mix at its rate where the process is slow

Cause: the callers pause after each request, so that a slow process offers a fraction of the rate, and a lighter load calls for no change. They keep to the schedule now.

--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_role_changes.py
@@ -44,12 +44,16 @@
         self.complete = 0
 
     def send_until(self, holds, kind, *, per_s, timeout_s):
-        end_s = time.monotonic() + timeout_s
+        next_s = time.monotonic()
+        end_s = next_s + timeout_s
         while not holds():
             if time.monotonic() > end_s:
                 raise TimeoutError("the roles have not changed")
             self._tasks.append(gevent.spawn(self._send, len(self._tasks), kind))
-            gevent.sleep(1 / per_s)
+            # A pause after each request would offer less where the process is slow,
+            # and a lighter load needs no change.
+            next_s += 1 / per_s
+            gevent.sleep(max(0.0, next_s - time.monotonic()))
 
     def join(self):
         gevent.joinall(self._tasks, timeout=30.0, raise_error=True)
