--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/__init__.py
@@ -1,5 +1,12 @@
 """Presets, revisions of the configuration and the view that is in force."""
 
+from persimmonyoke.internal.presets.changes import (
+    Accepted,
+    Change,
+    Conflict,
+    ProposeOutcome,
+    Unsettled,
+)
 from persimmonyoke.internal.presets.difference import (
     preset_difference,
     revision_difference,
@@ -24,15 +31,10 @@
     encode_revision,
 )
 from persimmonyoke.internal.presets.revision_log import (
-    Accepted,
-    Change,
-    Conflict,
     HistoryEntry,
-    ProposeOutcome,
     RevisionLog,
     UnreadableNewest,
     UnreadableRevision,
-    Unsettled,
 )
 from persimmonyoke.internal.presets.stored_form import RevisionHeader
 from persimmonyoke.internal.presets.view import ConfigurationView, follow_revisions
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/revision_log.py
@@ -10,8 +10,6 @@
 import gevent
 
 from persimmonyoke.errors import (
-    Fault,
-    PresetError,
     ProtocolError,
     StoreUnavailable,
 )
@@ -27,13 +25,21 @@
     WriteUnknown,
 )
 from persimmonyoke.internal.presets.aside import run_aside
+from persimmonyoke.internal.presets.changes import (
+    Accepted,
+    Change,
+    Conflict,
+    ProposeOutcome,
+    Unsettled,
+    change_refusal,
+    changed_presets,
+    check_author_and_reason,
+)
 from persimmonyoke.internal.presets.difference import revision_difference
 from persimmonyoke.internal.presets.parser import check_presets
 from persimmonyoke.internal.presets.retention import Pruner, Retention
 from persimmonyoke.internal.presets.revision import (
-    MAX_AUTHOR_CHARACTERS,
     MAX_NUMBER,
-    MAX_REASON_CHARACTERS,
     ChangeAction,
     Revision,
 )
@@ -61,45 +67,6 @@
 log = part_logger("presets")
 
 
-@dataclass(frozen=True)
-class Change:
-    """Carry what an operator asks for; ``text`` is the TOML of a create or edit."""
-
-    action: ChangeAction
-    preset: str
-    author: str
-    reason: str
-    text: str | None = None
-
-
-@dataclass(frozen=True)
-class Accepted:
-    """Say that the revision is stored and will be in force everywhere."""
-
-    revision: Revision
-
-
-@dataclass(frozen=True)
-class Conflict:
-    """Say that another change came first; nothing was written.
-
-    ``difference`` shows what changed since the operator's base.
-    """
-
-    current: Revision | None
-    difference: tuple[str, ...]
-
-
-@dataclass(frozen=True)
-class Unsettled:
-    """Say that the store did not tell whether the revision was stored."""
-
-    revision: Revision
-
-
-ProposeOutcome = Accepted | Conflict | Unsettled
-
-
 class UnreadableNewest(ProtocolError):
     """Report that the newest stored revision can't be read by this program."""
 
@@ -280,7 +247,7 @@
         current = self.newest()
         if (current.number if current else 0) != base_number:
             return self._conflict(base_number, current)
-        presets, active = _changed_presets(change, current)
+        presets, active = changed_presets(change, current)
         return self._append(change, presets, active, current)
 
     def bootstrap(
@@ -296,7 +263,7 @@
             return self._conflict(0, current)
         if active not in presets:
             accepted = ", ".join(sorted(presets))
-            raise _refusal("active", f"there is no preset {active!r}", accepted)
+            raise change_refusal("active", f"there is no preset {active!r}", accepted)
         change = Change(ChangeAction.CREATE, active, author, reason)
         return self._append(change, presets, active, None)
 
@@ -308,7 +275,7 @@
         base: Revision | None,
     ) -> ProposeOutcome:
         started_s = self._clock()
-        _check_author_and_reason(change)
+        check_author_and_reason(change)
         run_aside(presets, check_presets, presets)
         revision = Revision(
             number=base.number + 1 if base else 1,
@@ -325,7 +292,7 @@
         try:
             blob = run_aside(presets, _encoded, revision, base)
         except ValueError as error:
-            raise _refusal("presets", str(error), "smaller presets") from error
+            raise change_refusal("presets", str(error), "smaller presets") from error
         key = self.key(revision.number)
         outcome = self._write(_Attempt(revision, key, blob, started_s))
         if isinstance(outcome, Accepted):
@@ -404,38 +371,3 @@
 
 def _encoded(revision: Revision, base: Revision | None) -> bytes:
     return encode_stored(revision, header_of(revision, base))
-
-
-def _changed_presets(
-    change: Change, current: Revision | None
-) -> tuple[dict[str, str], str]:
-    """Return the presets and the active one after a change; raise ``PresetError``."""
-    presets = dict(current.presets) if current else {}
-    exists = change.preset in presets
-    if exists == (change.action is ChangeAction.CREATE):
-        names = ", ".join(sorted(presets)) or "none"
-        problem = "exists already" if exists else "does not exist"
-        accepted = f"a new name; existing: {names}" if exists else f"one of: {names}"
-        raise _refusal("preset", f"{change.preset!r} {problem}", accepted)
-    if change.action is ChangeAction.CHOOSE:
-        if change.text is not None:
-            raise _refusal("text", "is set", "no text for choose")
-        return presets, change.preset
-    if change.text is None:
-        raise _refusal("text", "missing", "the TOML text of the preset")
-    presets[change.preset] = change.text
-    return presets, current.active if current else change.preset
-
-
-def _check_author_and_reason(change: Change) -> None:
-    for key, text, limit in (
-        ("author", change.author, MAX_AUTHOR_CHARACTERS),
-        ("reason", change.reason, MAX_REASON_CHARACTERS),
-    ):
-        if not text.strip() or len(text) > limit:
-            problem = f"has {len(text)} characters"
-            raise _refusal(key, problem, f"1 to {limit} characters")
-
-
-def _refusal(key: str, problem: str, accepted: str) -> PresetError:
-    return PresetError("change", (Fault(key, problem, accepted),))
