Wait for both controllers before a fault of authority is injected

'bench faults' reported 'no holder after 17 s' for renew x kill once. The cell before had killed one controller and started it again, and its end doesn't wait for that process, so that the holder may have been killed with no successor up.

--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_authority.py
@@ -116,6 +116,8 @@
         """Return what the run showed."""
         world = self.world
         self.probe = AuthorityProbe(world)
+        # A controller that is still starting can't succeed another one.
+        self._wait(world.controllers_started, "two controllers at the start")
         self._wait(lambda: self.probe.holder() is not None, "a holder at the start")
         self.before = self.rng.random() < 0.5
         self.model = f"model-{self.rng.getrandbits(32):08x}"
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_world.py
@@ -207,6 +207,10 @@
         """Return the names of the controllers."""
         return [name for name, (role, _) in self._files.items() if role != "entry"]
 
+    def controllers_started(self) -> bool:
+        """Return whether each controller process has started its duty."""
+        return all(self.processes[n].started_controller() for n in self.controllers())
+
     def urls(self) -> list[str]:
         """Return the base URLs of the entry hosts."""
         return [self.url(name) for name in self.entries()]
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
@@ -158,8 +158,11 @@
 
     def __init__(self, role: str, settings: Path) -> None:
         command = [sys.executable, "-m", "persimmonyoke_node", role, str(settings)]
+        self._name = settings.stem
         self.log_path = settings.with_suffix(".log")
         with self.log_path.open("ab") as log_file:
+            # Earlier processes of the same host have written to the same file.
+            self._log_start = log_file.tell()
             self._process = subprocess.Popen(command, stderr=log_file)
 
     @property
@@ -181,6 +184,11 @@
             self._process.kill()
             self._process.wait(EXIT_TIMEOUT_S)
 
+    def started_controller(self) -> bool:
+        """Return whether this process has logged that its controller has started."""
+        own_lines = self.log_path.read_bytes()[self._log_start :]
+        return f"{self._name} started".encode() in own_lines
+
     def log(self) -> str:
         """Return what the process has logged."""
         return self.log_path.read_text(encoding="utf-8")
