--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -11,8 +11,6 @@
     Answer,
     AnswerDiverged,
     DeliveryCount,
-    StreamEnded,
-    StreamFault,
 )
 from persimmonyoke.internal.delivery.api import (
     CallerGone,
@@ -25,18 +23,13 @@
 from persimmonyoke.internal.delivery.engine_checks import (
     Verdict,
     cancel,
-    close,
-    drain,
     probe,
 )
 from persimmonyoke.internal.delivery.parts import DeliveryParts
 from persimmonyoke.internal.delivery.placement import Placement
-from persimmonyoke.internal.delivery.silence import (
-    DeadlinePassed,
-    SilenceWatch,
-    StreamSilent,
-)
+from persimmonyoke.internal.delivery.silence import DeadlinePassed, StreamSilent
 from persimmonyoke.internal.delivery.steps import Broken, Step
+from persimmonyoke.internal.delivery.stream_reader import StreamReader
 from persimmonyoke.internal.delivery.suspect_types import Quarantined
 from persimmonyoke.internal.invariants import Invariant, check_invariant
 from persimmonyoke.internal.upstreams.api import (
@@ -74,6 +67,9 @@
             self.parts.counts,
             resume=self.request.resume,
         )
+        self._reader = StreamReader(
+            self.parts, self._answer, deadline_s=self.request.deadline_s
+        )
 
     def run(self) -> CompletionResult:
         """Deliver the whole answer; raises ``RequestError`` with a truthful ``ran``."""
@@ -167,7 +163,7 @@
         self.parts.counts[DeliveryCount.RESUMES] += 1
         client = self.parts.engines.client(step.engine, fresh=True)
         offset = self._answer.generated.offset
-        idle_s = self._inter_idle_s(step.choice) * 2 ** (step.resumes + 1)
+        idle_s = self._reader.inter_idle_s(step.choice) * 2 ** (step.resumes + 1)
         return self._read(
             lambda: client.resume(step.resume_stream, offset=offset),
             step.choice,
@@ -184,7 +180,7 @@
         return self._read(
             lambda: client.generate(call),
             step.choice,
-            first_idle_s=self._first_idle_s(step.choice),
+            first_idle_s=self._reader.first_idle_s(step.choice),
         )
 
     def _call(self, phase: Phase, kv_handle: str | None) -> GenerateCall:
@@ -211,7 +207,7 @@
         prefill = choice.prefill_engine
         client = self.parts.engines.client(prefill)
         self._running_on = prefill
-        watch = self._watch(self._first_idle_s(choice))
+        watch = self._reader.watch(self._reader.first_idle_s(choice))
         try:
             with watch:
                 watch.waiting = True
@@ -245,72 +241,10 @@
         first_idle_s: float,
     ) -> str:
         engine = self._running_on = choice.engine
-        watch = self._watch(first_idle_s)
-        events: Iterator[StreamEvent] = iter(())
-        finished = False
         try:
-            with watch:
-                watch.waiting = True
-                events = open_stream()
-                reason = self._pump(events, watch, choice)
-            finished = True
-            return reason
+            return self._reader.read(open_stream, choice, first_idle_s=first_idle_s)
         except EngineFailure as failure:
             raise self._broken(failure, engine) from failure
-        except StreamSilent:
-            self.parts.counts[DeliveryCount.SILENCES] += 1
-            raise Broken("no event within the idle timeout", engine) from None
-        except (StreamFault, PersimmonyokeError) as fault:
-            ended = isinstance(fault, StreamEnded)
-            raise Broken(str(fault), engine, ended=ended) from fault
-        finally:
-            if finished:
-                # The client reads the end of the response and keeps the connection.
-                self.parts.spawn(drain, self.parts, events)
-            else:
-                close(events)
-
-    def _pump(
-        self, events: Iterator[StreamEvent], watch: SilenceWatch, choice: RouteChoice
-    ) -> str:
-        clock = self.parts.clock
-        deadline_s = self.request.deadline_s
-        take = self._answer.take
-        first = True
-        while True:
-            watch.note_event()
-            if clock() >= deadline_s:
-                raise DeadlinePassed
-            watch.waiting = True
-            event = next(events, None)
-            watch.waiting = False
-            if event is None:
-                raise StreamFault("the stream ended without a finish reason")
-            reason = take(event)
-            if reason is not None:
-                return reason
-            if first:
-                first = False
-                watch.note_event()
-                watch.set_idle(self._inter_idle_s(choice))
-
-    def _watch(self, idle_s: float) -> SilenceWatch:
-        return SilenceWatch(
-            self.parts.clock,
-            self.parts.awake,
-            idle_s=idle_s,
-            deadline_s=self.request.deadline_s,
-        )
-
-    def _first_idle_s(self, choice: RouteChoice) -> float:
-        options = self.parts.options
-        expected_s = options.first_idle_factor * choice.expected_first_token_s
-        return max(options.min_first_idle_s, expected_s)
-
-    def _inter_idle_s(self, choice: RouteChoice) -> float:
-        options = self.parts.options
-        expected_s = options.inter_idle_factor * choice.expected_inter_token_s
-        return max(options.min_inter_idle_s, expected_s)
 
     def _broken(self, failure: EngineFailure, engine: Upstream) -> Broken:
         broken = Broken(
