--- a/packages/persimmonyoke/src/persimmonyoke/tests/test_import_order.py
+++ b/packages/persimmonyoke/src/persimmonyoke/tests/test_import_order.py
@@ -14,6 +14,7 @@
     (
         "errors",
         "internal.values",
+        "internal.awake_time",
         "internal.invariants",
         "internal.observability",
         "internal.settings",
