Let the hosts of a test come to rest before the next test measures

Cause: a profile in a whole run of the package shows 46 calls of _tell_weak in the measured turn of the event loop, where the test has two hosts. The other 45 belong to the fleet of 195 hosts of the test before, which waits for a fixed 0.35 s, and its hosts pass on later than that on a slow machine. The wait now ends when nothing has been sent for so long.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_suspect_link.py
@@ -57,7 +57,11 @@
         return [s.suspects.status(digest, now_s) for s in self.states.values()]
 
     def settle(self):
-        gevent.sleep(REPEAT_DELAYS_S[-1] + 0.1)
+        """Wait until nothing has been sent for longer than repeats are delayed."""
+        sent = -1
+        while sent != self.received.total():
+            sent = self.received.total()
+            gevent.sleep(REPEAT_DELAYS_S[-1] + 0.1)
 
 
 class SpreadTest(unittest.TestCase):
