Make the stalls and cells that the pages name runnable by commands

The figures of docs/incidents/held-up-processes.md came from scripts outside of the tree. The parts of that bench take one value in place of three, which the cell would have made four.

Placement asks the rule of the register who runs alone, in place of a copy of it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -13,7 +13,6 @@
 from persimmonyoke.internal.delivery.parts import DeliveryParts
 from persimmonyoke.internal.delivery.silence import DeadlinePassed
 from persimmonyoke.internal.delivery.suspect_types import (
-    Clear,
     Quarantined,
     SuspectStatus,
 )
@@ -65,7 +64,8 @@
             status = self.status()
             if isinstance(status, Quarantined):
                 return status
-            choice = self._try_choose(prefix_tokens, not isinstance(status, Clear))
+            alone = self._parts.suspects.rule.must_run_alone(status)
+            choice = self._try_choose(prefix_tokens, alone)
             if isinstance(choice, EnginesDown) and polls_left:
                 polls_left -= 1
                 gevent.sleep(ENGINES_DOWN_POLL_S)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/presets/tests/test_retention.py
@@ -6,6 +6,7 @@
 import tracemalloc
 import unittest
 import zlib
+from collections.abc import Callable
 from unittest import mock
 
 from hypothesis import given
@@ -217,46 +218,41 @@
 
     def test_a_revision_whose_deletion_failed_is_not_left_below_a_deleted_one(self):
         # The history ends at a page without revisions, so that a gap could hide some.
-        for cause in ("request lost", "document replaced meanwhile"):
-            with self.subTest(cause):
-                self.check_that_a_failed_deletion_leaves_no_gap(cause)
+        def lose_request(store: MemoryStore, oldest: KeyValue) -> None:
+            store.faults.lose_requests = 1
 
-    def check_that_a_failed_deletion_leaves_no_gap(self, cause: str) -> None:
-        self.state = KeyValueState()
-        _, log = self.new_log(run_later=lambda prune: None)
-        self.accept(20, log)
-        store, _ = self.new_log()
-        list_prefix = store.list_prefix
-
-        def list_and_fail(prefix: str, *, limit: int) -> tuple[KeyValue, ...]:
-            found = list_prefix(prefix, limit=limit)
-            if cause == "request lost":
-                store.faults.lose_requests = 1
-            else:
-                self.state.put(found[0].key, found[0].value)
-            return found
+        def replace_document(store: MemoryStore, oldest: KeyValue) -> None:
+            store.state.put(oldest.key, oldest.value)
 
-        store.list_prefix = list_and_fail
-        Pruner(store, prefix=log.prefix, retention=RETENTION).prune_after(20)
-        numbers = [entry.number for entry in log.history(100)]
-        self.assertEqual(numbers, list(range(20, 0, -1)))
+        for disturb in (lose_request, replace_document):
+            with self.subTest(disturb.__name__):
+                self.assertEqual(self.pruned_while(disturb), list(range(20, 0, -1)))
 
     def test_a_revision_that_another_host_deleted_does_not_stop_the_deletions(self):
         # Each of two hosts that prune at once would leave the second revision.
+        def delete(store: MemoryStore, oldest: KeyValue) -> None:
+            store.state.delete(oldest.key)
+
+        self.assertEqual(self.pruned_while(delete), list(range(20, 2, -1)))
+
+    def pruned_while(
+        self, disturb: Callable[[MemoryStore, KeyValue], None]
+    ) -> list[int]:
+        """Return the revisions left if the oldest one changes before its deletion."""
+        self.state = KeyValueState()
         _, log = self.new_log(run_later=lambda prune: None)
         self.accept(20, log)
         store, _ = self.new_log()
         list_prefix = store.list_prefix
 
-        def list_and_delete(prefix: str, *, limit: int) -> tuple[KeyValue, ...]:
+        def list_then_disturb(prefix: str, *, limit: int) -> tuple[KeyValue, ...]:
             found = list_prefix(prefix, limit=limit)
-            self.state.delete(found[0].key)
+            disturb(store, found[0])
             return found
 
-        store.list_prefix = list_and_delete
+        store.list_prefix = list_then_disturb
         Pruner(store, prefix=log.prefix, retention=RETENTION).prune_after(20)
-        numbers = [entry.number for entry in log.history(100)]
-        self.assertEqual(numbers, list(range(20, 2, -1)))
+        return [entry.number for entry in log.history(100)]
 
     def test_a_writer_stopped_for_days_does_not_win_a_deleted_number(self):
         # Its operator would be told that a change is in force which nobody has.
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults.py
@@ -22,7 +22,13 @@
     faults_shutdown,
     faults_streams,
 )
-from persimmonyoke_cli.bench.faults_matrix import Cell, Matrix, RunCell, run_cells
+from persimmonyoke_cli.bench.faults_matrix import (
+    Cell,
+    Matrix,
+    RunCell,
+    all_cells,
+    run_cells,
+)
 from persimmonyoke_cli.bench.faults_schedules import run_schedules, schedule_lines
 from persimmonyoke_cli.bench.faults_world import World
 from persimmonyoke_cli.bench.framework import Bench, BenchOptions, BenchResult, Target
@@ -44,7 +50,6 @@
 LATE_REPORTS = FleetOptions(cache_event_loss=0.2, timing_changes={"load_lag_s": 2.0})
 START_ATTEMPTS = 3
 STARTING = BoundedSemaphore(1)
-RunPart = Callable[[Matrix, int, float], None]
 TARGETS = {
     "violations": Target("==", 0.0),
     "schedules.claims.violations": Target("==", 0.0),
@@ -64,10 +69,25 @@
         default=1_000, metadata={"help": "schedules of each protocol in one process"}
     )
     only: str = field(default="", metadata={"help": "protocol to run alone"})
+    cell: str = field(
+        default="",
+        metadata={"help": "cell to run alone, as 'drain x pause'; no pairs of faults"},
+    )
+
+
+@dataclass(frozen=True)
+class PartRun:
+    """Say what the part of one protocol runs, and until when."""
+
+    matrix: Matrix
+    seed: int
+    end_s: float
+    cell: str
 
 
 def run(options: FaultsOptions) -> BenchResult:
     """Run the matrix and return its figures."""
+    _check_cell(options)
     configure_logging(level="CRITICAL")
     end_s = time.monotonic() + options.minutes * SECONDS_PER_MINUTE - WORLD_STOP_S
     share_s = SCHEDULES_SHARE * options.minutes * SECONDS_PER_MINUTE
@@ -86,10 +106,8 @@
     chosen = [options.only] if options.only else list(parts)
     for module in MODULES:
         module.exclude(matrix)
-    tasks = [
-        gevent.spawn(_run_part, parts[name], matrix, options.seed, end_s)
-        for name in chosen
-    ]
+    part_run = PartRun(matrix, options.seed, end_s, options.cell)
+    tasks = [gevent.spawn(_run_part, parts[name], part_run) for name in chosen]
     gevent.joinall(tasks, raise_error=True)
     print(matrix.table(), file=sys.stderr)
     lines = schedule_lines(schedules, options.schedules)
@@ -101,12 +119,19 @@
     return BenchResult(found, TARGETS)
 
 
-def _run_part(part: RunPart, matrix: Matrix, seed: int, end_s: float) -> None:
+def _check_cell(options: FaultsOptions) -> None:
+    """Refuse a cell that is in no protocol; a run of none would show no violation."""
+    known = {c.label for c in all_cells() if options.only in ("", c.protocol)}
+    if options.cell and options.cell not in known:
+        raise ValueError(f"cell is {options.cell!r}; accepted: {sorted(known)}")
+
+
+def _run_part(part: Callable[[PartRun], None], part_run: PartRun) -> None:
     """Run one protocol; its failure must not end the others."""
     try:
-        part(matrix, seed, end_s)
+        part(part_run)
     except (PersimmonyokeError, TimeoutError, OSError) as error:
-        matrix.note_failure(part.__name__, error)
+        part_run.matrix.note_failure(part.__name__, error)
 
 
 @contextmanager
@@ -131,64 +156,73 @@
     return World(**options).__enter__()
 
 
-def _claims(matrix: Matrix, seed: int, end_s: float) -> None:
+def _claims(part_run: PartRun) -> None:
     with _started(entries=3) as world:
-        _run(matrix, faults_claims, world, seed, end_s)
+        _run(part_run, faults_claims, world)
 
 
-def _configuration(matrix: Matrix, seed: int, end_s: float) -> None:
+def _configuration(part_run: PartRun) -> None:
     with _started(entries=7) as world:
-        _run(matrix, faults_configuration, world, seed, end_s)
+        _run(part_run, faults_configuration, world)
 
 
-def _streams(matrix: Matrix, seed: int, end_s: float) -> None:
+def _streams(part_run: PartRun) -> None:
     with _started(entries=3, fleet=LATE_REPORTS) as world:
         cells = faults_streams.direct_cells(world)
-        _run(matrix, faults_streams, world, seed, end_s, cells=cells)
+        _run(part_run, faults_streams, world, cells=cells)
 
 
-def _partitions(matrix: Matrix, seed: int, end_s: float) -> None:
+def _partitions(part_run: PartRun) -> None:
     with _started(entries=3, relays_engines=True) as world:
         cells = faults_streams.partition_cells(world)
-        _run(matrix, faults_streams, world, seed, end_s, cells=cells)
+        _run(part_run, faults_streams, world, cells=cells)
 
 
-def _authority(matrix: Matrix, seed: int, end_s: float) -> None:
+def _authority(part_run: PartRun) -> None:
     # The engines of one firm check the fencing number, those of the other don't.
-    firm = random.Random(seed).choice(("kente", "kereru"))
+    firm = random.Random(part_run.seed).choice(("kente", "kereru"))
     lease_s, fleet = faults_authority.LEASE_S, FleetOptions(time_scale=0.1)
     with _started(
         firm=firm, entries=1, controllers=2, lease_s=lease_s, fleet=fleet
     ) as world:
-        _run(matrix, faults_authority, world, seed, end_s)
+        _run(part_run, faults_authority, world)
 
 
-def _shutdown(matrix: Matrix, seed: int, end_s: float) -> None:
+def _shutdown(part_run: PartRun) -> None:
     fleet, shutdown = LATE_REPORTS, faults_shutdown.SHUTDOWN
     with _started(entries=4, shutdown=shutdown, fleet=fleet) as world:
-        planned = faults_shutdown.run_planned(world, random.Random(seed))
-        for name, cut in planned.items():
-            matrix.planned[name] = len(cut)
-            matrix.details += [f"planned {name}, seed {seed}: {text}" for text in cut]
-        _run(matrix, faults_shutdown, world, seed, end_s)
+        if not part_run.cell:
+            _run_planned(part_run, world)
+        _run(part_run, faults_shutdown, world)
+
+
+def _run_planned(part_run: PartRun, world: World) -> None:
+    matrix, seed = part_run.matrix, part_run.seed
+    planned = faults_shutdown.run_planned(world, random.Random(seed))
+    for name, cut in planned.items():
+        matrix.planned[name] = len(cut)
+        matrix.details += [f"planned {name}, seed {seed}: {text}" for text in cut]
 
 
 def _run(
-    matrix: Matrix,
+    part_run: PartRun,
     module: ModuleType,
     world: World,
-    seed: int,
-    end_s: float,
     *,
     cells: dict[Cell, RunCell] | None = None,
 ) -> None:
+    chosen = cells or module.cells(world)
+    pair = partial(module.run_pair, world) if hasattr(module, "run_pair") else None
+    if part_run.cell:
+        chosen = {c: run for c, run in chosen.items() if c.label == part_run.cell}
+        pair = None
     run_cells(
-        cells or module.cells(world),
-        matrix,
-        seed=seed,
-        end_s=end_s,
+        chosen,
+        part_run.matrix,
+        seed=part_run.seed,
+        end_s=part_run.end_s,
         longest_run_s=module.LONGEST_RUN_S,
-        pair=partial(module.run_pair, world) if hasattr(module, "run_pair") else None,
+        pair=pair,
     )
 
 
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/faults_matrix.py
@@ -56,6 +56,11 @@
         if self.step not in STEPS.get(self.protocol, ()):
             raise ValueError(f"{self.protocol} has no step {self.step!r}")
 
+    @property
+    def label(self) -> str:
+        """Return the step and the fault."""
+        return f"{self.step} x {self.fault.value}"
+
 
 @dataclass(frozen=True)
 class Outcome:
@@ -101,7 +106,7 @@
         result.longest_s = max(result.longest_s, outcome.recovery_s)
         self.recoveries_s.setdefault(cell.protocol, []).append(outcome.recovery_s)
         for text in outcome.violations:
-            name = f"{cell.protocol}.{cell.step} x {cell.fault.value}"
+            name = f"{cell.protocol}.{cell.label}"
             self.details.append(f"{name}, seed {seed}: {text}")
 
     def note_pair(self, protocol: str, outcome: Outcome, *, seed: object) -> None:
@@ -164,7 +169,7 @@
         missing = self.not_run()
         lines = [f"not run: {len(missing)} cells"]
         for protocol in STEPS:
-            names = [f"{c.step} x {c.fault}" for c in missing if c.protocol == protocol]
+            names = [c.label for c in missing if c.protocol == protocol]
             if names:
                 lines.append(f"  {protocol}: " + ", ".join(names))
         return lines
--- a/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/tests/test_faults.py
+++ b/packages/persimmonyoke_cli/src/persimmonyoke_cli/bench/tests/test_faults.py
@@ -46,6 +46,12 @@
             self.assertFalse(runnable & set(matrix.reasons))
             self.assertLessEqual(runnable, cells)
 
+    def test_a_cell_that_does_not_exist_is_refused(self):
+        # A run of no cell shows no violation.
+        for only, cell in (("", "drain x nothing"), ("claims", "drain x pause")):
+            with self.subTest(cell), self.assertRaisesRegex(ValueError, "accepted"):
+                faults.run(faults.FaultsOptions(only=only, cell=cell))
+
     def test_a_run_that_fails_counts_as_a_violation(self):
         # A cell whose run broke off has shown nothing.
         def broken(rng):
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/nose2_plugin.py
@@ -23,6 +23,9 @@
 # Totals over the packages, which nose2 runs one after the other.
 OUTCOMES: Counter[str] = Counter()
 
+NAMED_TESTS: set[str] = set()
+"""Names that were asked for; a known failure runs if it is one of them."""
+
 
 def known_red_tests(path: Path) -> frozenset[str]:
     """Return the ids on the ``test:`` lines of the list of known failures."""
@@ -56,7 +59,7 @@
 
     def startTestRun(self, event: StartTestRunEvent) -> None:
         """Replace the suite by the tests that are not listed as known failures."""
-        known = known_red_tests(KNOWN_RED_PATH)
+        known = known_red_tests(KNOWN_RED_PATH) - NAMED_TESTS
         kept = unittest.TestSuite()
         for test in flatten(event.suite):
             if test.id() in known:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/run_tests.py
@@ -2,7 +2,8 @@
 
 Usage: ``python -m persimmonyoke_testing.run_tests [test name ...]``. Without names,
 each package of the workspace is searched. The seed of randomised tests is printed;
-``PERSIMMONYOKE_SEED`` replaces it.
+``PERSIMMONYOKE_SEED`` replaces it. ``PERSIMMONYOKE_STALLS="MEAN_S EVERY_S"`` holds the
+process up at random moments. A test of KNOWN-RED.txt runs only if it is named in full.
 """
 
 from gevent import monkey
@@ -15,10 +16,12 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import gevent
 import hypothesis
 import nose2
 
-from persimmonyoke_testing.nose2_plugin import OUTCOMES
+from persimmonyoke_testing.nose2_plugin import NAMED_TESTS, OUTCOMES
+from persimmonyoke_testing.stall_injection import inject_stalls, parse_stalls
 
 DEFAULT_SEED = 20261203
 PACKAGES = (
@@ -51,7 +54,7 @@
     return program.result.wasSuccessful()
 
 
-def seed_random_tests() -> None:
+def seed_random_tests() -> int:
     """Seed the random module and hypothesis, so that each run is the same."""
     seed = int(os.environ.get("PERSIMMONYOKE_SEED", DEFAULT_SEED))
     random.seed(seed)
@@ -60,12 +63,23 @@
     )
     hypothesis.settings.load_profile("workspace")
     print(f"seed {seed} (PERSIMMONYOKE_SEED); hypothesis is derandomised")
+    return seed
+
+
+def start_stalls(text: str, seed: int) -> None:
+    """Hold the process up at random moments from now on."""
+    plan = parse_stalls(text)
+    print(f"{plan}, seed {seed} (PERSIMMONYOKE_STALLS)")
+    gevent.spawn(inject_stalls, plan, random.Random(seed))
 
 
 def main() -> int:
     """Run the tests and return the exit status."""
-    seed_random_tests()
+    seed = seed_random_tests()
     names = sys.argv[1:]
+    NAMED_TESTS.update(names)
+    if stalls := os.environ.get("PERSIMMONYOKE_STALLS"):
+        start_stalls(stalls, seed)
     successful = True
     for package in PACKAGES:
         selected = [name for name in names if name.split(".")[0] == package]
