--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -157,6 +157,11 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...]
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other prompts may share, which excludes the last."""
+        return self.parts[:-1]
+
 
 @dataclass(frozen=True)
 class RequestMetadata:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -64,9 +64,13 @@
         start: AttemptStart,
         error: AnswerLost,
         *,
+        begun: bool,
         now_s: float,
     ) -> None:
-        """Classify a lost answer; waits for a probe of the replica if necessary."""
+        """Classify a lost answer; waits for a probe of the replica if necessary.
+
+        ``begun`` means that the replica had already written a part of the answer.
+        """
         loss = Loss(
             digest=exchange.request.content_digest,
             replica=replica,
@@ -85,9 +89,11 @@
             "answer_lost",
             request_id=exchange.metadata.request_id,
             content=exchange.content_digest_hex,
+            parts=_shared_part_ids(exchange),
             replica=replica.replica_id,
             born_unix_ms=replica.born_unix_ms,
             stage=start.stage,
+            begun=begun,
             running_ms=int((now_s - start.started_s) * 1_000),
             error=f"{type(error).__name__}: {error}",
             probe=probe,
@@ -176,6 +182,12 @@
             return {"status": "quarantined", "quarantine_left_ms": left_ms}
 
 
+def _shared_part_ids(exchange: Exchange) -> list[str]:
+    """Return the ids of the prompt parts that other requests may share."""
+    prompt = exchange.metadata.prompt
+    return [part.part_id for part in prompt.shared_parts] if prompt else []
+
+
 def _loss_kind(error: AnswerLost) -> LossKind:
     match error:
         case ConnectionEnded():
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -252,5 +252,5 @@
         else:
             self._state.health.note_failure(replica.replica_id, time.monotonic())
         self._crashes.note_lost_answer(
-            exchange, replica, start, error, now_s=time.monotonic()
+            exchange, replica, start, error, begun=False, now_s=time.monotonic()
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -108,7 +108,7 @@
         except AnswerLost as error:
             state.health.note_unreachable(engine.replica_id, time.monotonic())
             self._crashes.note_lost_answer(
-                exchange, engine, start, error, now_s=time.monotonic()
+                exchange, engine, start, error, begun=False, now_s=time.monotonic()
             )
             return PrefillFailed(str(error), sent=True)
         result = None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -121,6 +121,7 @@
         self._budget = state.retry_budget(exchange.service.name)
         self._last_event_id = exchange.metadata.last_event_id
         self._events_read = 0
+        self._begun = False
 
     def run(self) -> None:
         """Run the request until its response is complete or it is given up."""
@@ -142,6 +143,7 @@
         self, engine: Replica, prefilled: PrefilledPrompt | None
     ) -> RunOutcome:
         exchange, ledger = self._exchange, self._state.ledger
+        self._begun = False
         prompt = exchange.metadata.prompt
         tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
         start = self._state.start_attempt(Stage.DECODE.value, engine)
@@ -199,7 +201,7 @@
         now_s = time.monotonic()
         self._state.health.note_failure(engine.replica_id, now_s)
         self._crashes.note_lost_answer(
-            self._exchange, engine, start, error, now_s=now_s
+            self._exchange, engine, start, error, begun=self._begun, now_s=now_s
         )
         return RunInterrupted(str(error))
 
@@ -250,6 +252,7 @@
                     break
                 events = splitter.feed(part)
                 self._check_bounds(splitter, events)
+                self._begun |= bool(events)
                 self._forward(opened, events)
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
@@ -322,14 +325,29 @@
         return self._exchange.head(opened.head.status, opened.head.reason, headers)
 
     def _may_retry(self, outcome: RunOutcome) -> bool:
+        obstacle = self._retry_obstacle(outcome)
+        if obstacle is None:
+            return True
+        self._state.journal.event(
+            "not_retried",
+            request_id=self._exchange.metadata.request_id,
+            obstacle=obstacle,
+            sends=self._exchange.sends,
+        )
+        return False
+
+    def _retry_obstacle(self, outcome: RunOutcome) -> str | None:
+        """Return why there is no further run; spend a retry if there may be one."""
         exchange = self._exchange
         if isinstance(outcome, RunInterrupted) and not exchange.route.resumable:
-            return False
+            return "route is not resumable"
         if exchange.sends >= exchange.route.max_attempts:
-            return False
+            return "route allows no more attempts"
         if exchange.remaining_s < 0.1:
-            return False
-        return self._budget.try_spend(time.monotonic())
+            return "deadline is too close"
+        if not self._budget.try_spend(time.monotonic()):
+            return "retry budget is spent"
+        return None
 
     def _give_up(self, outcome: RunOutcome) -> None:
         assert not isinstance(outcome, RunCompleted)
