Recognise prompt parts that crash engines, and withhold requests with them

Cause: hosts knew a crashing request by its whole content. Requests with the part are never alike, so none was ever part of three crashes.

Change: a request has several subjects, its content and each part of its prompt but the last, in the one register with the one rule. A crash counts only against runs whose answer had not begun, and the first event of an answer clears its parts on all hosts. A request is refused if it holds all strong suspects of one of the crashes, so that sound requests that share a part with the guilty ones are not refused. Other requests avoid an engine reserved for a suspect.

Conclusion: the part is found with three crashes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -1,17 +1,25 @@
-"""Track requests that were running on engines that crashed, and quarantine them.
-
-A crash makes every request on the engine a suspect. Suspects are retried one at a time
-for each engine, so that the next crash identifies one request, which is then
-quarantined. A crash attributed to a quarantined request no longer counts against the
-others.
+"""Track what was running on engines that crashed, and quarantine the cause.
+
+A crash makes every request on the engine a suspect, and with it each prompt part that
+other requests may share. Suspects are retried one at a time for each engine, so that
+the next crash identifies one request, of which the subjects that were part of enough
+crashes are then quarantined. A crash attributed to a quarantined subject no longer
+counts against the others. A request is refused only if it holds all strong suspects of
+one of the crashes. Subjects that crashed engines only together are told apart by the
+next run that has one of them without the others.
 """
 
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Sequence
 
+from persimmonyoke.internal.delivery.crash_records import (
+    Completions,
+    CrashRecord,
+    CrashRecords,
+)
 from persimmonyoke.internal.delivery.isolations import Isolation, IsolationTable
+from persimmonyoke.internal.delivery.quarantines import Quarantines
 from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
@@ -31,29 +39,17 @@
 # Copies of one request can crash several engines within milliseconds. A host may then
 # learn of the second crash of an innocent request before that of the crashing one.
 QUARANTINE_SETTLE_S = 0.2
-# A quarantine is not lifted because of crashes reported later than this after it began.
-REVISION_WINDOW_S = 1.0
 # If the incarnation is unknown, reports of a crash of one engine within this time count
 # as one crash: several requests observe it within the idle timeout of each other.
 SAME_CRASH_WINDOW_S = 5.0
 
 
-@dataclass
-class _Record:
-    crashes: set[str] = field(default_factory=set)
-    last_crash_s: float = 0.0
-    quarantined_until_s: float = 0.0
-    quarantined_at_s: float = 0.0
-    # Whether a quarantine was lifted; one more crash then restores it.
-    lifted: bool = False
-    crashed_in_isolation: bool = False
-
-
 class SuspectRegister:
     """Hold the suspects, isolations and quarantines of one entry node.
 
-    The number of records is bounded. ``on_change`` receives a notice for the peers
-    after each local change.
+    A request is named by the digest of its content and by those of the prompt parts
+    that it shares with others, its subjects. The number of records is bounded.
+    ``on_change`` receives a notice for the peers after each local change.
     """
 
     def __init__(
@@ -73,15 +69,19 @@
         self.host = host
         self.hold_s = hold_s
         self._suspect_ttl_s = suspect_ttl_s
-        self._max_records = max_records
+        self._max_events = max_records
         self.rule = rule or QuarantineRule()
+        self._records = CrashRecords(max_records)
+        self._quarantines = Quarantines(
+            self._records,
+            min_crashes=self.rule.isolation_threshold,
+            max_events=max_records,
+        )
         self._on_change = on_change
-        self._records: OrderedDict[bytes, _Record] = OrderedDict()
-        self._quarantined: dict[int, _Record] = {}
+        self._completions = Completions()
         self._isolations = IsolationTable(host)
         # The wall clock keeps the numbers increasing across restarts of the host.
         self._number = int(time.time() * 1000)
-        self._attributed: OrderedDict[str, float] = OrderedDict()
         self._crashes: OrderedDict[str, None] = OrderedDict()
         self.quarantined_total = 0
         # Counts changes, so that waiting suspects can detect one cheaply.
@@ -93,70 +93,92 @@
         engine: str,
         now_s: float,
         *,
+        parts: Sequence[bytes] = (),
         incarnation: str = "",
         started_s: float | None = None,
+        lost_s: float | None = None,
         isolated: bool = False,
     ) -> SuspectStatus:
         """Count a crash of an engine that was running the request.
 
-        ``started_s`` is the time at which the attempt began. ``isolated`` means that
-        the engine was reserved for the request.
+        ``started_s`` is the time at which the attempt began, and ``lost_s`` the time of
+        the crash. ``isolated`` means that the engine was reserved for the request.
         """
-        self.status(digest, now_s)
-        record = self._record(digest)
-        event = self._crash_event(record, engine, incarnation, now_s)
-        if started_s is not None and started_s > self._known_s(record, event, now_s):
-            # An attempt that began after the known crash of an incarnation ran on a
-            # later one, which the directory does not show yet.
-            event = f"{event}+{self.host}:{now_s:.3f}"
-        record.last_crash_s = now_s
-        if event not in record.crashes:
-            self.version += 1
-            record.crashes.add(event)
-            record.crashed_in_isolation |= isolated
-            self._note_crashes((event,))
-            self._quarantine_if_proven(record, now_s)
-            self._publish(digest, now_s)
-        return self.status(digest, now_s)
+        subjects = (digest, *parts)
+        crashed_s = now_s if lost_s is None else lost_s
+        self.status(digest, now_s, parts=parts)
+        changed = [
+            subject
+            for subject in subjects
+            if not self._completions.any_since(subject, crashed_s)
+            and self._count_crash(
+                subject,
+                engine,
+                now_s,
+                incarnation=incarnation,
+                started_s=started_s,
+                isolated=isolated,
+            )
+        ]
+        self._quarantine_proven(changed, now_s)
+        for subject in changed:
+            self._publish(subject, now_s)
+        return self.status(digest, now_s, parts=parts)
 
     def has_crashed(self, engine: str, incarnation: str) -> bool:
         """Return whether a host has seen the crash of this incarnation."""
         return f"{engine}@{incarnation}" in self._crashes
 
-    def status(self, digest: bytes, now_s: float) -> SuspectStatus:
-        """Return the current status of a request."""
-        record = self._records.get(digest)
-        if record is None:
-            return Clear()
-        if record.quarantined_until_s > now_s:
-            return Quarantined(record.quarantined_until_s)
-        expired = now_s - record.last_crash_s > self._suspect_ttl_s
-        if record.quarantined_until_s or expired:
-            del self._records[digest]
-            return Clear()
-        unattributed = self._unattributed_crashes(record)
-        return Suspect(unattributed) if unattributed else Clear()
+    def status(
+        self, digest: bytes, now_s: float, *, parts: Sequence[bytes] = ()
+    ) -> SuspectStatus:
+        """Return the current status of a request, that of its worst subject.
 
-    def settling_s(self, digest: bytes, now_s: float) -> float:
+        Of subjects with as many crashes, the last one counts, on all hosts alike.
+        """
+        subjects = (digest, *parts)
+        worst: SuspectStatus = Clear()
+        for subject in subjects:
+            status = self._subject_status(subject, subjects, now_s)
+            if isinstance(status, Quarantined):
+                return status
+            if isinstance(status, Suspect) and status.crashes >= _crashes(worst):
+                worst = status
+        return worst
+
+    def settling_s(
+        self, digest: bytes, now_s: float, *, parts: Sequence[bytes] = ()
+    ) -> float:
         """Return how long notices of other hosts may still lift a quarantine."""
-        record = self._records.get(digest)
-        if record is None or record.quarantined_until_s <= now_s:
-            return 0.0
-        return max(0.0, record.quarantined_at_s + QUARANTINE_SETTLE_S - now_s)
-
-    def note_completed(self, digest: bytes, now_s: float) -> None:
-        """Clear a suspect whose answer was completed."""
-        record = self._records.get(digest)
-        if record is None or record.quarantined_until_s > now_s:
-            return
-        del self._records[digest]
-        self.version += 1
-        was_published = len(record.crashes) >= self.rule.isolation_threshold
-        if was_published and self._on_change is not None:
-            notice = SuspectNotice(
-                digest, self.host, cleared=True, number=self._next_number()
-            )
-            self._on_change(notice)
+        settled_s = now_s
+        for subject in (digest, *parts):
+            record = self._records.get(subject)
+            if record is not None and record.quarantined_until_s > now_s:
+                settled_s = max(
+                    settled_s, record.quarantined_at_s + QUARANTINE_SETTLE_S
+                )
+        return settled_s - now_s
+
+    def note_completed(
+        self, digest: bytes | None, now_s: float, *, parts: Sequence[bytes] = ()
+    ) -> list[bytes]:
+        """Clear the subjects of a run that completed; return those in quarantine.
+
+        Without a digest, only the parts are cleared.
+        """
+        subjects = parts if digest is None else (digest, *parts)
+        if self.rule.completion_lifts:
+            self._completions.note(subjects, now_s)
+        return [subject for subject in subjects if self._clear(subject, now_s)]
+
+    def quarantined(self, subjects: Iterable[bytes], now_s: float) -> list[bytes]:
+        """Return those of some subjects that are in quarantine."""
+        records = (self._records.get(subject) for subject in subjects)
+        return [
+            record.subject
+            for record in records
+            if record is not None and record.quarantined_until_s > now_s
+        ]
 
     def try_isolate(
         self, digest: bytes, engine: str, *, now_s: float, until_s: float
@@ -164,7 +186,9 @@
         """Reserve the engine for the suspect unless it or the engine is reserved."""
         if not self._isolations.reserve(digest, engine, now_s=now_s, until_s=until_s):
             return False
-        self._publish_isolation(digest, engine, until_s - now_s)
+        if self._on_change is not None:
+            isolation = self._isolations.own(now_s)[digest]
+            self._on_change(self._notice(digest, isolation, now_s))
         return True
 
     def holds_isolation(self, digest: bytes, engine: str, now_s: float) -> bool:
@@ -175,7 +199,7 @@
         """Release the reservation of this host."""
         if self._isolations.end(digest, engine):
             self.version += 1
-            self._publish_isolation(digest, engine, 0.0)
+            self._publish_release(digest, engine)
 
     def isolated_engines(self, now_s: float) -> frozenset[str]:
         """Return the engines that are reserved for a suspect."""
@@ -195,23 +219,30 @@
             return
         if not notice.crashes and notice.quarantine_left_s <= 0:
             return
+        crashed_s = now_s - notice.crash_age_s
+        if self._completions.any_since(notice.digest, crashed_s):
+            self._refute(notice, now_s)
+            return
         record = self._record(notice.digest)
         if not notice.crashes <= record.crashes:
-            record.last_crash_s = now_s
-            record.crashes |= notice.crashes
+            record.last_crash_s = max(record.last_crash_s, crashed_s)
+            self._records.add_crashes(record, notice.crashes)
             self._note_crashes(notice.crashes)
-        if notice.quarantine_left_s > 0 and self._is_superseded(record, now_s):
+        if notice.quarantine_left_s > 0 and self._quarantines.supersede(record, now_s):
             record.lifted = True
         elif notice.quarantine_left_s > 0:
             until_s = now_s + notice.quarantine_left_s
-            self._quarantine(record, now_s, max(record.quarantined_until_s, until_s))
+            self._quarantines.add(
+                record, now_s, max(record.quarantined_until_s, until_s)
+            )
         else:
-            self._quarantine_if_proven(record, now_s)
+            self._quarantine_proven((notice.digest,), now_s)
 
     def notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
         """Return the notices of all requests, for a peer that has just started."""
         isolations = self._isolations.own(now_s)
-        digests = list(dict.fromkeys([*self._records, *isolations]))
+        digests = dict.fromkeys([r.subject for r in self._records])
+        digests.update(dict.fromkeys(isolations))
         return tuple(
             self._notice(digest, isolations.get(digest), now_s) for digest in digests
         )
@@ -219,11 +250,11 @@
     def isolated_notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
         """Return the notices of requests that are isolated or quarantined."""
         strong = [
-            digest
-            for digest, record in self._records.items()
+            record.subject
+            for record in self._records
             if len(record.crashes) >= self.rule.isolation_threshold
         ]
-        return tuple(self.notice(digest, now_s) for digest in strong)
+        return tuple(self.notice(subject, now_s) for subject in strong)
 
     def notice(self, digest: bytes, now_s: float) -> SuspectNotice:
         """Return the notice of one request, for a peer."""
@@ -239,31 +270,80 @@
         """Return the number of digests with a record."""
         return len(self._records)
 
-    def _record(self, digest: bytes) -> _Record:
-        record = self._records.get(digest)
-        if record is None:
-            record = self._records[digest] = _Record()
-        self._records.move_to_end(digest)
-        if len(self._records) > self._max_records:
-            self._evict_one(digest)
-        return record
+    def _record(self, subject: bytes) -> CrashRecord:
+        return self._records.get_or_add(subject)
 
-    def _evict_one(self, kept: bytes) -> None:
-        """Evict the oldest record with one crash, or else the oldest record.
+    def _count_crash(
+        self,
+        subject: bytes,
+        engine: str,
+        now_s: float,
+        *,
+        incarnation: str,
+        started_s: float | None,
+        isolated: bool,
+    ) -> bool:
+        """Count a crash against one subject; return whether it is a new one."""
+        record = self._record(subject)
+        event = self._crash_event(record, engine, incarnation, now_s)
+        if started_s is not None and started_s > self._known_s(record, event, now_s):
+            # An attempt that began after the known crash of an incarnation ran on a
+            # later one, which the directory does not show yet.
+            event = f"{event}+{self.host}:{now_s:.3f}"
+        record.last_crash_s = now_s
+        if event in record.crashes:
+            return False
+        self.version += 1
+        self._records.add_crashes(record, (event,))
+        record.crashed_in_isolation |= isolated
+        self._note_crashes((event,))
+        return True
 
-        A crash makes every request on the engine a suspect. These must not displace a
-        request that was part of more crashes.
-        """
-        oldest_first = (d for d in self._records if d != kept)
-        weak = (
-            digest
-            for digest, record in self._records.items()
-            if digest != kept and len(record.crashes) < 2
-        )
-        del self._records[next(weak, None) or next(oldest_first)]
+    def _subject_status(
+        self, subject: bytes, subjects: Sequence[bytes], now_s: float
+    ) -> SuspectStatus:
+        """Return what one of the subjects of a request says about the request."""
+        record = self._records.get(subject)
+        if record is None:
+            return Clear()
+        if record.quarantined_until_s > now_s:
+            if self._quarantines.explains(record, subjects):
+                return Quarantined(record.quarantined_until_s, subject)
+            return Suspect(len(record.crashes), subject)
+        expired = now_s - record.last_crash_s > self._suspect_ttl_s
+        if record.quarantined_until_s or expired:
+            self._records.remove(subject)
+            return Clear()
+        unattributed = self._quarantines.unattributed_crashes(record)
+        return Suspect(unattributed, subject) if unattributed else Clear()
+
+    def _clear(self, subject: bytes, now_s: float) -> bool:
+        """Drop the record of a completed subject; return whether it was quarantined."""
+        record = self._records.get(subject)
+        if record is None:
+            return False
+        was_quarantined = record.quarantined_until_s > now_s
+        if was_quarantined and not self.rule.completion_lifts:
+            return False
+        self._remove(record, now_s)
+        self.version += 1
+        if len(record.crashes) >= self.rule.isolation_threshold:
+            self._publish_cleared(subject)
+        return was_quarantined
+
+    def _remove(self, record: CrashRecord, now_s: float) -> None:
+        self._records.remove(record.subject)
+        self._quarantines.remove(record, now_s)
+
+    def _refute(self, notice: SuspectNotice, now_s: float) -> None:
+        """Tell the peers that a subject completed after the crashes of a notice."""
+        is_strong = len(notice.crashes) >= self.rule.isolation_threshold
+        if is_strong or notice.quarantine_left_s > 0:
+            self._merge_cleared(notice.digest, now_s)
+            self._publish_cleared(notice.digest)
 
     def _crash_event(
-        self, record: _Record, engine: str, incarnation: str, now_s: float
+        self, record: CrashRecord, engine: str, incarnation: str, now_s: float
     ) -> str:
         if incarnation:
             return f"{engine}@{incarnation}"
@@ -274,97 +354,67 @@
                     return event
         return f"{engine}@{self.host}:{now_s:.3f}"
 
-    def _known_s(self, record: _Record, event: str, now_s: float) -> float:
+    def _known_s(self, record: CrashRecord, event: str, now_s: float) -> float:
         """Return when a crash was last reported, or ``now_s`` if it is new."""
         if event in record.crashes:
             return record.last_crash_s
-        return self._attributed.get(event, now_s)
-
-    def _quarantine_if_proven(self, record: _Record, now_s: float) -> None:
-        if record.quarantined_until_s > now_s:
-            self._quarantine(record, now_s, record.quarantined_until_s)
-            return
-        if not self._is_proven(record) and not self._superseded_quarantines(
-            record, now_s
-        ):
-            return
-        self.quarantined_total += 1
-        self._quarantine(record, now_s, now_s + self.hold_s)
+        return self._quarantines.attributed_s(event, now_s)
+
+    def _quarantine_proven(self, subjects: Iterable[bytes], now_s: float) -> None:
+        """Quarantine the subjects that are proven; all of them by the same evidence."""
+        records = [self._record(subject) for subject in subjects]
+        proven = [record for record in records if self._is_cause(record, now_s)]
+        for record in proven:
+            until_s = record.quarantined_until_s
+            if until_s <= now_s:
+                self.quarantined_total += 1
+                until_s = now_s + self.hold_s
+            self._quarantines.add(record, now_s, until_s)
+
+    def _is_cause(self, record: CrashRecord, now_s: float) -> bool:
+        return bool(
+            record.quarantined_until_s > now_s
+            or self._is_proven(record)
+            or self._quarantines.superseded_by(record, now_s)
+            or self._quarantines.is_equal_cause(record, now_s)
+        )
 
-    def _is_proven(self, record: _Record) -> bool:
+    def _is_proven(self, record: CrashRecord) -> bool:
         if self.rule.requires_isolated_crash and not record.crashed_in_isolation:
             return False
-        return self._unattributed_crashes(record) >= self.rule.crash_threshold
-
-    def _quarantine(self, record: _Record, now_s: float, until_s: float) -> None:
-        if record.quarantined_until_s <= now_s:
-            record.quarantined_at_s = now_s
-        record.quarantined_until_s = until_s
-        self._quarantined[id(record)] = record
-        for other in self._superseded_quarantines(record, now_s):
-            other.quarantined_until_s = 0.0
-            other.lifted = True
-        self._attribute_crashes(record)
-
-    def _unattributed_crashes(self, record: _Record) -> int:
-        """Return the number of crashes that count against a request."""
-        count = sum(event not in self._attributed for event in record.crashes)
-        return count + record.lifted
-
-    def _superseded_quarantines(self, record: _Record, now_s: float) -> list[_Record]:
-        """Return recent quarantines whose crashes are a proper subset of the record's.
-
-        An innocent request that ran beside two copies of a crashing one was part of
-        fewer crashes than that one.
-        """
-        return [
-            other
-            for other in self._in_quarantine(now_s)
-            if now_s - other.quarantined_at_s <= REVISION_WINDOW_S
-            and other.crashes < record.crashes
-        ]
-
-    def _is_superseded(self, record: _Record, now_s: float) -> bool:
-        """Return whether a quarantined request was in all of its crashes and more."""
-        return any(
-            record.crashes < other.crashes for other in self._in_quarantine(now_s)
+        return (
+            self._quarantines.unattributed_crashes(record) >= self.rule.crash_threshold
         )
 
-    def _in_quarantine(self, now_s: float) -> list[_Record]:
-        """Return the records in quarantine without scanning the thousands of others."""
-        for key, record in list(self._quarantined.items()):
-            if record.quarantined_until_s <= now_s:
-                del self._quarantined[key]
-        return list(self._quarantined.values())
-
     def _note_crashes(self, events: Iterable[str]) -> None:
         self._crashes.update(dict.fromkeys(events))
-        while len(self._crashes) > self._max_records:
+        while len(self._crashes) > self._max_events:
             self._crashes.popitem(last=False)
 
-    def _attribute_crashes(self, record: _Record) -> None:
-        for event in record.crashes:
-            self._attributed.setdefault(event, record.last_crash_s)
-        while len(self._attributed) > self._max_records:
-            self._attributed.popitem(last=False)
-
-    def _merge_cleared(self, digest: bytes, now_s: float) -> None:
-        record = self._records.get(digest)
-        if record is not None and record.quarantined_until_s <= now_s:
-            del self._records[digest]
+    def _merge_cleared(self, subject: bytes, now_s: float) -> None:
+        if self.rule.completion_lifts:
+            self._completions.note((subject,), now_s)
+        record = self._records.get(subject)
+        if record is None:
+            return
+        if record.quarantined_until_s <= now_s or self.rule.completion_lifts:
+            self._remove(record, now_s)
 
     def _notice(
-        self, digest: bytes, isolation: Isolation | None, now_s: float
+        self, subject: bytes, isolation: Isolation | None, now_s: float
     ) -> SuspectNotice:
-        record = self._records.get(digest) or _Record()
+        record = self._records.get(subject) or CrashRecord(subject)
         return SuspectNotice(
-            digest=digest,
+            digest=subject,
             host=self.host,
             crashes=frozenset(record.crashes),
             quarantine_left_s=max(0.0, record.quarantined_until_s - now_s),
             isolated_on=isolation.engine if isolation else None,
             isolation_left_s=max(0.0, isolation.until_s - now_s) if isolation else 0.0,
             number=self._next_number(),
+            crash_age_s=max(0.0, now_s - record.last_crash_s)
+            if record.crashes
+            else 0.0,
         )
 
     def _next_number(self) -> int:
@@ -375,17 +425,21 @@
         if self._on_change is not None:
             self._on_change(self._notice(digest, None, now_s))
 
-    def _publish_isolation(self, digest: bytes, engine: str, left_s: float) -> None:
+    def _publish_cleared(self, digest: bytes) -> None:
+        if self._on_change is not None:
+            number = self._next_number()
+            self._on_change(
+                SuspectNotice(digest, self.host, cleared=True, number=number)
+            )
+
+    def _publish_release(self, digest: bytes, engine: str) -> None:
         if self._on_change is None:
             return
-        record = self._records.get(digest)
+        number = self._next_number()
         self._on_change(
-            SuspectNotice(
-                digest=digest,
-                host=self.host,
-                crashes=frozenset(record.crashes) if record else frozenset(),
-                isolated_on=engine,
-                isolation_left_s=left_s,
-                number=self._next_number(),
-            )
+            SuspectNotice(digest, self.host, isolated_on=engine, number=number)
         )
+
+
+def _crashes(status: SuspectStatus) -> int:
+    return status.crashes if isinstance(status, Suspect) else 0
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
@@ -1,9 +1,10 @@
 """Decision whether a lost response shows that its replica crashed.
 
-Only an unplanned exit of the replica counts against the requests that were running on
-it. After a lost or malformed response, a connection reset, a rejection by a full or
-leaving replica or a network partition, the replica is still running or was about to
-shut down anyway.
+Only an unplanned exit of the replica counts, and only against the requests of which it
+had not begun to write the answer, since a request crashes replicas as they begin. After
+a lost or malformed response, a connection reset, a rejection by a full or leaving
+replica or a network partition, the replica is still running or was about to shut down
+anyway.
 """
 
 from collections import deque
@@ -68,13 +69,17 @@
 
 @dataclass(frozen=True)
 class Loss:
-    """Hold a request whose response was outstanding when its connection was lost."""
+    """Hold a request whose response was outstanding when its connection was lost.
+
+    ``parts`` are the digests of the prompt parts that other requests may share.
+    """
 
     digest: bytes
     replica: Replica
     started_s: float
     lost_s: float
     alone: bool
+    parts: tuple[bytes, ...] = ()
 
 
 class OpenLosses:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -257,6 +257,10 @@
     def record_withheld(self, withheld: WithheldRequest, lease_id: int) -> None:
         """Write a withheld request under a lease; raise ``LeaseEnded``."""
 
+    @abstractmethod
+    def remove_withheld(self, digest: bytes) -> None:
+        """Remove the record of a subject that is no longer withheld, if any."""
+
     @abstractmethod
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return the holder of the order key; a stale read may be seconds old."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -131,9 +131,10 @@
 
 @dataclass(frozen=True)
 class WithheldRequest:
-    """Describe a request that crashed replicas and is withheld until a given time.
+    """Describe a subject that crashed replicas and is withheld until a given time.
 
-    ``crashes`` identifies the incarnations of the crashed replicas.
+    The digest is that of a request or of a prompt part. ``crashes`` identifies the
+    incarnations of the crashed replicas.
     """
 
     digest: bytes
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -69,7 +69,8 @@
     ) -> None:
         """Classify a lost answer; waits for a probe of the replica if necessary.
 
-        ``begun`` means that the replica had already written a part of the answer.
+        ``begun`` means that the replica had already written a part of the answer. A
+        crash does not count against such a request.
         """
         loss = Loss(
             digest=exchange.request.content_digest,
@@ -77,6 +78,7 @@
             started_s=start.started_s,
             lost_s=now_s,
             alone=exchange.isolated_on == replica.replica_id,
+            parts=exchange.part_digests,
         )
         kind, leaving = _loss_kind(error), self._leaving(replica)
         probe = ProbeResult.NOT_MADE
@@ -89,7 +91,7 @@
             "answer_lost",
             request_id=exchange.metadata.request_id,
             content=exchange.content_digest_hex,
-            parts=_shared_part_ids(exchange),
+            parts=exchange.shared_part_ids,
             replica=replica.replica_id,
             born_unix_ms=replica.born_unix_ms,
             stage=start.stage,
@@ -100,11 +102,14 @@
             leaving=leaving,
             verdict=verdict,
         )
+        if verdict is Verdict.CRASHED:
+            self._state.pool.drop_replica(replica)
+            self._state.health.note_unreachable(replica.replica_id, now_s)
+        if begun:
+            return
         if verdict is Verdict.OPEN:
             self._open.add(loss)
         elif verdict is Verdict.CRASHED:
-            self._state.pool.drop_replica(replica)
-            self._state.health.note_unreachable(replica.replica_id, now_s)
             self._note_crash(loss, now_s=time.monotonic())
 
     def note_started(self, started: Replica) -> None:
@@ -114,12 +119,15 @@
             self._note_crash(loss, now_s=now_s)
 
     def _note_crash(self, loss: Loss, *, now_s: float) -> None:
-        status = self._state.suspects.note_crash(
+        suspects = self._state.suspects
+        status = suspects.note_crash(
             loss.digest,
             loss.replica.replica_id,
             now_s,
+            parts=loss.parts,
             incarnation=str(loss.replica.born_unix_ms),
             started_s=loss.started_s,
+            lost_s=loss.lost_s,
             isolated=loss.alone,
         )
         self._state.journal.event(
@@ -127,11 +135,12 @@
             replica=loss.replica.replica_id,
             born_unix_ms=loss.replica.born_unix_ms,
             content=loss.digest.hex(),
+            parts=[part.hex() for part in loss.parts],
             alone=loss.alone,
             **status_fields(status, now_s=now_s),
         )
-        if isinstance(status, Quarantined):
-            self._state.on_withheld(loss.digest)
+        for subject in suspects.quarantined((loss.digest, *loss.parts), now_s):
+            self._state.on_withheld(subject)
 
     def _leaving(self, replica: Replica) -> bool:
         """Return whether the replica was draining or removed in this host's view."""
@@ -175,17 +184,18 @@
     match status:
         case Clear():
             return {"status": "clear"}
-        case Suspect(crashes):
-            return {"status": "suspect", "crashes": crashes}
-        case Quarantined(until_s):
-            left_ms = int((until_s - now_s) * 1_000)
-            return {"status": "quarantined", "quarantine_left_ms": left_ms}
-
-
-def _shared_part_ids(exchange: Exchange) -> list[str]:
-    """Return the ids of the prompt parts that other requests may share."""
-    prompt = exchange.metadata.prompt
-    return [part.part_id for part in prompt.shared_parts] if prompt else []
+        case Suspect(crashes, subject):
+            return {
+                "status": "suspect",
+                "crashes": crashes,
+                "subject": subject.hex(),
+            }
+        case Quarantined(until_s, subject):
+            return {
+                "status": "quarantined",
+                "quarantine_left_ms": int((until_s - now_s) * 1_000),
+                "subject": subject.hex(),
+            }
 
 
 def _loss_kind(error: AnswerLost) -> LossKind:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -8,7 +8,6 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
-from persimmonyoke.internal.delivery.suspect_types import Clear
 from persimmonyoke.internal.dispatch.loads import PrefillJob
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
@@ -60,6 +59,7 @@
         self._state = state
         self._guard = guard
         self._is_suspect = False
+        self._runs_alone = False
         self._prefill = prefill
         self._gate = gate
         self._exchange = exchange
@@ -90,8 +90,7 @@
             reserved = self._reserve(self._engines)
             return EngineChoice(reserved or self._choose_plain(), None)
         while True:
-            self._is_suspect = not isinstance(self._guard.status(self._exchange), Clear)
-            self._reserve(self._prefill_candidates)
+            self._reserve_for_prefill()
             try:
                 admitted = self._admit(prompt, service.engine)
                 if admitted.plan.local:
@@ -99,7 +98,8 @@
                     return EngineChoice(admitted.plan.engine, None)
                 prefilled = self._prefill_prompt(admitted)
             finally:
-                self._guard.end_reservation(self._exchange)
+                if self._local_prefill is None:
+                    self._guard.end_reservation(self._exchange)
             if prefilled is not None:
                 return EngineChoice(
                     self._select_decoder(prefilled, service.engine), prefilled
@@ -141,22 +141,35 @@
         until_s = now_s + min(limit_s, patience_s)
         return self._guard.reserve(self._exchange, candidates, until_s=until_s)
 
+    def _reserve_for_prefill(self) -> None:
+        """Reserve the engine for the prefill if the request has to run alone there.
+
+        Prompt parts crash engines that begin to write an answer, so a request with a
+        suspected part needs a reservation only if a decode engine prefills it.
+        """
+        status = self._guard.status(self._exchange)
+        self._is_suspect = self._guard.is_suspect_itself(self._exchange)
+        self._runs_alone = self._guard.must_run_alone(status)
+        candidates = self._prefill_candidates()
+        is_local = any(engine.stage is Stage.DECODE for engine in candidates)
+        if self._is_suspect or is_local:
+            self._reserve(self._prefill_candidates)
+
     def _prefill_candidates(self) -> list[Replica]:
         """Return the engines that may prefill the prompt.
 
         A request that may crash engines is never prefilled on a decode engine, since
-        a crash there would break the streams of other requests.
+        a crash there would break the streams of other requests. One of which a prompt
+        part may crash engines is prefilled there if there is no prefill engine.
         """
         engines = self._engines()
-        if not self._is_suspect:
+        if not self._is_suspect and not self._runs_alone:
             return engines
+        readers = [e for e in engines if e.stage is Stage.PREFILL]
+        if not readers and not self._is_suspect:
+            readers = engines
         isolated_on = self._exchange.isolated_on
-        return [
-            engine
-            for engine in engines
-            if engine.stage is Stage.PREFILL
-            and isolated_on in (None, engine.replica_id)
-        ]
+        return [e for e in readers if isolated_on in (None, e.replica_id)]
 
     def _prioritise_if_returning(self, prompt: Prompt) -> None:
         """Raise the priority of a request that is retried after a refusal."""
@@ -305,6 +318,7 @@
         decoders = [e for e in self._engines() if e.stage is Stage.DECODE]
         if not decoders:
             decoders = self._leaving_decoders()
+        decoders = self._without_reserved(decoders)
         decoders = [
             e for e in decoders if e.replica_id not in self._avoided
         ] or decoders
@@ -313,6 +327,16 @@
             e for e in decoders if not health.failing(e.replica_id, now_s)
         ] or decoders
 
+    def _without_reserved(self, decoders: list[Replica]) -> list[Replica]:
+        """Leave out engines reserved for others, which a crash may be about to lose.
+
+        Half of the engines stay in use, as many requests may be suspects at once.
+        """
+        reserved = self._state.suspects.isolated_engines(time.monotonic())
+        own = self._exchange.isolated_on
+        free = [e for e in decoders if e.replica_id not in reserved - {own}]
+        return free if 2 * len(free) >= len(decoders) else decoders
+
     def _decoders_back_in_s(self, now_s: float) -> float | None:
         """Return when the back-off of a decode engine ends, if one asked for it."""
         engines = self._state.replicas.usable(self._exchange.service.name, now_s=now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from persimmonyoke.errors import ErrorKind, Ran, RequestError
 from persimmonyoke.internal.fleet.model import (
@@ -19,7 +20,7 @@
     ClientConnection,
     OutgoingHead,
 )
-from persimmonyoke.internal.gateway.requests import ClientRequest
+from persimmonyoke.internal.gateway.requests import ClientRequest, part_digest
 from persimmonyoke.internal.gateway.upstream_call import CancelScope
 
 RESPONSE_MARGIN_S = 0.02
@@ -56,6 +57,9 @@
     isolated_on: str | None = None
     """Replica reserved for this request alone because the request may crash it."""
 
+    isolated_subject: bytes = b""
+    """Subject of this request under which the replica is reserved."""
+
     @property
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
@@ -81,6 +85,19 @@
         """Return the content digest of the request as hexadecimal text."""
         return self.request.content_digest.hex()
 
+    @cached_property
+    def part_digests(self) -> tuple[bytes, ...]:
+        """Return the digests of the prompt parts that other requests may share."""
+        return tuple(part_digest(part_id) for part_id in self.shared_part_ids)
+
+    @property
+    def shared_part_ids(self) -> list[str]:
+        """Return the ids of the prompt parts that other requests may share."""
+        prompt = self.metadata.prompt
+        if prompt is None:
+            return []
+        return list(dict.fromkeys(part.part_id for part in prompt.shared_parts))
+
     def not_served(self, message: str, retry_after_s: float) -> RequestError:
         """Return the error for a request that no replica has run.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -15,11 +15,16 @@
 _UNSUPPORTED_METHODS = (b"CONNECT", b"TRACE")
 _MAX_PIPELINED = 16
 
-CONTENT_DIGEST_BYTES = 16
+DIGEST_BYTES = 16
 _DIGEST_HEADERS = (b"host", b"authorization")
 """Headers that, with method, target and body, identify the request and its caller."""
 
 
+def part_digest(part_id: str) -> bytes:
+    """Return the digest by which hosts know a prompt part."""
+    return blake2b(part_id.encode(), digest_size=DIGEST_BYTES, person=b"part").digest()
+
+
 @dataclass(frozen=True)
 class ClientRequest:
     """Represent a complete client request."""
@@ -45,7 +50,7 @@
     @cached_property
     def content_digest(self) -> bytes:
         """Return a digest that is the same when a caller retries the request."""
-        digest = blake2b(digest_size=CONTENT_DIGEST_BYTES)
+        digest = blake2b(digest_size=DIGEST_BYTES)
         headers = [self.header(name) or b"" for name in _DIGEST_HEADERS]
         for part in (self.method, self.target, *headers, self.body):
             digest.update(b"%d:" % len(part))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -75,15 +75,19 @@
 """
 
 MAX_SUSPECTS = 2_048
-"""Suspect requests kept; a crash adds all requests that were running."""
+"""Suspect requests and parts kept; a crash adds all that had not begun."""
 
 QUARANTINE = QuarantineRule(
-    crash_threshold=3, requires_isolated_crash=True, isolation_threshold=2
+    crash_threshold=3,
+    requires_isolated_crash=True,
+    isolation_threshold=2,
+    completion_lifts=True,
 )
-"""Three crashes quarantine a request; the users limit the sends after the third.
+"""Three crashes quarantine a request or a prompt part.
 
-A single crash makes all requests that were running suspects, so these do not yet have
-to wait for a replica of their own (``isolated_from``).
+The users limit the sends of a request after the third, and of a part after the fifth. A
+single crash makes all requests that had not begun suspects, so these do not yet have to
+wait for a replica of their own.
 """
 
 _MISDIRECTED, _UNAVAILABLE = 421, 503
@@ -164,7 +168,8 @@
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
         self.on_replica_started: Callable[[Replica], None] = lambda _replica: None
-        self.on_withheld: Callable[[bytes], None] = lambda _digest: None
+        self.on_withheld: Callable[[bytes], None] = lambda _subject: None
+        self.on_quarantine_lifted: Callable[[bytes], None] = lambda _subject: None
         self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
 
     @property
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -231,8 +231,6 @@
         except AnswerLost as error:
             return self._record_loss(engine, start, error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
-        if opened.facts.stamped:
-            self._guard.note_completed(self._exchange)
         if not opened.facts.stamped or self._exchange.response_started:
             return RunInterrupted(f"engine answered {opened.head.status}")
         headers = list(self._state.wire.client_headers(opened.head.headers))
@@ -252,7 +250,7 @@
                     break
                 events = splitter.feed(part)
                 self._check_bounds(splitter, events)
-                self._begun |= bool(events)
+                self._note_begun(events)
                 self._forward(opened, events)
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
@@ -265,10 +263,17 @@
             raise
         self._caller.finish(opened, self._exchange.cancel_scope)
         self._state.health.note_success(engine.replica_id)
-        self._guard.note_completed(self._exchange)
+        if not self._begun:
+            self._guard.note_completed(self._exchange)
         self._end(opened, splitter.rest)
         return RunCompleted()
 
+    def _note_begun(self, events: Sequence[StreamEvent]) -> None:
+        """Clear the request of suspicion at the first event of a run."""
+        if events and not self._begun:
+            self._begun = True
+            self._guard.note_completed(self._exchange)
+
     def _check_bounds(
         self, splitter: EventSplitter, events: Sequence[StreamEvent]
     ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -14,10 +14,7 @@
 
 import gevent
 
-from persimmonyoke.internal.delivery.suspect_types import (
-    Quarantined,
-    SuspectNotice,
-)
+from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.suspect_messages import (
@@ -138,10 +135,10 @@
 
 def merge_notice(state: GatewayState, notice: SuspectNotice, *, now_s: float) -> None:
     """Merge a notice from a peer or the store, and log a quarantine caused by it."""
-    before = state.suspects.status(notice.digest, now_s)
+    before = state.suspects.quarantined([notice.digest], now_s)
     state.suspects.merge(notice, now_s)
-    after = state.suspects.status(notice.digest, now_s)
-    if isinstance(after, Quarantined) and not isinstance(before, Quarantined):
+    after = state.suspects.quarantined([notice.digest], now_s)
+    if after and not before:
         state.journal.event(
             "quarantine_heard",
             content=notice.digest.hex(),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_messages.py
@@ -1,4 +1,4 @@
-"""Format of the datagrams with notices of requests that may crash replicas."""
+"""Format of the datagrams with notices of subjects that may crash replicas."""
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -14,12 +14,12 @@
 """Datagrams below the usual MTU of 1,500 bytes are not fragmented."""
 
 MAX_CRASHES_PER_NOTICE = 16
-"""Crashes of one request that are sent; three quarantine it."""
+"""Crashes of one subject that are sent; three quarantine it."""
 
 
 @dataclass(frozen=True)
 class SuspectsMessage:
-    """Hold the notices of a host about some requests."""
+    """Hold the notices of a host about some subjects."""
 
     notices: tuple[SuspectNotice, ...]
 
@@ -60,6 +60,7 @@
         notice.isolated_on,
         int(notice.isolation_left_s * 1_000),
         notice.number,
+        int(notice.crash_age_s * 1_000),
     ]
 
 
@@ -74,6 +75,7 @@
             str() | None as isolated_on,
             int(isolation_left_ms),
             int(number),
+            int(crash_age_ms),
         ]:
             return SuspectNotice(
                 digest=digest,
@@ -84,5 +86,6 @@
                 isolated_on=isolated_on,
                 isolation_left_s=isolation_left_ms / 1_000,
                 number=number,
+                crash_age_s=crash_age_ms / 1_000,
             )
     raise ProtocolError("malformed suspect notice")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/withheld_record.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/withheld_record.py
@@ -29,6 +29,7 @@
         self._store = store
         self._writing: set[bytes] = set()
         state.on_withheld = self.write
+        state.on_quarantine_lifted = self.remove
 
     def write(self, digest: bytes) -> None:
         """Record a request in the background, unless that is already in progress."""
@@ -36,6 +37,19 @@
             self._writing.add(digest)
             gevent.spawn(self._write_until_done, digest)
 
+    def remove(self, digest: bytes) -> None:
+        """Remove the record of a request in the background."""
+        gevent.spawn(self._remove, digest)
+
+    def _remove(self, digest: bytes) -> None:
+        try:
+            self._store.remove_withheld(digest)
+        except StoreUnavailable as error:
+            # Hosts that start later are told by peers that the record is outdated.
+            self._state.journal.failure(
+                "withheld_not_removed", error, content=digest.hex()
+            )
+
     def _write_until_done(self, digest: bytes) -> None:
         try:
             for _ in range(MAX_ATTEMPTS):
@@ -80,5 +94,6 @@
         host=STORE_SOURCE,
         crashes=frozenset(withheld.crashes),
         quarantine_left_s=left_s,
+        crash_age_s=state.suspects.hold_s - left_s,
     )
     merge_notice(state, notice, now_s=now_s)
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -104,6 +104,10 @@
         """Refuse."""
         raise StoreUnavailable(f"no lease {lease_id} for {withheld.digest.hex()}")
 
+    def remove_withheld(self, digest: bytes) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no writes for {digest.hex()}")
+
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return ``None``, as no host holds the order key."""
         return None
