--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -40,6 +40,8 @@
     leaving: bool = False
     """Whether the replica announces that it is about to shut down."""
     retry_after_s: float | None = None
+    limit_per_s: float | None = None
+    """Requests a second that the replica accepts from all hosts together."""
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -159,6 +159,7 @@
         self.pool = ConnectionPool()
         self.draining = False
         self._expected_stages: dict[str, ExpectedStage] = {}
+        self._limits_per_s: dict[str, float] = {}
         self._retry_budgets: dict[str, RetryBudget] = {}
         self.new_placements: list[PartPlacement] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
@@ -314,6 +315,7 @@
         if facts.leaving:
             changes = self.replicas.note_leaving(replica, now_s=now_s)
             self.apply_replica_changes(changes, now_s=now_s)
+        self._log_limit(replica, facts.limit_per_s)
         if status == _UNAVAILABLE and facts.retry_after_s is not None:
             self.backoff.note(replica.replica_id, facts.retry_after_s, now_s=now_s)
             self.journal.event(
@@ -322,6 +324,22 @@
                 retry_after_ms=int(facts.retry_after_s * 1_000),
             )
 
+    def _log_limit(self, replica: Replica, limit_per_s: float | None) -> None:
+        """Log the limit that a replica names when it differs from the last one."""
+        former = self._limits_per_s.get(replica.replica_id)
+        if limit_per_s == former:
+            return
+        if limit_per_s is None:
+            del self._limits_per_s[replica.replica_id]
+        else:
+            self._limits_per_s[replica.replica_id] = limit_per_s
+        self.journal.event(
+            "replica_limit",
+            replica=replica.replica_id,
+            limit_per_s=limit_per_s,
+            former_per_s=former,
+        )
+
     def note_not_connected(
         self, replica: Replica, error: NotConnected, *, now_s: float
     ) -> None:
@@ -414,6 +432,7 @@
         self.backoff.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
         self.factors.forget(replica.replica_id)
+        self._limits_per_s.pop(replica.replica_id, None)
 
     def note_cached(
         self, engine: Replica, parts: Iterable[PromptPart], *, now_s: float
