Order engines to decode in one step when all of a service have limits

Cause: each new decode engine was counted as limited only once it decoded, and the report before an order waited for the engine's limit, which requests used up.

Change: engines with a limit that still prefill are counted as well, once a decode engine has one; a report before an order goes out at most once a second, also within a limit. The engines return to prefill 5 s after the limit instead of 10.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/decode_demand.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/decode_demand.py
@@ -25,7 +25,7 @@
 FALL_TIME_CONSTANT_S = 10.0
 """Time constant for a falling load; bursts recur every few seconds."""
 
-LIMIT_HOLD_S = 10.0
+LIMIT_HOLD_S = 5.0
 """Time after which an engine that replaced a limited one returns to prefill."""
 
 RELEASE_SURPLUS = 0.3
@@ -62,15 +62,19 @@
             )
         self._noted_s = now_s
 
-    def note_limited(self, count: int, *, now_s: float) -> None:
-        """Record how many decode engines limit their requests; remember the most."""
+    def note_limited(self, *, decoding: int, prefilling: int, now_s: float) -> None:
+        """Record how many engines of each stage have limits; remember the most.
+
+        An engine with a limit that is taken from prefill has it as well afterwards.
+        """
+        count = decoding + prefilling if decoding else 0
         if count >= self._limited or now_s - self._limited_s >= LIMIT_HOLD_S:
             self._limited, self._limited_s = count, now_s
 
     def wanted(self, engine_count: int) -> int:
         """Return the required number of decode engines, at least the default number.
 
-        One more engine decodes for each that limits its requests, up to half of all.
+        One more engine decodes for each that has a limit, up to half of all.
         """
         wanted = self._wanted_by_load(engine_count)
         return max(wanted, min(engine_count // 2, wanted + self._limited))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_decode_demand.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_decode_demand.py
@@ -77,17 +77,26 @@
 
     def test_another_engine_decodes_for_each_that_limits_its_requests(self):
         # The only decode engine took a third of the requests, and five were idle.
-        self.demand.note_limited(1, now_s=0.0)
+        self.demand.note_limited(decoding=1, prefilling=0, now_s=0.0)
         self.assertEqual(self.demand.wanted(6), 2)
-        self.demand.note_limited(6, now_s=1.0)
+        self.demand.note_limited(decoding=3, prefilling=0, now_s=1.0)
         self.assertEqual(self.demand.wanted(6), 3)
         self.assertEqual(self.demand.wanted(1), 1)
 
+    def test_engines_that_all_have_limits_are_split_evenly_in_one_step(self):
+        # The second engine took part seconds later, when the third was ordered.
+        self.demand.note_limited(decoding=1, prefilling=5, now_s=0.0)
+        self.assertEqual(self.demand.wanted(6), 3)
+
+    def test_limits_of_prefill_engines_alone_change_no_stage(self):
+        self.demand.note_limited(decoding=0, prefilling=5, now_s=0.0)
+        self.assertEqual(self.demand.wanted(6), 1)
+
     def test_an_engine_that_replaced_a_limited_one_is_not_released_at_once(self):
-        self.demand.note_limited(1, now_s=0.0)
-        self.demand.note_limited(0, now_s=LIMIT_HOLD_S / 2)
+        self.demand.note_limited(decoding=1, prefilling=0, now_s=0.0)
+        self.demand.note_limited(decoding=0, prefilling=0, now_s=LIMIT_HOLD_S / 2)
         self.assertEqual(self.demand.wanted(6), 2)
-        self.demand.note_limited(0, now_s=LIMIT_HOLD_S)
+        self.demand.note_limited(decoding=0, prefilling=0, now_s=LIMIT_HOLD_S)
         self.assertEqual(self.demand.wanted(6), 1)
 
     def test_one_engine_at_least_reads_prompts(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_calls.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_calls.py
@@ -35,10 +35,13 @@
         self._state = state
         self._caller = UpstreamCaller(state)
 
-    def report(self, engine: Replica) -> EngineReport | None:
+    def report(
+        self, engine: Replica, *, slot: CallSlot = CallSlot.NEEDED
+    ) -> EngineReport | None:
         """Return the state of an engine, or ``None`` without a valid response."""
         wire = self._state.wire
-        response = self._call(engine, wire.report_call(engine.replica_id), "report")
+        call = wire.report_call(engine.replica_id)
+        response = self._call(engine, call, "report", slot=slot)
         if response is None or response.head.status != OK:
             return None
         return wire.decode_report(response.body)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -27,6 +27,7 @@
 )
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import CallSlot
 
 STEP_S = 0.25
 HOLDER_LEASE_S = 1.6
@@ -38,6 +39,12 @@
 RENEW_S = 0.45
 """Allows three renewals per lease, with a margin for slow answers of the store."""
 
+REPORT_INTERVAL_S = 1.0
+"""Pause between reports asked of one engine before an order, also within its limit.
+
+Requests use up the limit of a busy engine, and would delay the order for seconds.
+"""
+
 _ACCEPTED, _HOLDS = 202, 200
 
 
@@ -59,6 +66,7 @@
         self._orders: dict[str, SentOrder] = {}
         self._watches: dict[str, EngineWatch] = {}
         self._demands: dict[str, DecodeDemand] = {}
+        self._asked_s: dict[str, float] = {}
         self._attempts = AttemptSchedule(state.rng)
         self._renewed_s = 0.0
 
@@ -165,12 +173,13 @@
             )
             demand = self._demands.setdefault(service, DecodeDemand())
             demand.note(self._stage_load(service, engines, now_s), now_s=now_s)
-            limited = sum(
-                engine.stage is Stage.DECODE
-                and self._state.replica_limits.is_limited(engine.replica_id)
-                for engine in engines
+            limits = self._state.replica_limits
+            limited = [e for e in engines if limits.is_limited(e.replica_id)]
+            demand.note_limited(
+                decoding=sum(e.stage is Stage.DECODE for e in limited),
+                prefilling=sum(e.stage is not Stage.DECODE for e in limited),
+                now_s=now_s,
             )
-            demand.note_limited(limited, now_s=now_s)
 
     def _stage_load(
         self, service: str, engines: Sequence[Replica], now_s: float
@@ -236,9 +245,13 @@
 
     def _order(self, change: StageChange) -> None:
         replica = change.replica
-        if self._must_spare(replica, time.monotonic()):
+        now_s = time.monotonic()
+        asked_s = self._asked_s.get(replica.replica_id, float("-inf"))
+        waits = self._state.backoff.active(replica.replica_id, now_s)
+        if waits or now_s - asked_s < REPORT_INTERVAL_S:
             return
-        report = self._calls.report(replica)
+        self._asked_s[replica.replica_id] = now_s
+        report = self._calls.report(replica, slot=CallSlot.UNCONDITIONAL)
         if report is None or report.order_in_progress:
             return
         order = StageOrder(
