Treat a stream that ends inside an event as broken off

What callers saw: a stream without a length or chunks whose engine closed the connection in the middle of an event was passed on as complete, with the part of that event; so was one that ended so within its chunks. A stream that ended before its first event looked like a complete empty answer.

Cause: the relay took the end of the body for the end of the stream, and sent the bytes after the last complete event as its rest. Evidence: test_unframed_answers failed on for each byte of an event (48 cases).

Change: such a stream counts as a connection that ended, so that it is resumed where that is allowed, and does not look complete otherwise.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -166,9 +166,9 @@
         if part:
             self._send(_chunk(part))
 
-    def end_chunked(self, last: bytes = b"") -> None:
-        """Send the last chunk and end a chunked response."""
-        self._send((_chunk(last) if last else b"") + b"0\r\n\r\n")
+    def end_chunked(self) -> None:
+        """End a chunked response."""
+        self._send(b"0\r\n\r\n")
 
     def close(self) -> None:
         """Close the connection."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -12,6 +12,7 @@
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
     AnswerTimeout,
+    ConnectionEnded,
     NotConnected,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
@@ -255,6 +256,7 @@
                 self._forward(opened, events)
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
+            self._check_end(opened, splitter)
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.cancel_scope)
             self._exchange.cancel_scope.raise_if_cancelled()
@@ -266,7 +268,7 @@
         self._state.health.note_success(engine.replica_id)
         if not self._begun:
             self._guard.note_completed(self._exchange)
-        self._end(opened, splitter.rest)
+        self._end(opened)
         return RunCompleted()
 
     def _note_begun(self, events: Sequence[StreamEvent]) -> None:
@@ -288,6 +290,18 @@
         if limit is not None and self._events_read > limit:
             raise AnswerLost("stream has more events than tokens were asked for")
 
+    def _check_end(self, opened: OpenResponse, splitter: EventSplitter) -> None:
+        """Raise ``AnswerLost`` if the stream was broken off.
+
+        The end of a stream without a length or chunks can't be told from that of its
+        connection, so it must hold at least one event unless it was resumed.
+        """
+        if splitter.rest:
+            raise ConnectionEnded("stream ended inside an event")
+        is_empty = not self._begun and self._last_event_id is None
+        if is_empty and not opened.head.self_delimited:
+            raise ConnectionEnded("stream ended before its first event")
+
     def _silence_limit_s(self) -> float:
         left_s = max(0.001, self._exchange.remaining_s - RESPONSE_MARGIN_S)
         if self._exchange.response_started and self._exchange.route.resumable:
@@ -320,11 +334,11 @@
         self._exchange.first_event_s = time.monotonic()
         self._exchange.client.begin_chunked(self._head(opened), data)
 
-    def _end(self, opened: OpenResponse, rest: bytes) -> None:
+    def _end(self, opened: OpenResponse) -> None:
         if self._exchange.response_started:
-            self._exchange.client.end_chunked(rest)
+            self._exchange.client.end_chunked()
         else:
-            self._exchange.client.send_response(self._head(opened), rest)
+            self._exchange.client.send_response(self._head(opened), b"")
 
     def _head(self, opened: OpenResponse) -> OutgoingHead:
         headers = list(self._state.wire.client_headers(opened.head.headers))
