Move stage changes, retry budgets and the quarantine rule out of the state

Pending stage changes are a class of dispatch of their own, the budgets of the services and the quarantine rule modules of the gateway. No change of behaviour.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -424,7 +424,7 @@
                 self._exchange.service.name, now_s=now_s
             )
             if engine.replica_id not in self._excluded
-            and not self._state.is_changing_stage(engine, now_s)
+            and not self._state.stage_changes.is_pending(engine, now_s)
         ]
 
     def _choose_plain(self) -> Replica:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -6,10 +6,7 @@
 from dataclasses import dataclass
 
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
-from persimmonyoke.internal.delivery.suspect_types import (
-    QuarantineRule,
-    SuspectNotice,
-)
+from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
@@ -23,6 +20,7 @@
 from persimmonyoke.internal.dispatch.returns import RefusedRequests
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import SlowdownFactors
+from persimmonyoke.internal.dispatch.stage_changes import StageChanges
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import (
     RelayedChanges,
@@ -56,6 +54,8 @@
 )
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
+from persimmonyoke.internal.gateway.quarantine_rule import MAX_SUSPECTS, QUARANTINE
+from persimmonyoke.internal.gateway.retry_budgets import RetryBudgets
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 
 LIMITS_BEFORE_CONFIGURATION = ClientLimits(
@@ -66,39 +66,8 @@
 )
 """Limits until the first configuration is known; until then all requests get 503."""
 
-RETRY_MARGIN = 0.85
-"""Share of the retry budget that is used, since the windows of hosts differ."""
-
-STAGE_CHANGE_TIMEOUT_S = 4.0
-"""Time for which an engine that was ordered to change its stage gets no work.
-
-A change takes 3 s; the timeout is for orders that are never carried out.
-"""
-
-MAX_SUSPECTS = 2_048
-"""Suspect requests and parts kept; a crash adds all that had not begun."""
-
-QUARANTINE = QuarantineRule(
-    crash_threshold=3,
-    requires_isolated_crash=True,
-    isolation_threshold=2,
-    completion_lifts=True,
-)
-"""Three crashes quarantine a request or a prompt part.
-
-The users limit the sends of a request after the third, and of a part after the fifth. A
-single crash makes all requests that had not begun suspects, so these do not yet have to
-wait for a replica of their own.
-"""
-
 _MISDIRECTED, _UNAVAILABLE = 421, 503
 
-MIN_HOSTS_SHARING_SLACK = 4
-"""Least number of hosts that the slack is divided among.
-
-While hosts are still registering, fewer are known.
-"""
-
 
 @dataclass(frozen=True)
 class PartPlacement:
@@ -109,14 +78,6 @@
     ready_in_ms: int
 
 
-@dataclass(frozen=True)
-class ExpectedStage:
-    """Hold the stage that an engine was ordered to change to, and the time."""
-
-    stage: Stage
-    since_s: float
-
-
 class GatewayState:
     """Hold the configuration, replicas, hosts, work and health known to a process."""
 
@@ -150,6 +111,7 @@
         self.factors = SlowdownFactors()
         self.sizes = RouteSizes()
         self.decoder_forecast = DecoderForecast()
+        self.stage_changes = StageChanges()
         self.recent_refusals = RefusedRequests()
         self.placement = Placement(
             self.ledger,
@@ -161,8 +123,7 @@
         )
         self.pool = ConnectionPool()
         self.draining = False
-        self._expected_stages: dict[str, ExpectedStage] = {}
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._retry_budgets = RetryBudgets(settings)
         self.new_placements: list[PartPlacement] = []
         self.queued_s: Callable[[], float] = lambda: 0.0
         self.on_peer_work: Callable[[], None] = lambda: None
@@ -195,42 +156,14 @@
         return self.configuration.limits
 
     def retry_budget(self, service: str) -> RetryBudget:
-        """Return this host's share of the retry budget of a service.
-
-        The slack is divided by the number of registered hosts, on which hosts agree
-        even when they cannot reach each other.
-        """
-        settings = self.settings
-        hosts = 1 + len(self.hosts.peers())
-        slack = (
-            settings.retry_slack * RETRY_MARGIN / max(MIN_HOSTS_SHARING_SLACK, hosts)
+        """Return this host's share of the retry budget of a service."""
+        return self._retry_budgets.of_service(
+            service, hosts=1 + len(self.hosts.peers())
         )
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            budget = self._retry_budgets[service] = RetryBudget(
-                share=settings.retry_share * RETRY_MARGIN,
-                window_s=settings.retry_window_s,
-                floor=0,
-            )
-        budget.slack = slack
-        return budget
-
-    def is_changing_stage(self, replica: Replica, now_s: float) -> bool:
-        """Return whether an engine has yet to complete an ordered stage change."""
-        expected = self._expected_stages.get(replica.replica_id)
-        if expected is None:
-            return False
-        if (
-            expected.stage is replica.stage
-            or now_s - expected.since_s > STAGE_CHANGE_TIMEOUT_S
-        ):
-            del self._expected_stages[replica.replica_id]
-            return False
-        return True
 
     def note_stage_order(self, replica_id: str, stage: Stage, *, now_s: float) -> None:
         """Note that an engine is being ordered to change to a stage."""
-        self._expected_stages[replica_id] = ExpectedStage(stage, now_s)
+        self.stage_changes.note_order(replica_id, stage, now_s=now_s)
         if stage is Stage.DECODE:
             self.decoder_forecast.note(replica_id, now_s=now_s)
 
