Choose the stages of engines by the figures of their limits

Cause: one more engine decoded for each that had a limit, whatever the limits were; three limits of 1.5 were left to prefill for three engines that decoded.

Change: as many engines change as make the lower of the two stages' sums of limits largest. A decode slot is given back when its request is refused for another reason.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/decode_demand.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/decode_demand.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.dispatch.stages import decoders_wanted
@@ -47,8 +48,8 @@
         self._load = StageLoad(0.0, 0.0)
         self._noted_s: float | None = None
         self._wanted = 0
-        self._limited = 0
-        self._limited_s = float("-inf")
+        self._extra = 0
+        self._extra_s = float("-inf")
 
     def note(self, load: StageLoad, *, now_s: float) -> None:
         """Record the current load."""
@@ -62,22 +63,25 @@
             )
         self._noted_s = now_s
 
-    def note_limited(self, *, decoding: int, prefilling: int, now_s: float) -> None:
-        """Record how many engines of each stage have limits; remember the most.
-
-        An engine with a limit that is taken from prefill has it as well afterwards.
-        """
-        count = decoding + prefilling if decoding else 0
-        if count >= self._limited or now_s - self._limited_s >= LIMIT_HOLD_S:
-            self._limited, self._limited_s = count, now_s
+    def note_limits(
+        self,
+        decode_limits_per_s: Sequence[float],
+        prefill_limits_per_s: Sequence[float],
+        *,
+        now_s: float,
+    ) -> None:
+        """Record the limits of the engines of both stages, infinite without one."""
+        extra = extra_decoders(decode_limits_per_s, prefill_limits_per_s)
+        if extra >= self._extra or now_s - self._extra_s >= LIMIT_HOLD_S:
+            self._extra, self._extra_s = extra, now_s
 
     def wanted(self, engine_count: int) -> int:
         """Return the required number of decode engines, at least the default number.
 
-        One more engine decodes for each that has a limit, up to half of all.
+        More of them decode if that allows more requests by their limits.
         """
         wanted = self._wanted_by_load(engine_count)
-        return max(wanted, min(engine_count // 2, wanted + self._limited))
+        return max(wanted, min(engine_count // 2, wanted + self._extra))
 
     def _wanted_by_load(self, engine_count: int) -> int:
         need = self._need(engine_count)
@@ -105,6 +109,29 @@
         return min(decoding / TARGET_UTILISATION, max(1.0, share - 0.5))
 
 
+def extra_decoders(
+    decode_limits_per_s: Sequence[float], prefill_limits_per_s: Sequence[float]
+) -> int:
+    """Return how many prefill engines should decode, to run the most requests.
+
+    A request takes one call to an engine of each stage. Which engines change is not
+    known yet, so each counts with the mean limit.
+    """
+    if not decode_limits_per_s or not prefill_limits_per_s:
+        return 0
+    engines = len(prefill_limits_per_s)
+    decoded_per_s, prefilled_per_s = sum(decode_limits_per_s), sum(prefill_limits_per_s)
+    mean_per_s = prefilled_per_s / engines
+    most_moved = (engines - len(decode_limits_per_s) + 1) // 2
+
+    def requests_per_s(moved: int) -> float:
+        moved_per_s = moved * mean_per_s if moved else 0.0
+        remaining_per_s = (engines - moved) * mean_per_s
+        return min(decoded_per_s + moved_per_s, remaining_per_s)
+
+    return max(range(max(0, most_moved) + 1), key=requests_per_s)
+
+
 def _moving_average(known: float, measured: float, elapsed_s: float) -> float:
     time_constant_s = RISE_TIME_CONSTANT_S if measured > known else FALL_TIME_CONSTANT_S
     weight = 1.0 - math.exp(-elapsed_s / time_constant_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/limits.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/limits.py
@@ -117,6 +117,11 @@
         """Return whether a replica has named a limit."""
         return replica_id in self._limits
 
+    def per_s(self, replica_id: str) -> float:
+        """Return the limit of a replica, which is infinite if it has named none."""
+        known = self._limits.get(replica_id)
+        return math.inf if known is None else known.per_s
+
     def wait_s(self, replica_id: str, now_s: float) -> float:
         """Return the time until this host may send a request to a replica."""
         known = self._limits.get(replica_id)
@@ -147,6 +152,12 @@
         self.take(best, now_s)
         return Slot(best, now_s + waits[best])
 
+    def give_back(self, slot: Slot) -> None:
+        """Return a slot that is not used, so that a later request takes the last."""
+        known = self._limits.get(slot.replica_id)
+        if known is not None:
+            known.next_s -= known.interval_s
+
     def queue_wait_s(
         self, replica_ids: Sequence[str], *, waiting: int, now_s: float
     ) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_decode_demand.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_decode_demand.py
@@ -1,5 +1,6 @@
 """Test how the number of decode engines follows the load."""
 
+import math
 import unittest
 
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
@@ -75,28 +76,31 @@
             self.assertEqual(set(self.load(edge - 0.05, 1.0, prefilling=1.0)), {held})
             self.assertEqual(set(self.load(edge + 0.02, 1.0, prefilling=1.0)), {held})
 
-    def test_another_engine_decodes_for_each_that_limits_its_requests(self):
+    def test_another_engine_decodes_if_the_only_one_has_a_limit(self):
         # The only decode engine took a third of the requests, and five were idle.
-        self.demand.note_limited(decoding=1, prefilling=0, now_s=0.0)
+        self.demand.note_limits([9.0], [math.inf] * 5, now_s=0.0)
         self.assertEqual(self.demand.wanted(6), 2)
-        self.demand.note_limited(decoding=3, prefilling=0, now_s=1.0)
-        self.assertEqual(self.demand.wanted(6), 3)
         self.assertEqual(self.demand.wanted(1), 1)
 
-    def test_engines_that_all_have_limits_are_split_evenly_in_one_step(self):
+    def test_engines_that_all_have_the_same_limit_are_split_evenly_in_one_step(self):
         # The second engine took part seconds later, when the third was ordered.
-        self.demand.note_limited(decoding=1, prefilling=5, now_s=0.0)
+        self.demand.note_limits([9.0], [9.0] * 5, now_s=0.0)
         self.assertEqual(self.demand.wanted(6), 3)
 
+    def test_no_engine_decodes_if_that_leaves_fewer_prompts_to_decode(self):
+        # Prefill engines get fewer requests, and named lower limits accordingly.
+        self.demand.note_limits([9.0], [1.5] * 5, now_s=0.0)
+        self.assertEqual(self.demand.wanted(6), 1)
+
     def test_limits_of_prefill_engines_alone_change_no_stage(self):
-        self.demand.note_limited(decoding=0, prefilling=5, now_s=0.0)
+        self.demand.note_limits([math.inf], [2.0] * 5, now_s=0.0)
         self.assertEqual(self.demand.wanted(6), 1)
 
     def test_an_engine_that_replaced_a_limited_one_is_not_released_at_once(self):
-        self.demand.note_limited(decoding=1, prefilling=0, now_s=0.0)
-        self.demand.note_limited(decoding=0, prefilling=0, now_s=LIMIT_HOLD_S / 2)
+        self.demand.note_limits([9.0], [math.inf] * 5, now_s=0.0)
+        self.demand.note_limits([math.inf] * 2, [math.inf] * 4, now_s=LIMIT_HOLD_S / 2)
         self.assertEqual(self.demand.wanted(6), 2)
-        self.demand.note_limited(decoding=0, prefilling=0, now_s=LIMIT_HOLD_S)
+        self.demand.note_limits([math.inf] * 2, [math.inf] * 4, now_s=LIMIT_HOLD_S)
         self.assertEqual(self.demand.wanted(6), 1)
 
     def test_one_engine_at_least_reads_prompts(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_limits.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_limits.py
@@ -135,6 +135,15 @@
         gaps_s = [later - earlier for earlier, later in itertools.pairwise(slots)]
         self.assertTrue(all(0.4 < gap_s < 0.6 for gap_s in gaps_s), gaps_s)
 
+    def test_a_slot_that_is_given_back_is_taken_by_a_later_request(self):
+        # Requests that were refused for another reason used up the limit.
+        self.name_limit(per_s=2.0)
+        first = self.limits.reserve(["r"], now_s=0.0, patience_s=2.0)
+        self.limits.reserve(["r"], now_s=0.0, patience_s=2.0)
+        self.limits.give_back(first)
+        third = self.limits.reserve(["r"], now_s=0.0, patience_s=2.0)
+        self.assertLess(third.at_s, first.at_s + 0.6)
+
     def test_refused_requests_are_told_different_times(self):
         # All of them came back for the same slot, and all but one were refused again.
         self.name_limit(per_s=2.0)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -119,6 +119,9 @@
 
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
         """Raise the error for a request that is given up before it has run."""
+        if self._slot is not None:
+            self._state.replica_limits.give_back(self._slot)
+            self._slot = None
         if self._exchange.response_started:
             raise StreamBroken(reason)
         error = self._exchange.not_served(reason, retry_after_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -173,14 +173,16 @@
             )
             demand = self._demands.setdefault(service, DecodeDemand())
             demand.note(self._stage_load(service, engines, now_s), now_s=now_s)
-            limits = self._state.replica_limits
-            limited = [e for e in engines if limits.is_limited(e.replica_id)]
-            demand.note_limited(
-                decoding=sum(e.stage is Stage.DECODE for e in limited),
-                prefilling=sum(e.stage is not Stage.DECODE for e in limited),
+            demand.note_limits(
+                self._limits_per_s(engines, Stage.DECODE),
+                self._limits_per_s(engines, Stage.PREFILL),
                 now_s=now_s,
             )
 
+    def _limits_per_s(self, engines: Sequence[Replica], stage: Stage) -> list[float]:
+        limits = self._state.replica_limits
+        return [limits.per_s(e.replica_id) for e in engines if e.stage is stage]
+
     def _stage_load(
         self, service: str, engines: Sequence[Replica], now_s: float
     ) -> StageLoad:
