Refuse a quarantined request although others ran beside it, on the product's path

Cause: since a request is refused only if it holds all strong suspects of one of the crashes. On the product's path a single crash makes a strong suspect, so that each request that ran beside the crashing one kept it from being refused. Nothing there tells subjects apart afterwards, as completed runs do on the platform.

Change: without completion_lifts a quarantined subject is refused at once, as before. The path of the users' platform is not touched.

Test: test_requests_that_ran_beside_a_crashing_one_do_not_delay_its_quarantine failed before, without the change of quarantines.py and suspects.py.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/quarantines.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/quarantines.py
@@ -14,11 +14,12 @@
 
     A crash that is attributed to one subject no longer counts against the others. A
     subject is certain to be the cause if it is the only strong suspect of a crash, that
-    is, the only one with ``min_crashes`` crashes.
+    is, the only one with ``min_crashes`` crashes. Without ``min_crashes`` each subject
+    in quarantine is.
     """
 
     def __init__(
-        self, records: CrashRecords, *, min_crashes: int, max_events: int
+        self, records: CrashRecords, *, min_crashes: int | None, max_events: int
     ) -> None:
         self._records = records
         self._min_crashes = min_crashes
@@ -57,6 +58,8 @@
 
     def explains(self, record: CrashRecord, subjects: Collection[bytes]) -> bool:
         """Return whether some subjects include all strong suspects of a crash."""
+        if self._min_crashes is None:
+            return True
         return any(
             self._records.suspects_of(event, min_crashes=self._min_crashes)
             <= set(subjects)
@@ -85,6 +88,8 @@
 
     def is_equal_cause(self, record: CrashRecord, now_s: float) -> bool:
         """Return whether a quarantined subject was only in crashes of this one."""
+        if self._min_crashes is None:
+            return False
         return any(other.crashes <= record.crashes for other in self.active(now_s))
 
     def unattributed_crashes(self, record: CrashRecord) -> int:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -72,9 +72,11 @@
         self._max_events = max_records
         self.rule = rule or QuarantineRule()
         self._records = CrashRecords(max_records)
+        # Only completed runs tell subjects with the same crashes apart.
+        lifts = self.rule.completion_lifts
         self._quarantines = Quarantines(
             self._records,
-            min_crashes=self.rule.isolation_threshold,
+            min_crashes=self.rule.isolation_threshold if lifts else None,
             max_events=max_records,
         )
         self._on_change = on_change
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -37,6 +37,18 @@
         self.assertIsInstance(status, Quarantined)
         self.assertEqual(register.status(INNOCENT, 2.0), Clear())
 
+    def test_requests_that_ran_beside_a_crashing_one_do_not_delay_its_quarantine(self):
+        # A request that crashed two engines crashed two more, since other requests
+        # were part of one of the crashes each.
+        register = SuspectRegister("a")
+        for engine in ("e1", "e2"):
+            register.note_crash(b"a" + engine.encode(), engine, 1.0, incarnation="1")
+            register.note_crash(POISON, engine, 1.0, incarnation="1")
+        self.assertIsInstance(register.status(POISON, 1.0), Quarantined)
+        for engine in ("e1", "e2"):
+            register.note_crash(b"b" + engine.encode(), engine, 1.0, incarnation="1")
+        self.assertIsInstance(register.status(POISON, 1.0), Quarantined)
+
     def test_an_innocent_request_in_two_crashes_of_another_is_not_quarantined(self):
         # A host that learns first of the second crash of the innocent request would
         # refuse it.
