Log the versions that wrote a stream and the attempt that a client resumes

The lines of a request named neither the software version of the replicas that wrote its events nor the attempt in Resumes, so they could not tell a host that goes on at another version within one answer from a client that takes a stream up there. Each request line now lists the writers with their version and start, and resumes and last_event_id; the lines of replicas carry version and start.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -110,6 +110,8 @@
     draining: bool
     stage: Stage | None
     born_unix_ms: int
+    software_version: str
+    """Version of the replica's software, not of its model weights."""
 
     @property
     def address(self) -> str:
@@ -172,3 +174,5 @@
     deadline_s: float | None
     last_event_id: int | None
     prompt: Prompt | None
+    resumed_id: str | None = None
+    """Id of the client attempt that brought the first event of a resumed stream."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -60,6 +60,9 @@
     slot_at: str | None = None
     """Replica of which this request has taken a slot, within the replica's limit."""
 
+    writers: list[str] = field(default_factory=list)
+    """Replicas that wrote events of the response, with their software versions."""
+
     isolated_subject: bytes = b""
     """Subject of this request under which the replica is reserved."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/json_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/json_client.py
@@ -30,6 +30,7 @@
             draining=False,
             stage=None,
             born_unix_ms=0,
+            software_version="",
         )
         self.calls: Counter[str] = Counter()
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -389,6 +389,8 @@
             address=replica.address,
             stage=replica.stage,
             draining=replica.draining,
+            software_version=replica.software_version,
+            born_unix_ms=replica.born_unix_ms,
             reason=reason,
             outage_ended_ms=outage_ended_ms,
             store_revision=self.view.revision,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -253,7 +253,7 @@
                 events = splitter.feed(part)
                 self._check_bounds(splitter, events)
                 self._note_begun(events)
-                self._forward(opened, events)
+                self._forward(engine, opened, events)
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
             self._check_end(opened, splitter)
@@ -308,7 +308,9 @@
             return min(left_s, STREAM_SILENCE_S)
         return left_s
 
-    def _forward(self, opened: OpenResponse, events: list[StreamEvent]) -> None:
+    def _forward(
+        self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
+    ) -> None:
         new_events = []
         for event in events:
             if self._already_delivered(event):
@@ -317,8 +319,14 @@
                 self._last_event_id = event.event_id
             new_events.append(event.data)
         if new_events:
+            self._note_writer(engine)
             self._send(opened, b"".join(new_events))
 
+    def _note_writer(self, engine: Replica) -> None:
+        writer = f"{engine.replica_id}:{engine.software_version}:{engine.born_unix_ms}"
+        if writer not in self._exchange.writers:
+            self._exchange.writers.append(writer)
+
     def _already_delivered(self, event: StreamEvent) -> bool:
         if event.event_id is None or self._last_event_id is None:
             return False
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -28,6 +28,7 @@
     service: str = "llm",
     host: str = "127.0.0.1",
     port: int = 1,
+    software_version: str = "v1",
 ) -> Replica:
     """Return an engine of service ``llm`` unless another one is given."""
     return Replica(
@@ -40,6 +41,7 @@
         draining=draining,
         stage=stage,
         born_unix_ms=born_unix_ms,
+        software_version=software_version,
     )
 
 
