Keep each stream to the software version that began it

Nothing read the version of a replica or the attempt named in Resumes.

StreamVersionGuard binds a stream to the version of the replica that wrote its first event, and allows only replicas of that version from then on. A resumption takes the version from the register of streams; where it is not known, or no replica of it is left, the request is refused as not run at once.

New streams of a service begin at one active version, which a small record in the store names together with the earlier ones at which streams may still be alive. While it names one version alone, that is the version of all streams. Around each change, every host records its own streams in batches under a lease, so that hosts that all start again at once still know them.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -8,8 +8,10 @@
     Configuration,
     HostEntry,
     PromptPart,
+    RecordedStreams,
     Replica,
     RequestMetadata,
+    ServiceVersions,
     Stage,
     WithheldRequest,
 )
@@ -186,6 +188,21 @@
     withheld: WithheldRequest
 
 
+@dataclass(frozen=True)
+class VersionsRecorded:
+    """Report the software versions that began the streams of a service."""
+
+    versions: ServiceVersions
+
+
+@dataclass(frozen=True)
+class StreamsRecorded:
+    """Report streams that began at a host."""
+
+    host: str
+    streams: tuple[RecordedStreams, ...]
+
+
 StoreEvent = (
     ConfigurationUpdated
     | ReplicaUpdated
@@ -195,6 +212,8 @@
     | HolderChanged
     | OrderRecorded
     | WithheldRecorded
+    | VersionsRecorded
+    | StreamsRecorded
 )
 
 
@@ -263,6 +282,26 @@
     def remove_withheld(self, digest: bytes) -> None:
         """Remove the record of a subject that is no longer withheld, if any."""
 
+    @abstractmethod
+    def write_versions(self, versions: ServiceVersions) -> ServiceVersions | None:
+        """Replace the record of its revision and return the new one, or ``None``."""
+
+    @abstractmethod
+    def record_streams(
+        self,
+        host: str,
+        batch: str,
+        streams: Sequence[RecordedStreams],
+        lease_id: int,
+        *,
+        expired_batches: Sequence[str] = (),
+    ) -> None:
+        """Write a batch of begun streams under a lease; raise ``LeaseEnded``."""
+
+    @abstractmethod
+    def stream_records(self) -> tuple[StoreEvent, ...]:
+        """Read the records of versions and streams; the reads are linearizable."""
+
     @abstractmethod
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return the holder of the order key; a stale read may be seconds old."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -1,5 +1,6 @@
 """Data model of the gateway: configuration, replicas, hosts and prompts."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -144,6 +145,34 @@
     until_unix_s: float
 
 
+@dataclass(frozen=True)
+class ServiceVersions:
+    """Name the software versions that began streams which may still be resumed.
+
+    New streams begin at the active version only. ``revision`` is that of the record in
+    the store, 0 before the first one.
+    """
+
+    service: str
+    active: str
+    earlier: tuple[str, ...]
+    revision: int
+
+    def replaced_by(self, active: str, earlier: Iterable[str]) -> "ServiceVersions":
+        """Return the record that is to follow this one."""
+        return ServiceVersions(
+            self.service, active, tuple(sorted(earlier)), self.revision
+        )
+
+
+@dataclass(frozen=True)
+class RecordedStreams:
+    """Hold the keys of streams that began at one software version."""
+
+    version: str
+    keys: tuple[bytes, ...]
+
+
 @dataclass(frozen=True)
 class PromptPart:
     """Identify a part of a prompt, which other prompts may share."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -0,0 +1,101 @@
+"""Engines that may serve one generation request now."""
+
+import time
+from collections.abc import Callable
+
+from persimmonyoke.internal.fleet.model import Replica, Stage
+from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.state import GatewayState
+
+
+class EngineCandidates:
+    """Narrow the engines of a service down to those that may serve one request.
+
+    Engines in ``excluded`` are left out, those in ``avoided`` unless there is no other.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        exchange: Exchange,
+        allows: Callable[[Replica], bool],
+    ) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._allows = allows
+        self.excluded: set[str] = set()
+        self.avoided: set[str] = set()
+
+    def engines(self) -> list[Replica]:
+        """Return the engines that this host considers reachable."""
+        now_s = time.monotonic()
+        return [
+            engine
+            for engine in self._usable_engines(now_s)
+            if not self._state.health.paused(engine.replica_id, now_s)
+        ]
+
+    def decoders(self) -> list[Replica]:
+        """Return the candidate decode engines whose limits allow a request now."""
+        limits, now_s = self._state.replica_limits, time.monotonic()
+        return [
+            engine
+            for engine in self.reachable_decoders()
+            if limits.wait_s(engine.replica_id, now_s) <= 0.0
+        ]
+
+    def reachable_decoders(self) -> list[Replica]:
+        """Return the candidate decode engines, with or without a limit.
+
+        Failing engines and those on which this request failed are left out unless
+        there is no other.
+        """
+        decoders = [e for e in self.engines() if e.stage is Stage.DECODE]
+        if not decoders:
+            decoders = self._leaving_decoders()
+        decoders = self._without_reserved(decoders)
+        decoders = [e for e in decoders if e.replica_id not in self.avoided] or decoders
+        health, now_s = self._state.health, time.monotonic()
+        return [
+            e for e in decoders if not health.failing(e.replica_id, now_s)
+        ] or decoders
+
+    def _without_reserved(self, decoders: list[Replica]) -> list[Replica]:
+        """Leave out engines reserved for others, which a crash may be about to lose.
+
+        Half of the engines stay in use, as many requests may be suspects at once.
+        """
+        reserved = self._state.suspects.isolated_engines(time.monotonic())
+        own = self._exchange.isolated_on
+        free = [e for e in decoders if e.replica_id not in reserved - {own}]
+        return free if 2 * len(free) >= len(decoders) else decoders
+
+    def decoders_back_in_s(self, now_s: float) -> float | None:
+        """Return when the back-off of a decode engine ends, if one asked for it."""
+        engines = self._state.replicas.usable(self._exchange.service.name, now_s=now_s)
+        decoders = [e for e in engines if e.stage is Stage.DECODE]
+        return self._state.backoff_left_s(decoders, now_s)
+
+    def _leaving_decoders(self) -> list[Replica]:
+        """Return decode engines that started to drain and still accept requests."""
+        now_s = time.monotonic()
+        return [
+            engine
+            for engine in self._state.leaving_replicas(
+                self._exchange.service.name, now_s=now_s
+            )
+            if engine.stage is Stage.DECODE
+            and self._allows(engine)
+            and not self._state.health.paused(engine.replica_id, now_s)
+        ]
+
+    def _usable_engines(self, now_s: float) -> list[Replica]:
+        return [
+            engine
+            for engine in self._state.usable_replicas(
+                self._exchange.service.name, now_s=now_s
+            )
+            if engine.replica_id not in self.excluded
+            and self._allows(engine)
+            and not self._state.stage_changes.is_pending(engine, now_s)
+        ]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -21,6 +21,7 @@
     AdmissionRequest,
     Admitted,
 )
+from persimmonyoke.internal.gateway.engine_candidates import EngineCandidates
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
     Exchange,
@@ -28,6 +29,7 @@
 )
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 
 MAX_PREFILL_ATTEMPTS = 3
@@ -56,18 +58,19 @@
         prefill: PrefillCaller,
         gate: AdmissionGate,
         guard: SuspectGuard,
+        versions: StreamVersionGuard,
         exchange: Exchange,
     ) -> None:
         self._state = state
         self._guard = guard
+        self._versions = versions
         self._is_suspect = False
         self._runs_alone = False
         self._prefill = prefill
         self._gate = gate
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
-        self._excluded: set[str] = set()
-        self._avoided: set[str] = set()
+        self._candidates = EngineCandidates(state, exchange, versions.allows)
         self._prefill_attempts = 0
         self._decoders_missing_since_s: float | None = None
         self._local_prefill: PrefillJob | None = None
@@ -84,13 +87,14 @@
 
     def avoid(self, engine: Replica) -> None:
         """Prefer other engines for the next run."""
-        self._avoided.add(engine.replica_id)
+        self._candidates.avoided.add(engine.replica_id)
 
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
+        self._versions.check_replica_left()
         service, prompt = self._exchange.service, self._exchange.metadata.prompt
         if service.engine is None or prompt is None:
-            reserved = self._reserve(self._engines)
+            reserved = self._reserve(self._candidates.engines)
             return EngineChoice(reserved or self._choose_plain(), None)
         while True:
             self._reserve_for_prefill()
@@ -170,7 +174,7 @@
         a crash there would break the streams of other requests. One of which a prompt
         part may crash engines is prefilled there if there is no prefill engine.
         """
-        engines = self._engines()
+        engines = self._candidates.engines()
         if not self._is_suspect and not self._runs_alone:
             return engines
         readers = [e for e in engines if e.stage is Stage.PREFILL]
@@ -194,7 +198,9 @@
         """Return a decode engine for a prefilled prompt; wait for one if necessary."""
         wait_until_s = time.monotonic() + MAX_HANDLE_AGE_S
         try:
-            reserved = self._reserve(self._decoders, limit_s=MAX_HANDLE_AGE_S)
+            reserved = self._reserve(
+                self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
+            )
             if reserved is not None:
                 return reserved
             while True:
@@ -202,7 +208,7 @@
                 if limited is not None:
                     return limited
                 decode = self._state.placement.decoder(
-                    self._decoders(),
+                    self._candidates.decoders(),
                     limits,
                     zone=prefilled.engine.availability_zone,
                     now_s=time.monotonic(),
@@ -223,7 +229,9 @@
 
         Refuse the request if the next slot would miss its target.
         """
-        if not any(engine.stage is Stage.PREFILL for engine in self._engines()):
+        if not any(
+            engine.stage is Stage.PREFILL for engine in self._candidates.engines()
+        ):
             return
         exchange, now_s = self._exchange, time.monotonic()
         patience_s = exchange.started_s + exchange.route.target_latency_s - now_s
@@ -233,7 +241,10 @@
 
     def _take_slot(self, patience_s: float) -> None:
         """Take the next slot of the decode engines if all of them have limits."""
-        limits, decoders = self._state.replica_limits, self._reachable_decoders()
+        limits, decoders = (
+            self._state.replica_limits,
+            self._candidates.reachable_decoders(),
+        )
         if self._slot is not None or not decoders:
             return
         if not all(limits.is_limited(engine.replica_id) for engine in decoders):
@@ -257,7 +268,7 @@
             return None
         gevent.sleep(max(0.0, slot.at_s - time.monotonic()))
         exchange.cancel_scope.raise_if_cancelled()
-        for engine in self._reachable_decoders():
+        for engine in self._candidates.reachable_decoders():
             if engine.replica_id == slot.replica_id:
                 exchange.slot_at = slot.replica_id
                 return engine
@@ -266,10 +277,8 @@
     def _await_decoder(self, limits: EngineLimits) -> None:
         """Wait one poll interval; refuse if no decode engine is expected in time."""
         exchange, now_s = self._exchange, time.monotonic()
-        expected_s = self._state.decoder_forecast.expected_in_s(
-            stage_change_s=limits.stage_change_s, now_s=now_s
-        )
-        wait_s = self._decoders_back_in_s(now_s)
+        expected_s = self._decoder_expected_in_s(limits, now_s)
+        wait_s = self._candidates.decoders_back_in_s(now_s)
         if wait_s is not None:
             self.refuse("decode engines are full", wait_s)
         if expected_s is None:
@@ -308,7 +317,7 @@
         prompt = exchange.metadata.prompt
         assert prompt is not None
         self._state.prefixes.forget(engine.replica_id, prompt.parts)
-        self._excluded.add(engine.replica_id)
+        self._candidates.excluded.add(engine.replica_id)
         if outcome.sent:
             self._prefill_attempts += 1
         if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS or exchange.remaining_s < 0.1:
@@ -344,99 +353,37 @@
         assert admitted is not None
         return admitted
 
+    def _decoder_expected_in_s(
+        self, limits: EngineLimits, now_s: float
+    ) -> float | None:
+        """Return when another decode engine is expected; ``None`` for resumed streams.
+
+        Which version an expected engine has is not known.
+        """
+        if self._versions.bound:
+            return None
+        return self._state.decoder_forecast.expected_in_s(
+            stage_change_s=limits.stage_change_s, now_s=now_s
+        )
+
     def _may_prefill(self, limits: EngineLimits) -> bool:
         """Return whether a decode engine will be available after a prefill now."""
-        if self._slot is not None or self._decoders():
+        if self._slot is not None or self._candidates.decoders():
             return True
-        expected_s = self._state.decoder_forecast.expected_in_s(
-            stage_change_s=limits.stage_change_s, now_s=time.monotonic()
-        )
+        expected_s = self._decoder_expected_in_s(limits, time.monotonic())
         if expected_s is None:
             return False
         patience_s = self._exchange.event_wait_left_s(time.monotonic())
         return expected_s + FIRST_EVENT_OVERHEAD_S <= min(MAX_HANDLE_AGE_S, patience_s)
 
-    def _engines(self) -> list[Replica]:
-        """Return the engines that this host considers reachable."""
-        now_s = time.monotonic()
-        return [
-            engine
-            for engine in self._usable_engines(now_s)
-            if not self._state.health.paused(engine.replica_id, now_s)
-        ]
-
-    def _decoders(self) -> list[Replica]:
-        """Return the candidate decode engines whose limits allow a request now."""
-        limits, now_s = self._state.replica_limits, time.monotonic()
-        return [
-            engine
-            for engine in self._reachable_decoders()
-            if limits.wait_s(engine.replica_id, now_s) <= 0.0
-        ]
-
-    def _reachable_decoders(self) -> list[Replica]:
-        """Return the candidate decode engines, with or without a limit.
-
-        Failing engines and those on which this request failed are left out unless
-        there is no other.
-        """
-        decoders = [e for e in self._engines() if e.stage is Stage.DECODE]
-        if not decoders:
-            decoders = self._leaving_decoders()
-        decoders = self._without_reserved(decoders)
-        decoders = [
-            e for e in decoders if e.replica_id not in self._avoided
-        ] or decoders
-        health, now_s = self._state.health, time.monotonic()
-        return [
-            e for e in decoders if not health.failing(e.replica_id, now_s)
-        ] or decoders
-
-    def _without_reserved(self, decoders: list[Replica]) -> list[Replica]:
-        """Leave out engines reserved for others, which a crash may be about to lose.
-
-        Half of the engines stay in use, as many requests may be suspects at once.
-        """
-        reserved = self._state.suspects.isolated_engines(time.monotonic())
-        own = self._exchange.isolated_on
-        free = [e for e in decoders if e.replica_id not in reserved - {own}]
-        return free if 2 * len(free) >= len(decoders) else decoders
-
-    def _decoders_back_in_s(self, now_s: float) -> float | None:
-        """Return when the back-off of a decode engine ends, if one asked for it."""
-        engines = self._state.replicas.usable(self._exchange.service.name, now_s=now_s)
-        decoders = [e for e in engines if e.stage is Stage.DECODE]
-        return self._state.backoff_left_s(decoders, now_s)
-
-    def _leaving_decoders(self) -> list[Replica]:
-        """Return decode engines that started to drain and still accept requests."""
-        now_s = time.monotonic()
-        return [
-            engine
-            for engine in self._state.leaving_replicas(
-                self._exchange.service.name, now_s=now_s
-            )
-            if engine.stage is Stage.DECODE
-            and not self._state.health.paused(engine.replica_id, now_s)
-        ]
-
-    def _usable_engines(self, now_s: float) -> list[Replica]:
-        return [
-            engine
-            for engine in self._state.usable_replicas(
-                self._exchange.service.name, now_s=now_s
-            )
-            if engine.replica_id not in self._excluded
-            and not self._state.stage_changes.is_pending(engine, now_s)
-        ]
-
     def _choose_plain(self) -> Replica:
         state, now_s = self._state, time.monotonic()
+        sendable = state.sendable_replicas(self._exchange.service.name, now_s=now_s)
         replica = choose_replica(
-            state.sendable_replicas(self._exchange.service.name, now_s=now_s),
+            [r for r in sendable if self._versions.allows(r)],
             ledger=state.ledger,
             health=state.health,
-            excluded=self._excluded,
+            excluded=self._candidates.excluded,
             own_zone=state.settings.availability_zone,
             now_s=now_s,
             rng=state.rng,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -14,6 +14,7 @@
 KINDS = ("idempotent", "non_idempotent", "streaming", "none")
 MAX_REASONS = 40
 STAGES = ("prefill", "decode", "plain")
+RESUMPTION_RESULTS = ("known", "unknown")
 SEND_RESULTS = ("answered", "not_run", "lost", "not_connected", "malformed")
 
 
@@ -38,6 +39,11 @@
             "Calls to replicas by stage and result.",
             {"stage": STAGES, "result": SEND_RESULTS},
         )
+        self.resumptions = node.counter(
+            "gateway_resumed_streams_total",
+            "Streams that clients resume, by whether their version is known.",
+            {"result": RESUMPTION_RESULTS},
+        )
         self.repeats = node.counter(
             "gateway_repeats_total", "Sends beyond the first of a request."
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -20,6 +20,7 @@
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 from persimmonyoke.internal.gateway.small_server import StatusServer
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.version_recorder import StreamVersionRecorder
 from persimmonyoke.internal.gateway.withheld_record import WithheldRecorder
 
 HOUSEKEEPING_S = 0.5
@@ -69,6 +70,7 @@
             on_configuration=self._peers.send_now,
             forward_changes=self._peers.forward_changes,
         )
+        self._recorder = StreamVersionRecorder(self.state, store)
         self._metrics_port = metrics_port
         self._stop = Event()
         self._tasks: list[gevent.Greenlet] = []
@@ -87,6 +89,7 @@
             self._follower.run,
             self._registration.run,
             self._orders.run,
+            self._recorder.run,
             self._housekeeping,
         )
         self._tasks = [gevent.spawn(loop) for loop in loops]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -21,6 +21,7 @@
 from persimmonyoke.internal.dispatch.routes import RouteTable
 from persimmonyoke.internal.dispatch.speeds import SlowdownFactors
 from persimmonyoke.internal.dispatch.stage_changes import StageChanges
+from persimmonyoke.internal.dispatch.stream_versions import StreamVersions
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import (
     RelayedChanges,
@@ -101,6 +102,7 @@
         self.health = ReplicaHealth()
         self.backoff = ReplicaBackoff()
         self.replica_limits = ReplicaLimits(settings.host_name)
+        self.stream_versions = StreamVersions(settings.host_name)
         self.suspects = SuspectRegister(
             settings.host_name,
             max_records=MAX_SUSPECTS,
@@ -132,6 +134,7 @@
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
         self.on_replica_started: Callable[[Replica], None] = lambda _replica: None
+        self.read_stream_records: Callable[[], bool] = lambda: False
         self.on_withheld: Callable[[bytes], None] = lambda _subject: None
         self.on_quarantine_lifted: Callable[[bytes], None] = lambda _subject: None
         self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
@@ -366,6 +369,7 @@
             replica = change.replica
             self._log_replica(change, now_s)
             if isinstance(change, ReplicaAdded):
+                self.stream_versions.note_restarted(replica, now_s=now_s)
                 self.replica_limits.forget(replica.replica_id)
                 self.on_replica_started(replica)
             if isinstance(change, ReplicaAdded) and replica.stage is not None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -31,6 +31,7 @@
     PrefilledPrompt,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
 
@@ -84,8 +85,9 @@
 
     def relay(self, exchange: Exchange) -> None:
         """Serve a request; raise ``RequestError`` or ``StreamBroken`` if that fails."""
+        versions = StreamVersionGuard(self._state, exchange)
         selection = EngineSelection(
-            self._state, self._prefill, self._gate, self._guard, exchange
+            self._state, self._prefill, self._gate, self._guard, versions, exchange
         )
         run = _StreamRun(
             self._state,
@@ -93,6 +95,7 @@
             self._prefill,
             self._crashes,
             self._guard,
+            versions,
             selection,
             exchange,
         )
@@ -109,6 +112,7 @@
         prefill: PrefillCaller,
         crashes: CrashDetector,
         guard: SuspectGuard,
+        versions: StreamVersionGuard,
         selection: EngineSelection,
         exchange: Exchange,
     ) -> None:
@@ -117,6 +121,7 @@
         self._prefill = prefill
         self._crashes = crashes
         self._guard = guard
+        self._versions = versions
         self._selection = selection
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
@@ -128,6 +133,7 @@
         """Run the request until its response is complete or it is given up."""
         exchange = self._exchange
         self._budget.note_first_attempt(time.monotonic())
+        self._versions.resolve()
         while True:
             choice = self._selection.prepare()
             exchange.sends += 1
@@ -138,6 +144,7 @@
                 exchange.sends -= 1
             elif not self._may_retry(outcome):
                 self._give_up(outcome)
+            self._versions.check_version()
             self._selection.avoid(choice.engine)
 
     def _run_once(
@@ -323,6 +330,7 @@
             self._send(opened, b"".join(new_events))
 
     def _note_writer(self, engine: Replica) -> None:
+        self._versions.note_event(engine)
         writer = f"{engine.replica_id}:{engine.software_version}:{engine.born_unix_ms}"
         if writer not in self._exchange.writers:
             self._exchange.writers.append(writer)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -0,0 +1,189 @@
+"""Keeping of one stream to the software version that began it."""
+
+import time
+from typing import NoReturn
+
+import gevent
+
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.dispatch.stream_versions import (
+    VersionFinding,
+    find_version,
+)
+from persimmonyoke.internal.dispatch.version_plan import writes_events
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
+from persimmonyoke.internal.gateway.state import GatewayState
+
+FRESH_VIEW_S = 0.3
+"""Age up to which this host's view counts as the store's present state."""
+
+LOOKUP_PAUSES_S = (0.0, 0.15, 0.3)
+"""Pauses before the reads of the store for the record of a stream.
+
+The host that began the stream records it within 0.1 s of its first event.
+"""
+
+RETRY_AFTER_UNKNOWN_S = 0.5
+
+UNKNOWN_VERSION = "software version of the stream is not known"
+VERSION_LEFT = "no replica of the stream's software version is left"
+
+
+class StreamVersionGuard:
+    """Find the version of one stream, and allow only replicas of that version."""
+
+    def __init__(self, state: GatewayState, exchange: Exchange) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._service = exchange.service.name
+        self._applies = exchange.route.resumable
+        self._required: str | None = None
+        self._noted = False
+
+    @property
+    def bound(self) -> bool:
+        """Return whether the stream has begun, so that only one version may go on."""
+        return self._required is not None
+
+    def resolve(self) -> None:
+        """Find the version of a stream that a client resumes; refuse it if unknown."""
+        metadata = self._exchange.metadata
+        if not self._applies or metadata.last_event_id is None:
+            return
+        started_s = time.monotonic()
+        finding = self._find(metadata.resumed_id or "")
+        self._log(finding, started_s)
+        if finding.version is None:
+            self._refuse(UNKNOWN_VERSION, RETRY_AFTER_UNKNOWN_S)
+        self._required = finding.version
+
+    def allows(self, replica: Replica) -> bool:
+        """Return whether a replica may prefill for or write the stream."""
+        if not self._applies or not writes_events(replica):
+            return True
+        if self._required is not None:
+            return replica.software_version == self._required
+        return self._may_begin(replica)
+
+    def check_replica_left(self) -> None:
+        """Refuse the request if no replica that could go on with it is left."""
+        if self._required is None:
+            return
+        state, now_s = self._state, time.monotonic()
+        known = state.replicas.usable(self._service, now_s=now_s)
+        known += state.replicas.leaving(self._service, now_s=now_s)
+        if not any(writes_events(r) and self.allows(r) for r in known):
+            self._refuse(VERSION_LEFT, None)
+
+    def note_event(self, replica: Replica) -> None:
+        """Bind the stream to the version of the replica that wrote its first event."""
+        if self._noted or not self._applies:
+            return
+        self._noted = True
+        self._required = replica.software_version
+        now_s, metadata = time.monotonic(), self._exchange.metadata
+        register = self._state.stream_versions
+        for request_id in {metadata.request_id, metadata.resumed_id or ""} - {""}:
+            register.note_begun(
+                request_id, replica, version=replica.software_version, now_s=now_s
+            )
+        known = self._state.replicas.get(replica.replica_id)
+        if known is not None and known.born_unix_ms > replica.born_unix_ms:
+            register.note_restarted(known, now_s=now_s)
+
+    def check_version(self) -> None:
+        """Break the stream off if two versions may have written it."""
+        if not self._noted:
+            return
+        known = self._state.stream_versions.find(
+            self._service, self._exchange.metadata.request_id
+        )
+        if known is not None and known.version is None:
+            self._refuse(UNKNOWN_VERSION, RETRY_AFTER_UNKNOWN_S)
+
+    def _may_begin(self, replica: Replica) -> bool:
+        """Return whether streams may begin at the version of a replica now."""
+        state = self._state
+        record = state.stream_versions.service(self._service)
+        if record is None or replica.software_version == record.active:
+            return True
+        if state.store_connected:
+            return False
+        # No other version can be recorded as the active one while the store is away.
+        usable = state.replicas.usable(self._service, now_s=time.monotonic())
+        return not any(
+            writes_events(r) and r.software_version == record.active for r in usable
+        )
+
+    def _find(self, resumed_id: str) -> VersionFinding:
+        finding = self._find_in_view(resumed_id, is_current=self._view_is_current())
+        for pause_s in LOOKUP_PAUSES_S:
+            if not finding.may_change:
+                return finding
+            gevent.sleep(pause_s)
+            self._exchange.cancel_scope.raise_if_cancelled()
+            answered = self._state.read_stream_records()
+            is_current = answered or self._no_host_knows_more()
+            finding = self._find_in_view(resumed_id, is_current=is_current)
+            if not answered:
+                return finding
+        return finding
+
+    def _find_in_view(self, resumed_id: str, *, is_current: bool) -> VersionFinding:
+        register = self._state.stream_versions
+        return find_version(
+            register.find(self._service, resumed_id),
+            register.service(self._service),
+            record_is_current=is_current,
+            now_s=time.monotonic(),
+        )
+
+    def _view_is_current(self) -> bool:
+        return self._state.view.age_s(time.monotonic()) <= FRESH_VIEW_S
+
+    def _no_host_knows_more(self) -> bool:
+        """Return whether, with a silent store, no host can know another version.
+
+        No record can change then, and streams begin at another version only if its
+        replicas are known.
+        """
+        state, now_s = self._state, time.monotonic()
+        record = state.stream_versions.service(self._service)
+        if record is None or state.hosts.store_answers_a_peer(now_s):
+            return False
+        if state.hosts.newest_revision(now_s) > state.view.revision:
+            return False
+        replicas = state.replicas.usable(self._service, now_s=now_s)
+        return all(r.software_version == record.active for r in replicas)
+
+    def _log(self, finding: VersionFinding, started_s: float) -> None:
+        state, metadata, now_s = self._state, self._exchange.metadata, time.monotonic()
+        record = state.stream_versions.service(self._service)
+        state.metrics.resumptions.add(
+            result="unknown" if finding.version is None else "known"
+        )
+        state.journal.event(
+            "stream_resumed",
+            request_id=metadata.request_id,
+            resumes=metadata.resumed_id,
+            last_event_id=metadata.last_event_id,
+            software_version=finding.version,
+            source=finding.source,
+            known_ms=int(finding.age_s * 1_000),
+            lookup_ms=int((now_s - started_s) * 1_000),
+            active=record.active if record else None,
+            earlier=list(record.earlier) if record else None,
+            view_age_ms=int(state.view.age_s(now_s) * 1_000),
+        )
+
+    def _refuse(self, reason: str, retry_after_s: float | None) -> NoReturn:
+        """Break the answer off if it has begun, else refuse the request as not run."""
+        exchange = self._exchange
+        if exchange.response_started:
+            raise StreamBroken(reason)
+        if exchange.may_have_run:
+            raise exchange.failed(reason)
+        raise RequestError(
+            ErrorKind.UPSTREAM_UNAVAILABLE, reason, retry_after_s=retry_after_s
+        )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -12,11 +12,14 @@
     ReplicaRemoved,
     ReplicaUpdated,
     StoreEvent,
+    StreamsRecorded,
+    VersionsRecorded,
     WithheldRecorded,
 )
 from persimmonyoke.internal.fleet.model import WithheldRequest
 from persimmonyoke.internal.gateway.orders import StageOrderController
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.version_recorder import apply_stream_records
 from persimmonyoke.internal.gateway.withheld_record import merge_withheld
 
 
@@ -49,6 +52,9 @@
                 self._orders.note_record(event.record)
             elif isinstance(event, WithheldRecorded):
                 self._merge_withheld(event.withheld)
+        versions = [e.versions for e in events if isinstance(e, VersionsRecorded)]
+        state.stream_versions.keep_services(record.service for record in versions)
+        apply_stream_records(state, events, now_s=now_s)
         holders = [e.holder for e in events if isinstance(e, HolderChanged)]
         self._orders.note_holder(holders[0] if holders else None)
 
@@ -76,6 +82,8 @@
                     self._orders.note_record(record)
                 case WithheldRecorded(withheld):
                     self._merge_withheld(withheld)
+                case VersionsRecorded() | StreamsRecorded():
+                    apply_stream_records(state, [event], now_s=now_s)
 
     def _merge_withheld(self, withheld: WithheldRequest) -> None:
         merge_withheld(
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -1,5 +1,7 @@
 """In-memory store whose answers a test can delay or withhold."""
 
+from collections.abc import Sequence
+
 import gevent
 from gevent.event import Event
 from gevent.queue import Empty, Queue
@@ -11,7 +13,12 @@
     StoreChanges,
     StoreEvent,
 )
-from persimmonyoke.internal.fleet.model import HostEntry, WithheldRequest
+from persimmonyoke.internal.fleet.model import (
+    HostEntry,
+    RecordedStreams,
+    ServiceVersions,
+    WithheldRequest,
+)
 from persimmonyoke.internal.fleet.term import OrderRecord
 
 
@@ -108,6 +115,27 @@
         """Refuse."""
         raise StoreUnavailable(f"no writes for {digest.hex()}")
 
+    def write_versions(self, versions: ServiceVersions) -> ServiceVersions | None:
+        """Refuse."""
+        raise StoreUnavailable(f"no writes for {versions.service}")
+
+    def record_streams(
+        self,
+        host: str,
+        batch: str,
+        streams: Sequence[RecordedStreams],
+        lease_id: int,
+        *,
+        expired_batches: Sequence[str] = (),
+    ) -> None:
+        """Refuse."""
+        raise StoreUnavailable(f"no lease {lease_id} for {host}")
+
+    def stream_records(self) -> tuple[StoreEvent, ...]:
+        """Return the entries, of which callers pick the records of streams."""
+        self._check_available()
+        return self.events
+
     def current_holder(self, *, allow_stale: bool) -> str | None:
         """Return ``None``, as no host holds the order key."""
         return None
