Send a request id only once on a connection, and read what follows a refusal

The id of an answer tells an extra answer of the same request apart only where its id was sent once.

A request's calls (runs after a refusal, the decode call after a prefill, repeats) take another connection now than those that carried its id before, and an answer that has arrived right behind a refusal counts instead of it. What remains: a replica that writes an old refusal alone on a new connection, long before its answer, cannot be recognised.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import defaultdict
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import gevent
@@ -206,6 +207,11 @@
         sockets.reset_on_close(self._sock)
         self.close()
 
+    @property
+    def has_more_input(self) -> bool:
+        """Return whether bytes have arrived after a response that was read."""
+        return self._parser.has_events or sockets.has_input(self._sock)
+
     def has_unexpected_input(self) -> bool:
         """Return whether an idle connection was closed or has unexpected input."""
         return sockets.has_input(self._sock)
@@ -291,12 +297,21 @@
         self.opened = 0
 
     def take(
-        self, replica: Replica, *, timeout_s: float, now_s: float
+        self,
+        replica: Replica,
+        *,
+        timeout_s: float,
+        now_s: float,
+        avoid: Collection[UpstreamConnection] = (),
     ) -> UpstreamConnection:
-        """Return an idle or a new connection; raise ``NotConnected`` if that fails."""
+        """Return an idle or a new connection; raise ``NotConnected`` if that fails.
+
+        Connections to ``avoid`` carried an earlier call with the same request id. A
+        replica may write its answer again, which the id cannot tell from a new one.
+        """
         idle = self._idle[_key(replica)]
-        while idle:
-            connection = idle.pop()
+        for connection in [c for c in reversed(idle) if c not in avoid]:
+            idle.remove(connection)
             age_s = now_s - connection.idle_since_s
             if (
                 age_s < connection.idle_limit_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -199,8 +199,12 @@
         except AnswerLost as error:
             exchange.may_have_run = True
             return self._record_loss(engine, start, error)
-        if opened.facts.not_executed or opened.head.status == _MISDIRECTED:
-            return self._read_rejection(opened)
+        while opened.facts.not_executed or opened.head.status == _MISDIRECTED:
+            reason = f"engine answered {opened.head.status}"
+            later = self._answer_after(opened)
+            if later is None:
+                return RunRejected(reason, sent=True)
+            opened = later
         exchange.may_have_run = True
         return self._relay_answer(engine, opened, start)
 
@@ -214,17 +218,21 @@
         )
         return RunInterrupted(str(error))
 
-    def _read_rejection(self, opened: OpenResponse) -> RunOutcome:
+    def _answer_after(self, refusal: OpenResponse) -> OpenResponse | None:
+        """Return the answer that follows a refusal at once, if any."""
         exchange = self._exchange
-        reason = f"engine answered {opened.head.status}"
         try:
-            self._caller.read_body(
-                opened, exchange.cancel_scope, deadline_s=time.monotonic() + 0.2
+            return self._caller.answer_after(
+                refusal,
+                exchange.cancel_scope,
+                request_id=exchange.metadata.request_id,
             )
-        except AnswerLost:
+        except AnswerLost as error:
             # The head alone shows that the request was not run.
-            reason += " and closed the connection"
-        return RunRejected(reason, sent=True)
+            self._state.journal.failure(
+                "refusal_cut_off", error, request_id=exchange.metadata.request_id
+            )
+            return None
 
     def _relay_answer(
         self, engine: Replica, opened: OpenResponse, start: AttemptStart
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -20,6 +20,10 @@
 """Responses to other requests that are skipped before the connection is closed."""
 
 
+REFUSAL_TIMEOUT_S = 0.2
+"""Time within which the body of a refusal is read."""
+
+
 class CallSlot(Enum):
     """Say how a call is counted against the limit that its replica names.
 
@@ -32,10 +36,13 @@
 
 
 class CancelScope:
-    """Allow the wait or the upstream call of one request to be cancelled."""
+    """Track the connections of one request, and allow it to be cancelled."""
 
     def __init__(self) -> None:
         self.cancelled = False
+        self.used_connections: list[UpstreamConnection] = []
+        """Connections that carried this request's id and may bring an old answer."""
+
         self._connection: UpstreamConnection | None = None
         self._on_cancel: Callable[[], None] | None = None
 
@@ -55,6 +62,7 @@
         """Register the connection in use; raise ``ClientGone`` if cancelled."""
         self.raise_if_cancelled()
         self._connection = connection
+        self.used_connections.append(connection)
 
     def detach(self) -> None:
         """Unregister the connection."""
@@ -101,7 +109,10 @@
             raise ReplicaWaits(f"{replica.address} asked for no requests for a while")
         self._use_slot(replica, slot, now_s)
         connection = self._state.pool.take(
-            replica, timeout_s=deadline_s - now_s, now_s=now_s
+            replica,
+            timeout_s=deadline_s - now_s,
+            now_s=now_s,
+            avoid=cancel_scope.used_connections,
         )
         try:
             cancel_scope.attach(connection)
@@ -134,6 +145,29 @@
         self.finish(response, cancel_scope)
         return body
 
+    def answer_after(
+        self, refusal: OpenResponse, cancel_scope: CancelScope, *, request_id: str
+    ) -> OpenResponse | None:
+        """Read a refusal and return the answer that follows it at once, if any.
+
+        A replica may write an earlier refusal of the request again before its answer.
+        """
+        connection = refusal.connection
+        deadline_s = time.monotonic() + REFUSAL_TIMEOUT_S
+        try:
+            connection.read_body(timeout_s=deadline_s - time.monotonic())
+            if connection.has_more_input:
+                return self._read_matching_response(
+                    connection, request_id, deadline_s, sent_s=time.monotonic()
+                )
+        except BaseException as error:
+            self.abandon(refusal, cancel_scope)
+            if isinstance(error, AnswerLost):
+                cancel_scope.raise_if_cancelled()
+            raise
+        self.finish(refusal, cancel_scope)
+        return None
+
     def finish(self, response: OpenResponse, cancel_scope: CancelScope) -> None:
         """Return the connection to the pool after the response has been read."""
         cancel_scope.detach()
