Plan the stages of engines with regard to software versions

Decode engines are now wanted of the version that most engines have; those of the active one stay until these can write, and each version with streams that may be resumed keeps one. An engine that is changing its stage no longer counts as a writer of its version.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stages.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 
-from persimmonyoke.internal.fleet.model import Replica, Stage
+from persimmonyoke.internal.dispatch.version_plan import majority_version
+from persimmonyoke.internal.fleet.model import Replica, ServiceVersions, Stage
 
 ENGINES_PER_DECODER = 6
 """Number of engines per decode engine, by default; the others prefill."""
@@ -108,6 +109,7 @@
     unreachable: Collection[str],
     now_s: float,
     wanted_decoders: Callable[[int], int] = decoders_wanted,
+    versions: ServiceVersions | None = None,
 ) -> list[StageChange]:
     """Return the stage changes that are needed now.
 
@@ -115,7 +117,8 @@
     decode. ``orders`` holds the last order of each engine. An engine leaves the decode
     stage only if enough others decode already, because its replacement generates
     nothing until its own change is complete. Unreachable engines count as lost even
-    while their entries exist.
+    while their entries exist. Decode engines of versions at which no new streams begin
+    are surplus, but for one of each version with streams that may be resumed.
     """
     usable = [
         e
@@ -131,13 +134,52 @@
     }
     free = [e for e in usable if e.replica_id not in pending]
     decoding = [e for e in free if e.stage is Stage.DECODE]
-    becoming = [r for r, stage in pending.items() if stage is Stage.DECODE]
+    becoming = [e for e in usable if pending.get(e.replica_id) is Stage.DECODE]
     wanted = wanted_decoders(len(usable))
-    missing = wanted - len(decoding) - len(becoming)
+    preferred = majority_version(usable, versions.active) if versions else None
+    main, other = _by_version(decoding, preferred)
+    main_becoming, _ = _by_version(becoming, preferred)
+    missing = wanted - len(main) - len(main_becoming)
     if missing > 0:
         prefill_engines = [e for e in free if e.stage is not Stage.DECODE]
-        return _changes(prefill_engines, orders, Stage.DECODE, missing)
-    return _changes(decoding, orders, Stage.PREFILL, len(decoding) - wanted)
+        candidates, _ = _by_version(prefill_engines, preferred)
+        return _changes(candidates, orders, Stage.DECODE, missing)
+    kept = _kept_decoders(other, versions, has_main=bool(main))
+    surplus = [engine for engine in other if engine.replica_id not in kept]
+    return [
+        *_changes(main, orders, Stage.PREFILL, len(main) - wanted),
+        *_changes(surplus, orders, Stage.PREFILL, len(surplus)),
+    ]
+
+
+def _by_version(
+    engines: Sequence[Replica], version: str | None
+) -> tuple[list[Replica], list[Replica]]:
+    """Split engines into those of a version and the others; all match ``None``."""
+    matching = [e for e in engines if version in (None, e.software_version)]
+    others = [e for e in engines if version not in (None, e.software_version)]
+    return matching, others
+
+
+def _kept_decoders(
+    decoders: Sequence[Replica], versions: ServiceVersions | None, *, has_main: bool
+) -> set[str]:
+    """Return the decode engines of other versions that streams still need.
+
+    All of the active version are kept until those of the preferred one can write.
+    """
+    if versions is None:
+        return set()
+    first: dict[str, str] = {}
+    for engine in sorted(decoders, key=lambda e: e.replica_id):
+        first.setdefault(engine.software_version, engine.replica_id)
+    needed = {versions.active, *versions.earlier}
+    kept = {name for version, name in first.items() if version in needed}
+    if not has_main:
+        kept |= {
+            e.replica_id for e in decoders if e.software_version == versions.active
+        }
+    return kept
 
 
 def _changes(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stages.py
@@ -10,15 +10,19 @@
     SentOrder,
     plan_changes,
 )
-from persimmonyoke.internal.fleet.model import Stage
+from persimmonyoke.internal.fleet.model import ServiceVersions, Stage
 from persimmonyoke_testing.builders_fleet import engine
 
 DECODE, PREFILL = Stage.DECODE, Stage.PREFILL
 
 
-def planned(engines, orders=None, *, unreachable=(), now_s=100.0):
+def planned(engines, orders=None, *, unreachable=(), now_s=100.0, versions=None):
     changes = plan_changes(
-        engines, orders or {}, unreachable=set(unreachable), now_s=now_s
+        engines,
+        orders or {},
+        unreachable=set(unreachable),
+        now_s=now_s,
+        versions=versions,
     )
     return [(change.replica.replica_id, change.stage) for change in changes]
 
@@ -73,6 +77,49 @@
         self.assertEqual(planned([]), [])
 
 
+def versions(active, *earlier):
+    return ServiceVersions("llm", active, earlier, 1)
+
+
+def fleet(*stages_by_version):
+    """Return engines from pairs of a version and the stages of its engines."""
+    return [
+        engine(f"{version}-{number}", stage, software_version=version)
+        for version, stages in stages_by_version
+        for number, stage in enumerate(stages)
+    ]
+
+
+class VersionTest(unittest.TestCase):
+    def test_the_decode_engine_of_the_version_for_new_streams_stays(self):
+        # It was ordered to prefill while decode engines of a version at which no
+        # stream could begin stayed, so nothing was generated for six seconds.
+        engines = fleet(
+            ("v1", (DECODE, PREFILL, PREFILL)), ("v2", (DECODE, DECODE, PREFILL))
+        )
+        self.assertEqual(
+            planned(engines, versions=versions("v1")),
+            [("v2-0", PREFILL), ("v2-1", PREFILL)],
+        )
+
+    def test_an_earlier_version_keeps_one_decode_engine_for_its_streams(self):
+        engines = fleet(
+            ("v1", (DECODE, DECODE)), ("v2", (DECODE, PREFILL, PREFILL, PREFILL))
+        )
+        self.assertEqual(
+            planned(engines, versions=versions("v2", "v1")), [("v1-1", PREFILL)]
+        )
+
+    def test_a_version_that_has_become_the_majority_gets_a_decode_engine_first(self):
+        # Otherwise the last decode engine of the former version would leave alone.
+        engines = fleet(("v1", (DECODE, PREFILL)), ("v2", (PREFILL, PREFILL, PREFILL)))
+        self.assertEqual(planned(engines, versions=versions("v1")), [("v2-0", DECODE)])
+
+    def test_one_version_alone_is_planned_without_regard_to_it(self):
+        engines = fleet(("v1", (DECODE, DECODE, PREFILL, PREFILL)))
+        self.assertEqual(planned(engines, versions=versions("v1")), planned(engines))
+
+
 class EngineWatchTest(unittest.TestCase):
     def test_no_plan_is_made_while_engines_still_register(self):
         # The plan for the first registered engine ordered it to decode, and three more
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
@@ -33,7 +33,7 @@
 
     replicas: Sequence[Replica]
     unreachable: Collection[str]
-    """Ids of replicas that this host cannot reach now."""
+    """Ids of replicas that this host cannot reach, or that change their stage now."""
 
     begun_here: Collection[str]
     """Versions of streams that began here and may still be resumed."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -217,6 +217,7 @@
                 unreachable=unreachable,
                 now_s=now_s,
                 wanted_decoders=self._demands[service].wanted,
+                versions=self._state.stream_versions.service(service),
             )
             for change in changes:
                 self._order(change)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
@@ -154,9 +154,15 @@
         register = self._state.stream_versions
         record = register.service(service)
         begun = register.own_versions(service, not_before_s=now_s - life_s)
+        replicas = [r for r in self._state.replicas.all() if r.service == service]
+        changing = [
+            replica.replica_id
+            for replica in replicas
+            if self._state.stage_changes.is_pending(replica, now_s)
+        ]
         inputs = VersionInputs(
-            replicas=[r for r in self._state.replicas.all() if r.service == service],
-            unreachable=self._state.health.all_paused(now_s),
+            replicas=replicas,
+            unreachable={*self._state.health.all_paused(now_s), *changing},
             begun_here=begun,
             life_s=life_s,
         )
