Read the records of streams again after a read that failed

Further reads follow now within a second. A Retry-After is sent only if the store did not answer: a stream that is missing there stays unknown.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -24,7 +24,10 @@
 The host that began the stream records it within 0.1 s of its first event.
 """
 
-RETRY_AFTER_UNKNOWN_S = 0.5
+MAX_LOOKUP_S = 1.0
+"""Time after which no further read is made; a silent store delays each of them."""
+
+RETRY_AFTER_SILENT_STORE_S = 0.5
 
 UNKNOWN_VERSION = "software version of the stream is not known"
 VERSION_LEFT = "no replica of the stream's software version is left"
@@ -40,6 +43,7 @@
         self._applies = exchange.route.resumable
         self._required: str | None = None
         self._noted = False
+        self._store_answered = False
 
     @property
     def bound(self) -> bool:
@@ -55,7 +59,9 @@
         finding = self._find(metadata.resumed_id or "")
         self._log(finding, started_s)
         if finding.version is None:
-            self._refuse(UNKNOWN_VERSION, RETRY_AFTER_UNKNOWN_S)
+            # The version of a stream that is missing in the store stays unknown.
+            retry_after_s = None if self._store_answered else RETRY_AFTER_SILENT_STORE_S
+            self._refuse(UNKNOWN_VERSION, retry_after_s)
         self._required = finding.version
 
     def allows(self, replica: Replica) -> bool:
@@ -100,7 +106,7 @@
             self._service, self._exchange.metadata.request_id
         )
         if known is not None and known.version is None:
-            self._refuse(UNKNOWN_VERSION, RETRY_AFTER_UNKNOWN_S)
+            self._refuse(UNKNOWN_VERSION, None)
 
     def _may_begin(self, replica: Replica) -> bool:
         """Return whether streams may begin at the version of a replica now."""
@@ -117,17 +123,16 @@
         )
 
     def _find(self, resumed_id: str) -> VersionFinding:
+        last_s = time.monotonic() + MAX_LOOKUP_S
         finding = self._find_in_view(resumed_id, is_current=self._view_is_current())
         for pause_s in LOOKUP_PAUSES_S:
-            if not finding.may_change:
+            if not finding.may_change or time.monotonic() > last_s:
                 return finding
             gevent.sleep(pause_s)
             self._exchange.cancel_scope.raise_if_cancelled()
-            answered = self._state.read_stream_records()
-            is_current = answered or self._no_host_knows_more()
+            self._store_answered = self._state.read_stream_records()
+            is_current = self._store_answered or self._no_host_knows_more()
             finding = self._find_in_view(resumed_id, is_current=is_current)
-            if not answered:
-                return finding
         return finding
 
     def _find_in_view(self, resumed_id: str, *, is_current: bool) -> VersionFinding:
