Register the named attempt only for streams that are resumed

A new stream that named an attempt, but no event, bound that attempt to its own version, so a later resumption of the older stream counted as ambiguous.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -90,7 +90,10 @@
         self._required = replica.software_version
         now_s, metadata = time.monotonic(), self._exchange.metadata
         register = self._state.stream_versions
-        for request_id in {metadata.request_id, metadata.resumed_id or ""} - {""}:
+        request_ids = {metadata.request_id}
+        if metadata.last_event_id is not None and metadata.resumed_id is not None:
+            request_ids.add(metadata.resumed_id)
+        for request_id in request_ids:
             register.note_begun(
                 request_id, replica, version=replica.software_version, now_s=now_s
             )
