Choose the service of a resumed stream by the attempt that began it

On a route with a traffic split the service was chosen by the id of the attempt, so a client's resumption went to another service than the one that began the stream (the new test failed), where the stream is unknown. The attempt that began a stream is the same for all of its resumptions.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/routes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/routes.py
@@ -33,12 +33,12 @@
         return None
 
 
-def choose_service(route: Route, request_id: str) -> str:
-    """Return a service by the weights of the route, fixed for a request id."""
+def choose_service(route: Route, stream_id: str) -> str:
+    """Return a service by the weights of the route, the same for all attempts."""
     total = sum(service.weight for service in route.services)
     if len(route.services) == 1 or total <= 0:
         return route.services[0].name
-    point = zlib.crc32(request_id.encode()) / HASH_RANGE * total
+    point = zlib.crc32(stream_id.encode()) / HASH_RANGE * total
     for service in route.services:
         point -= service.weight
         if point < 0:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -205,3 +205,10 @@
     prompt: Prompt | None
     resumed_id: str | None = None
     """Id of the client attempt that brought the first event of a resumed stream."""
+
+    @property
+    def stream_id(self) -> str:
+        """Return the id that all attempts of a client at one stream share."""
+        if self.last_event_id is None or self.resumed_id is None:
+            return self.request_id
+        return self.resumed_id
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -201,7 +201,7 @@
             metadata = state.wire.metadata(request.headers)
         except MalformedMetadata as error:
             raise RequestError(ErrorKind.INVALID_VALUE, str(error)) from error
-        service_name = choose_service(route, metadata.request_id)
+        service_name = choose_service(route, metadata.stream_id)
         service = state.configuration.services.get(service_name)
         if service is None:
             raise RequestError(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -90,10 +90,7 @@
         self._required = replica.software_version
         now_s, metadata = time.monotonic(), self._exchange.metadata
         register = self._state.stream_versions
-        request_ids = {metadata.request_id}
-        if metadata.last_event_id is not None and metadata.resumed_id is not None:
-            request_ids.add(metadata.resumed_id)
-        for request_id in request_ids:
+        for request_id in {metadata.request_id, metadata.stream_id}:
             register.note_begun(
                 request_id, replica, version=replica.software_version, now_s=now_s
             )
