Split the reading of stream records from their writing

The recorder planned the versions, wrote the records, and read and applied those of other hosts; the latter two are a module of their own. No change of behaviour; tests of streams and of the follower pass.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -20,6 +20,7 @@
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 from persimmonyoke.internal.gateway.small_server import StatusServer
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_records import StreamRecordReader
 from persimmonyoke.internal.gateway.version_recorder import StreamVersionRecorder
 from persimmonyoke.internal.gateway.withheld_record import WithheldRecorder
 
@@ -71,6 +72,7 @@
             forward_changes=self._peers.forward_changes,
         )
         self._recorder = StreamVersionRecorder(self.state, store)
+        self._record_reader = StreamRecordReader(self.state, store)
         self._metrics_port = metrics_port
         self._stop = Event()
         self._tasks: list[gevent.Greenlet] = []
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
@@ -11,20 +11,15 @@
 from collections.abc import Iterable
 
 import gevent
-from gevent.event import AsyncResult
 
 from persimmonyoke.errors import LeaseEnded, StoreUnavailable
 from persimmonyoke.internal.dispatch.stream_versions import BegunStream, stream_life_s
 from persimmonyoke.internal.dispatch.version_plan import VersionInputs, VersionPlanner
 from persimmonyoke.internal.fleet.hosts import MAX_MESH_HOSTS
-from persimmonyoke.internal.fleet.interfaces import (
-    FleetStore,
-    StoreEvent,
-    StreamsRecorded,
-    VersionsRecorded,
-)
+from persimmonyoke.internal.fleet.interfaces import FleetStore
 from persimmonyoke.internal.fleet.model import RecordedStreams, ServiceVersions
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_records import note_versions
 
 STEP_S = 0.1
 """Interval of the records while up to ``MAX_MESH_HOSTS`` hosts write them."""
@@ -80,8 +75,6 @@
         self._recorded_count = 0
         self._lease_id: int | None = None
         self._renewed_s = 0.0
-        self._reading: AsyncResult | None = None
-        state.read_stream_records = self.read
 
     def run(self) -> None:
         """Write the records that are due, for the lifetime of the process."""
@@ -103,34 +96,6 @@
         hosts = 1 + len(self._state.hosts.peers())
         return STEP_S * max(1.0, hosts / MAX_MESH_HOSTS)
 
-    def read(self) -> bool:
-        """Read all records for a resumed stream; return whether the store answered.
-
-        Requests that wait at the same time share one read that began after them.
-        """
-        if not self._state.store_connected:
-            return False
-        reading = self._reading
-        if reading is not None:
-            reading.get()
-        if self._reading is None or self._reading is reading:
-            self._reading = AsyncResult()
-            gevent.spawn(self._read_into, self._reading)
-        return self._reading.get()
-
-    def _read_into(self, result: AsyncResult) -> None:
-        answered = False
-        try:
-            events = self._store.stream_records()
-            apply_stream_records(self._state, events, now_s=time.monotonic())
-            answered = True
-        except StoreUnavailable as error:
-            self._state.journal.failure("stream_records_not_read", error)
-        finally:
-            if self._reading is result:
-                self._reading = None
-            result.set(answered)
-
     def _step(self, now_s: float) -> None:
         state = self._state
         life_s = stream_life_s(state.configuration)
@@ -245,35 +210,3 @@
         self._lease_id = None
         self._batches = []
         self._recorded_count = 0
-
-
-def apply_stream_records(
-    state: GatewayState, events: Iterable[StoreEvent], *, now_s: float
-) -> None:
-    """Apply the records of versions and of streams among some events."""
-    for event in events:
-        if isinstance(event, VersionsRecorded):
-            note_versions(state, event.versions, source="store")
-        elif isinstance(event, StreamsRecorded):
-            for streams in event.streams:
-                state.stream_versions.note_recorded(
-                    streams, source=event.host, now_s=now_s
-                )
-
-
-def note_versions(state: GatewayState, record: ServiceVersions, *, source: str) -> None:
-    """Apply the record of a service and log a change of it."""
-    former = state.stream_versions.service(record.service)
-    if not state.stream_versions.put_service(record):
-        return
-    state.journal.event(
-        "stream_versions",
-        service=record.service,
-        active=record.active,
-        earlier=list(record.earlier),
-        former_active=former.active if former else None,
-        former_earlier=list(former.earlier) if former else None,
-        revision=record.revision,
-        source=source,
-        view_age_ms=int(state.view.age_s(time.monotonic()) * 1_000),
-    )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -19,7 +19,7 @@
 from persimmonyoke.internal.fleet.model import WithheldRequest
 from persimmonyoke.internal.gateway.orders import StageOrderController
 from persimmonyoke.internal.gateway.state import GatewayState
-from persimmonyoke.internal.gateway.version_recorder import apply_stream_records
+from persimmonyoke.internal.gateway.stream_records import apply_stream_records
 from persimmonyoke.internal.gateway.withheld_record import merge_withheld
 
 
