Let resumed streams of the only version wait for a decode engine

With one version in service, a stream that was resumed after the loss of the last decode engine was refused at once, while new streams wait for the engine that changes its stage (the new test failed: 503). The wait is left out only where engines of other versions could be the ones expected.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -356,11 +356,11 @@
     def _decoder_expected_in_s(
         self, limits: EngineLimits, now_s: float
     ) -> float | None:
-        """Return when another decode engine is expected; ``None`` for resumed streams.
+        """Return when a decode engine is expected that may serve this request.
 
-        Which version an expected engine has is not known.
+        The forecast does not tell the version of the engine.
         """
-        if self._versions.bound:
+        if self._versions.excludes_engines:
             return None
         return self._state.decoder_forecast.expected_in_s(
             stage_change_s=limits.stage_change_s, now_s=now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -46,9 +46,13 @@
         self._store_answered = False
 
     @property
-    def bound(self) -> bool:
-        """Return whether the stream has begun, so that only one version may go on."""
-        return self._required is not None
+    def excludes_engines(self) -> bool:
+        """Return whether some engines of the service have another version."""
+        return self._required is not None and any(
+            replica.software_version != self._required
+            for replica in self._state.replicas.all()
+            if replica.service == self._service
+        )
 
     def resolve(self) -> None:
         """Find the version of a stream that a client resumes; refuse it if unknown."""
@@ -79,7 +83,11 @@
         state, now_s = self._state, time.monotonic()
         known = state.replicas.usable(self._service, now_s=now_s)
         known += state.replicas.leaving(self._service, now_s=now_s)
-        if not any(writes_events(r) and self.allows(r) for r in known):
+        left = [r for r in known if r.software_version == self._required]
+        if self.excludes_engines:
+            # Which version an engine that is to decode next will have is not known.
+            left = [replica for replica in left if writes_events(replica)]
+        if not left:
             self._refuse(VERSION_LEFT, None)
 
     def note_event(self, replica: Replica) -> None:
