Record begun streams within a quarter second also in large fleets

The interval follows the store's rate of writes now, of which all hosts take a quarter at most; a host writes only if it began streams, so this adds few writes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
@@ -35,6 +35,12 @@
 """
 
 
+RECORD_INTERVAL_S = 0.1
+"""Shortest interval at which a host records its streams."""
+
+WRITE_SHARE = 0.25
+"""Share of the store's write calls that the records of all hosts may take."""
+
 RESTART_KNOWN_S = 3.0
 """Time within which hosts know that a replica has started again under its id."""
 
@@ -52,6 +58,14 @@
     return TIMEOUT_MULTIPLE * longest_s + LIFE_MARGIN_S
 
 
+def record_interval_s(*, hosts: int, writes_per_s: float) -> float:
+    """Return the interval of a host's records within the store's rate of writes.
+
+    A host that began no stream writes nothing, so short intervals cost little more.
+    """
+    return max(RECORD_INTERVAL_S, hosts / (WRITE_SHARE * max(1.0, writes_per_s)))
+
+
 @dataclass(frozen=True)
 class StreamVersion:
     """Hold the version of a stream; ``None`` if two versions may have written it."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_versions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_versions.py
@@ -6,6 +6,7 @@
     StreamVersion,
     StreamVersions,
     find_version,
+    record_interval_s,
     stream_key,
     stream_life_s,
 )
@@ -68,6 +69,18 @@
         self.assertIsNone(register.find("other", "r1"))
 
 
+class RecordIntervalTest(unittest.TestCase):
+    def test_streams_are_recorded_within_a_quarter_second_in_a_large_fleet(self):
+        # After 1.2 s most streams of killed hosts were not recorded, and were refused.
+        self.assertEqual(record_interval_s(hosts=7, writes_per_s=400.0), 0.1)
+        self.assertLess(record_interval_s(hosts=195, writes_per_s=3_200.0), 0.25)
+
+    def test_the_records_of_all_hosts_take_a_quarter_of_the_writes_at_most(self):
+        for hosts, writes_per_s in ((7, 20.0), (85, 1_200.0), (300, 3_200.0)):
+            interval_s = record_interval_s(hosts=hosts, writes_per_s=writes_per_s)
+            self.assertLessEqual(hosts / interval_s, 0.25 * writes_per_s + 1e-6)
+
+
 class RegisterTest(unittest.TestCase):
     def test_a_stream_recorded_by_another_host_is_found(self):
         register = StreamVersions("host-1")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
@@ -30,6 +30,8 @@
     """Time after which no new work may reach a draining replica."""
     config_apply_s: float
     """Time after which a new configuration must be active."""
+    store_writes_per_s: float
+    """Write calls a second that the store accepts from all hosts together."""
 
     @property
     def view_age_limit_s(self) -> float:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
@@ -13,17 +13,17 @@
 import gevent
 
 from persimmonyoke.errors import LeaseEnded, StoreUnavailable
-from persimmonyoke.internal.dispatch.stream_versions import BegunStream, stream_life_s
+from persimmonyoke.internal.dispatch.stream_versions import (
+    BegunStream,
+    record_interval_s,
+    stream_life_s,
+)
 from persimmonyoke.internal.dispatch.version_plan import VersionInputs, VersionPlanner
-from persimmonyoke.internal.fleet.hosts import MAX_MESH_HOSTS
 from persimmonyoke.internal.fleet.interfaces import FleetStore
 from persimmonyoke.internal.fleet.model import RecordedStreams, ServiceVersions
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_records import note_versions
 
-STEP_S = 0.1
-"""Interval of the records while up to ``MAX_MESH_HOSTS`` hosts write them."""
-
 IDLE_STEP_S = 0.25
 """Interval of the checks while only one version began streams."""
 
@@ -93,8 +93,10 @@
     def _interval_s(self) -> float:
         if not self._state.stream_versions.any_mixed:
             return IDLE_STEP_S
-        hosts = 1 + len(self._state.hosts.peers())
-        return STEP_S * max(1.0, hosts / MAX_MESH_HOSTS)
+        return record_interval_s(
+            hosts=1 + len(self._state.hosts.peers()),
+            writes_per_s=self._state.settings.store_writes_per_s,
+        )
 
     def _step(self, now_s: float) -> None:
         state = self._state
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_gateway.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_gateway.py
@@ -27,6 +27,7 @@
         "address_ttl_max_s": 5.0,
         "drain_s": 2.0,
         "config_apply_s": 2.0,
+        "store_writes_per_s": 400.0,
     }
     return GatewaySettings(**{**values, **changes})
 
