Record what connections to replicas show, and log the state of the links

A "links" line gives each change of the state with its evidence and the age of it; two gauges show the failing links. No decision uses the state yet.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import gevent
@@ -285,6 +285,14 @@
     return b"".join(lines)
 
 
+def open_connection(replica: Replica, timeout_s: float) -> UpstreamConnection:
+    """Open a connection to a replica; raise ``NotConnected`` if that fails."""
+    return UpstreamConnection(replica, timeout_s=timeout_s)
+
+
+Dial = Callable[[Replica, float], UpstreamConnection]
+
+
 class ConnectionPool:
     """Keep idle connections for each incarnation of a replica.
 
@@ -292,7 +300,8 @@
     and are closed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, dial: Dial | None = None) -> None:
+        self._dial = dial or open_connection
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self.opened = 0
 
@@ -320,7 +329,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return UpstreamConnection(replica, timeout_s=timeout_s)
+        return self._dial(replica, timeout_s)
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep a connection for later calls, or close it if it is not reusable."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -92,6 +92,14 @@
         self.malformed_entries = node.gauge(
             "gateway_malformed_entries_number", "Entries of the store not understood."
         )
+        self.links_failing = node.gauge(
+            "gateway_failing_replica_links_number",
+            "Replicas to which this host fails to open connections.",
+        )
+        self.partitioned = node.gauge(
+            "gateway_partitioned_number",
+            "1 while this host believes that it is cut off from the replicas.",
+        )
         self.upstream_connections = node.gauge(
             "gateway_opened_upstream_connections", "Connections opened to replicas."
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -37,6 +37,7 @@
     Replica,
     Stage,
 )
+from persimmonyoke.internal.fleet.replica_links import LinkState, ReplicaLinks
 from persimmonyoke.internal.fleet.replicas import (
     ReplicaAdded,
     ReplicaChange,
@@ -52,6 +53,8 @@
     ConnectionPool,
     NotConnected,
     ReplicaWaits,
+    UpstreamConnection,
+    open_connection,
 )
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
@@ -100,6 +103,8 @@
         self.hosts = HostView(settings.host_name)
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
+        self.links = ReplicaLinks()
+        self.link_state = LinkState.INTACT
         self.backoff = ReplicaBackoff()
         self.replica_limits = ReplicaLimits(settings.host_name)
         self.stream_versions = StreamVersions(settings.host_name)
@@ -123,7 +128,7 @@
             own_zone=settings.availability_zone,
             limits=self.replica_limits,
         )
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(self._open_connection)
         self.draining = False
         self._retry_budgets = RetryBudgets(settings)
         self.new_placements: list[PartPlacement] = []
@@ -300,6 +305,41 @@
         if not isinstance(error, ReplicaWaits):
             self.health.note_unreachable(replica.replica_id, now_s)
 
+    def _open_connection(
+        self, replica: Replica, timeout_s: float
+    ) -> UpstreamConnection:
+        """Open a connection to a replica and record whether that succeeds."""
+        try:
+            connection = open_connection(replica, timeout_s)
+        except NotConnected:
+            now_s = time.monotonic()
+            self.links.note_connect_failed(replica.replica_id, now_s)
+            self.review_links(now_s)
+            raise
+        now_s = time.monotonic()
+        self.links.note_connected(replica.replica_id, now_s)
+        self.review_links(now_s)
+        return connection
+
+    def review_links(self, now_s: float) -> None:
+        """Log a change of what is believed of the links to the replicas."""
+        former = self.link_state
+        self.link_state = self.links.state(len(self.replicas.all()))
+        if self.link_state is former:
+            return
+        evidence = self.links.evidence(now_s)
+        self.journal.event(
+            "links",
+            state=self.link_state,
+            former=former,
+            failing=evidence.failing,
+            confirmed=evidence.confirmed,
+            failing_ms=_ms(evidence.failing_for_s),
+            last_answer_ms=_ms(evidence.last_answer_age_s),
+            last_connected_ms=_ms(evidence.last_connected_age_s),
+            replicas=len(self.replicas.all()),
+        )
+
     def usable_replicas(self, service: str, *, now_s: float) -> list[Replica]:
         """Return the replicas of a service that this host may send work to now."""
         return self._without_backoff(self.replicas.usable(service, now_s=now_s), now_s)
@@ -405,6 +445,7 @@
         self.pool.drop_replica(replica)
         self.ledger.forget(replica.replica_id)
         self.health.forget(replica.replica_id)
+        self.links.forget(replica.replica_id)
         self.backoff.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
         self.factors.forget(replica.replica_id)
@@ -442,3 +483,7 @@
             self.new_placements.append(
                 PartPlacement(part.part_id, engine.replica_id, ready_in_ms)
             )
+
+
+def _ms(duration_s: float | None) -> int | None:
+    return None if duration_s is None else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.gateway.client_connection import ClientGone
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
+    AnswerTimeout,
     ReplicaWaits,
     UpstreamConnection,
 )
@@ -114,9 +115,9 @@
             now_s=now_s,
             avoid=cancel_scope.used_connections,
         )
+        sent_s = time.monotonic()
         try:
             cancel_scope.attach(connection)
-            sent_s = time.monotonic()
             connection.send(call, timeout_s=deadline_s - sent_s)
             return self._read_matching_response(
                 connection, request_id, deadline_s, sent_s=sent_s
@@ -126,8 +127,15 @@
             cancel_scope.detach()
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
+            if isinstance(error, AnswerTimeout):
+                self._note_silent(replica, sent_s)
             raise
 
+    def _note_silent(self, replica: Replica, sent_s: float) -> None:
+        now_s = time.monotonic()
+        self._state.links.note_silent(replica.replica_id, sent_s=sent_s, now_s=now_s)
+        self._state.review_links(now_s)
+
     def read_body(
         self, response: OpenResponse, cancel_scope: CancelScope, *, deadline_s: float
     ) -> bytes:
@@ -181,6 +189,11 @@
         cancel_scope.detach()
         response.connection.close()
 
+    def _note_answer(self, connection: UpstreamConnection) -> None:
+        now_s = time.monotonic()
+        self._state.links.note_answer(connection.replica.replica_id, now_s)
+        self._state.review_links(now_s)
+
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
         limits = self._state.replica_limits
@@ -199,6 +212,7 @@
     ) -> OpenResponse:
         for _ in range(MAX_MISMATCHED_RESPONSES + 1):
             head = connection.read_head(timeout_s=deadline_s - time.monotonic())
+            self._note_answer(connection)
             facts = self._state.wire.response_metadata(head.headers)
             self._state.note_answer(
                 connection.replica,
