Open connections to replicas through a peer when this host's links are cut

A request could reach a replica only over the links of the host that took it.

A connection that is not open after 0.1 s, or fails, is now also opened through a peer, and the first one wins. The peer passes bytes on in the chunks of an HTTP exchange on its internal port; all else stays at the host that took the request: its id, deadline, attempts, budget, limits, stream record and at-most-once. So there is one hop, nothing is counted twice, and a request is sent only after a connection was chosen. A tunnel needs the key that the peer writes into its own entry in the store, and leads to known replicas only. An answer that ends with its connection is whole only if the last chunk came, so a peer that fails is not taken for the end of an answer.

Once two replicas were reached by a peer only, with no connection of the host's own since, the host opens all connections through peers at once, no longer uses those that were idle when the cut began, and tries one link every 0.5 s. If no peer helps either, it refuses at once. Peers that are cut off as well refuse tunnels.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -234,6 +234,11 @@
         first = zlib.crc32(caller_zone.encode()) % max(1, len(far))
         return (sorted(near) + far[first:] + far[:first])[:limit]
 
+    def takes_callers(self, name: str, now_s: float) -> bool:
+        """Return whether a registered host was heard recently and is ready."""
+        entry = self._entries.get(name)
+        return entry is not None and self._takes_callers(entry, now_s)
+
     def _takes_callers(self, entry: HostEntry, now_s: float) -> bool:
         peer = self._peers.get(entry.name)
         if self._timed_out(entry, now_s):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -130,6 +130,8 @@
     peer_port: int
     availability_zone: str
     ready: bool
+    tunnel_key: str = ""
+    """Key by which other hosts open tunnels through this one; empty if none may."""
 
 
 @dataclass(frozen=True)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
@@ -20,6 +20,10 @@
 """Time for which peers are not asked again for a replica that one could not reach."""
 
 
+CONTACT_TTL_S = 1.0
+"""Time for which an answer shows that the links of this host work."""
+
+
 class LinkState(StrEnum):
     """Say what is known of the links between this host and the replicas.
 
@@ -145,6 +149,20 @@
             last_connected_age_s=_age_s(self._connected_s, now_s),
         )
 
+    @property
+    def any_failing(self) -> bool:
+        """Return whether the last connection to some replica failed."""
+        return bool(self._failing)
+
+    def fails(self, replica_id: str) -> bool:
+        """Return whether a link has failed after any replica accepted a connection."""
+        link = self._failing.get(replica_id)
+        return link is not None and link.failed_s > self._connected_s
+
+    def worked_recently(self, now_s: float) -> bool:
+        """Return whether some replica has just answered or accepted a connection."""
+        return now_s - max(self._answered_s, self._connected_s) < CONTACT_TTL_S
+
     def failing_replicas(self) -> list[str]:
         """Return the replicas to which the last connection failed."""
         return list(self._failing)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -1,12 +1,12 @@
 """Manage connections to replicas and pool the idle ones."""
 
 import time
+from abc import ABC, abstractmethod
 from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import gevent
-from gevent import socket
 
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.fleet.interfaces import RawCall
@@ -18,11 +18,11 @@
     ResponseHead,
     ResponseParser,
 )
+from persimmonyoke.internal.gateway.transports import SocketTransport, Transport
 
 CONNECT_TIMEOUT_S = 0.4
 """The kernel retransmits a lost SYN only after 1 s, so a longer wait has no use."""
 
-READ_BYTES = 65_536
 DEFAULT_IDLE_S = 4.0
 """Idle time limit if the replica sends no ``Keep-Alive`` timeout."""
 
@@ -52,6 +52,10 @@
     """Signal that nothing listens on the address of a replica."""
 
 
+class LinksDown(NotConnected):
+    """Signal that this host reaches no replica, which says nothing of the replica."""
+
+
 class ReplicaWaits(NotConnected):
     """Signal that a replica asked this host to send no requests for a while."""
 
@@ -99,9 +103,18 @@
 
 
 class UpstreamConnection:
-    """Send calls to one replica, one at a time."""
+    """Send calls to one replica, one at a time.
+
+    Without a ``transport`` a connection over this host's links is opened.
+    """
 
-    def __init__(self, replica: Replica, *, timeout_s: float) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        *,
+        timeout_s: float = 0.0,
+        transport: Transport | None = None,
+    ) -> None:
         self.replica = replica
         self._bytes_since_yield = 0
         self.used = False
@@ -111,16 +124,17 @@
         self._ended = False
         self._fault: str | None = None
         self._complete = True
-        if timeout_s <= 0:
-            raise NotConnected(f"{replica.address}: no time is left")
-        try:
-            self._sock = sockets.connect(
-                replica.host, replica.port, timeout_s=min(CONNECT_TIMEOUT_S, timeout_s)
-            )
-        except ConnectionRefusedError as error:
-            raise ConnectionRefused(f"{replica.address}: {error}") from error
-        except OSError as error:
-            raise NotConnected(f"{replica.address}: {error}") from error
+        self._transport = transport or connect(replica, timeout_s)
+
+    @property
+    def peer(self) -> str | None:
+        """Return the peer that passes the bytes on, if there is one."""
+        return self._transport.peer
+
+    @property
+    def tunnel_id(self) -> str | None:
+        """Return the id by which this host and the peer log their tunnel."""
+        return self._transport.tunnel_id
 
     def send(self, call: RawCall, *, timeout_s: float) -> None:
         """Send a call; after an error the replica may still run it."""
@@ -128,12 +142,11 @@
         self._complete = False
         self._parser.without_body = call.method == b"HEAD"
         try:
-            self._sock.settimeout(max(0.01, timeout_s))
-            self._sock.sendall(encode_call(call))
+            self._transport.send(encode_call(call), timeout_s=timeout_s)
         except OSError as error:
             # A replica may respond before it has read the whole body, so a response
             # may be available although the rest of the request could not be sent.
-            self._ended = not sockets.has_input(self._sock)
+            self._ended = not self._transport.has_input()
             if self._ended:
                 raise ConnectionEnded(f"sending failed: {error}") from error
 
@@ -187,16 +200,12 @@
     def interrupt(self) -> None:
         """Shut the connection down from another greenlet, which wakes its reader."""
         self._ended = True
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is closed already.
-            return
+        self._transport.interrupt()
 
     def close(self) -> None:
         """Close the connection."""
         self._ended = True
-        self._sock.close()
+        self._transport.close()
 
     def discard(self) -> None:
         """Close the connection and discard data that the kernel has not yet delivered.
@@ -204,17 +213,17 @@
         An order to an engine that is delayed by the network could otherwise arrive
         seconds after its sender has lost its authority.
         """
-        sockets.reset_on_close(self._sock)
-        self.close()
+        self._ended = True
+        self._transport.close(discard=True)
 
     @property
     def has_more_input(self) -> bool:
         """Return whether bytes have arrived after a response that was read."""
-        return self._parser.has_events or sockets.has_input(self._sock)
+        return self._parser.has_events or self._transport.has_input()
 
     def has_unexpected_input(self) -> bool:
         """Return whether an idle connection was closed or has unexpected input."""
-        return sockets.has_input(self._sock)
+        return self._transport.has_input()
 
     def _yield_if_due(self) -> None:
         """Yield to other greenlets; receiving available input does not yield."""
@@ -240,8 +249,7 @@
             # The socket never times out while a replica sends continuously.
             raise AnswerTimeout("no complete answer in time")
         try:
-            self._sock.settimeout(max(0.001, left_s))
-            data = self._sock.recv(READ_BYTES)
+            data = self._transport.receive(timeout_s=left_s)
         except TimeoutError as error:
             raise AnswerTimeout("no answer in time") from error
         except OSError as error:
@@ -285,12 +293,50 @@
     return b"".join(lines)
 
 
-def open_connection(replica: Replica, timeout_s: float) -> UpstreamConnection:
-    """Open a connection to a replica; raise ``NotConnected`` if that fails."""
-    return UpstreamConnection(replica, timeout_s=timeout_s)
+def connect(replica: Replica, timeout_s: float) -> SocketTransport:
+    """Connect to a replica over this host's links; raise ``NotConnected``."""
+    if timeout_s <= 0:
+        raise NotConnected(f"{replica.address}: no time is left")
+    limit_s = min(CONNECT_TIMEOUT_S, timeout_s)
+    try:
+        sock = sockets.connect(replica.host, replica.port, timeout_s=limit_s)
+    except ConnectionRefusedError as error:
+        raise ConnectionRefused(f"{replica.address}: {error}") from error
+    except OSError as error:
+        raise NotConnected(f"{replica.address}: {error}") from error
+    return SocketTransport(sock)
+
+
+class Dialer(ABC):
+    """Open connections to replicas, and say which idle ones are likely to work."""
+
+    @abstractmethod
+    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+        """Open a connection; raise ``NotConnected`` if that fails."""
 
+    @abstractmethod
+    def open_directly(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+        """Open a connection over this host's links; raise ``NotConnected``."""
 
-Dial = Callable[[Replica, float], UpstreamConnection]
+    @abstractmethod
+    def trusts(self, connection: UpstreamConnection) -> bool:
+        """Return whether an idle connection is likely to work."""
+
+
+class DirectDialer(Dialer):
+    """Open connections over this host's links only."""
+
+    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+        """Open a connection; raise ``NotConnected`` if that fails."""
+        return UpstreamConnection(replica, timeout_s=timeout_s)
+
+    def open_directly(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+        """Open a connection; raise ``NotConnected`` if that fails."""
+        return self.open(replica, timeout_s)
+
+    def trusts(self, connection: UpstreamConnection) -> bool:
+        """Return true, as nothing speaks against an idle connection."""
+        return True
 
 
 class ConnectionPool:
@@ -300,8 +346,8 @@
     and are closed.
     """
 
-    def __init__(self, dial: Dial | None = None) -> None:
-        self._dial = dial or open_connection
+    def __init__(self, dialer: Dialer | None = None) -> None:
+        self._dialer = dialer or DirectDialer()
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
         self.opened = 0
 
@@ -312,11 +358,13 @@
         timeout_s: float,
         now_s: float,
         avoid: Collection[UpstreamConnection] = (),
+        directly: bool = False,
     ) -> UpstreamConnection:
         """Return an idle or a new connection; raise ``NotConnected`` if that fails.
 
         Connections to ``avoid`` carried an earlier call with the same request id. A
         replica may write its answer again, which the id cannot tell from a new one.
+        With ``directly`` no peer is in between.
         """
         idle = self._idle[_key(replica)]
         for connection in [c for c in reversed(idle) if c not in avoid]:
@@ -324,12 +372,21 @@
             age_s = now_s - connection.idle_since_s
             if (
                 age_s < connection.idle_limit_s
+                and not (directly and connection.peer)
+                and self._dialer.trusts(connection)
                 and not connection.has_unexpected_input()
             ):
                 return connection
             connection.close()
+        if directly:
+            self.opened += 1
+            return self._dialer.open_directly(replica, timeout_s)
+        return self.open(replica, timeout_s)
+
+    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+        """Return a new connection; raise ``NotConnected`` if that fails."""
         self.opened += 1
-        return self._dial(replica, timeout_s)
+        return self._dialer.open(replica, timeout_s)
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep a connection for later calls, or close it if it is not reusable."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -91,6 +91,15 @@
         """Record an attempt for the log line of this request."""
         self.attempts.append(end_attempt(start, result, now_s=now_s))
 
+    @property
+    def tunnels(self) -> list[str]:
+        """Return the tunnels that carried this request, with the peers' names."""
+        return [
+            f"{connection.peer}:{connection.tunnel_id}"
+            for connection in self.cancel_scope.used_connections
+            if connection.peer is not None
+        ]
+
     @property
     def content_digest_hex(self) -> str:
         """Return the content digest of the request as hexadecimal text."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -265,6 +265,7 @@
             deadline_ms=_ms(exchange.deadline_s - exchange.started_s),
             attempts=[str(attempt) for attempt in exchange.attempts],
             writers=exchange.writers,
+            tunnels=exchange.tunnels,
             resumes=exchange.metadata.resumed_id,
             last_event_id=exchange.metadata.last_event_id,
             configuration=exchange.configuration.version,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -15,6 +15,7 @@
 MAX_REASONS = 40
 STAGES = ("prefill", "decode", "plain")
 RESUMPTION_RESULTS = ("known", "unknown")
+TUNNEL_RESULTS = ("opened", "not_opened", "served", "refused")
 SEND_RESULTS = ("answered", "not_run", "lost", "not_connected", "malformed")
 
 
@@ -44,6 +45,11 @@
             "Streams that clients resume, by whether their version is known.",
             {"result": RESUMPTION_RESULTS},
         )
+        self.tunnels = node.counter(
+            "gateway_tunnels_total",
+            "Tunnels to replicas, through peers and for peers.",
+            {"result": TUNNEL_RESULTS},
+        )
         self.repeats = node.counter(
             "gateway_repeats_total", "Sends beyond the first of a request."
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -10,6 +10,8 @@
 from persimmonyoke.internal.awake_time import StallFreeClock
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
 from persimmonyoke.internal.gateway.cache_learning import CacheLearner
+from persimmonyoke.internal.gateway.connections import ConnectionPool
+from persimmonyoke.internal.gateway.dialer import ReplicaDialer
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
 from persimmonyoke.internal.gateway.follower import StoreFollower
 from persimmonyoke.internal.gateway.front_server import FrontServer
@@ -21,6 +23,7 @@
 from persimmonyoke.internal.gateway.small_server import StatusServer
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_records import StreamRecordReader
+from persimmonyoke.internal.gateway.tunnel_server import TunnelServer
 from persimmonyoke.internal.gateway.version_recorder import StreamVersionRecorder
 from persimmonyoke.internal.gateway.withheld_record import WithheldRecorder
 
@@ -54,6 +57,10 @@
         metrics_port: int | None = None,
     ) -> None:
         self.state = GatewayState(settings, wire, journal)
+        self.dialer = ReplicaDialer(self.state)
+        self.state.pool = ConnectionPool(self.dialer)
+        self.state.on_silent = self.dialer.note_silent
+        self.tunnels = TunnelServer(self.state, self.dialer)
         self.front = FrontServer(self.state)
         self._auxiliary_server = StatusServer(self.state)
         self._peers = PeerLink(self.state)
@@ -82,6 +89,7 @@
         settings = self.state.settings
         self.state.start_store_contact(time.monotonic())
         self._peers.start(settings.listen_host, settings.peer_port)
+        self.tunnels.start(settings.listen_host, settings.peer_port)
         self.front.start(settings.listen_host, settings.front_port)
         self._auxiliary_server.start(settings.listen_host, settings.ready_port)
         self._auxiliary_server.start(settings.listen_host, settings.directory_port)
@@ -92,6 +100,7 @@
             self._registration.run,
             self._orders.run,
             self._recorder.run,
+            self.dialer.probe,
             self._housekeeping,
         )
         self._tasks = [gevent.spawn(loop) for loop in loops]
@@ -113,6 +122,7 @@
         """Stop all tasks and close all listeners immediately."""
         gevent.killall(self._tasks)
         self._peers.stop()
+        self.tunnels.stop()
         self._auxiliary_server.stop()
         self.front.stop()
 
@@ -159,6 +169,8 @@
         return self.state.settings.grace_s - EXIT_MARGIN_S
 
     def _drained(self, elapsed_s: float) -> bool:
+        if self.tunnels.busy(time.monotonic()):
+            return False
         if elapsed_s >= IDLE_DRAIN_S:
             self.front.close_idle()
             return self.front.requests_in_progress == 0
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -1,6 +1,7 @@
 """State of one gateway process, shared by its tasks."""
 
 import random
+import secrets
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -51,10 +52,10 @@
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import (
     ConnectionPool,
+    LinksDown,
     NotConnected,
     ReplicaWaits,
     UpstreamConnection,
-    open_connection,
 )
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
@@ -71,6 +72,7 @@
 """Limits until the first configuration is known; until then all requests get 503."""
 
 _MISDIRECTED, _UNAVAILABLE = 421, 503
+TUNNEL_KEY_BYTES = 16
 
 
 @dataclass(frozen=True)
@@ -104,6 +106,7 @@
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
         self.links = ReplicaLinks()
+        self.tunnel_key = secrets.token_urlsafe(TUNNEL_KEY_BYTES)
         self.link_state = LinkState.INTACT
         self.backoff = ReplicaBackoff()
         self.replica_limits = ReplicaLimits(settings.host_name)
@@ -128,7 +131,7 @@
             own_zone=settings.availability_zone,
             limits=self.replica_limits,
         )
-        self.pool = ConnectionPool(self._open_connection)
+        self.pool = ConnectionPool()
         self.draining = False
         self._retry_budgets = RetryBudgets(settings)
         self.new_placements: list[PartPlacement] = []
@@ -142,6 +145,9 @@
         self.read_stream_records: Callable[[], bool] = lambda: False
         self.on_withheld: Callable[[bytes], None] = lambda _subject: None
         self.on_quarantine_lifted: Callable[[bytes], None] = lambda _subject: None
+        self.on_silent: Callable[[UpstreamConnection, float], None] = (
+            lambda _connection, _sent_s: None
+        )
         self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
 
     @property
@@ -184,6 +190,7 @@
             peer_port=self.settings.peer_port,
             availability_zone=self.settings.availability_zone,
             ready=self.ready,
+            tunnel_key=self.tunnel_key,
         )
 
     def start_store_contact(self, now_s: float) -> None:
@@ -302,29 +309,30 @@
         self, replica: Replica, error: NotConnected, *, now_s: float
     ) -> None:
         """Note that a call failed before any byte of it reached the replica."""
-        if not isinstance(error, ReplicaWaits):
+        if not isinstance(error, (LinksDown, ReplicaWaits)):
             self.health.note_unreachable(replica.replica_id, now_s)
 
-    def _open_connection(
-        self, replica: Replica, timeout_s: float
-    ) -> UpstreamConnection:
-        """Open a connection to a replica and record whether that succeeds."""
-        try:
-            connection = open_connection(replica, timeout_s)
-        except NotConnected:
-            now_s = time.monotonic()
-            self.links.note_connect_failed(replica.replica_id, now_s)
-            self.review_links(now_s)
-            raise
-        now_s = time.monotonic()
+    @property
+    def known_replicas(self) -> int:
+        """Return the number of replicas of all services."""
+        return len(self.replicas.all())
+
+    def note_connected(self, replica: Replica, now_s: float) -> None:
+        """Note that a replica accepted a connection over this host's links."""
         self.links.note_connected(replica.replica_id, now_s)
         self.review_links(now_s)
-        return connection
+
+    def note_connect_failed(self, replica: Replica, now_s: float) -> None:
+        """Note that no connection could be opened over this host's links."""
+        self.links.note_connect_failed(replica.replica_id, now_s)
+        self.review_links(now_s)
 
     def review_links(self, now_s: float) -> None:
         """Log a change of what is believed of the links to the replicas."""
         former = self.link_state
-        self.link_state = self.links.state(len(self.replicas.all()))
+        if former is LinkState.INTACT and not self.links.any_failing:
+            return
+        self.link_state = self.links.state(self.known_replicas)
         if self.link_state is former:
             return
         evidence = self.links.evidence(now_s)
@@ -337,7 +345,7 @@
             failing_ms=_ms(evidence.failing_for_s),
             last_answer_ms=_ms(evidence.last_answer_age_s),
             last_connected_ms=_ms(evidence.last_connected_age_s),
-            replicas=len(self.replicas.all()),
+            replicas=self.known_replicas,
         )
 
     def usable_replicas(self, service: str, *, now_s: float) -> list[Replica]:
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
@@ -0,0 +1,161 @@
+"""Byte streams to replicas: connections of this host, and tunnels through peers."""
+
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+
+from gevent import socket
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.answers import (
+    BodyPart,
+    ResponseEnd,
+    ResponseParser,
+)
+
+READ_BYTES = 65_536
+MIN_TIMEOUT_S = 0.001
+
+
+class Transport(ABC):
+    """Carry bytes to a replica and back; failures raise ``OSError``."""
+
+    peer: str | None = None
+    """Name of the peer in between, or ``None`` for a connection of this host."""
+
+    tunnel_id: str | None = None
+
+    @abstractmethod
+    def send(self, data: bytes, *, timeout_s: float) -> None:
+        """Send bytes."""
+
+    @abstractmethod
+    def receive(self, *, timeout_s: float) -> bytes:
+        """Return received bytes, or none if the replica ended the stream."""
+
+    @abstractmethod
+    def has_input(self) -> bool:
+        """Return whether bytes, the end of the stream or an error are pending."""
+
+    @abstractmethod
+    def interrupt(self) -> None:
+        """Wake the greenlet that receives."""
+
+    @abstractmethod
+    def close(self, *, discard: bool = False) -> None:
+        """Close the stream, and with ``discard`` drop bytes that were not delivered."""
+
+
+class SocketTransport(Transport):
+    """Carry bytes over a connection of this host to the replica."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def send(self, data: bytes, *, timeout_s: float) -> None:
+        """Send bytes."""
+        self._sock.settimeout(max(MIN_TIMEOUT_S, timeout_s))
+        self._sock.sendall(data)
+
+    def receive(self, *, timeout_s: float) -> bytes:
+        """Return received bytes, or none if the replica closed the connection."""
+        self._sock.settimeout(max(MIN_TIMEOUT_S, timeout_s))
+        return self._sock.recv(READ_BYTES)
+
+    def has_input(self) -> bool:
+        """Return whether bytes, end of file or an error are pending."""
+        return sockets.has_input(self._sock)
+
+    def interrupt(self) -> None:
+        """Shut the connection down, which wakes its reader."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The connection is closed already.
+            return
+
+    def close(self, *, discard: bool = False) -> None:
+        """Close the connection."""
+        if discard:
+            sockets.reset_on_close(self._sock)
+        self._sock.close()
+
+
+class TunnelTransport(Transport):
+    """Carry bytes in the chunks of an HTTP exchange with a peer.
+
+    The last chunk tells that the replica closed its connection. A tunnel that ends
+    without it was broken off, perhaps because the peer failed.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        parser: ResponseParser,
+        *,
+        peer: str,
+        tunnel_id: str,
+        on_close: Callable[[], None],
+    ) -> None:
+        self.peer = peer
+        self.tunnel_id = tunnel_id
+        self._sock = sock
+        self._parser = parser
+        self._on_close: Callable[[], None] | None = on_close
+
+    def send(self, data: bytes, *, timeout_s: float) -> None:
+        """Send bytes in one chunk."""
+        self._sock.settimeout(max(MIN_TIMEOUT_S, timeout_s))
+        self._sock.sendall(encode_chunk(data))
+
+    def receive(self, *, timeout_s: float) -> bytes:
+        """Return the bytes of the next chunks, or none after the last one."""
+        deadline_s = time.monotonic() + timeout_s
+        while True:
+            event = self._parser.take()
+            if isinstance(event, BodyPart):
+                return event.data
+            if isinstance(event, ResponseEnd):
+                return b""
+            self._feed(deadline_s - time.monotonic())
+
+    def has_input(self) -> bool:
+        """Return whether bytes, the end of the tunnel or an error are pending."""
+        return self._parser.has_events or sockets.has_input(self._sock)
+
+    def interrupt(self) -> None:
+        """Shut the tunnel down, which wakes its reader."""
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The tunnel is closed already.
+            return
+
+    def close(self, *, discard: bool = False) -> None:
+        """Close the tunnel, so that the peer closes its connection to the replica."""
+        if discard:
+            sockets.reset_on_close(self._sock)
+        self._sock.close()
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
+
+    def _feed(self, timeout_s: float) -> None:
+        self._sock.settimeout(max(MIN_TIMEOUT_S, timeout_s))
+        data = self._sock.recv(READ_BYTES)
+        if not data:
+            raise ConnectionResetError(f"{self.peer} broke the tunnel off")
+        try:
+            self._parser.feed(data)
+        except ProtocolError as error:
+            if not self._parser.has_events:
+                raise ConnectionAbortedError(f"malformed tunnel: {error}") from error
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return bytes as one HTTP chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -0,0 +1,156 @@
+"""Open tunnels to replicas through peers."""
+
+import itertools
+import time
+
+from gevent import socket
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.fleet.model import HostEntry, Replica
+from persimmonyoke.internal.fleet.tunnel_peers import TunnelPeers
+from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.answers import ResponseHead, ResponseParser
+from persimmonyoke.internal.gateway.connections import CONNECT_TIMEOUT_S
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.transports import READ_BYTES, TunnelTransport
+from persimmonyoke.internal.gateway.tunnel_requests import (
+    OPENED,
+    REPLICA_REFUSES,
+    REPLICA_SILENT,
+    TunnelRequest,
+    encode_tunnel_request,
+)
+
+MAX_PEERS_ASKED = 3
+PEER_TIMEOUT_S = 0.3
+"""Time in which a peer accepts a connection; it then connects to the replica."""
+
+
+class NoTunnel(Exception):
+    """Signal that no peer opens a tunnel, which says nothing of the replica."""
+
+
+class PeerCannotReach(Exception):
+    """Signal that a peer, too, could not connect to the replica."""
+
+    def __init__(self, reason: str, *, refused: bool) -> None:
+        super().__init__(reason)
+        self.refused = refused
+
+
+class TunnelClient:
+    """Open tunnels, through the most suitable peer first."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+        self._peers = TunnelPeers(state.settings.availability_zone)
+        self._numbers = itertools.count(1)
+
+    def has_peer(self, replica: Replica, now_s: float) -> bool:
+        """Return whether there is a peer to ask."""
+        return bool(self._candidates(replica, now_s))
+
+    def usable(self, peer: str, now_s: float) -> bool:
+        """Return whether tunnels through a peer are likely to work."""
+        hosts = self._state.hosts
+        return hosts.takes_callers(peer, now_s) and not self._peers.paused(peer, now_s)
+
+    def note_lost(self, peer: str, now_s: float) -> None:
+        """Record that an answer was lost on a tunnel through a peer."""
+        self._peers.note_failed(peer, now_s)
+
+    def open(self, replica: Replica, *, timeout_s: float) -> TunnelTransport:
+        """Open a tunnel; raise ``NoTunnel`` or ``PeerCannotReach``."""
+        deadline_s = time.monotonic() + timeout_s
+        reason = "no peer can be asked"
+        for peer in self._candidates(replica, time.monotonic())[:MAX_PEERS_ASKED]:
+            left_s = deadline_s - time.monotonic()
+            if left_s <= 0:
+                break
+            try:
+                return self._open_through(peer, replica, left_s)
+            except (OSError, ProtocolError, NoTunnel) as error:
+                reason = f"{peer.name}: {error}"
+                self._note_failed(peer, replica, error)
+        raise NoTunnel(reason)
+
+    def _candidates(self, replica: Replica, now_s: float) -> list[HostEntry]:
+        state = self._state
+        alive = [
+            peer
+            for peer in state.hosts.peers()
+            if state.hosts.takes_callers(peer.name, now_s)
+        ]
+        return self._peers.ranked(
+            alive,
+            replica_zone=replica.availability_zone,
+            now_s=now_s,
+            rng=state.rng,
+        )
+
+    def _open_through(
+        self, peer: HostEntry, replica: Replica, timeout_s: float
+    ) -> TunnelTransport:
+        begun_s = time.monotonic()
+        tunnel_id = f"{self._state.settings.host_name}/{next(self._numbers)}"
+        sock = sockets.connect(
+            peer.peer_host, peer.peer_port, timeout_s=min(PEER_TIMEOUT_S, timeout_s)
+        )
+        try:
+            request = TunnelRequest(replica.address, peer.tunnel_key, tunnel_id)
+            sock.sendall(encode_tunnel_request(request))
+            deadline_s = begun_s + min(timeout_s, PEER_TIMEOUT_S + CONNECT_TIMEOUT_S)
+            parser = ResponseParser()
+            head = _read_head(sock, parser, deadline_s)
+            self._check_status(peer, replica, head.status)
+        except BaseException:
+            sock.close()
+            raise
+        self._peers.note_opened(peer.name)
+        self._state.metrics.tunnels.add(result="opened")
+        self._state.journal.event(
+            "tunnel_opened",
+            tunnel=tunnel_id,
+            peer=peer.name,
+            replica=replica.replica_id,
+            links=self._state.link_state,
+            ms=int((time.monotonic() - begun_s) * 1_000),
+        )
+        return TunnelTransport(
+            sock,
+            parser,
+            peer=peer.name,
+            tunnel_id=tunnel_id,
+            on_close=lambda: self._peers.note_closed(peer.name),
+        )
+
+    @staticmethod
+    def _check_status(peer: HostEntry, replica: Replica, status: int) -> None:
+        if status == OPENED:
+            return
+        reason = f"{peer.name} answered {status} for {replica.address}"
+        if status in (REPLICA_REFUSES, REPLICA_SILENT):
+            raise PeerCannotReach(reason, refused=status == REPLICA_REFUSES)
+        raise NoTunnel(reason)
+
+    def _note_failed(self, peer: HostEntry, replica: Replica, error: Exception) -> None:
+        self._peers.note_failed(peer.name, time.monotonic())
+        self._state.metrics.tunnels.add(result="not_opened")
+        self._state.journal.failure(
+            "tunnel_not_opened", error, peer=peer.name, replica=replica.replica_id
+        )
+
+
+def _read_head(
+    sock: socket.socket, parser: ResponseParser, deadline_s: float
+) -> ResponseHead:
+    """Return the head of the peer's response; raise ``OSError`` without one."""
+    while True:
+        event = parser.take()
+        if isinstance(event, ResponseHead):
+            return event
+        sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+        data = sock.recv(READ_BYTES)
+        if not data:
+            raise ConnectionResetError("peer closed the connection")
+        parser.feed(data)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -0,0 +1,270 @@
+"""Tunnels through which peers that are cut off reach replicas over this host's links.
+
+A tunnel is a connection of this host to a replica, so that it ends here and is never
+passed on to a further host. Only hosts that read this host's key in the store get one,
+and only to replicas that this host knows.
+"""
+
+import hmac
+import time
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.fleet.replica_links import LinkState
+from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.connections import (
+    CONNECT_TIMEOUT_S,
+    ConnectionRefused,
+    NotConnected,
+)
+from persimmonyoke.internal.gateway.dialer import ReplicaDialer
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.transports import (
+    LAST_CHUNK,
+    READ_BYTES,
+    Transport,
+    encode_chunk,
+)
+from persimmonyoke.internal.gateway.tunnel_requests import (
+    NO_TUNNEL,
+    REPLICA_REFUSES,
+    REPLICA_SILENT,
+    UNAUTHORIZED,
+    UNKNOWN_REPLICA,
+    TunnelRequest,
+    TunnelRequestParser,
+)
+
+BACKLOG = 256
+HEAD_TIMEOUT_S = 1.0
+MAX_TUNNELS = 256
+"""Open tunnels of one host, each of which takes two descriptors and some 30 KB."""
+
+BUSY_S = 1.2
+"""Time without a byte after which a tunnel counts as idle."""
+
+MAX_SILENCE_S = 300.0
+"""Time after which a tunnel without a byte in one direction is closed."""
+
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class TunnelRefused(Exception):
+    """Signal that no tunnel is opened."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass
+class _Tunnel:
+    """Hold the two connections of a tunnel and what they carried."""
+
+    request: TunnelRequest
+    replica: Replica
+    peer_sock: socket.socket
+    transport: Transport
+    parser: TunnelRequestParser
+    opened_s: float
+    last_byte_s: float = 0.0
+    bytes_to_replica: int = 0
+    bytes_to_peer: int = 0
+    end: str = ""
+    tasks: list[gevent.Greenlet] = field(default_factory=list)
+
+
+class TunnelServer:
+    """Open connections to replicas for peers, and pass the bytes on."""
+
+    def __init__(self, state: GatewayState, dialer: ReplicaDialer) -> None:
+        self._state = state
+        self._dialer = dialer
+        self._server: StreamServer | None = None
+        self._open: dict[int, _Tunnel] = {}
+        self._serving = 0
+
+    def start(self, host: str, port: int) -> int:
+        """Start listening and return the port."""
+        self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
+        self._server.start()
+        return self._server.server_port
+
+    def stop(self) -> None:
+        """Close the listener and break off all tunnels immediately."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        self.break_off()
+
+    def break_off(self) -> None:
+        """Close all tunnels without telling that the replicas closed them."""
+        for tunnel in list(self._open.values()):
+            tunnel.peer_sock.close()
+
+    def busy(self, now_s: float) -> bool:
+        """Return whether a tunnel has carried bytes recently."""
+        return any(now_s - t.last_byte_s < BUSY_S for t in self._open.values())
+
+    def _serve(self, sock: socket.socket, _address: object) -> None:
+        sockets.enable_dead_peer_detection(sock)
+        self._serving += 1
+        try:
+            self._open_and_run(sock)
+        except (OSError, ProtocolError) as error:
+            self._state.journal.failure("tunnel_failed", error)
+        except Exception:
+            self._state.journal.unexpected("tunnel_failed")
+        finally:
+            self._serving -= 1
+            sock.close()
+
+    def _open_and_run(self, sock: socket.socket) -> None:
+        parser = TunnelRequestParser()
+        request = _read_head(sock, parser)
+        if request is None:
+            return
+        begun_s = time.monotonic()
+        try:
+            replica = self._accept(request)
+            transport = self._connect(replica)
+        except TunnelRefused as refusal:
+            self._refuse(sock, request, refusal)
+            return
+        tunnel = _Tunnel(request, replica, sock, transport, parser, begun_s)
+        tunnel.last_byte_s = time.monotonic()
+        self._open[id(tunnel)] = tunnel
+        try:
+            sock.sendall(RESPONSE_HEAD)
+            _run(tunnel)
+        finally:
+            del self._open[id(tunnel)]
+            transport.close()
+            self._log(tunnel)
+
+    def _accept(self, request: TunnelRequest) -> Replica:
+        """Return the replica to connect to; raise ``TunnelRefused``."""
+        state = self._state
+        if not hmac.compare_digest(request.key.encode(), state.tunnel_key.encode()):
+            raise TunnelRefused(UNAUTHORIZED, "the key is not that of this host")
+        if state.draining:
+            raise TunnelRefused(NO_TUNNEL, "host is stopping")
+        if state.link_state is not LinkState.INTACT:
+            raise TunnelRefused(NO_TUNNEL, "host is cut off as well")
+        if self._serving > MAX_TUNNELS:
+            raise TunnelRefused(NO_TUNNEL, "host has too many tunnels")
+        for replica in state.replicas.all():
+            if replica.address == request.address:
+                return replica
+        raise TunnelRefused(UNKNOWN_REPLICA, "no replica has this address")
+
+    def _connect(self, replica: Replica) -> Transport:
+        try:
+            return self._dialer.connect_directly(replica, CONNECT_TIMEOUT_S)
+        except ConnectionRefused as error:
+            raise self._not_connected(REPLICA_REFUSES, error) from error
+        except NotConnected as error:
+            raise self._not_connected(REPLICA_SILENT, error) from error
+
+    def _not_connected(self, status: int, error: NotConnected) -> TunnelRefused:
+        """Return the refusal, which blames the replica only if other links work."""
+        if not self._state.links.worked_recently(time.monotonic()):
+            return TunnelRefused(NO_TUNNEL, f"links may be cut: {error}")
+        return TunnelRefused(status, str(error))
+
+    def _refuse(
+        self, sock: socket.socket, request: TunnelRequest, refusal: TunnelRefused
+    ) -> None:
+        self._state.metrics.tunnels.add(result="refused")
+        self._state.journal.event(
+            "tunnel_refused",
+            tunnel=request.tunnel_id,
+            address=request.address,
+            status=refusal.status,
+            reason=str(refusal),
+            links=self._state.link_state,
+            open=len(self._open),
+        )
+        sock.sendall(
+            b"HTTP/1.1 %d Refused\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            % refusal.status
+        )
+
+    def _log(self, tunnel: _Tunnel) -> None:
+        self._state.metrics.tunnels.add(result="served")
+        self._state.journal.event(
+            "tunnel",
+            tunnel=tunnel.request.tunnel_id,
+            replica=tunnel.replica.replica_id,
+            end=tunnel.end,
+            ms=int((time.monotonic() - tunnel.opened_s) * 1_000),
+            bytes_to_replica=tunnel.bytes_to_replica,
+            bytes_to_peer=tunnel.bytes_to_peer,
+            open=len(self._open),
+        )
+
+
+def _read_head(
+    sock: socket.socket, parser: TunnelRequestParser
+) -> TunnelRequest | None:
+    """Return the request of a peer, or ``None`` if it closes the connection."""
+    deadline_s = time.monotonic() + HEAD_TIMEOUT_S
+    while parser.request is None:
+        sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+        data = sock.recv(READ_BYTES)
+        if not data:
+            return None
+        parser.feed(data)
+    return parser.request
+
+
+def _run(tunnel: _Tunnel) -> None:
+    """Pass bytes on in both directions until one side ends."""
+    tunnel.peer_sock.settimeout(None)
+    tasks = [
+        gevent.spawn(_pass_to_replica, tunnel),
+        gevent.spawn(_pass_to_peer, tunnel),
+    ]
+    try:
+        gevent.joinall(tasks, count=1)
+    finally:
+        gevent.killall(tasks)
+
+
+def _pass_to_replica(tunnel: _Tunnel) -> None:
+    try:
+        while True:
+            data = tunnel.parser.take_body()
+            if data:
+                tunnel.bytes_to_replica += len(data)
+                tunnel.last_byte_s = time.monotonic()
+                tunnel.transport.send(data, timeout_s=MAX_SILENCE_S)
+            received = tunnel.peer_sock.recv(READ_BYTES)
+            if not received:
+                tunnel.end = tunnel.end or "peer closed"
+                return
+            tunnel.parser.feed(received)
+    except (OSError, ProtocolError) as error:
+        tunnel.end = tunnel.end or f"to replica: {error}"
+        # Bytes that the kernel still holds must not reach the replica later.
+        tunnel.transport.close(discard=True)
+
+
+def _pass_to_peer(tunnel: _Tunnel) -> None:
+    try:
+        while True:
+            data = tunnel.transport.receive(timeout_s=MAX_SILENCE_S)
+            tunnel.last_byte_s = time.monotonic()
+            if not data:
+                tunnel.end = tunnel.end or "replica closed"
+                tunnel.peer_sock.sendall(LAST_CHUNK)
+                return
+            tunnel.bytes_to_peer += len(data)
+            tunnel.peer_sock.sendall(encode_chunk(data))
+    except OSError as error:
+        # Without the last chunk the peer knows that the answer is not complete.
+        tunnel.end = tunnel.end or f"to peer: {error}"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -99,9 +99,12 @@
         request_id: str,
         deadline_s: float,
         slot: CallSlot = CallSlot.NEEDED,
+        directly: bool = False,
     ) -> OpenResponse:
         """Send a call and return its response with the body still unread.
 
+        With ``directly`` it is sent over this host's links only.
+
         Raises ``NotConnected``, ``AnswerLost`` or ``ClientGone``; the connection is
         then closed.
         """
@@ -114,6 +117,7 @@
             timeout_s=deadline_s - now_s,
             now_s=now_s,
             avoid=cancel_scope.used_connections,
+            directly=directly,
         )
         sent_s = time.monotonic()
         try:
@@ -128,14 +132,9 @@
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
             if isinstance(error, AnswerTimeout):
-                self._note_silent(replica, sent_s)
+                self._state.on_silent(connection, sent_s)
             raise
 
-    def _note_silent(self, replica: Replica, sent_s: float) -> None:
-        now_s = time.monotonic()
-        self._state.links.note_silent(replica.replica_id, sent_s=sent_s, now_s=now_s)
-        self._state.review_links(now_s)
-
     def read_body(
         self, response: OpenResponse, cancel_scope: CancelScope, *, deadline_s: float
     ) -> bytes:
@@ -190,9 +189,10 @@
         response.connection.close()
 
     def _note_answer(self, connection: UpstreamConnection) -> None:
-        now_s = time.monotonic()
-        self._state.links.note_answer(connection.replica.replica_id, now_s)
-        self._state.review_links(now_s)
+        if connection.peer is None:
+            now_s = time.monotonic()
+            self._state.links.note_answer(connection.replica.replica_id, now_s)
+            self._state.review_links(now_s)
 
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -54,7 +54,13 @@
 
 
 def host(
-    name: str, *, port: int = 1, ready: bool = True, zone: str = "zone-a"
+    name: str,
+    *,
+    port: int = 1,
+    ready: bool = True,
+    zone: str = "zone-a",
+    tunnel_key: str = "",
 ) -> HostEntry:
     """Return the store entry of an entry host."""
-    return HostEntry(name, f"127.0.0.1:{port}", "127.0.0.1", port, zone, ready)
+    front = f"127.0.0.1:{port}"
+    return HostEntry(name, front, "127.0.0.1", port, zone, ready, tunnel_key)
