Count no crash of a replica that only this host's links fail to reach

Two such crashes isolate a request, three withhold it.

The probe now uses the same ways as requests. Where a host has peers, only the word of a peer shows that the replica refuses connections, and a peer gives it only after another replica has accepted a connection of its own, since it may have been cut off a moment before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
@@ -20,10 +20,6 @@
 """Time for which peers are not asked again for a replica that one could not reach."""
 
 
-CONTACT_TTL_S = 1.0
-"""Time for which an answer shows that the links of this host work."""
-
-
 class LinkState(StrEnum):
     """Say what is known of the links between this host and the replicas.
 
@@ -159,9 +155,9 @@
         link = self._failing.get(replica_id)
         return link is not None and link.failed_s > self._connected_s
 
-    def worked_recently(self, now_s: float) -> bool:
-        """Return whether some replica has just answered or accepted a connection."""
-        return now_s - max(self._answered_s, self._connected_s) < CONTACT_TTL_S
+    def connected_since(self, time_s: float) -> bool:
+        """Return whether some replica has accepted a connection since then."""
+        return self._connected_s >= time_s
 
     def failing_replicas(self) -> list[str]:
         """Return the replicas to which the last connection failed."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -28,7 +28,6 @@
     ConnectionEnded,
     ConnectionRefused,
     NotConnected,
-    UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -165,7 +164,7 @@
 
     def _connect(self, replica: Replica) -> ProbeResult:
         try:
-            connection = UpstreamConnection(replica, timeout_s=PROBE_TIMEOUT_S)
+            connection = self._state.pool.open(replica, PROBE_TIMEOUT_S)
         except ConnectionRefused:
             return ProbeResult.REFUSED
         except NotConnected:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -186,6 +186,17 @@
         }
         return [replicas[r] for r in self._state.links.probe_order(replicas)]
 
+    def links_work_since(self, time_s: float, *, but: Replica) -> bool:
+        """Return whether a replica other than ``but`` accepts connections since then.
+
+        One of them is tried unless a connection has been opened meanwhile.
+        """
+        if not self._state.links.connected_since(time_s):
+            others = [r for r in self._next_to_probe() if r != but]
+            for replica in others[:1]:
+                self._probe_directly(replica)
+        return self._state.links.connected_since(time_s)
+
     def _probe_directly(self, replica: Replica) -> None:
         try:
             connection = self.open_directly(replica, CONNECT_TIMEOUT_S)
@@ -280,7 +291,11 @@
             connection.close()
 
     def _failure(self, replica: Replica, race: _Race) -> NotConnected:
-        """Return the error of a replica that was reached on neither way."""
+        """Return the error of a replica that was reached on neither way.
+
+        Where there are peers, only the word of one of them shows that the replica
+        itself refuses connections.
+        """
         direct, by_peer = race.direct_error, race.peer_error
         if isinstance(by_peer, PeerCannotReach):
             refused = by_peer.refused and isinstance(direct, ConnectionRefused)
@@ -288,11 +303,14 @@
         asked_before = not self._state.links.may_ask_peer(
             replica.replica_id, time.monotonic()
         )
-        if direct is not None and asked_before:
+        alone = not self._state.hosts.peers()
+        if direct is not None and (asked_before or alone):
             return direct
         if self._state.link_state is not LinkState.INTACT:
             return LinksDown(f"{replica.address}: {direct}; {by_peer}")
-        return direct or NotConnected(f"{replica.address}: no connection in time")
+        if direct is None or by_peer is not None:
+            return NotConnected(f"{replica.address}: {direct}; {by_peer}")
+        return direct
 
 
 def _unreachable(error: Exception, refused: bool) -> NotConnected:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -163,18 +163,16 @@
         raise TunnelRefused(UNKNOWN_REPLICA, "no replica has this address")
 
     def _connect(self, replica: Replica) -> Transport:
+        begun_s = time.monotonic()
         try:
             return self._dialer.connect_directly(replica, CONNECT_TIMEOUT_S)
-        except ConnectionRefused as error:
-            raise self._not_connected(REPLICA_REFUSES, error) from error
         except NotConnected as error:
-            raise self._not_connected(REPLICA_SILENT, error) from error
-
-    def _not_connected(self, status: int, error: NotConnected) -> TunnelRefused:
-        """Return the refusal, which blames the replica only if other links work."""
-        if not self._state.links.worked_recently(time.monotonic()):
-            return TunnelRefused(NO_TUNNEL, f"links may be cut: {error}")
-        return TunnelRefused(status, str(error))
+            refused = isinstance(error, ConnectionRefused)
+            status = REPLICA_REFUSES if refused else REPLICA_SILENT
+            if not self._dialer.links_work_since(begun_s, but=replica):
+                # This host may have been cut off a moment ago.
+                status = NO_TUNNEL
+            raise TunnelRefused(status, str(error)) from error
 
     def _refuse(
         self, sock: socket.socket, request: TunnelRequest, refusal: TunnelRefused
