Take failures of this host's own links for no evidence against replicas

Hosts that were cut off paused each replica for up to 4 s and told their peers of it. Failures are now forgotten when peers turn out to reach the replicas and when the links work again, and a host whose links may be cut reports no replica.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/health.py
@@ -100,6 +100,10 @@
         """Return whether the failure share is high enough to prefer other replicas."""
         return self.failure_share(replica_id, now_s) >= FAILING_SHARE
 
+    def forget_failures(self) -> None:
+        """Drop all failures, which were those of this host's links."""
+        self._records.clear()
+
     def forget(self, replica_id: str) -> None:
         """Drop the record of a replica that was removed."""
         self._records.pop(replica_id, None)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -17,6 +17,7 @@
 from persimmonyoke.internal.fleet.cache_duty import CollectorState
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway.change_parts import (
     ChangesAssembler,
     ChangesPart,
@@ -214,9 +215,10 @@
         refused = state.recent_refusals.take_unshared(MAX_REFUSED)
         self._near.add(placements, refused)
         self._far.add(placements, refused)
-        return self._state_message()
+        return self.state_message()
 
-    def _state_message(self) -> PeerMessage:
+    def state_message(self) -> PeerMessage:
+        """Return the state of this host, without updates that are sent once."""
         state, now_s = self._state, time.monotonic()
         work = state.ledger.own_work(now_s=now_s)
         contact_s = state.contact.continuous_contact_s(now_s)
@@ -237,9 +239,16 @@
             store_revision=state.view.revision,
             store_contact_ms=_to_ms(contact_s),
             view_age_ms=_to_ms(state.view.store_confirmed_age_s(now_s)),
-            suspects=tuple(state.health.all_paused(now_s)[:MAX_REPLICAS_PER_MESSAGE]),
+            suspects=self._paused_replicas(now_s),
         )
 
+    def _paused_replicas(self, now_s: float) -> tuple[str, ...]:
+        """Return the replicas that fail, unless it may be this host's links."""
+        if self._state.link_state is not LinkState.INTACT:
+            return ()
+        paused = self._state.health.all_paused(now_s)
+        return tuple(paused[:MAX_REPLICAS_PER_MESSAGE])
+
     def _send(self, peers: Sequence[HostEntry], message: PeerMessage) -> None:
         self._send_raw(peers, encode_message(message))
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -328,13 +328,18 @@
         self.review_links(now_s)
 
     def review_links(self, now_s: float) -> None:
-        """Log a change of what is believed of the links to the replicas."""
+        """Apply and log a change of what is believed of the links to the replicas.
+
+        What failed on links that were cut says nothing of the replicas.
+        """
         former = self.link_state
         if former is LinkState.INTACT and not self.links.any_failing:
             return
         self.link_state = self.links.state(self.known_replicas)
         if self.link_state is former:
             return
+        if self.link_state is not LinkState.UNCONFIRMED:
+            self.health.forget_failures()
         evidence = self.links.evidence(now_s)
         self.journal.event(
             "links",
