--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_calls.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_calls.py
@@ -50,7 +50,9 @@
         """Send an order; return the status, or ``None`` without a response."""
         call = self._state.wire.order_call(order)
         # The order belongs to the report before it.
-        response = self._call(engine, call, "order", slot=CallSlot.UNCONDITIONAL)
+        response = self._call(
+            engine, call, "order", slot=CallSlot.UNCONDITIONAL, directly=True
+        )
         return None if response is None else response.head.status
 
     def learn_cache(self, engine: Replica) -> None:
@@ -78,6 +80,7 @@
         name: str,
         *,
         slot: CallSlot = CallSlot.NEEDED,
+        directly: bool = False,
     ) -> CompleteResponse | None:
         deadline_s = time.monotonic() + CALL_TIMEOUT_S
         cancel_scope = CancelScope()
@@ -89,6 +92,7 @@
                 request_id="",
                 deadline_s=deadline_s,
                 slot=slot,
+                directly=directly,
             )
             body = self._caller.read_body(opened, cancel_scope, deadline_s=deadline_s)
         except (NotConnected, AnswerLost) as error:
