Keep connections to sound replicas and clients that are silent for a while

TCP_USER_TIMEOUT was 1.5 s on all connections. Linux applies it to a peer that closes its window as well, and with it ends idle connections whatever the count of keep-alive probes. On a socket whose peer did not read, a send failed after 1.72 s with 1,500 ms, 3.22 s with 3,000 ms, 5.23 s with 5,000 ms, and not within 9 s without (keep-alive of 1 s + 2 x 1 s each time). So a client that paused for 2.2 s lost its answer although a send may take 5 s, and a replica that was silent for 2.2 s lost a call that must not be sent again.

Clients now have the 5 s of a send; calls that must not be repeated are bounded by their deadline and by keep-alive alone; calls that may be repeated keep 1.5 s, as another replica can answer them meanwhile; tunnels have 3 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -82,6 +82,8 @@
     target: bytes
     headers: Headers
     body: bytes = b""
+    repeatable: bool = True
+    """Whether the call may be sent again if its connection fails."""
 
 
 class UpstreamWire(ABC):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -141,7 +141,11 @@
         self.used = True
         self._complete = False
         self._parser.without_body = call.method == b"HEAD"
+        user_timeout_ms = sockets.NO_USER_TIMEOUT_MS
+        if call.repeatable:
+            user_timeout_ms = sockets.REPEATABLE_USER_TIMEOUT_MS
         try:
+            self._transport.set_user_timeout(user_timeout_ms)
             self._transport.send(encode_call(call), timeout_s=timeout_s)
         except OSError as error:
             # A replica may respond before it has read the whole body, so a response
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -87,7 +87,7 @@
                 connection.close()
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
-        sockets.enable_dead_peer_detection(sock)
+        sockets.enable_dead_peer_detection(sock, sockets.CLIENT_USER_TIMEOUT_MS)
         connection = ClientConnection(sock, self._state.limits)
         self._connections.add(connection)
         try:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -234,7 +234,13 @@
                 last_event_id=exchange.metadata.last_event_id,
             ),
         )
-        call = RawCall(request.method, request.target, headers, request.body)
+        call = RawCall(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            repeatable=exchange.route.repeatable,
+        )
         deadline_s = self._attempt_deadline_s(exchange)
         try:
             opened = self._caller.start(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -8,27 +8,44 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-"""With these values, a dead peer on an idle connection is detected after 3 s."""
+"""Without a user timeout, a dead peer on an idle connection is detected after 3 s.
 
-USER_TIMEOUT_MS = 1_500
-"""Time for which sent data may stay unacknowledged; a round trip takes 2 ms."""
+With one, Linux ends the connection at the first probe after it, whatever this count.
+"""
+
+REPEATABLE_USER_TIMEOUT_MS = 1_500
+"""Time for which data may stay unacknowledged if it can be sent elsewhere instead."""
+
+CLIENT_USER_TIMEOUT_MS = 5_000
+"""Time for which a client may leave data unacknowledged, or not read any."""
+
+TUNNEL_USER_TIMEOUT_MS = 3_000
+"""The same for both connections of a tunnel, whose calls are not known here."""
+
+NO_USER_TIMEOUT_MS = 0
+"""Leaves it to the deadline of a call how long data may stay unacknowledged."""
 
 
 def connect(host: str, port: int, *, timeout_s: float) -> socket.socket:
     """Open a connection with dead-peer detection."""
     sock = socket.create_connection((host, port), timeout=timeout_s)
-    enable_dead_peer_detection(sock)
+    enable_dead_peer_detection(sock, REPEATABLE_USER_TIMEOUT_MS)
     return sock
 
 
-def enable_dead_peer_detection(sock: socket.socket) -> None:
+def enable_dead_peer_detection(sock: socket.socket, user_timeout_ms: int) -> None:
     """Make the kernel detect a peer that disappeared without closing."""
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_NODELAY, 1)
     sock.setsockopt(native.SOL_SOCKET, native.SO_KEEPALIVE, 1)
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    set_user_timeout(sock, user_timeout_ms)
+
+
+def set_user_timeout(sock: socket.socket, user_timeout_ms: int) -> None:
+    """Set for how long sent data may stay unacknowledged or unread by the peer."""
+    sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def reset_on_close(sock: socket.socket) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -183,7 +183,13 @@
             ),
         )
         request = exchange.request
-        call = RawCall(request.method, request.target, headers, request.body)
+        call = RawCall(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            repeatable=exchange.route.resumable,
+        )
         try:
             opened = self._caller.start(
                 engine,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
@@ -34,6 +34,10 @@
     def receive(self, *, timeout_s: float) -> bytes:
         """Return received bytes, or none if the replica ended the stream."""
 
+    @abstractmethod
+    def set_user_timeout(self, user_timeout_ms: int) -> None:
+        """Set for how long the other side may leave bytes unacknowledged."""
+
     @abstractmethod
     def has_input(self) -> bool:
         """Return whether bytes, the end of the stream or an error are pending."""
@@ -52,6 +56,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
+        self._user_timeout_ms = sockets.REPEATABLE_USER_TIMEOUT_MS
 
     def send(self, data: bytes, *, timeout_s: float) -> None:
         """Send bytes."""
@@ -63,6 +68,12 @@
         self._sock.settimeout(max(MIN_TIMEOUT_S, timeout_s))
         return self._sock.recv(READ_BYTES)
 
+    def set_user_timeout(self, user_timeout_ms: int) -> None:
+        """Set for how long the replica may leave bytes unacknowledged."""
+        if user_timeout_ms != self._user_timeout_ms:
+            self._user_timeout_ms = user_timeout_ms
+            sockets.set_user_timeout(self._sock, user_timeout_ms)
+
     def has_input(self) -> bool:
         """Return whether bytes, end of file or an error are pending."""
         return sockets.has_input(self._sock)
@@ -120,6 +131,9 @@
                 return b""
             self._feed(deadline_s - time.monotonic())
 
+    def set_user_timeout(self, user_timeout_ms: int) -> None:
+        """Keep that of tunnels, as the peer has its own for the replica."""
+
     def has_input(self) -> bool:
         """Return whether bytes, the end of the tunnel or an error are pending."""
         return self._parser.has_events or sockets.has_input(self._sock)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -96,6 +96,7 @@
         sock = sockets.connect(
             peer.peer_host, peer.peer_port, timeout_s=min(PEER_TIMEOUT_S, timeout_s)
         )
+        sockets.set_user_timeout(sock, sockets.TUNNEL_USER_TIMEOUT_MS)
         try:
             request = TunnelRequest(replica.address, peer.tunnel_key, tunnel_id)
             sock.sendall(encode_tunnel_request(request))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -111,7 +111,7 @@
         return any(now_s - t.last_byte_s < BUSY_S for t in self._open.values())
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
-        sockets.enable_dead_peer_detection(sock)
+        sockets.enable_dead_peer_detection(sock, sockets.TUNNEL_USER_TIMEOUT_MS)
         self._serving += 1
         try:
             self._open_and_run(sock)
@@ -132,6 +132,7 @@
         try:
             replica = self._accept(request)
             transport = self._connect(replica)
+            transport.set_user_timeout(sockets.TUNNEL_USER_TIMEOUT_MS)
         except TunnelRefused as refusal:
             self._refuse(sock, request, refusal)
             return
