Check a second link as soon as only a peer reaches a replica

A link counts as failing from the begin of the attempt, so that a peer that connects while the attempt still hangs confirms it; before, only the next attempt could.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
@@ -95,12 +95,14 @@
         self._answered_s = now_s
         self._link(replica_id).answered_s = now_s
 
-    def note_connect_failed(self, replica_id: str, now_s: float) -> None:
-        """Record that no connection to the replica could be opened."""
+    def note_connect_failed(
+        self, replica_id: str, *, begun_s: float, now_s: float
+    ) -> None:
+        """Record an attempt to connect, begun earlier, that failed now."""
         link = self._link(replica_id)
         since_s = link.failing_since_s
         if since_s is None or since_s <= self._connected_s:
-            link.failing_since_s = now_s
+            link.failing_since_s = begun_s
         self._failing[replica_id] = link
         link.failed_s = now_s
 
@@ -163,6 +165,11 @@
         """Return the replicas to which the last connection failed."""
         return list(self._failing)
 
+    def confirmed(self, replica_id: str) -> bool:
+        """Return whether a peer reached a replica since its link began to fail."""
+        link = self._failing.get(replica_id)
+        return link is not None and link.confirmed
+
     def probe_order(self, replica_ids: Iterable[str]) -> list[str]:
         """Return replicas in the order in which their links are to be tried again."""
         return sorted(replica_ids, key=lambda r: self._link(r).failed_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
@@ -15,6 +15,7 @@
     reached_by_peer,
     replica_links,
     silent,
+    timed_out,
     unreached_by_peer,
 )
 
@@ -37,6 +38,12 @@
         + (failed("b", 2.1), reached_by_peer("a", 2.2), reached_by_peer("b", 2.3)),
         LinkState.CUT_OFF,
     ),
+    Case(
+        "connections hang, and a peer connects while they do",
+        (reached_by_peer("a", 2.1), reached_by_peer("b", 2.2))
+        + (timed_out("a", 2.0, 2.4), timed_out("b", 2.1, 2.5)),
+        LinkState.CUT_OFF,
+    ),
     Case(
         "the same, and peers say nothing",
         (connected("a", 1.0), failed("a", 2.0), failed("b", 2.1)),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import gevent
@@ -141,7 +141,8 @@
         except NotConnected:
             now_s = time.monotonic()
             if now_s - begun_s < limit_s + STALL_S:
-                self._state.note_connect_failed(replica, now_s)
+                self._state.note_connect_failed(replica, begun_s=begun_s, now_s=now_s)
+                self._check_another_link(replica)
             raise
         self._state.note_connected(replica, time.monotonic())
         return transport
@@ -166,11 +167,8 @@
             return
         links = self._state.links
         links.note_silent(connection.replica.replica_id, sent_s=sent_s, now_s=now_s)
-        due = now_s - self._checked_s >= PROBE_INTERVAL_S
-        if due and links.silent_since(sent_s):
-            self._checked_s = now_s
-            for replica in self._next_to_probe()[:MIN_REPLICAS]:
-                gevent.spawn(self._check, replica)
+        if links.silent_since(sent_s):
+            self._check_links(self._next_to_probe()[:MIN_REPLICAS])
 
     def probe(self) -> None:
         """Try the links again at intervals while they fail."""
@@ -180,6 +178,26 @@
                 for replica in self._next_to_probe()[:1]:
                     self._probe_directly(replica)
 
+    def _check_another_link(self, failing: Replica) -> None:
+        """Check a second link if only a peer reaches a replica.
+
+        A host with little traffic would otherwise learn late that it is cut off.
+        """
+        if self._state.link_state is not LinkState.INTACT:
+            return
+        if self._state.links.confirmed(failing.replica_id):
+            others = [r for r in self._next_to_probe() if r != failing]
+            self._check_links(others[:1])
+
+    def _check_links(self, replicas: Sequence[Replica]) -> None:
+        """Try links in the background, at most once in ``PROBE_INTERVAL_S``."""
+        now_s = time.monotonic()
+        if now_s - self._checked_s < PROBE_INTERVAL_S:
+            return
+        self._checked_s = now_s
+        for replica in replicas:
+            gevent.spawn(self._check, replica)
+
     def _next_to_probe(self) -> list[Replica]:
         replicas = {
             r.replica_id: r for r in self._state.replicas.all() if not r.draining
@@ -278,6 +296,7 @@
         now_s = time.monotonic()
         state.links.note_reached_by_peer(replica.replica_id, now_s)
         state.review_links(now_s)
+        self._check_another_link(replica)
         return UpstreamConnection(replica, transport=transport)
 
     def _keep_or_close(self, loser: gevent.Greenlet) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -322,9 +322,11 @@
         self.links.note_connected(replica.replica_id, now_s)
         self.review_links(now_s)
 
-    def note_connect_failed(self, replica: Replica, now_s: float) -> None:
+    def note_connect_failed(
+        self, replica: Replica, *, begun_s: float, now_s: float
+    ) -> None:
         """Note that no connection could be opened over this host's links."""
-        self.links.note_connect_failed(replica.replica_id, now_s)
+        self.links.note_connect_failed(replica.replica_id, begun_s=begun_s, now_s=now_s)
         self.review_links(now_s)
 
     def review_links(self, now_s: float) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
@@ -24,7 +24,7 @@
     def fail_all(self, now_s):
         for replica in REPLICAS:
             self.state.health.note_unreachable(replica.replica_id, now_s)
-            self.state.note_connect_failed(replica, now_s)
+            self.state.note_connect_failed(replica, begun_s=now_s, now_s=now_s)
 
     def reach_by_peer(self, now_s):
         for replica in REPLICAS[:2]:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -106,6 +106,11 @@
         for tunnel in list(self._open.values()):
             tunnel.peer_sock.close()
 
+    @property
+    def bytes_to_peers(self) -> int:
+        """Return the bytes of replicas that the open tunnels have passed on."""
+        return sum(tunnel.bytes_to_peer for tunnel in self._open.values())
+
     def busy(self, now_s: float) -> bool:
         """Return whether a tunnel has carried bytes recently."""
         return any(now_s - t.last_byte_s < BUSY_S for t in self._open.values())
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_links.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_links.py
@@ -27,7 +27,16 @@
 
 def failed(replica_id: str, now_s: float) -> Observation:
     """Return the observation that a replica accepted no connection."""
-    return lambda links: links.note_connect_failed(replica_id, now_s)
+    return lambda links: links.note_connect_failed(
+        replica_id, begun_s=now_s, now_s=now_s
+    )
+
+
+def timed_out(replica_id: str, begun_s: float, now_s: float) -> Observation:
+    """Return the observation that a replica accepted no connection for a while."""
+    return lambda links: links.note_connect_failed(
+        replica_id, begun_s=begun_s, now_s=now_s
+    )
 
 
 def silent(replica_id: str, sent_s: float, now_s: float) -> Observation:
