Lead from a request's id to its tunnels and to the state of its host's links

explain shows the lines of both hosts on the tunnels that carried a request, and the last "links" line of its host however old it is.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/observability/explain.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/observability/explain.py
@@ -81,9 +81,39 @@
         and begin_s <= line.time_unix_s <= end_s
         and _is_relevant(line, hosts, names)
     ]
+    context += _tunnel_lines(lines, request_lines)
+    context += _link_lines(lines, hosts, begin_s=begin_s, end_s=end_s)
     return sorted(request_lines + context, key=lambda line: line.time_unix_s)
 
 
+def _tunnel_lines(
+    lines: Iterable[LogLine], request_lines: Iterable[LogLine]
+) -> list[LogLine]:
+    """Return the lines of all hosts on the tunnels that carried a request.
+
+    A tunnel may carry other requests before and after this one.
+    """
+    named = (t for line in request_lines for t in line.fields.get("tunnels") or ())
+    tunnel_ids = {str(name).partition(":")[2] for name in named}
+    return [line for line in lines if line.fields.get("tunnel") in tunnel_ids]
+
+
+def _link_lines(
+    lines: Iterable[LogLine], hosts: set[str], *, begin_s: float, end_s: float
+) -> list[LogLine]:
+    """Return what the hosts believed of their links, also since long before."""
+    found: list[LogLine] = []
+    before: dict[str, LogLine] = {}
+    for line in sorted(lines, key=lambda line: line.time_unix_s):
+        if line.event != "links" or line.host not in hosts:
+            continue
+        if line.time_unix_s < begin_s:
+            before[line.host] = line
+        elif line.time_unix_s <= end_s:
+            found.append(line)
+    return [*before.values(), *found]
+
+
 def _begin_s(line: LogLine) -> float:
     return line.time_unix_s - float(line.fields.get("ms") or 0) / 1_000
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/observability/tests/test_explain.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/observability/tests/test_explain.py
@@ -41,6 +41,29 @@
     def test_events_long_before_the_request_are_left_out(self):
         self.assertEqual(len(self.events(line(90.0, "store_lost"))), 1)
 
+    def test_the_tunnels_of_a_request_and_the_state_of_its_links_are_shown(self):
+        texts = [
+            line(100.2, "request", request_id="r1", tunnels=["h2:h1/7"]),
+            line(80.0, "tunnel_opened", tunnel="h1/7", peer="h2"),
+            line(110.0, "tunnel", host="h2", tunnel="h1/7", replica="e2"),
+            line(110.0, "tunnel", host="h2", tunnel="h1/8", replica="e2"),
+            line(70.0, "links", state="unconfirmed"),
+            line(75.0, "links", state="cut_off"),
+            line(75.0, "links", host="h3", state="cut_off"),
+            line(101.0, "links", state="intact"),
+        ]
+        found = explain("r1", texts)
+        self.assertEqual(
+            [(x.event, x.host, x.time_unix_s) for x in found],
+            [
+                ("links", "h1", 75.0),
+                ("tunnel_opened", "h1", 80.0),
+                ("request", "h1", 100.2),
+                ("links", "h1", 101.0),
+                ("tunnel", "h2", 110.0),
+            ],
+        )
+
     def test_lines_with_a_prefix_are_parsed_and_others_skipped(self):
         found = parse_line(line(5.0, "started", prefix="  12.5 host "))
         self.assertEqual((found.event, found.time_unix_s), ("started", 5.0))
