--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -18,7 +18,7 @@
     StageOrder,
 )
 from persimmonyoke.internal.fleet.model import Replica, Stage
-from persimmonyoke.internal.fleet.replica_links import PARTITIONED, LinkState
+from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.fleet.term import (
     AttemptSchedule,
     ClockReading,
@@ -114,7 +114,7 @@
         if self._state.draining or not self._state.ready:
             return
         self._observe_engines()
-        if self._state.link_state in PARTITIONED:
+        if self._state.links.partitioned:
             # Another host reaches the engines, and orders come from one host only.
             self.resign()
             return
@@ -122,7 +122,7 @@
             self._try_acquire(time.monotonic())
         elif time.monotonic() - self._renewed_s >= RENEW_S:
             self._renew()
-        links_work = self._state.link_state is LinkState.INTACT
+        links_work = self._state.links.state is LinkState.INTACT
         if links_work and self._term.may_announce(time.monotonic()):
             self._order_changes()
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -8,7 +8,6 @@
 from gevent.server import StreamServer
 
 from persimmonyoke.errors import RequestError
-from persimmonyoke.internal.fleet.replica_links import PARTITIONED
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
     ClientGone,
@@ -96,8 +95,8 @@
         metrics.view_age.set(state.view.age_s(now_s))
         metrics.configuration_version.set(state.version)
         metrics.upstream_connections.set(state.pool.opened)
-        metrics.links_failing.set(len(state.links.failing_replicas()))
-        metrics.partitioned.set(float(state.link_state in PARTITIONED))
+        metrics.links_failing.set(len(state.links.failing))
+        metrics.partitioned.set(float(state.links.partitioned))
         metrics.queued.set(state.queued_s())
         metrics.malformed_entries.set(state.journal.malformed_entries)
         engines = [r for r in state.replicas.all() if r.stage is not None]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -48,6 +48,15 @@
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
+def shut_down(sock: socket.socket) -> None:
+    """Shut a connection down in both directions, which wakes its reader."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The connection is closed already.
+        return
+
+
 def reset_on_close(sock: socket.socket) -> None:
     """Make ``close`` reset the connection and discard unacknowledged data."""
     sock.setsockopt(native.SOL_SOCKET, native.SO_LINGER, struct.pack("ii", 1, 0))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -38,7 +38,6 @@
     Replica,
     Stage,
 )
-from persimmonyoke.internal.fleet.replica_links import LinkState, ReplicaLinks
 from persimmonyoke.internal.fleet.replicas import (
     ReplicaAdded,
     ReplicaChange,
@@ -58,6 +57,7 @@
     UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.journal import Journal
+from persimmonyoke.internal.gateway.link_monitor import LinkMonitor
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
 from persimmonyoke.internal.gateway.quarantine_rule import MAX_SUSPECTS, QUARANTINE
 from persimmonyoke.internal.gateway.retry_budgets import RetryBudgets
@@ -105,9 +105,12 @@
         self.hosts = HostView(settings.host_name)
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
-        self.links = ReplicaLinks()
+        self.links = LinkMonitor(
+            journal,
+            count_replicas=lambda: len(self.replicas.all()),
+            forget_failures=self.health.forget_failures,
+        )
         self.tunnel_key = secrets.token_urlsafe(TUNNEL_KEY_BYTES)
-        self.link_state = LinkState.INTACT
         self.backoff = ReplicaBackoff()
         self.replica_limits = ReplicaLimits(settings.host_name)
         self.stream_versions = StreamVersions(settings.host_name)
@@ -312,49 +315,6 @@
         if not isinstance(error, (LinksDown, ReplicaWaits)):
             self.health.note_unreachable(replica.replica_id, now_s)
 
-    @property
-    def known_replicas(self) -> int:
-        """Return the number of replicas of all services."""
-        return len(self.replicas.all())
-
-    def note_connected(self, replica: Replica, now_s: float) -> None:
-        """Note that a replica accepted a connection over this host's links."""
-        self.links.note_connected(replica.replica_id, now_s)
-        self.review_links(now_s)
-
-    def note_connect_failed(
-        self, replica: Replica, *, begun_s: float, now_s: float
-    ) -> None:
-        """Note that no connection could be opened over this host's links."""
-        self.links.note_connect_failed(replica.replica_id, begun_s=begun_s, now_s=now_s)
-        self.review_links(now_s)
-
-    def review_links(self, now_s: float) -> None:
-        """Apply and log a change of what is believed of the links to the replicas.
-
-        What failed on links that were cut says nothing of the replicas.
-        """
-        former = self.link_state
-        if former is LinkState.INTACT and not self.links.any_failing:
-            return
-        self.link_state = self.links.state(self.known_replicas)
-        if self.link_state is former:
-            return
-        if self.link_state is not LinkState.UNCONFIRMED:
-            self.health.forget_failures()
-        evidence = self.links.evidence(now_s)
-        self.journal.event(
-            "links",
-            state=self.link_state,
-            former=former,
-            failing=evidence.failing,
-            confirmed=evidence.confirmed,
-            failing_ms=_ms(evidence.failing_for_s),
-            last_answer_ms=_ms(evidence.last_answer_age_s),
-            last_connected_ms=_ms(evidence.last_connected_age_s),
-            replicas=self.known_replicas,
-        )
-
     def usable_replicas(self, service: str, *, now_s: float) -> list[Replica]:
         """Return the replicas of a service that this host may send work to now."""
         return self._without_backoff(self.replicas.usable(service, now_s=now_s), now_s)
@@ -460,7 +420,7 @@
         self.pool.drop_replica(replica)
         self.ledger.forget(replica.replica_id)
         self.health.forget(replica.replica_id)
-        self.links.forget(replica.replica_id)
+        self.links.forget(replica.replica_id, time.monotonic())
         self.backoff.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
         self.factors.forget(replica.replica_id)
@@ -498,7 +458,3 @@
             self.new_placements.append(
                 PartPlacement(part.part_id, engine.replica_id, ready_in_ms)
             )
-
-
-def _ms(duration_s: float | None) -> int | None:
-    return None if duration_s is None else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
@@ -24,26 +24,25 @@
     def fail_all(self, now_s):
         for replica in REPLICAS:
             self.state.health.note_unreachable(replica.replica_id, now_s)
-            self.state.note_connect_failed(replica, begun_s=now_s, now_s=now_s)
+            self.state.links.note_connect_failed(replica, begun_s=now_s, now_s=now_s)
 
     def reach_by_peer(self, now_s):
         for replica in REPLICAS[:2]:
-            self.state.links.note_reached_by_peer(replica.replica_id, now_s)
-        self.state.review_links(now_s)
+            self.state.links.note_reached_by_peer(replica, now_s)
 
     def test_replicas_that_peers_reach_are_no_longer_paused(self):
         # Requests were refused without an attempt, since all replicas were paused.
         self.fail_all(2.0)
         self.assertEqual(len(self.state.health.all_paused(2.1)), 3)
         self.reach_by_peer(2.1)
-        self.assertIs(self.state.link_state, LinkState.CUT_OFF)
+        self.assertIs(self.state.links.state, LinkState.CUT_OFF)
         self.assertEqual(self.state.health.all_paused(2.1), [])
 
     def test_replicas_are_used_again_as_soon_as_the_links_work(self):
         # Pauses of up to 4 s went on after the partition.
         self.fail_all(2.0)
-        self.state.note_connected(REPLICAS[0], 2.2)
-        self.assertIs(self.state.link_state, LinkState.INTACT)
+        self.state.links.note_connected(REPLICAS[0], 2.2)
+        self.assertIs(self.state.links.state, LinkState.INTACT)
         self.assertEqual(self.state.health.all_paused(2.2), [])
 
     def test_a_host_that_may_be_cut_off_reports_no_replica_to_its_peers(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
@@ -80,11 +80,7 @@
 
     def interrupt(self) -> None:
         """Shut the connection down, which wakes its reader."""
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection is closed already.
-            return
+        sockets.shut_down(self._sock)
 
     def close(self, *, discard: bool = False) -> None:
         """Close the connection."""
@@ -140,11 +136,7 @@
 
     def interrupt(self) -> None:
         """Shut the tunnel down, which wakes its reader."""
-        try:
-            self._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The tunnel is closed already.
-            return
+        sockets.shut_down(self._sock)
 
     def close(self, *, discard: bool = False) -> None:
         """Close the tunnel, so that the peer closes its connection to the replica."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -114,7 +114,7 @@
             tunnel=tunnel_id,
             peer=peer.name,
             replica=replica.replica_id,
-            links=self._state.link_state,
+            links=self._state.links.state,
             ms=int((time.monotonic() - begun_s) * 1_000),
         )
         return TunnelTransport(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -159,7 +159,7 @@
             raise TunnelRefused(UNAUTHORIZED, "the key is not that of this host")
         if state.draining:
             raise TunnelRefused(NO_TUNNEL, "host is stopping")
-        if state.link_state is not LinkState.INTACT:
+        if state.links.state is not LinkState.INTACT:
             raise TunnelRefused(NO_TUNNEL, "host is cut off as well")
         if self._serving > MAX_TUNNELS:
             raise TunnelRefused(NO_TUNNEL, "host has too many tunnels")
@@ -190,7 +190,7 @@
             address=request.address,
             status=refusal.status,
             reason=str(refusal),
-            links=self._state.link_state,
+            links=self._state.links.state,
             open=len(self._open),
         )
         sock.sendall(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -190,9 +190,7 @@
 
     def _note_answer(self, connection: UpstreamConnection) -> None:
         if connection.peer is None:
-            now_s = time.monotonic()
-            self._state.links.note_answer(connection.replica.replica_id, now_s)
-            self._state.review_links(now_s)
+            self._state.links.note_answer(connection.replica, time.monotonic())
 
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
