Ask a peer last after a lost answer on its tunnel, rather than not at all

A replica that is slow or fails loses answers on tunnels too. The host then left the peer alone for a second, and if it was the only peer that reaches the replicas, all requests were refused meanwhile. The new test fails without the change: the only peer is not ranked at all.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
@@ -48,6 +48,12 @@
         self.assertEqual(self.ranked(hosts), ["b"])
         self.assertEqual(len(self.ranked(hosts, now_s=NOW_S + PEER_PAUSE_S)), 2)
 
+    def test_a_peer_on_whose_tunnel_an_answer_was_lost_comes_last(self):
+        # If it is the only peer left, a replica that fails must not rule it out.
+        self.peers.note_lost("a", NOW_S)
+        self.assertEqual(self.ranked([peer("a"), peer("c", "zone-c")]), ["c", "a"])
+        self.assertEqual(self.ranked([peer("a")]), ["a"])
+
     def test_hosts_of_an_earlier_build_are_not_asked(self):
         self.assertEqual(self.ranked([peer("a", key=""), peer("b")]), ["b"])
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -52,12 +52,13 @@
 
     def usable(self, peer: str, now_s: float) -> bool:
         """Return whether tunnels through a peer are likely to work."""
-        hosts = self._state.hosts
-        return hosts.takes_callers(peer, now_s) and not self._peers.paused(peer, now_s)
+        is_alive = self._state.hosts.takes_callers(peer, now_s)
+        doubted = self._peers.doubted(peer, now_s) or self._peers.paused(peer, now_s)
+        return is_alive and not doubted
 
     def note_lost(self, peer: str, now_s: float) -> None:
         """Record that an answer was lost on a tunnel through a peer."""
-        self._peers.note_failed(peer, now_s)
+        self._peers.note_lost(peer, now_s)
 
     def open(self, replica: Replica, *, timeout_s: float) -> TunnelTransport:
         """Open a tunnel; raise ``NoTunnel`` or ``PeerCannotReach``."""
