Pause no replica for an answer that was lost on a tunnel

When a peer failed, the replicas to which it had tunnels were paused at the host that is cut off, and requests were refused for lack of engines. A lost answer now tells whether a peer was in between, and counts as a failure of the replica only in the choice among others.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -61,7 +61,14 @@
 
 
 class AnswerLost(Exception):
-    """Signal that a call was sent at least in part and its response is incomplete."""
+    """Signal that a call was sent at least in part and its response is incomplete.
+
+    If there was a ``peer`` in between, the loss may be due to it.
+    """
+
+    def __init__(self, message: str, *, peer: str | None = None) -> None:
+        super().__init__(message)
+        self.peer = peer
 
 
 class AnswerTimeout(AnswerLost):
@@ -152,7 +159,9 @@
             # may be available although the rest of the request could not be sent.
             self._ended = not self._transport.has_input()
             if self._ended:
-                raise ConnectionEnded(f"sending failed: {error}") from error
+                raise ConnectionEnded(
+                    f"sending failed: {error}", peer=self.peer
+                ) from error
 
     def read_head(self, *, timeout_s: float) -> ResponseHead:
         """Return the head of the next response."""
@@ -251,14 +260,16 @@
         left_s = deadline_s - time.monotonic()
         if left_s <= 0 and self._bytes_since_yield:
             # The socket never times out while a replica sends continuously.
-            raise AnswerTimeout("no complete answer in time")
+            raise AnswerTimeout("no complete answer in time", peer=self.peer)
         try:
             data = self._transport.receive(timeout_s=left_s)
         except TimeoutError as error:
-            raise AnswerTimeout("no answer in time") from error
+            raise AnswerTimeout("no answer in time", peer=self.peer) from error
         except OSError as error:
             self._ended = True
-            raise ConnectionEnded(f"connection failed: {error}") from error
+            raise ConnectionEnded(
+                f"connection failed: {error}", peer=self.peer
+            ) from error
         if not data:
             self._ended = True
             if not self._parser.feed_eof():
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -293,7 +293,7 @@
         start: AttemptStart,
         error: AnswerLost,
     ) -> None:
-        if isinstance(error, AnswerTimeout):
+        if isinstance(error, AnswerTimeout) and error.peer is None:
             self._state.health.note_unreachable(replica.replica_id, time.monotonic())
         else:
             self._state.health.note_failure(replica.replica_id, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -111,7 +111,7 @@
             state.note_not_connected(engine, error, now_s=time.monotonic())
             return PrefillFailed(str(error), sent=False)
         except AnswerLost as error:
-            state.health.note_unreachable(engine.replica_id, time.monotonic())
+            self._note_loss(engine, error)
             self._crashes.note_lost_answer(
                 exchange, engine, start, error, begun=False, now_s=time.monotonic()
             )
@@ -126,6 +126,14 @@
         state.health.note_success(engine.replica_id)
         return PrefilledPrompt(engine, result)
 
+    def _note_loss(self, engine: Replica, error: AnswerLost) -> None:
+        """Pause the engine unless the loss may be due to a peer in between."""
+        health, now_s = self._state.health, time.monotonic()
+        if error.peer is None:
+            health.note_unreachable(engine.replica_id, now_s)
+        else:
+            health.note_failure(engine.replica_id, now_s)
+
     def _record_attempt(
         self,
         exchange: Exchange,
