Count only open tunnels against the limit, and try links in one way

Connections that had not shown a key yet took places of the 256 tunnels. The two ways in which the dialer tried a link for later use stood twice.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -43,6 +43,9 @@
 """Delay of a timeout beyond which this host stood still, and learnt nothing."""
 
 
+Way = Callable[[Replica, float], UpstreamConnection]
+
+
 class ReplicaDialer(Dialer):
     """Open connections to replicas, and find out whether the own links are cut."""
 
@@ -117,7 +120,7 @@
             gevent.sleep(PROBE_INTERVAL_S)
             if self._state.links.state is not LinkState.INTACT:
                 for replica in self._next_to_probe()[:1]:
-                    self._probe_directly(replica)
+                    self._try_link(replica, self.open_directly)
 
     def _check_another_link(self, failing: Replica) -> None:
         """Check a second link if only a peer reaches a replica.
@@ -137,7 +140,7 @@
             return
         self._checked_s = now_s
         for replica in replicas:
-            gevent.spawn(self._check, replica)
+            gevent.spawn(self._try_link, replica, self.open)
 
     def _next_to_probe(self) -> list[Replica]:
         replicas = {
@@ -153,20 +156,13 @@
         if not self._state.links.connected_since(time_s):
             others = [r for r in self._next_to_probe() if r != but]
             for replica in others[:1]:
-                self._probe_directly(replica)
+                self._try_link(replica, self.open_directly)
         return self._state.links.connected_since(time_s)
 
-    def _probe_directly(self, replica: Replica) -> None:
-        try:
-            connection = self.open_directly(replica, CONNECT_TIMEOUT_S)
-        except NotConnected:
-            # The failure is recorded with the link.
-            return
-        self._state.pool.put_new(connection, now_s=time.monotonic())
-
-    def _check(self, replica: Replica) -> None:
+    def _try_link(self, replica: Replica, way: Way) -> None:
+        """Open a connection for later use, which shows whether a link works."""
         try:
-            connection = self.open(replica, CONNECT_TIMEOUT_S)
+            connection = way(replica, CONNECT_TIMEOUT_S)
         except NotConnected:
             # The failure is recorded with the link.
             return
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -7,7 +7,7 @@
 
 import hmac
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import gevent
 from gevent import socket
@@ -76,7 +76,6 @@
     bytes_to_replica: int = 0
     bytes_to_peer: int = 0
     end: str = ""
-    tasks: list[gevent.Greenlet] = field(default_factory=list)
 
 
 class TunnelServer:
@@ -87,7 +86,6 @@
         self._dialer = dialer
         self._server: StreamServer | None = None
         self._open: dict[int, _Tunnel] = {}
-        self._serving = 0
 
     def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
@@ -117,7 +115,6 @@
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
         sockets.enable_dead_peer_detection(sock, sockets.TUNNEL_USER_TIMEOUT_MS)
-        self._serving += 1
         try:
             self._open_and_run(sock)
         except (OSError, ProtocolError) as error:
@@ -125,7 +122,6 @@
         except Exception:
             self._state.journal.unexpected("tunnel_failed")
         finally:
-            self._serving -= 1
             sock.close()
 
     def _open_and_run(self, sock: socket.socket) -> None:
@@ -161,7 +157,7 @@
             raise TunnelRefused(NO_TUNNEL, "host is stopping")
         if state.links.state is not LinkState.INTACT:
             raise TunnelRefused(NO_TUNNEL, "host is cut off as well")
-        if self._serving > MAX_TUNNELS:
+        if len(self._open) >= MAX_TUNNELS:
             raise TunnelRefused(NO_TUNNEL, "host has too many tunnels")
         for replica in state.replicas.all():
             if replica.address == request.address:
