Let no single datagram end the exchange with all peers

A number such as infinity in a datagram raised an OverflowError, which ended the task that receives: the host heard no peer any more, took all others out of the addresses, and had no peer for tunnels. Any unexpected error ended the sending task or the gossip in the same way. Numbers are now limited to 2**53, and the three loops log an unexpected error and go on.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
@@ -189,6 +189,7 @@
         ValueError,
         TypeError,
         AttributeError,
+        ArithmeticError,
     ) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -28,6 +28,9 @@
 
 FORMAT = 5
 
+MAX_NUMBER = 2**53
+"""Largest number in a message; a float holds all integers up to it."""
+
 
 @dataclass(frozen=True)
 class PeerMessage:
@@ -105,6 +108,7 @@
         ValueError,
         TypeError,
         AttributeError,
+        ArithmeticError,
     ) as error:
         raise ProtocolError(f"malformed datagram: {error}") from error
 
@@ -115,28 +119,36 @@
     return PeerMessage(
         host=str(host),
         ready=ready is True,
-        config_version=int(config_version),
+        config_version=_int(config_version),
         work={
-            str(replica_id): ReplicaWork(ms / 1_000, int(running), int(tokens))
+            str(replica_id): ReplicaWork(_int(ms) / 1_000, _int(running), _int(tokens))
             for replica_id, (ms, running, tokens) in work.items()
         },
         placements=tuple(
-            PartPlacement(str(part), str(engine), int(ready_in_ms))
+            PartPlacement(str(part), str(engine), _int(ready_in_ms))
             for part, engine, ready_in_ms in placements
         ),
-        queued_ms=int(queued_ms),
+        queued_ms=_int(queued_ms),
         suspects=tuple(str(replica_id) for replica_id in suspects),
-        refused=tuple(int(key) for key in refused),
+        refused=tuple(_int(key) for key in refused),
         store_connected=connected is True,
-        store_revision=int(revision),
+        store_revision=_int(revision),
         store_contact_ms=_optional_int(contact_ms),
         view_age_ms=_optional_int(view_age_ms),
-        sequence=int(sequence),
+        sequence=_int(sequence),
     )
 
 
-def _optional_int(value: object) -> int | None:
-    return None if value is None else int(value)
+def _int(value: Any) -> int:
+    """Return an integer that also fits into a float when it is divided."""
+    number = int(value)
+    if abs(number) > MAX_NUMBER:
+        raise ProtocolError("number is out of range")
+    return number
+
+
+def _optional_int(value: Any) -> int | None:
+    return None if value is None else _int(value)
 
 
 def peer_state(message: PeerMessage, now_s: float) -> PeerState:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -127,12 +127,19 @@
     def _send_loop(self) -> None:
         while True:
             gevent.sleep(CHANGED_INTERVAL_S)
-            if self._uses_relay():
-                self._run_relay_round(time.monotonic())
-                continue
-            near, far = self._peers()
-            self._set_sizes(len(near), len(far))
-            self._send_due([(self._near, near), (self._far, far)], time.monotonic())
+            try:
+                self._send_round()
+            except Exception:
+                self._state.journal.unexpected("datagrams_not_sent")
+
+    def _send_round(self) -> None:
+        """Send the messages that are due."""
+        if self._uses_relay():
+            self._run_relay_round(time.monotonic())
+            return
+        near, far = self._peers()
+        self._set_sizes(len(near), len(far))
+        self._send_due([(self._near, near), (self._far, far)], time.monotonic())
 
     def collecting_view(self) -> CollectorState:
         """Return what this host knows about the collectors of reports."""
@@ -291,7 +298,7 @@
             if raw is None:
                 break
             received += 1
-            heard_peer |= self._handle(raw)
+            heard_peer |= self._handle_or_log(raw)
         if heard_peer:
             self._state.on_peer_work()
         return received
@@ -305,6 +312,14 @@
         except BlockingIOError:
             return None
 
+    def _handle_or_log(self, raw: bytes) -> bool:
+        """Apply one datagram; an unexpected error must not end the receiving task."""
+        try:
+            return self._handle(raw)
+        except Exception:
+            self._state.journal.unexpected("datagram_failed")
+            return False
+
     def _handle(self, raw: bytes) -> bool:
         """Apply one datagram; return whether it changed the known work of peers."""
         now_s = time.monotonic()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -73,8 +73,11 @@
         """Repeat strong notices to a few random peers at intervals while they hold."""
         while True:
             gevent.sleep(GOSSIP_INTERVAL_S * self._state.rng.uniform(0.8, 1.2))
-            if self._state.suspects.size:
-                self._gossip_once(time.monotonic())
+            try:
+                if self._state.suspects.size:
+                    self._gossip_once(time.monotonic())
+            except Exception:
+                self._state.journal.unexpected("gossip_failed")
 
     def _gossip_once(self, now_s: float) -> None:
         peers = self._state.hosts.peers()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -41,6 +41,55 @@
 NOW_S = 100.0
 
 
+class MalformedDatagramTest(unittest.TestCase):
+    """Test that one datagram cannot end the exchange with all peers."""
+
+    def setUp(self):
+        self.log = []
+        self.state = gateway_state(log=self.log)
+        self.link = PeerLink(self.state)
+        self.port = self.link.start("127.0.0.1", 0)
+        self.addCleanup(self.link.stop)
+        self.sender = socket.socket(type=socket.SOCK_DGRAM)
+        self.addCleanup(self.sender.close)
+
+    def send(self, data):
+        self.sender.sendto(data, ("127.0.0.1", self.port))
+        gevent.sleep(0.05)
+
+    def hears(self, name):
+        self.state.hosts.put(host(name), now_s=0.0)
+        self.send(encode_message(peer_message(name)))
+        return self.state.hosts.takes_callers(name, time.monotonic())
+
+    def test_numbers_out_of_range_are_ignored(self):
+        # They raised an OverflowError, which ended the task that receives.
+        for number in (float("inf"), float("nan"), 10**400, -(10**400)):
+            for position in (3, 6, 10, 11, 12, 13):
+                fields = cbor2.loads(encode_message(peer_message()))
+                fields[position] = number
+                self.send(cbor2.dumps(fields))
+        self.assertEqual(self.link.malformed, 24)
+        self.assertTrue(self.hears("host-2"))
+
+    def test_an_unexpected_error_is_logged_and_later_datagrams_are_heard(self):
+        with mock.patch.object(self.state.hosts, "note_peer", side_effect=KeyError):
+            self.send(encode_message(peer_message("host-3")))
+        self.assertTrue(any("datagram_failed" in line for line in self.log))
+        self.assertTrue(self.hears("host-2"))
+
+    def test_an_unexpected_error_ends_neither_sending_nor_gossip(self):
+        sends = []
+
+        def fail(*_args):
+            sends.append(1)
+            raise KeyError("unexpected")
+
+        with mock.patch.object(self.state.hosts, "peers", side_effect=fail):
+            gevent.sleep(4 * CHANGED_INTERVAL_S)
+        self.assertGreater(len(sends), 1)
+
+
 class DatagramTest(unittest.TestCase):
     def test_a_large_fleet_is_not_flooded_with_datagrams(self):
         for bound in (MAX_NEAR_DATAGRAMS_PER_S, MAX_FAR_DATAGRAMS_PER_S):
