Keep the probes of links and the housekeeping running after an unexpected error

Both loops ended with the first exception that they did not expect, and a host that is cut off would then never have noticed that its links work again.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -118,9 +118,16 @@
         """Try the links again at intervals while they fail."""
         while True:
             gevent.sleep(PROBE_INTERVAL_S)
-            if self._state.links.state is not LinkState.INTACT:
-                for replica in self._next_to_probe()[:1]:
-                    self._try_link(replica, self.open_directly)
+            try:
+                self._probe_next()
+            except Exception:
+                self._state.journal.unexpected("probe_failed")
+
+    def _probe_next(self) -> None:
+        """Try the link that was tried least recently, if links fail."""
+        if self._state.links.state is not LinkState.INTACT:
+            for replica in self._next_to_probe()[:1]:
+                self._try_link(replica, self.open_directly)
 
     def _check_another_link(self, failing: Replica) -> None:
         """Check a second link if only a peer reaches a replica.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -180,7 +180,14 @@
         state = self.state
         while True:
             gevent.sleep(HOUSEKEEPING_S)
-            now_s = time.monotonic()
-            state.apply_replica_changes(state.replicas.expire(now_s), now_s=now_s)
-            state.pool.close_expired(now_s)
-            state.metrics.connections.set(self.front.connections)
+            try:
+                self._drop_expired(time.monotonic())
+            except Exception:
+                state.journal.unexpected("housekeeping_failed")
+
+    def _drop_expired(self, now_s: float) -> None:
+        """Drop what has expired."""
+        state = self.state
+        state.apply_replica_changes(state.replicas.expire(now_s), now_s=now_s)
+        state.pool.close_expired(now_s)
+        state.metrics.connections.set(self.front.connections)
