Doubt all idle connections after a call in which every replica was silent

At the begin of a partition each retry of a request went to a kept connection of another replica, which hung as well: three times 0.31 s, then 504. After a call during which no replica answered or accepted a connection, connections that were idle before are not used until an open one answers. The test of one silent replica now says that another one answered meanwhile, which it took for granted; the new test covers silence of all. Both new tests fail without the change.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
@@ -83,6 +83,8 @@
         self._failing: dict[str, _Link] = {}
         self._connected_s = NEVER_S
         self._answered_s = NEVER_S
+        self._silent_until_s = NEVER_S
+        """End of a call during which no replica answered or accepted a connection."""
 
     def note_connected(self, replica_id: str, now_s: float) -> None:
         """Record that the replica accepted a connection."""
@@ -111,6 +113,8 @@
         link = self._link(replica_id)
         if link.answered_s < sent_s:
             link.silent_until_s = now_s
+        if self.silent_since(sent_s):
+            self._silent_until_s = now_s
 
     def note_reached_by_peer(self, replica_id: str, now_s: float) -> None:
         """Record that a peer connected to the replica for this host."""
@@ -193,10 +197,17 @@
         link = self._links.get(replica_id)
         if link is not None and idle_since_s < link.silent_until_s:
             return False
+        if idle_since_s < self._silent_until_s and not self._answered_since_silence:
+            return False
         if not self._failing or self.state(known) is not LinkState.CUT_OFF:
             return True
         return idle_since_s >= _began_s(self._failing_since_last_connection())
 
+    @property
+    def _answered_since_silence(self) -> bool:
+        """Return whether an open connection has worked since all were silent."""
+        return self._answered_s > self._silent_until_s
+
     def silent_since(self, sent_s: float) -> bool:
         """Return whether no replica has answered or accepted a connection since."""
         return max(self._answered_s, self._connected_s) < sent_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
@@ -165,11 +165,21 @@
 
     def test_idle_connections_to_a_replica_that_stayed_silent_are_not_used(self):
         # Open connections may be silent for good while new ones work.
-        links = replica_links(answered("a", 1.0), silent("a", 1.5, 3.0))
+        links = replica_links(
+            answered("a", 1.0), answered("b", 2.0), silent("a", 1.5, 3.0)
+        )
         self.assertFalse(links.trusts_idle("a", idle_since_s=2.9, known=9))
         self.assertTrue(links.trusts_idle("a", idle_since_s=3.1, known=9))
         self.assertTrue(links.trusts_idle("b", idle_since_s=1.0, known=9))
 
+    def test_idle_connections_are_not_used_after_all_replicas_were_silent(self):
+        # Each retry went to another connection that had been cut as well.
+        links = replica_links(answered("b", 1.0), silent("a", 1.5, 1.8))
+        self.assertFalse(links.trusts_idle("b", idle_since_s=1.0, known=9))
+        self.assertTrue(links.trusts_idle("b", idle_since_s=1.9, known=9))
+        links.note_answer("c", 2.0)
+        self.assertTrue(links.trusts_idle("b", idle_since_s=1.0, known=9))
+
     def test_a_lost_answer_of_a_replica_that_answers_others_says_nothing(self):
         links = replica_links(answered("a", 2.0), silent("a", 1.5, 3.0))
         self.assertTrue(links.trusts_idle("a", idle_since_s=2.0, known=9))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -383,12 +383,15 @@
         """
         idle = self._idle[_key(replica)]
         for connection in [c for c in reversed(idle) if c not in avoid]:
+            if directly and connection.peer is not None:
+                continue
+            if not self._dialer.trusts(connection):
+                # It is closed once it expires, and may turn out to work before.
+                continue
             idle.remove(connection)
             age_s = now_s - connection.idle_since_s
             if (
                 age_s < connection.idle_limit_s
-                and not (directly and connection.peer)
-                and self._dialer.trusts(connection)
                 and not connection.has_unexpected_input()
             ):
                 return connection
