Ask the next peer while one does not answer

Peers that were cut off as well, and did not know it yet, took 0.4 s each, one after the other: plain requests were held for 0.6 s and more at the begin of a cut. All ways to a replica now start 0.1 s apart, or at once when one fails, and the first connection wins.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connection_race.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connection_race.py
@@ -87,5 +87,5 @@
     def _note_error(self, error: WayError) -> None:
         if isinstance(error, NotConnected):
             self.direct_error = error
-        else:
+        elif not isinstance(self.peer_error, PeerCannotReach):
             self.peer_error = error
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -6,11 +6,12 @@
 """
 
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from functools import partial
 
 import gevent
 
-from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.fleet.model import HostEntry, Replica
 from persimmonyoke.internal.fleet.replica_links import (
     MIN_REPLICAS,
     LinkState,
@@ -28,13 +29,14 @@
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.transports import Transport
 from persimmonyoke.internal.gateway.tunnel_client import (
-    NoTunnel,
     PeerCannotReach,
     TunnelClient,
 )
 
-PEER_DELAY_S = 0.1
-"""Time after which a connection that is not open yet is also opened through a peer."""
+NEXT_WAY_DELAY_S = 0.1
+"""Time after which a connection that is not open yet is tried on the next way too."""
+
+MAX_PEERS_ASKED = 3
 
 PROBE_INTERVAL_S = 0.5
 """Interval at which a host that is cut off tries one of its links again."""
@@ -44,6 +46,7 @@
 
 
 Way = Callable[[Replica, float], UpstreamConnection]
+Attempt = Callable[[], UpstreamConnection]
 
 
 class ReplicaDialer(Dialer):
@@ -59,17 +62,23 @@
         """Open a connection; raise ``NotConnected`` if no way is left."""
         if timeout_s <= 0:
             raise NotConnected(f"{replica.address}: no time is left")
-        now_s = time.monotonic()
-        links = self._state.links
-        if links.prefers_peer(replica, now_s):
-            try:
-                return self._open_by_peer(replica, timeout_s)
-            except PeerCannotReach as error:
-                raise _unreachable(error, error.refused) from error
-            except NoTunnel as error:
-                if links.partitioned:
-                    raise LinksDown(str(error)) from error
-        return self._open_either_way(replica, timeout_s)
+        deadline_s = time.monotonic() + timeout_s
+        race = ConnectionRace(self._keep_or_close)
+        try:
+            for way in self._ways(replica, deadline_s):
+                race.start(way)
+                left_s = deadline_s - time.monotonic()
+                winner = race.winner(min(NEXT_WAY_DELAY_S, left_s))
+                if winner is not None:
+                    return winner
+                if isinstance(race.peer_error, PeerCannotReach):
+                    break
+            winner = race.winner(deadline_s - time.monotonic())
+        finally:
+            race.end()
+        if winner is None:
+            raise self._failure(replica, race)
+        return winner
 
     def open_directly(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
         """Open a connection over this host's links; raise ``NotConnected``."""
@@ -175,47 +184,29 @@
             return
         self._state.pool.put_new(connection, now_s=time.monotonic())
 
-    def _open_either_way(
-        self, replica: Replica, timeout_s: float
-    ) -> UpstreamConnection:
-        deadline_s = time.monotonic() + timeout_s
-        if self._fails_anyway(replica):
-            raise LinksDown(f"{replica.address}: no link and no peer reaches it")
-        race = ConnectionRace(self._keep_or_close)
-        try:
-            race.start(lambda: self.open_directly(replica, timeout_s))
-            winner = race.winner(min(PEER_DELAY_S, timeout_s))
-            if winner is None and self._may_ask_peer(replica):
-                left_s = deadline_s - time.monotonic()
-                race.start(lambda: self._open_by_peer(replica, left_s))
-            winner = winner or race.winner(deadline_s - time.monotonic())
-        finally:
-            race.end()
-        if winner is None:
-            raise self._failure(replica, race)
-        return winner
-
-    def _fails_anyway(self, replica: Replica) -> bool:
-        """Return whether the link failed, like others, and no peer helps.
+    def _ways(self, replica: Replica, deadline_s: float) -> Iterator[Attempt]:
+        """Return the ways to a replica, the most promising one first."""
+        if not self._needs_peer(replica):
+            left_s = deadline_s - time.monotonic()
+            yield lambda: self.open_directly(replica, left_s)
+        if not self._state.links.may_ask_peer(replica, time.monotonic()):
+            return
+        for peer in self.tunnels.candidates(replica)[:MAX_PEERS_ASKED]:
+            yield partial(self._open_by_peer, replica, peer, deadline_s)
 
-        The probes find out when links work again.
-        """
+    def _needs_peer(self, replica: Replica) -> bool:
+        """Return whether the own link is not worth trying; probes tell when it is."""
         links = self._state.links
-        return (
-            links.state is LinkState.UNCONFIRMED
-            and links.fails(replica)
-            and not self._may_ask_peer(replica)
-        )
-
-    def _may_ask_peer(self, replica: Replica) -> bool:
-        now_s = time.monotonic()
-        may_ask = self._state.links.may_ask_peer(replica, now_s)
-        return may_ask and self.tunnels.has_peer(replica, now_s)
+        if links.prefers_peer(replica, time.monotonic()):
+            return True
+        return links.state is LinkState.UNCONFIRMED and links.fails(replica)
 
-    def _open_by_peer(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
-        links = self._state.links
+    def _open_by_peer(
+        self, replica: Replica, peer: HostEntry, deadline_s: float
+    ) -> UpstreamConnection:
+        links, left_s = self._state.links, deadline_s - time.monotonic()
         try:
-            transport = self.tunnels.open(replica, timeout_s=timeout_s)
+            transport = self.tunnels.open(replica, peer, timeout_s=left_s)
         except PeerCannotReach:
             links.note_unreached_by_peer(replica, time.monotonic())
             raise
@@ -238,17 +229,21 @@
         """
         direct, by_peer = race.direct_error, race.peer_error
         if isinstance(by_peer, PeerCannotReach):
-            refused = by_peer.refused and isinstance(direct, ConnectionRefused)
+            refused = by_peer.refused and not _timed_out(direct)
             return _unreachable(by_peer, refused)
         asked_before = not self._state.links.may_ask_peer(replica, time.monotonic())
         alone = not self._state.hosts.peers()
         if direct is not None and (asked_before or alone):
             return direct
+        reason = f"{replica.address}: {direct or 'not tried'}; {by_peer or 'no peer'}"
         if self._state.links.state is not LinkState.INTACT:
-            return LinksDown(f"{replica.address}: {direct}; {by_peer}")
-        if direct is None or by_peer is not None:
-            return NotConnected(f"{replica.address}: {direct}; {by_peer}")
-        return direct
+            return LinksDown(reason)
+        return NotConnected(reason)
+
+
+def _timed_out(direct: NotConnected | None) -> bool:
+    """Return whether a link was tried and the replica did not refuse."""
+    return direct is not None and not isinstance(direct, ConnectionRefused)
 
 
 def _unreachable(error: Exception, refused: bool) -> NotConnected:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -21,7 +21,6 @@
     encode_tunnel_request,
 )
 
-MAX_PEERS_ASKED = 3
 PEER_TIMEOUT_S = 0.3
 """Time in which a peer accepts a connection; it then connects to the replica."""
 
@@ -46,10 +45,6 @@
         self._peers = TunnelPeers(state.settings.availability_zone)
         self._numbers = itertools.count(1)
 
-    def has_peer(self, replica: Replica, now_s: float) -> bool:
-        """Return whether there is a peer to ask."""
-        return bool(self._candidates(replica, now_s))
-
     def usable(self, peer: str, now_s: float) -> bool:
         """Return whether tunnels through a peer are likely to work."""
         is_alive = self._state.hosts.takes_callers(peer, now_s)
@@ -60,23 +55,9 @@
         """Record that an answer was lost on a tunnel through a peer."""
         self._peers.note_lost(peer, now_s)
 
-    def open(self, replica: Replica, *, timeout_s: float) -> TunnelTransport:
-        """Open a tunnel; raise ``NoTunnel`` or ``PeerCannotReach``."""
-        deadline_s = time.monotonic() + timeout_s
-        reason = "no peer can be asked"
-        for peer in self._candidates(replica, time.monotonic())[:MAX_PEERS_ASKED]:
-            left_s = deadline_s - time.monotonic()
-            if left_s <= 0:
-                break
-            try:
-                return self._open_through(peer, replica, left_s)
-            except (OSError, ProtocolError, NoTunnel) as error:
-                reason = f"{peer.name}: {error}"
-                self._note_failed(peer, replica, error)
-        raise NoTunnel(reason)
-
-    def _candidates(self, replica: Replica, now_s: float) -> list[HostEntry]:
-        state = self._state
+    def candidates(self, replica: Replica) -> list[HostEntry]:
+        """Return the peers to ask for a tunnel to a replica, the best one first."""
+        state, now_s = self._state, time.monotonic()
         alive = [
             peer
             for peer in state.hosts.peers()
@@ -89,8 +70,18 @@
             rng=state.rng,
         )
 
-    def _open_through(
-        self, peer: HostEntry, replica: Replica, timeout_s: float
+    def open(
+        self, replica: Replica, peer: HostEntry, *, timeout_s: float
+    ) -> TunnelTransport:
+        """Open a tunnel; raise ``NoTunnel`` or ``PeerCannotReach``."""
+        try:
+            return self._open(replica, peer, timeout_s)
+        except (OSError, ProtocolError, NoTunnel) as error:
+            self._note_failed(peer, replica, error)
+            raise NoTunnel(f"{peer.name}: {error}") from error
+
+    def _open(
+        self, replica: Replica, peer: HostEntry, timeout_s: float
     ) -> TunnelTransport:
         begun_s = time.monotonic()
         tunnel_id = f"{self._state.settings.host_name}/{next(self._numbers)}"
