Lose some but not all cache events in the test of gaps, whatever the start

No load is needed, and no product code is involved. The test now has 60 events, with the same assertions, for which the chance is 2 to the power of -59.

--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/tests/test_engine.py
@@ -163,13 +163,16 @@
         # An undetected loss of an eviction event leaves a stale entry in the index.
         timing = EngineTiming(cache_event_delay_s=0.0, time_scale=0.02)
         engine, client = self.start(cache_event_loss=0.5, timing=timing, seed=3)
-        prompt = prompt_of(PIECE_TOKENS * 12)
+        # The losses depend on the time of the start; all or none of 12 events were lost
+        # in one of 2,048 runs.
+        pieces = 60
+        prompt = prompt_of(PIECE_TOKENS * pieces)
         self.text(client, generate_call(prompt=prompt, max_tokens=1))
         batch = client.cache_events(since=0)
-        self.assertEqual(batch.next_number, 12)
-        self.assertTrue(0 < len(batch.events) < 12)
+        self.assertEqual(batch.next_number, pieces)
+        self.assertTrue(0 < len(batch.events) < pieces)
         self.assertTrue(batch.gap)
-        self.assertFalse(client.cache_events(since=12).gap)
+        self.assertFalse(client.cache_events(since=pieces).gap)
         self.assertTrue(engine.core.read_cache_events(0)["gap"])
 
 
