Try no engine without a pause while this host reaches no replica

A stream that has not begun is now refused at once, as not run; one that has begun is tried again every 0.1 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+import gevent
+
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import AdmissionGate
@@ -13,10 +15,12 @@
     AnswerLost,
     AnswerTimeout,
     ConnectionEnded,
+    LinksDown,
     NotConnected,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.engine_selection import (
+    RETRY_AFTER_NO_ENGINE_S,
     RETRY_AFTER_REJECTED_S,
     EngineSelection,
 )
@@ -41,6 +45,9 @@
 A gap of more than 150 ms is late; clients disconnect after 2.4 s or more.
 """
 
+LINK_RETRY_S = 0.1
+"""Pause of a begun stream while this host reaches no replica and no peer helps."""
+
 MAX_EXTRA_EVENTS = 16
 """Events allowed beyond one per token, such as a final event that marks the end."""
 
@@ -58,6 +65,8 @@
 
     reason: str
     sent: bool
+    links_down: bool = False
+    """Whether this host reaches no replica, so that no other engine is tried now."""
 
 
 @dataclass(frozen=True)
@@ -142,11 +151,20 @@
                 return
             if isinstance(outcome, RunRejected) and not outcome.sent:
                 exchange.sends -= 1
+                if outcome.links_down:
+                    self._wait_for_links(outcome)
             elif not self._may_retry(outcome):
                 self._give_up(outcome)
             self._versions.check_version()
             self._selection.avoid(choice.engine)
 
+    def _wait_for_links(self, outcome: RunRejected) -> None:
+        """Pause before a begun stream is tried again; refuse one that has not begun."""
+        if not self._exchange.response_started:
+            self._selection.refuse(outcome.reason, RETRY_AFTER_NO_ENGINE_S)
+        gevent.sleep(LINK_RETRY_S)
+        self._exchange.cancel_scope.raise_if_cancelled()
+
     def _run_once(
         self, engine: Replica, prefilled: PrefilledPrompt | None
     ) -> RunOutcome:
@@ -199,6 +217,8 @@
                 deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S,
                 slot=exchange.use_slot(engine.replica_id),
             )
+        except LinksDown as error:
+            return RunRejected(str(error), sent=False, links_down=True)
         except NotConnected as error:
             state.note_not_connected(engine, error, now_s=time.monotonic())
             return RunRejected(str(error), sent=False)
