--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -74,6 +74,8 @@
         self, replica: Replica, peer: HostEntry, *, timeout_s: float
     ) -> TunnelTransport:
         """Open a tunnel; raise ``NoTunnel`` or ``PeerCannotReach``."""
+        if timeout_s <= 0:
+            raise NoTunnel("no time is left")
         try:
             return self._open(replica, peer, timeout_s)
         except (OSError, ProtocolError, NoTunnel) as error:
