--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -373,16 +373,19 @@
         timeout_s: float,
         now_s: float,
         avoid: Collection[UpstreamConnection] = (),
+        new_only: bool = False,
         directly: bool = False,
     ) -> UpstreamConnection:
         """Return an idle or a new connection; raise ``NotConnected`` if that fails.
 
         Connections to ``avoid`` carried an earlier call with the same request id. A
         replica may write its answer again, which the id cannot tell from a new one.
-        With ``directly`` no peer is in between.
+        With ``new_only`` idle connections are left alone, and with ``directly`` no peer
+        is in between.
         """
         idle = self._idle[_key(replica)]
-        for connection in [c for c in reversed(idle) if c not in avoid]:
+        usable = [] if new_only else [c for c in reversed(idle) if c not in avoid]
+        for connection in usable:
             if directly and connection.peer is not None:
                 continue
             if not self._dialer.trusts(connection):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -299,7 +299,7 @@
                     raise AnswerTimeout("stream did not end in time")
             self._check_end(opened, splitter)
         except AnswerLost as error:
-            self._caller.abandon(opened, self._exchange.cancel_scope)
+            self._caller.abandon(opened, self._exchange.cancel_scope, error)
             self._exchange.cancel_scope.raise_if_cancelled()
             return self._record_loss(engine, start, error)
         except BaseException:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -12,6 +12,7 @@
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
     AnswerTimeout,
+    ConnectionEnded,
     ReplicaWaits,
     UpstreamConnection,
 )
@@ -44,6 +45,12 @@
         self.used_connections: list[UpstreamConnection] = []
         """Connections that carried this request's id and may bring an old answer."""
 
+        self.connection_ended = False
+        """Whether a connection ended under this request.
+
+        Idle ones may have ended with it, which only their next call shows.
+        """
+
         self._connection: UpstreamConnection | None = None
         self._on_cancel: Callable[[], None] | None = None
 
@@ -69,6 +76,11 @@
         """Unregister the connection."""
         self._connection = None
 
+    def note_error(self, error: BaseException) -> None:
+        """Record the error that ended a call of this request."""
+        if isinstance(error, ConnectionEnded):
+            self.connection_ended = True
+
     def raise_if_cancelled(self) -> None:
         """Raise ``ClientGone`` if the client has disconnected."""
         if self.cancelled:
@@ -117,6 +129,7 @@
             timeout_s=deadline_s - now_s,
             now_s=now_s,
             avoid=cancel_scope.used_connections,
+            new_only=cancel_scope.connection_ended,
             directly=directly,
         )
         sent_s = time.monotonic()
@@ -129,6 +142,7 @@
         except BaseException as error:
             connection.discard()
             cancel_scope.detach()
+            cancel_scope.note_error(error)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
             if isinstance(error, AnswerTimeout):
@@ -145,7 +159,7 @@
             )
             cancel_scope.raise_if_cancelled()
         except BaseException as error:
-            self.abandon(response, cancel_scope)
+            self.abandon(response, cancel_scope, error)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
             raise
@@ -183,9 +197,16 @@
         )
         self._state.pool.put(response.connection)
 
-    def abandon(self, response: OpenResponse, cancel_scope: CancelScope) -> None:
+    def abandon(
+        self,
+        response: OpenResponse,
+        cancel_scope: CancelScope,
+        error: BaseException | None = None,
+    ) -> None:
         """Close the connection, which makes the replica stop the request."""
         cancel_scope.detach()
+        if error is not None:
+            cancel_scope.note_error(error)
         response.connection.close()
 
     def _note_answer(self, connection: UpstreamConnection) -> None:
