Give retries that are not sent back to the budget

Callers' streams were broken off or refused with 'retry budget is spent' while a host reached no replica: a retry was counted before it was known whether it could be sent, one for each prefill that found no connection, and it stayed counted if the request ended without another send. The budget limits arrivals at replicas, so a retry that is not sent is now uncounted, in streams and plain requests.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -64,6 +64,15 @@
         self.retries_total += 1
         return True
 
+    def give_back(self) -> None:
+        """Uncount the newest retry, which was not sent."""
+        for bucket in reversed(self._buckets):
+            if bucket[2]:
+                bucket[2] -= 1
+                self._retries -= 1
+                self.retries_total -= 1
+                return
+
     def seconds_until_available(self, now_s: float) -> float:
         """Return when the oldest counted retry leaves the window, in seconds."""
         self._current_bucket(now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -296,7 +296,8 @@
     def _prefill_prompt(self, admitted: Admitted) -> PrefilledPrompt | None:
         """Prefill the prompt; return ``None`` if another engine may be tried."""
         exchange, engine = self._exchange, admitted.plan.engine
-        if self._prefill_attempts and not self._budget.try_spend(time.monotonic()):
+        is_retry = self._prefill_attempts > 0
+        if is_retry and not self._budget.try_spend(time.monotonic()):
             self._state.ledger.end_prefill(admitted.job)
             self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
         try:
@@ -320,6 +321,8 @@
         self._candidates.excluded.add(engine.replica_id)
         if outcome.sent:
             self._prefill_attempts += 1
+        elif is_retry:
+            self._budget.give_back()
         if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS or exchange.remaining_s < 0.1:
             self.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from persimmonyoke.internal.delivery.retry_budget import RetryBudget
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica
@@ -76,18 +77,22 @@
         """Serve a request; raise ``RequestError`` if that fails."""
         budget = self._state.retry_budget(exchange.service.name)
         budget.note_first_attempt(time.monotonic())
-        outcome = self._try_replicas(exchange)
-        response = outcome.response
+        response = self._try_replicas(exchange, budget).response
         exchange.first_event_s = time.monotonic()
         headers = list(self._state.wire.client_headers(response.head.headers))
         head = exchange.head(response.head.status, response.head.reason, headers)
         exchange.client.send_response(head, response.body)
 
-    def _try_replicas(self, exchange: Exchange) -> ResponseReceived:
+    def _try_replicas(
+        self, exchange: Exchange, budget: RetryBudget
+    ) -> ResponseReceived:
         excluded: set[str] = set()
         last_response: ResponseReceived | None = None
+        retry_is_due = False
         while True:
             replica = self._prepare(exchange, excluded)
+            if replica is None and retry_is_due:
+                budget.give_back()
             if replica is None and last_response is not None:
                 return last_response
             if replica is None:
@@ -104,8 +109,10 @@
                 last_response = outcome
             if isinstance(outcome, NotRun) and not outcome.sent:
                 continue
-            if not self._may_repeat(exchange, outcome):
+            retry_is_due = False
+            if not self._may_repeat(exchange, outcome, budget):
                 return self._final_outcome(exchange, outcome, last_response)
+            retry_is_due = True
 
     def _final_outcome(
         self,
@@ -126,7 +133,9 @@
         replicas = state.replicas.usable(service, now_s=time.monotonic())
         return state.retry_after_s(service, replicas) or RETRY_AFTER_NONE_S
 
-    def _may_repeat(self, exchange: Exchange, outcome: SendOutcome) -> bool:
+    def _may_repeat(
+        self, exchange: Exchange, outcome: SendOutcome, budget: RetryBudget
+    ) -> bool:
         route = exchange.route
         if not route.repeatable and not isinstance(outcome, NotRun):
             return False
@@ -134,7 +143,6 @@
             return False
         if exchange.remaining_s < route.target_latency_s / 4:
             return False
-        budget = self._state.retry_budget(exchange.service.name)
         return budget.try_spend(time.monotonic())
 
     def _prepare(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -137,24 +137,37 @@
         self._last_event_id = exchange.metadata.last_event_id
         self._events_read = 0
         self._begun = False
+        self._retry_is_due = False
+        """Whether a retry was counted that has not been sent yet."""
 
     def run(self) -> None:
         """Run the request until its response is complete or it is given up."""
-        exchange = self._exchange
         self._budget.note_first_attempt(time.monotonic())
         self._versions.resolve()
+        try:
+            self._run_until_complete()
+        finally:
+            if self._retry_is_due:
+                self._budget.give_back()
+
+    def _run_until_complete(self) -> None:
+        exchange = self._exchange
         while True:
             choice = self._selection.prepare()
             exchange.sends += 1
+            is_retry, self._retry_is_due = self._retry_is_due, False
             outcome = self._run_once(choice.engine, choice.prefilled)
             if isinstance(outcome, RunCompleted):
                 return
             if isinstance(outcome, RunRejected) and not outcome.sent:
                 exchange.sends -= 1
+                self._retry_is_due = is_retry
                 if outcome.links_down:
                     self._wait_for_links(outcome)
-            elif not self._may_retry(outcome):
-                self._give_up(outcome)
+            else:
+                self._retry_is_due = self._may_retry(outcome)
+                if not self._retry_is_due:
+                    self._give_up(outcome)
             self._versions.check_version()
             self._selection.avoid(choice.engine)
 
