Let resumed streams wait while this host reaches no replica

Callers who resumed a stream while all hosts were cut off got 429 at once, and lost the half that they held, as a resumption is their last try; the host waited for its own begun streams in the same situation. A request that has not begun is refused at once as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -27,6 +27,7 @@
     Exchange,
     StreamBroken,
 )
+from persimmonyoke.internal.gateway.link_wait import LinkWait
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
@@ -71,6 +72,7 @@
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
         self._candidates = EngineCandidates(state, exchange, versions.allows)
+        self._link_wait = LinkWait(state, exchange)
         self._prefill_attempts = 0
         self._decoders_missing_since_s: float | None = None
         self._local_prefill: PrefillJob | None = None
@@ -121,6 +123,14 @@
             self._state.ledger.end_prefill(job)
             self._gate.admit_waiting()
 
+    def wait_for_links(self, reason: str) -> None:
+        """Pause while this host reaches no replica; refuse a stream that can't wait."""
+        if not self._link_wait.pause(reason):
+            self.refuse(reason, RETRY_AFTER_NO_ENGINE_S)
+        # What failed on the links of this host says nothing of the engines.
+        self._candidates.excluded.clear()
+        self._candidates.avoided.clear()
+
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
         """Raise the error for a request that is given up before it has run."""
         if self._slot is not None:
@@ -323,6 +333,9 @@
             self._prefill_attempts += 1
         elif is_retry:
             self._budget.give_back()
+        if outcome.links_down:
+            self.wait_for_links(outcome.reason)
+            return None
         if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS or exchange.remaining_s < 0.1:
             self.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -66,6 +66,12 @@
     isolated_subject: bytes = b""
     """Subject of this request under which the replica is reserved."""
 
+    @property
+    def holds_part(self) -> bool:
+        """Return whether the client holds the beginning of a resumable stream."""
+        resumes = self.metadata.last_event_id is not None
+        return self.route.resumable and (self.response_started or resumes)
+
     @property
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -14,7 +14,11 @@
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import Admitted
 from persimmonyoke.internal.gateway.attempts import AttemptStart
-from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    LinksDown,
+    NotConnected,
+)
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -50,6 +54,8 @@
 
     reason: str
     sent: bool
+    links_down: bool = False
+    """Whether this host reaches no replica, which says nothing of the engine."""
 
 
 class PrefillCaller:
@@ -109,7 +115,8 @@
             )
         except NotConnected as error:
             state.note_not_connected(engine, error, now_s=time.monotonic())
-            return PrefillFailed(str(error), sent=False)
+            links_down = isinstance(error, LinksDown)
+            return PrefillFailed(str(error), sent=False, links_down=links_down)
         except AnswerLost as error:
             self._note_loss(engine, error)
             self._crashes.note_lost_answer(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -4,8 +4,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import gevent
-
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import AdmissionGate
@@ -20,7 +18,6 @@
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.engine_selection import (
-    RETRY_AFTER_NO_ENGINE_S,
     RETRY_AFTER_REJECTED_S,
     EngineSelection,
 )
@@ -45,9 +42,6 @@
 A gap of more than 150 ms is late; clients disconnect after 2.4 s or more.
 """
 
-LINK_RETRY_S = 0.1
-"""Pause of a begun stream while this host reaches no replica and no peer helps."""
-
 MAX_EXTRA_EVENTS = 16
 """Events allowed beyond one per token, such as a final event that marks the end."""
 
@@ -162,21 +156,15 @@
             if isinstance(outcome, RunRejected) and not outcome.sent:
                 exchange.sends -= 1
                 self._retry_is_due = is_retry
-                if outcome.links_down:
-                    self._wait_for_links(outcome)
             else:
                 self._retry_is_due = self._may_retry(outcome)
                 if not self._retry_is_due:
                     self._give_up(outcome)
             self._versions.check_version()
-            self._selection.avoid(choice.engine)
-
-    def _wait_for_links(self, outcome: RunRejected) -> None:
-        """Pause before a begun stream is tried again; refuse one that has not begun."""
-        if not self._exchange.response_started:
-            self._selection.refuse(outcome.reason, RETRY_AFTER_NO_ENGINE_S)
-        gevent.sleep(LINK_RETRY_S)
-        self._exchange.cancel_scope.raise_if_cancelled()
+            if isinstance(outcome, RunRejected) and outcome.links_down:
+                self._selection.wait_for_links(outcome.reason)
+            else:
+                self._selection.avoid(choice.engine)
 
     def _run_once(
         self, engine: Replica, prefilled: PrefilledPrompt | None
