Refuse no begun stream by estimates made while no replica is reached

Callers who resumed a stream during a cut of all hosts got 429 'first event would come too late', and begun streams were broken off for it: prefill engines of which an answer was lost on the cut links were paused or left out, so that only a decode engine was left, which prefills slowly. Such a refusal now lets a stream of which the client holds a part wait for the links instead, and what was left out is tried again.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -16,6 +16,7 @@
 from persimmonyoke.internal.dispatch.returns import RETRY_VALUE_FACTOR, request_key
 from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
+from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway.admission import (
     AdmissionGate,
     AdmissionRequest,
@@ -125,11 +126,25 @@
 
     def wait_for_links(self, reason: str) -> None:
         """Pause while this host reaches no replica; refuse a stream that can't wait."""
-        if not self._link_wait.pause(reason):
+        if not self._pause_for_links(reason):
             self.refuse(reason, RETRY_AFTER_NO_ENGINE_S)
+
+    def _refuse_or_wait(self, reason: str, retry_after_s: float) -> None:
+        """Refuse the request, unless it waits because no replica is reached.
+
+        Pauses and estimates come from failures of the own links then.
+        """
+        links_down = self._state.links.state is LinkState.UNCONFIRMED
+        if not links_down or not self._pause_for_links(reason):
+            self.refuse(reason, retry_after_s)
+
+    def _pause_for_links(self, reason: str) -> bool:
+        if not self._link_wait.pause(reason):
+            return False
         # What failed on the links of this host says nothing of the engines.
         self._candidates.excluded.clear()
         self._candidates.avoided.clear()
+        return True
 
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
         """Raise the error for a request that is given up before it has run."""
@@ -295,11 +310,11 @@
             if self._decoders_missing_since_s is None:
                 self._decoders_missing_since_s = now_s
             if now_s - self._decoders_missing_since_s > ANNOUNCEMENT_WAIT_S:
-                self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
+                self._refuse_or_wait("no decode engine", RETRY_AFTER_NO_ENGINE_S)
         elif expected_s + FIRST_EVENT_OVERHEAD_S > self._exchange.event_wait_left_s(
             now_s
         ):
-            self.refuse("decode engine comes too late", expected_s)
+            self._refuse_or_wait("decode engine comes too late", expected_s)
         gevent.sleep(DECODER_POLL_INTERVAL_S)
         exchange.cancel_scope.raise_if_cancelled()
 
@@ -341,6 +356,15 @@
         return None
 
     def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
+        """Wait until an engine takes the prompt; refuse what would come too late."""
+        while True:
+            admitted = self._try_admit(prompt, limits)
+            if isinstance(admitted, Admitted):
+                return admitted
+            self._exchange.estimate_s = admitted.first_event_s
+            self._refuse_or_wait(admitted.reason, admitted.retry_after_s)
+
+    def _try_admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted | Refused:
         exchange = self._exchange
         while not self._may_prefill(limits):
             self._await_decoder(limits)
@@ -363,9 +387,6 @@
             # The client disconnected at the moment of admission.
             self._state.ledger.end_prefill(admitted.job)
         exchange.cancel_scope.raise_if_cancelled()
-        if isinstance(admitted, Refused):
-            exchange.estimate_s = admitted.first_event_s
-            self.refuse(admitted.reason, admitted.retry_after_s)
         assert admitted is not None
         return admitted
 
