Let streams wait for the links without attempts

Each took an engine off the index of cached parts, so that prompts were read again after the cut. It now waits until the links are reached again; the probes of the links ask peers, too, while no peer has shown that it reaches a replica.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -133,10 +133,16 @@
                 self._state.journal.unexpected("probe_failed")
 
     def _probe_next(self) -> None:
-        """Try the link that was tried least recently, if links fail."""
-        if self._state.links.state is not LinkState.INTACT:
-            for replica in self._next_to_probe()[:1]:
-                self._try_link(replica, self.open_directly)
+        """Try the link that was tried least recently, if links fail.
+
+        Peers are asked too while none has shown that it reaches a replica.
+        """
+        if self._state.links.state is LinkState.INTACT:
+            return
+        for replica in self._next_to_probe()[:1]:
+            self._try_link(replica, self.open_directly)
+            if self._state.links.state is LinkState.UNCONFIRMED:
+                self._try_link(replica, self.open)
 
     def _check_another_link(self, failing: Replica) -> None:
         """Check a second link if only a peer reaches a replica.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -340,17 +340,18 @@
         if isinstance(outcome, PrefilledPrompt):
             self._prefill_attempts += 1
             return outcome
-        prompt = exchange.metadata.prompt
-        assert prompt is not None
-        self._state.prefixes.forget(engine.replica_id, prompt.parts)
-        self._candidates.excluded.add(engine.replica_id)
         if outcome.sent:
             self._prefill_attempts += 1
         elif is_retry:
             self._budget.give_back()
         if outcome.links_down:
+            # The engine still has the parts of the prompt that it had.
             self.wait_for_links(outcome.reason)
             return None
+        prompt = exchange.metadata.prompt
+        assert prompt is not None
+        self._state.prefixes.forget(engine.replica_id, prompt.parts)
+        self._candidates.excluded.add(engine.replica_id)
         if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS or exchange.remaining_s < 0.1:
             self.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
