--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/services.py
@@ -178,8 +178,6 @@
         self._budget.note_first_attempt(self._clock())
         for attempt in range(MAX_ATTEMPTS):
             now_s = self._clock()
-            if attempt and not self._budget.try_spend(now_s):
-                break
             replica = self._choose(request, tried, now_s)
             if replica is None:
                 break
@@ -187,6 +185,8 @@
             if left_s < MIN_DISPATCH_S:
                 self._check_before_dispatch(unknown_outcome)
                 break
+            if attempt and not self._budget.try_spend(now_s):
+                break
             tried.add(replica.name)
             check_invariant(
                 repeatable or unknown_outcome is None,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_services.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_services.py
@@ -125,6 +125,13 @@
         self.assertTrue(self.services.calls[0][1].idempotency_key)
         self.assertEqual(self.gate.claimed, [])
 
+    def test_a_retry_that_finds_no_replica_spends_no_budget(self):
+        # It stayed counted, and later calls found the budget spent.
+        self.services = FakeServices("s1")
+        self.services.outcomes["s1"] = [LOST]
+        self.assertEqual(self.fail(method="GET").ran, Ran.UNKNOWN)
+        self.assertEqual(self.budget.retries_total, 0)
+
     def test_retries_of_service_calls_spend_the_budget(self):
         # Otherwise, the failure of half of the replicas would double the calls.
         self.budget = RetryBudget(floor=0, share=0.0)
