--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -43,7 +43,6 @@
     ReplicaChange,
     ReplicaChanged,
     ReplicaGone,
-    ReplicaMissing,
     ReplicaView,
 )
 from persimmonyoke.internal.fleet.store_contact import StoreContact
@@ -60,6 +59,7 @@
 from persimmonyoke.internal.gateway.link_monitor import LinkMonitor
 from persimmonyoke.internal.gateway.metrics import GatewayMetrics
 from persimmonyoke.internal.gateway.quarantine_rule import MAX_SUSPECTS, QUARANTINE
+from persimmonyoke.internal.gateway.replica_log import log_replica_change
 from persimmonyoke.internal.gateway.retry_budgets import RetryBudgets
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 
@@ -382,7 +382,7 @@
         """Log changes of replicas and discard the state of removed incarnations."""
         for change in changes:
             replica = change.replica
-            self._log_replica(change, now_s)
+            log_replica_change(self.journal, change, self.view, now_s=now_s)
             if isinstance(change, ReplicaAdded):
                 self.stream_versions.note_restarted(replica, now_s=now_s)
                 self.replica_limits.forget(replica.replica_id)
@@ -394,28 +394,6 @@
             elif isinstance(change, ReplicaChanged) and change.stage_changed:
                 self.prefixes.forget_replica(replica.replica_id)
 
-    def _log_replica(self, change: ReplicaChange, now_s: float) -> None:
-        replica = change.replica
-        reason = change.reason if isinstance(change, ReplicaGone) else None
-        outage_ended_ms = None
-        if isinstance(change, ReplicaMissing):
-            outage_ended_ms = int(change.outage_ended_ago_s * 1_000)
-        self.journal.event(
-            "replica",
-            replica=replica.replica_id,
-            change=type(change).__name__,
-            service=replica.service,
-            address=replica.address,
-            stage=replica.stage,
-            draining=replica.draining,
-            software_version=replica.software_version,
-            born_unix_ms=replica.born_unix_ms,
-            reason=reason,
-            outage_ended_ms=outage_ended_ms,
-            store_revision=self.view.revision,
-            view_age_ms=int(self.view.age_s(now_s) * 1_000),
-        )
-
     def _forget(self, replica: Replica) -> None:
         self.pool.drop_replica(replica)
         self.ledger.forget(replica.replica_id)
