Let resumed streams wait for an ordered decode engine of their version

Callers who resumed a stream after the last decode engine of its version had left got 503 'no replica of the stream's software version is left' at once, although an engine of that version had been ordered to decode: the forecast did not tell which engine it was about. It keeps the announcements by engine now, and a stream waits for one of its own version, or for the order if most engines have its version.

test_a_resumption_waits_for_an_engine_of_its_version_that_is_to_decode failed before: '503 != 200'.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stage_changes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stage_changes.py
@@ -39,3 +39,9 @@
             del self._expected[replica.replica_id]
             return False
         return True
+
+    def is_pending_to(self, replica: Replica, stage: Stage, now_s: float) -> bool:
+        """Return whether an engine has yet to complete a change to a stage."""
+        if not self.is_pending(replica, now_s):
+            return False
+        return self._expected[replica.replica_id].stage is stage
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -394,14 +394,11 @@
     def _decoder_expected_in_s(
         self, limits: EngineLimits, now_s: float
     ) -> float | None:
-        """Return when a decode engine is expected that may serve this request.
-
-        The forecast does not tell the version of the engine.
-        """
-        if self._versions.excludes_engines:
-            return None
+        """Return when a decode engine is expected that may serve this request."""
         return self._state.decoder_forecast.expected_in_s(
-            stage_change_s=limits.stage_change_s, now_s=now_s
+            stage_change_s=limits.stage_change_s,
+            now_s=now_s,
+            among=self._versions.compatible_engines,
         )
 
     def _may_prefill(self, limits: EngineLimits) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -1,6 +1,7 @@
 """Keeping of one stream to the software version that began it."""
 
 import time
+from collections.abc import Sequence
 from typing import NoReturn
 
 import gevent
@@ -10,8 +11,11 @@
     VersionFinding,
     find_version,
 )
-from persimmonyoke.internal.dispatch.version_plan import writes_events
-from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.dispatch.version_plan import (
+    majority_version,
+    writes_events,
+)
+from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -46,13 +50,16 @@
         self._store_answered = False
 
     @property
-    def excludes_engines(self) -> bool:
-        """Return whether some engines of the service have another version."""
-        return self._required is not None and any(
-            replica.software_version != self._required
+    def compatible_engines(self) -> set[str] | None:
+        """Return the ids of the engines of the stream's version, if it is bound."""
+        if self._required is None:
+            return None
+        return {
+            replica.replica_id
             for replica in self._state.replicas.all()
             if replica.service == self._service
-        )
+            and replica.software_version == self._required
+        }
 
     def resolve(self) -> None:
         """Find the version of a stream that a client resumes; refuse it if unknown."""
@@ -84,12 +91,26 @@
         known = state.replicas.usable(self._service, now_s=now_s)
         known += state.replicas.leaving(self._service, now_s=now_s)
         left = [r for r in known if r.software_version == self._required]
-        if self.excludes_engines:
-            # Which version an engine that is to decode next will have is not known.
-            left = [replica for replica in left if writes_events(replica)]
+        if not self._decoder_is_ordered_from(left, known):
+            left = [r for r in left if writes_events(r) or self._will_write(r, now_s)]
         if not left:
             self._refuse(VERSION_LEFT, None)
 
+    def _decoder_is_ordered_from(
+        self, left: Sequence[Replica], known: Sequence[Replica]
+    ) -> bool:
+        """Return whether a missing decode engine is replaced by one of some engines.
+
+        The engine that is ordered to decode next has the version of most engines.
+        """
+        record = self._state.stream_versions.service(self._service)
+        majority = majority_version(known, record.active if record else None)
+        return any(r.software_version == majority and not r.draining for r in left)
+
+    def _will_write(self, replica: Replica, now_s: float) -> bool:
+        """Return whether an engine has been ordered to decode."""
+        return self._state.stage_changes.is_pending_to(replica, Stage.DECODE, now_s)
+
     def note_event(self, replica: Replica) -> None:
         """Bind the stream to the version of the replica that wrote its first event."""
         if self._noted or not self._applies:
