Answer a request that was read in spite of an unexpected error

Callers saw: a closed connection with neither an answer nor a refusal after a whole request, for any error that the code did not expect; one before the request was admitted left no line for the request either.

Cause: FrontServer._relay returned without an answer after an unexpected error, also where no byte of a response had been sent, and _admit's left _handle_request as a failure of the connection. A RequestError was sent as a whole response even when another one had begun, which put its head and text into the body.

Evidence before the fix, test_unexpected_errors: "False is not true" (answer not complete) while relaying and before admission; for a RequestError in a begun response the client's parser said "Invalid character in chunk size". Whether a RequestError can leave a relay after its first byte today was not shown; the relays raise StreamBroken there.

Fix: without a byte sent, an error while relaying is answered 502 (504 at the deadline), which promises nothing, and one before admission 503, since no replica has been chosen and the request never runs. The error and the request have their log lines with the request id, and the connection is closed after the answer. A response that has begun is broken off, whatever the error.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -35,6 +35,8 @@
 Callers cache host addresses for 2 s, some for three times as long.
 """
 
+REASON_LABEL_CHARS = 60
+
 
 class FrontServer:
     """Accept client connections and serve their requests."""
@@ -139,10 +141,13 @@
             self._log_refusal(request, error)
             connection.send_response(_error_head(error, closing), _error_body(error))
             return not closing
+        except Exception as error:
+            self._fail_unadmitted(connection, request, error)
+            return False
         exchange.closing = closing
         connection.watch_for_disconnect(exchange.cancel_scope.cancel)
         try:
-            return self._relay(exchange) and not closing
+            return self._relay(exchange) and not exchange.closing
         finally:
             connection.stop_watching()
 
@@ -157,10 +162,10 @@
             return True
         except RequestError as error:
             outcome = "refused" if error.answer.status in (429, 503) else "failed"
-            exchange.status, reason = error.answer.status, error.message
-            head = _error_head(error, exchange.closing)
-            exchange.client.send_response(head, _error_body(error))
-            return True
+            reason = error.message
+            if exchange.client.response_started:
+                outcome = "failed"
+            return self._answer_error(exchange, error)
         except StreamBroken as error:
             outcome, reason = "failed", str(error)
             return False
@@ -172,10 +177,44 @@
             self._state.journal.unexpected(
                 "request_failed", request_id=exchange.metadata.request_id
             )
-            return False
+            exchange.closing = True
+            return self._answer_error(exchange, exchange.failed("internal error"))
         finally:
             self._log(exchange, outcome, reason)
 
+    @staticmethod
+    def _answer_error(exchange: Exchange, error: RequestError) -> bool:
+        """Send an error; return whether the connection can be reused.
+
+        A response that has begun is broken off instead, as the error would become part
+        of its body.
+        """
+        if exchange.client.response_started:
+            return False
+        exchange.status = error.answer.status
+        head = _error_head(error, exchange.closing)
+        exchange.client.send_response(head, _error_body(error))
+        return True
+
+    def _fail_unadmitted(
+        self, connection: ClientConnection, request: ClientRequest, cause: Exception
+    ) -> None:
+        """Answer a request that an unexpected error kept from being admitted.
+
+        No replica has been chosen for it, so it never runs.
+        """
+        self._state.journal.unexpected(
+            "request_failed", request_id=_request_id(request)
+        )
+        error = RequestError(
+            ErrorKind.NOT_READY,
+            "request could not be admitted",
+            retry_after_s=RETRY_AFTER_NOT_READY_S,
+        )
+        reason = f"{type(cause).__name__}: {cause}"
+        self._log_unadmitted(request, "failed", error.answer.status, reason)
+        connection.send_response(_error_head(error, closing=True), _error_body(error))
+
     def _admit(
         self, connection: ClientConnection, request: ClientRequest, started_s: float
     ) -> Exchange:
@@ -230,19 +269,23 @@
         return started_s is not None and now_s - started_s > DRAIN_GRACE_S
 
     def _log_refusal(self, request: ClientRequest, error: RequestError) -> None:
+        self._log_unadmitted(request, "rejected", error.answer.status, error.message)
+
+    def _log_unadmitted(
+        self, request: ClientRequest, outcome: str, status: int, reason: str
+    ) -> None:
         state = self._state
-        request_id = (request.header(b"request-id") or b"").decode("latin-1")
         state.journal.event(
             "request",
-            request_id=request_id,
+            request_id=_request_id(request),
             path=request.path,
-            outcome="rejected",
-            status=error.answer.status,
-            reason=error.message,
+            outcome=outcome,
+            status=status,
+            reason=reason,
             configuration=state.version,
         )
-        state.metrics.requests.add(kind="none", outcome="rejected")
-        state.metrics.refusals.add(reason=error.message)
+        state.metrics.requests.add(kind="none", outcome=outcome)
+        state.metrics.refusals.add(reason=reason[:REASON_LABEL_CHARS])
 
     def _log(self, exchange: Exchange, outcome: str, reason: str) -> None:
         state, now_s = self._state, time.monotonic()
@@ -275,7 +318,7 @@
         state.metrics.requests.add(kind=kind, outcome=outcome)
         state.metrics.duration.observe(now_s - exchange.started_s, kind=kind)
         if outcome in ("refused", "failed"):
-            state.metrics.refusals.add(reason=reason[:60])
+            state.metrics.refusals.add(reason=reason[:REASON_LABEL_CHARS])
         if exchange.sends > 1:
             state.metrics.repeats.add(exchange.sends - 1)
 
@@ -297,6 +340,10 @@
         }
 
 
+def _request_id(request: ClientRequest) -> str:
+    return (request.header(b"request-id") or b"").decode("latin-1")
+
+
 def _ms(seconds: float | None) -> int | None:
     return None if seconds is None else int(seconds * 1_000)
 
