Answer 500 after an unexpected error at the status endpoints

Callers saw: /metrics and /resolve closed the connection without an answer after an unexpected error in their handler, and a kept connection was lost with it.

Cause: the error left the loop that serves the connection.

Evidence before the fix: test_an_error_is_answered_and_leaves_the_connection_usable: "0 != 500" for both paths.

Fix: the error is logged with the path and answered 500; the connection goes on.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 import orjson
 from gevent import socket
@@ -23,13 +24,15 @@
 JSON = (b"Content-Type", b"application/json")
 TEXT = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
 
+Handler = Callable[[ClientRequest], tuple[int, bytes]]
+
 
 class StatusServer:
     """Serve ``GET`` requests for a fixed set of paths."""
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._paths: dict[str, Callable[[ClientRequest], tuple[int, bytes]]] = {
+        self._paths: dict[str, Handler] = {
             "/ready": self._ready,
             "/resolve": self._resolve,
             "/metrics": self._metrics,
@@ -66,11 +69,21 @@
         self, connection: ClientConnection, request: ClientRequest
     ) -> None:
         handler = self._paths.get(request.path)
-        status, body = (404, b"") if handler is None else handler(request)
-        reason = {200: b"OK", 404: b"Not Found"}.get(status, b"Service Unavailable")
+        status, body = 404, b""
+        if handler is not None:
+            status, body = self._result(handler, request)
+        reason = HTTPStatus(status).phrase.encode()
         kind = TEXT if request.path == "/metrics" else JSON
         connection.send_response(OutgoingHead(status, reason, [kind]), body)
 
+    def _result(self, handler: Handler, request: ClientRequest) -> tuple[int, bytes]:
+        """Return the status and body of a handler, or 500 after an unexpected error."""
+        try:
+            return handler(request)
+        except Exception:
+            self._state.journal.unexpected("small_request_failed", path=request.path)
+            return 500, b""
+
     def _ready(self, _request: ClientRequest) -> tuple[int, bytes]:
         return (200, b"{}") if self._state.ready else (503, b"{}")
 
