Keep connections open at the end of a drain on which a request has arrived

Callers saw: a reset instead of an answer to a request on a kept connection, sent in the moment in which a stopping host closed its idle connections.

Cause: close_idle trusted the flag of the connection's task, which is idle until the task has read the input. Bytes that had arrived were still unread, and closing a socket with unread input resets the connection.

Evidence before the fix: test_a_request_that_arrives_as_idle_connections_are_closed_ is_answered: "0 != 200". The same race with the idle timeout, after a stall, does not happen: gevent hands over the input first, as the test of it shows.

Fix: a connection with unread input stays open; its task reads and answers it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -9,6 +9,7 @@
 
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.fleet.model import ClientLimits
+from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.requests import ClientRequest, RequestParser
 
 READ_BYTES = 65_536
@@ -175,6 +176,14 @@
         self._stop_watcher()
         self._sock.close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is being read or has arrived.
+
+        Closing with unread input would reset the connection.
+        """
+        if self.idle and not sockets.has_input(self._sock):
+            self.close()
+
     def lingering_close(self) -> None:
         """Close the connection so that the client can still read the last response.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -82,11 +82,10 @@
             self._server.close()
 
     def close_idle(self) -> None:
-        """Stop accepting and close the connections without a request in progress."""
+        """Stop accepting and close the connections on which no request has arrived."""
         self.stop_accepting()
         for connection in list(self._connections):
-            if connection.idle:
-                connection.close()
+            connection.close_if_idle()
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
         sockets.enable_dead_peer_detection(sock, sockets.CLIENT_USER_TIMEOUT_MS)
