Answer the whole requests that precede malformed input in one read

Callers saw: a 400 in the place of the answer to a proper request, when input that is refused followed it on the connection and both arrived in one read; the requests before it were never run. 17 pipelined requests got one 400.

Cause: RequestParser.feed raised the error of the later input at once, and the requests that it had completed from the same bytes were dropped.

Fix: the parser keeps the error until its complete requests have been taken. Nothing after the error is parsed, as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -89,6 +89,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._partial: _PartialRequest | None = None
         self._complete: deque[ClientRequest] = deque()
+        self._refusal: RequestError | None = None
 
     @property
     def reading(self) -> bool:
@@ -110,11 +111,29 @@
         return True
 
     def next_request(self) -> ClientRequest | None:
-        """Return the next complete request, if any."""
-        return self._complete.popleft() if self._complete else None
+        """Return the next complete request, if any.
+
+        Raises ``RequestError`` if invalid input follows the last one.
+        """
+        if self._complete:
+            return self._complete.popleft()
+        if self._refusal is not None:
+            raise self._refusal
+        return None
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; raise ``RequestError`` if the input is invalid or too large."""
+        """Parse bytes; raise ``RequestError`` if the input is invalid or too large.
+
+        If there are complete requests before it, ``next_request`` raises it after them.
+        """
+        try:
+            self._feed(data)
+        except RequestError as error:
+            if not self._complete:
+                raise
+            self._refusal = error
+
+    def _feed(self, data: bytes) -> None:
         partial, body_bytes = self._partial, self._body_bytes
         self._parse(data)
         if partial is None or self._partial is not partial:
