Read the store before a resumed stream of an unknown version goes on

Callers whose stream had begun at a new software version resumed it at a host that was out of step, and it went on at the old version, with nothing in the answer to show it (ORDER).

The host took the only version of its record for the stream's version while its view was at most 0.3 s old. That age is no proof. The steady clock stands still while a machine is suspended, an answer of the store that was queued during a freeze confirms the view when it is read, and within the 0.3 s another host may change the record and begin a stream.

Evidence: HostOutOfStepTest.test_a_host_whose_view_only_seems_fresh_joins_no_versions failed before with "{b'v1'} not less than or equal to {b'v2'}".

Now only a read of the store that begins after the request has come shows that the record is current: a record is changed before streams begin at the other version, so a read after the resumption shows the change.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -15,9 +15,6 @@
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.state import GatewayState
 
-FRESH_VIEW_S = 0.3
-"""Age up to which this host's view counts as the store's present state."""
-
 LOOKUP_PAUSES_S = (0.0, 0.15, 0.3)
 """Pauses before the reads of the store for the record of a stream.
 
@@ -132,7 +129,10 @@
 
     def _find(self, resumed_id: str) -> VersionFinding:
         last_s = time.monotonic() + MAX_LOOKUP_S
-        finding = self._find_in_view(resumed_id, is_current=self._view_is_current())
+        # No age of the view shows that it is current: the steady clock does not count a
+        # suspension, and an answer of the store may be read late. Only a read that
+        # begins after the request shows it.
+        finding = self._find_in_view(resumed_id, is_current=False)
         for pause_s in LOOKUP_PAUSES_S:
             if not finding.may_change or time.monotonic() > last_s:
                 return finding
@@ -152,9 +152,6 @@
             now_s=time.monotonic(),
         )
 
-    def _view_is_current(self) -> bool:
-        return self._state.view.age_s(time.monotonic()) <= FRESH_VIEW_S
-
     def _no_host_knows_more(self) -> bool:
         """Return whether, with a silent store, no host can know another version.
 
