Ask all peers before a stream goes on while the store is silent

Callers whose stream had begun at a new software version resumed it at a host that reached neither the store nor the other hosts, or that had just been suspended, and it went on at the old version (ORDER).

Without an answer of the store the host went on if no peer was heard to have contact with the store or to know a later revision. A host that hears no peer found that nobody knew more; what peers had said before a suspension, or in datagrams that were queued during it, counted as recent.

Now each registered peer has to say, in a datagram that is read 0.1 s after the request or later, that it has no contact with the store and knows no later revision. A peer that has started again, at revision 0, proves nothing. The request waits up to 1.3 s for this if its host hears all peers, and is refused as not run otherwise.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -207,6 +207,25 @@
             for peer in self._peers.values()
         )
 
+    def hears_all_peers(self, now_s: float) -> bool:
+        """Return whether all registered peers were heard recently."""
+        return not any(self._timed_out(peer, now_s) for peer in self.peers())
+
+    def no_peer_knows_more(self, revision: int, *, since_s: float) -> bool:
+        """Return whether all peers said so since a time, without a store that answers.
+
+        A peer at revision 0 has started again and may have known more before.
+        """
+        heard = {
+            name: peer
+            for name, peer in self._peers.items()
+            if name != self._own_name and peer.heard_s >= since_s
+        }
+        return all(peer.name in heard for peer in self.peers()) and all(
+            not peer.store_connected and 0 < peer.store_revision <= revision
+            for peer in heard.values()
+        )
+
     def addresses(
         self,
         *,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -99,6 +99,42 @@
         self.assertEqual(hosts.newest_revision(NOW_S), 40)
 
 
+class PeersKnowledgeTest(unittest.TestCase):
+    """Hosts joined streams of two versions as nobody had told them of a change."""
+
+    def knows_more(self, *states):
+        hosts = HostView("host-1")
+        for number in (1, 2, 3):
+            hosts.put(host(f"host-{number}", port=number), now_s=0.0)
+        for name, heard_s, connected, revision in states:
+            state = PeerState(heard_s, True, 7, connected, revision)
+            hosts.note_peer(name, state)
+        return not hosts.no_peer_knows_more(40, since_s=NOW_S)
+
+    def test_peers_at_this_revision_without_store_know_no_more(self):
+        second, third = ("host-2", NOW_S, False, 40), ("host-3", NOW_S, False, 39)
+        self.assertFalse(self.knows_more(second, third))
+
+    def test_one_peer_that_was_not_heard_since_may_know_more(self):
+        second = ("host-2", NOW_S, False, 40)
+        self.assertTrue(self.knows_more(second))
+        self.assertTrue(self.knows_more(second, ("host-3", NOW_S - 0.1, False, 40)))
+
+    def test_a_peer_with_a_store_or_a_later_revision_may_know_more(self):
+        second = ("host-2", NOW_S, False, 40)
+        for connected, revision in ((True, 40), (False, 41)):
+            third = ("host-3", NOW_S, connected, revision)
+            self.assertTrue(self.knows_more(second, third))
+
+    def test_a_peer_that_has_started_again_may_have_known_more(self):
+        second, third = ("host-2", NOW_S, False, 40), ("host-3", NOW_S, False, 0)
+        self.assertTrue(self.knows_more(second, third))
+
+    def test_a_host_that_is_not_registered_here_may_know_more(self):
+        known = [(f"host-{number}", NOW_S, False, 40) for number in (2, 3)]
+        self.assertTrue(self.knows_more(*known, ("host-4", NOW_S, True, 50)))
+
+
 class ManyHostsTest(unittest.TestCase):
     def hosts(self, count, *, seen_s=NOW_S):
         hosts = HostView("host-0")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -24,6 +24,13 @@
 MAX_LOOKUP_S = 1.0
 """Time after which no further read is made; a silent store delays each of them."""
 
+QUEUED_DATAGRAMS_S = 0.1
+"""Time after a request in which datagrams may be read that were queued before it."""
+
+PEERS_WAIT_S = 1.3
+"""Time in which all peers are heard; in a large deployment this takes 0.9 s."""
+
+PEERS_POLL_S = 0.05
 RETRY_AFTER_SILENT_STORE_S = 0.5
 
 UNKNOWN_VERSION = "software version of the stream is not known"
@@ -128,21 +135,38 @@
         )
 
     def _find(self, resumed_id: str) -> VersionFinding:
-        last_s = time.monotonic() + MAX_LOOKUP_S
+        started_s = time.monotonic()
         # No age of the view shows that it is current: the steady clock does not count a
         # suspension, and an answer of the store may be read late. Only a read that
         # begins after the request shows it.
         finding = self._find_in_view(resumed_id, is_current=False)
         for pause_s in LOOKUP_PAUSES_S:
-            if not finding.may_change or time.monotonic() > last_s:
-                return finding
+            late = time.monotonic() > started_s + MAX_LOOKUP_S
+            if not finding.may_change or late:
+                break
             gevent.sleep(pause_s)
             self._exchange.cancel_scope.raise_if_cancelled()
             self._store_answered = self._state.read_stream_records()
-            is_current = self._store_answered or self._no_host_knows_more()
+            is_current = self._store_answered or self._no_host_knows_more(started_s)
+            finding = self._find_in_view(resumed_id, is_current=is_current)
+        if finding.may_change and not self._store_answered:
+            self._await_peers(started_s)
+            is_current = self._no_host_knows_more(started_s)
             finding = self._find_in_view(resumed_id, is_current=is_current)
         return finding
 
+    def _await_peers(self, started_s: float) -> None:
+        """Wait until all peers were heard, if they may show that nothing changed."""
+        while self._sees_one_version() and not self._no_host_knows_more(started_s):
+            now_s = time.monotonic()
+            silent = not self._state.hosts.hears_all_peers(now_s)
+            if silent or now_s > started_s + PEERS_WAIT_S:
+                return
+            if self._state.hosts.store_answers_a_peer(now_s):
+                return
+            gevent.sleep(PEERS_POLL_S)
+            self._exchange.cancel_scope.raise_if_cancelled()
+
     def _find_in_view(self, resumed_id: str, *, is_current: bool) -> VersionFinding:
         register = self._state.stream_versions
         return find_version(
@@ -152,20 +176,28 @@
             now_s=time.monotonic(),
         )
 
-    def _no_host_knows_more(self) -> bool:
+    def _no_host_knows_more(self, started_s: float) -> bool:
         """Return whether, with a silent store, no host can know another version.
 
         No record can change then, and streams begin at another version only if its
-        replicas are known.
+        replicas are known. What peers said before the request proves nothing.
         """
-        state, now_s = self._state, time.monotonic()
-        record = state.stream_versions.service(self._service)
-        if record is None or state.hosts.store_answers_a_peer(now_s):
-            return False
-        if state.hosts.newest_revision(now_s) > state.view.revision:
-            return False
-        replicas = state.replicas.usable(self._service, now_s=now_s)
-        return all(r.software_version == record.active for r in replicas)
+        return self._sees_one_version() and self._state.hosts.no_peer_knows_more(
+            self._state.view.revision, since_s=started_s + QUEUED_DATAGRAMS_S
+        )
+
+    def _sees_one_version(self) -> bool:
+        """Return whether the record and all known replicas name one version."""
+        record = self._state.stream_versions.service(self._service)
+        return (
+            record is not None
+            and not record.earlier
+            and all(
+                replica.software_version == record.active
+                for replica in self._state.replicas.all()
+                if replica.service == self._service
+            )
+        )
 
     def _log(self, finding: VersionFinding, started_s: float) -> None:
         state, metadata, now_s = self._state, self._exchange.metadata, time.monotonic()
