Write no second head into an answer that has begun

No step of the present code is known to refuse a stream after its first event: each checks whether the answer has begun. One that did not would put an error, with its head, into the middle of the client's stream, on a connection that is kept open.

Evidence: SecondHeadTest.test_a_refusal_after_the_first_event_writes_no_second_head lets the second run be refused; before, the client's parser failed with "Invalid character in chunk size".

The server now breaks an answer off if any byte of it was sent, whatever step raised the error.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -156,6 +156,10 @@
                 self._plain.relay(exchange)
             return True
         except RequestError as error:
+            if exchange.client.response_started:
+                # A second head would stand in the middle of the first answer.
+                outcome, reason = "failed", error.message
+                return False
             outcome = "refused" if error.answer.status in (429, 503) else "failed"
             exchange.status, reason = error.answer.status, error.message
             head = _error_head(error, exchange.closing)
