Forward no error of a replica as an event of a begun stream

Any block of bytes up to a blank line was taken for an event, whatever the answer said of its type. An answer of status 200 with text or JSON, an error event without an id, or a head that a replica wrote into a body without a length went on into the stream that the client held.

Where the client has a part of the stream, an answer of another type than text/event-stream counts as a lost run, and a run has to begin with an event that has an id; comments are allowed. After an event with an id, a block without one needs a field of an event. The events before the error are delivered, and the stream goes on at another replica or is broken off. A first answer that never numbers its events is passed on as the replica wrote it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/events.py
@@ -8,6 +8,7 @@
 """Size limit of consecutive events without an id; valid responses number events."""
 
 _ID_PREFIX = b"id:"
+_FIELD = re.compile(rb"^(data|event|retry)(:|$)")
 _BLANK_LINE = re.compile(rb"\n\n|\r\n\r\n")
 
 
@@ -18,6 +19,16 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def has_field(self) -> bool:
+        """Return whether any line is a field of an event without an id."""
+        return any(_FIELD.match(line) for line in self.data.splitlines())
+
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event holds nothing but comments."""
+        return all(line[:1] in (b"", b":") for line in self.data.splitlines())
+
 
 class EventSplitter:
     """Buffer the bytes of a stream and split off complete events."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -32,6 +32,7 @@
     PrefilledPrompt,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_join import StreamJoin
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
@@ -45,7 +46,7 @@
 MAX_EXTRA_EVENTS = 16
 """Events allowed beyond one per token, such as a final event that marks the end."""
 
-_OK, _MISDIRECTED = 200, 421
+_OK, _MULTIPLE_CHOICES, _MISDIRECTED = 200, 300, 421
 
 
 @dataclass(frozen=True)
@@ -265,8 +266,10 @@
         self, engine: Replica, opened: OpenResponse, start: AttemptStart
     ) -> RunOutcome:
         exchange = self._exchange
-        if opened.head.status == _OK and opened.facts.stamped:
-            return self._relay_events(engine, opened, start)
+        join = StreamJoin(opened.head, continues=self._continues)
+        stamped_ok = opened.head.status == _OK and opened.facts.stamped
+        if stamped_ok and join.is_event_stream:
+            return self._relay_events(engine, opened, start, join)
         deadline_s = exchange.deadline_s - RESPONSE_MARGIN_S
         try:
             body = self._caller.read_body(
@@ -275,15 +278,26 @@
         except AnswerLost as error:
             return self._record_loss(engine, start, error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
-        if not opened.facts.stamped or self._exchange.response_started:
+        # A success would be taken for the rest of a stream that the client resumes.
+        unusable = self._continues and opened.head.status < _MULTIPLE_CHOICES
+        if not opened.facts.stamped or exchange.response_started or unusable:
             return RunInterrupted(f"engine answered {opened.head.status}")
         headers = list(self._state.wire.client_headers(opened.head.headers))
         head = exchange.head(opened.head.status, opened.head.reason, headers)
         exchange.client.send_response(head, body)
         return RunCompleted()
 
+    @property
+    def _continues(self) -> bool:
+        """Return whether the client has a part of the stream."""
+        return self._exchange.response_started or self._last_event_id is not None
+
     def _relay_events(
-        self, engine: Replica, opened: OpenResponse, start: AttemptStart
+        self,
+        engine: Replica,
+        opened: OpenResponse,
+        start: AttemptStart,
+        join: StreamJoin,
     ) -> RunOutcome:
         splitter = EventSplitter()
         try:
@@ -292,10 +306,13 @@
                 self._exchange.cancel_scope.raise_if_cancelled()
                 if part is None:
                     break
-                events = splitter.feed(part)
+                complete = splitter.feed(part)
+                events = join.sound(complete)
                 self._check_bounds(splitter, events)
                 self._note_begun(events)
                 self._forward(engine, opened, events)
+                if len(events) < len(complete):
+                    raise AnswerLost("stream holds an error in place of an event")
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
             self._check_end(opened, splitter)
