End no stream by an answer that holds nothing of it

A run without an event was taken for the end of a stream of which the client had all events, also when the connection merely ended, or when the answer was not an event stream.

Evidence: persimmonyoke_platform.tests.test_errors_in_streams.BegunStreamTest; before, test_no_error_of_the_next_replica_appears_in_the_answer failed with "True is not false" (complete) for an empty answer with a length and no type, and for an answer that ended with its connection, with and without the type of an event stream; test_comments_do_not_make_a_stream_complete failed as well.

An empty run now ends a stream only if the replica shows that it wrote an event stream to its end: by chunks, or by the type and a length. Streams whose last event had come and whose end alone was lost still end (test_a_complete_stream_whose_end_was_lost_still_ends).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_join.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_join.py
@@ -16,6 +16,7 @@
     """
 
     def __init__(self, head: ResponseHead, *, continues: bool) -> None:
+        self._head = head
         self._type = _media_type(head)
         self._continues = continues
         self._has_ids = False
@@ -25,6 +26,19 @@
         """Return whether the body may hold events that continue the stream."""
         return not self._continues or self._type in (None, EVENT_STREAM)
 
+    @property
+    def may_end(self) -> bool:
+        """Return whether the end of the run may be that of the stream.
+
+        A run without an event ends a stream of which the client has all events, if
+        the replica shows that it wrote an event stream to its end.
+        """
+        if self._has_ids or not self._continues:
+            return True
+        is_typed = self._type == EVENT_STREAM
+        has_length = self._head.header(b"content-length") is not None
+        return self._head.self_delimited and (is_typed or not has_length)
+
     def sound(self, events: Sequence[StreamEvent]) -> list[StreamEvent]:
         """Return the events before the first one that may be an error."""
         sound: list[StreamEvent] = []
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -315,7 +315,7 @@
                     raise AnswerLost("stream holds an error in place of an event")
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
-            self._check_end(opened, splitter)
+            self._check_end(opened, splitter, join)
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.cancel_scope, error)
             self._exchange.cancel_scope.raise_if_cancelled()
@@ -349,16 +349,18 @@
         if limit is not None and self._events_read > limit:
             raise AnswerLost("stream has more events than tokens were asked for")
 
-    def _check_end(self, opened: OpenResponse, splitter: EventSplitter) -> None:
+    def _check_end(
+        self, opened: OpenResponse, splitter: EventSplitter, join: StreamJoin
+    ) -> None:
         """Raise ``AnswerLost`` if the stream was broken off.
 
         The end of a stream without a length or chunks can't be told from that of its
-        connection, so it must hold at least one event unless it was resumed.
+        connection, so it must hold at least one event.
         """
         if splitter.rest:
             raise ConnectionEnded("stream ended inside an event")
-        is_empty = not self._begun and self._last_event_id is None
-        if is_empty and not opened.head.self_delimited:
+        is_empty = not self._begun and not opened.head.self_delimited
+        if is_empty or not join.may_end:
             raise ConnectionEnded("stream ended before its first event")
 
     def _silence_limit_s(self) -> float:
