Join no stream that began at a version before it was recorded

Callers resumed a stream while the replicas of the active version left, and it went on at that version although it had begun at the next one (ORDER).

A host without contact with the store began streams at the version that was left, as no other version could be recorded while the store was away. The store may be away from this host alone. Until another host has changed the record, which takes up to 1.75 s, the record names the former version as the only one, and a host that reads it took it for that of the stream.

A host that hears from a peer that the store answers waits for the record. One that reaches nobody can't, so no host relies on a record whose version no staying replica can write while one of another version can.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -11,7 +11,7 @@
     find_version,
 )
 from persimmonyoke.internal.dispatch.version_plan import writes_events
-from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.fleet.model import Replica, ServiceVersions
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -126,13 +126,15 @@
         record = state.stream_versions.service(self._service)
         if record is None or replica.software_version == record.active:
             return True
-        if state.store_connected:
+        if state.store_connected or state.hosts.store_answers_a_peer(time.monotonic()):
             return False
         # No other version can be recorded as the active one while the store is away.
-        usable = state.replicas.usable(self._service, now_s=time.monotonic())
-        return not any(
-            writes_events(r) and r.software_version == record.active for r in usable
-        )
+        return record.active not in self._able_versions()
+
+    def _able_versions(self) -> set[str]:
+        """Return the versions of the replicas that stay and can write events."""
+        usable = self._state.replicas.usable(self._service, now_s=time.monotonic())
+        return {r.software_version for r in usable if writes_events(r)}
 
     def _find(self, resumed_id: str) -> VersionFinding:
         started_s = time.monotonic()
@@ -169,13 +171,22 @@
 
     def _find_in_view(self, resumed_id: str, *, is_current: bool) -> VersionFinding:
         register = self._state.stream_versions
+        record = register.service(self._service)
         return find_version(
             register.find(self._service, resumed_id),
-            register.service(self._service),
-            record_is_current=is_current,
+            record,
+            record_is_current=is_current and not self._change_is_due(record),
             now_s=time.monotonic(),
         )
 
+    def _change_is_due(self, record: ServiceVersions | None) -> bool:
+        """Return whether the record is to name another version.
+
+        A host that reaches nobody may have begun streams at that version already.
+        """
+        able = self._able_versions()
+        return record is not None and bool(able) and record.active not in able
+
     def _no_host_knows_more(self, started_s: float) -> bool:
         """Return whether, with a silent store, no host can know another version.
 
