Ask peers first while accepted connections to replicas bring no byte

Cause: an accepted connection counted as a working link, and wiped out the evidence of all other links, so no tunnel was asked for.

Now only bytes count. A call on a new connection that ends, or stays silent for 0.2 s or more, without a byte is evidence against that link until any replica answers on a link of this host. With such evidence of two replicas the host asks peers first and its own link last; each second one call that may be repeated tries the own link. Peers that a tunnel leads through learn the same from its bytes, and refuse tunnels while no replica answers them. It is no link state: replicas that are busy or stand still look the same, so nothing is refused and no stream waits for it. Pauses of replicas are dropped only when one of them has answered through a peer.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replica_links.py
@@ -16,6 +16,9 @@
 DIRECT_RETRY_S = 1.0
 """Time after which the link to a single replica is tried again before peers are."""
 
+TRIAL_INTERVAL_S = 1.0
+"""Interval at which one connection tries links on which no replica answers."""
+
 PEER_ANSWER_TTL_S = 0.5
 """Time for which peers are not asked again for a replica that one could not reach."""
 
@@ -86,6 +89,11 @@
         self._silent_until_s = NEVER_S
         """End of a call during which no replica answered or accepted a connection."""
 
+        self._unanswered: set[str] = set()
+        """Replicas that accepted a connection in vain since any of them answered."""
+
+        self._tried_s = NEVER_S
+
     def note_connected(self, replica_id: str, now_s: float) -> None:
         """Record that the replica accepted a connection."""
         self._connected_s = now_s
@@ -96,6 +104,17 @@
         """Record bytes of the replica on an open connection."""
         self._answered_s = now_s
         self._link(replica_id).answered_s = now_s
+        self._unanswered.clear()
+
+    def note_unanswered(self, replica_id: str, *, sent_s: float, now_s: float) -> None:
+        """Record a call on a new connection that ended without a byte of the replica.
+
+        A proxy, or the kernel of a host whose process hangs, accepts connections for
+        a replica, so that only bytes show that a link works.
+        """
+        if sent_s > self._answered_s:
+            self._unanswered.add(replica_id)
+            self._tried_s = now_s
 
     def note_connect_failed(
         self, replica_id: str, *, begun_s: float, now_s: float
@@ -128,6 +147,7 @@
         """Drop the record of a replica that was removed."""
         self._links.pop(replica_id, None)
         self._failing.pop(replica_id, None)
+        self._unanswered.discard(replica_id)
 
     def state(self, known: int) -> LinkState:
         """Return the state of the links to the replicas, of which ``known`` exist."""
@@ -156,6 +176,26 @@
         """Return whether the last connection to some replica failed."""
         return bool(self._failing)
 
+    @property
+    def unanswered(self) -> bool:
+        """Return whether replicas accept connections and none of them answers.
+
+        It is no link state: replicas that are busy or stand still for a while look the
+        same, so peers are preferred but nothing is refused.
+        """
+        return len(self._unanswered) >= MIN_REPLICAS
+
+    def trial_due(self, now_s: float) -> bool:
+        """Return whether it is time to try links on which no replica answers."""
+        return now_s - self._tried_s >= TRIAL_INTERVAL_S
+
+    def claim_trial(self, now_s: float) -> bool:
+        """Return whether a connection may try the own links now, and count it."""
+        if not self.trial_due(now_s):
+            return False
+        self._tried_s = now_s
+        return True
+
     def fails(self, replica_id: str) -> bool:
         """Return whether a link has failed after any replica accepted a connection."""
         link = self._failing.get(replica_id)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_replica_links.py
@@ -6,6 +6,7 @@
 from persimmonyoke.internal.fleet.replica_links import (
     DIRECT_RETRY_S,
     PEER_ANSWER_TTL_S,
+    TRIAL_INTERVAL_S,
     LinkState,
 )
 from persimmonyoke_testing.builders_links import (
@@ -16,6 +17,7 @@
     replica_links,
     silent,
     timed_out,
+    unanswered,
     unreached_by_peer,
 )
 
@@ -195,5 +197,74 @@
         self.assertIs(links.state(9), LinkState.INTACT)
 
 
+@dataclass(frozen=True)
+class UnansweredCase:
+    """Hold observations, oldest first, and whether no replica answers then."""
+
+    name: str
+    observations: tuple
+    unanswered: bool
+
+
+UNANSWERED_CASES = (
+    UnansweredCase("a host that has just started", (), False),
+    UnansweredCase(
+        "two replicas accept connections and stay silent",
+        (answered("a", 1.0), unanswered("a", 2.0, 2.4), unanswered("b", 2.1, 2.5)),
+        True,
+    ),
+    UnansweredCase(
+        "the same, and further connections are accepted",
+        (unanswered("a", 2.0, 2.4), connected("c", 2.45), unanswered("b", 2.1, 2.5))
+        + (connected("a", 2.6), connected("b", 2.7)),
+        True,
+    ),
+    UnansweredCase(
+        "one replica crashed and resets each connection",
+        (unanswered("a", 2.0, 2.0), unanswered("a", 2.1, 2.1)),
+        False,
+    ),
+    UnansweredCase(
+        "two replicas are busy, and a third answers meanwhile",
+        (unanswered("a", 2.0, 2.4), answered("c", 2.45), unanswered("b", 2.1, 2.5)),
+        False,
+    ),
+    UnansweredCase(
+        "all were silent for a second or so, then one answers",
+        (unanswered("a", 2.0, 2.4), unanswered("b", 2.1, 2.5), answered("c", 3.3)),
+        False,
+    ),
+    UnansweredCase(
+        "one answered between the losses of two",
+        (unanswered("a", 2.0, 2.4), answered("c", 3.0), unanswered("b", 4.0, 4.4)),
+        False,
+    ),
+)
+
+
+class UnansweredLinksTest(unittest.TestCase):
+    def test_accepted_connections_without_an_answer_tell_that_links_fail(self):
+        # Where a proxy accepts connections for the replicas, each connection that it
+        # accepted showed that the links work.
+        for case in UNANSWERED_CASES:
+            with self.subTest(case.name):
+                links = replica_links(*case.observations)
+                self.assertIs(links.unanswered, case.unanswered)
+                self.assertIs(links.state(9), LinkState.INTACT)
+
+    def test_a_replica_that_was_removed_is_no_evidence(self):
+        links = replica_links(unanswered("a", 2.0, 2.4), unanswered("b", 2.1, 2.5))
+        links.forget("a")
+        self.assertFalse(links.unanswered)
+
+    def test_one_connection_at_a_time_tries_the_own_links_again(self):
+        # All requests of the time in which the links are tried would hang.
+        links = replica_links(unanswered("a", 2.0, 2.4), unanswered("b", 2.1, 2.5))
+        self.assertFalse(links.claim_trial(2.6))
+        later_s = 2.5 + TRIAL_INTERVAL_S
+        self.assertTrue(links.claim_trial(later_s))
+        self.assertFalse(links.claim_trial(later_s))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -125,6 +125,9 @@
         self.replica = replica
         self._bytes_since_yield = 0
         self.used = False
+        self.answered = False
+        """Whether any byte has arrived on it."""
+
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self._parser = ResponseParser()
@@ -275,6 +278,7 @@
             if not self._parser.feed_eof():
                 raise ConnectionEnded("connection closed before the end of the answer")
             return
+        self.answered = True
         self._bytes_since_yield += len(data)
         try:
             self._parser.feed(data)
@@ -287,6 +291,16 @@
                 raise AnswerLost(self._fault) from error
 
 
+@dataclass(frozen=True)
+class LostCall:
+    """Represent a call that ended before the head of its answer."""
+
+    connection: UpstreamConnection
+    error: AnswerLost
+    sent_s: float
+    deadline_s: float
+
+
 def idle_limit_s(head: ResponseHead) -> float:
     """Return how long a connection may be idle and still be reused."""
     value = head.header(b"keep-alive") or b""
@@ -326,8 +340,13 @@
     """Open connections to replicas, and say which idle ones are likely to work."""
 
     @abstractmethod
-    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
-        """Open a connection; raise ``NotConnected`` if that fails."""
+    def open(
+        self, replica: Replica, timeout_s: float, *, repeatable: bool = False
+    ) -> UpstreamConnection:
+        """Open a connection; raise ``NotConnected`` if that fails.
+
+        With ``repeatable`` the call may be lost, so links in doubt may be tried.
+        """
 
     @abstractmethod
     def open_directly(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
@@ -341,7 +360,9 @@
 class DirectDialer(Dialer):
     """Open connections over this host's links only."""
 
-    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+    def open(
+        self, replica: Replica, timeout_s: float, *, repeatable: bool = False
+    ) -> UpstreamConnection:
         """Open a connection; raise ``NotConnected`` if that fails."""
         return UpstreamConnection(replica, timeout_s=timeout_s)
 
@@ -375,6 +396,7 @@
         avoid: Collection[UpstreamConnection] = (),
         new_only: bool = False,
         directly: bool = False,
+        repeatable: bool = False,
     ) -> UpstreamConnection:
         """Return an idle or a new connection; raise ``NotConnected`` if that fails.
 
@@ -402,12 +424,14 @@
         if directly:
             self.opened += 1
             return self._dialer.open_directly(replica, timeout_s)
-        return self.open(replica, timeout_s)
+        return self.open(replica, timeout_s, repeatable=repeatable)
 
-    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+    def open(
+        self, replica: Replica, timeout_s: float, *, repeatable: bool = False
+    ) -> UpstreamConnection:
         """Return a new connection; raise ``NotConnected`` if that fails."""
         self.opened += 1
-        return self._dialer.open(replica, timeout_s)
+        return self._dialer.open(replica, timeout_s, repeatable=repeatable)
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep a connection for later calls, or close it if it is not reusable."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -19,9 +19,12 @@
 from persimmonyoke.internal.gateway.connection_race import ConnectionRace
 from persimmonyoke.internal.gateway.connections import (
     CONNECT_TIMEOUT_S,
+    AnswerTimeout,
+    ConnectionEnded,
     ConnectionRefused,
     Dialer,
     LinksDown,
+    LostCall,
     NotConnected,
     UpstreamConnection,
     connect,
@@ -45,6 +48,9 @@
 """Delay of a timeout beyond which this host stood still, and learnt nothing."""
 
 
+MIN_SILENCE_S = 0.2
+"""A call that ends sooner without an answer says nothing of the link."""
+
 Way = Callable[[Replica, float], UpstreamConnection]
 Attempt = Callable[[], UpstreamConnection]
 
@@ -58,14 +64,16 @@
         self.connect: Callable[[Replica, float], Transport] = connect
         self._checked_s = float("-inf")
 
-    def open(self, replica: Replica, timeout_s: float) -> UpstreamConnection:
+    def open(
+        self, replica: Replica, timeout_s: float, *, repeatable: bool = False
+    ) -> UpstreamConnection:
         """Open a connection; raise ``NotConnected`` if no way is left."""
         if timeout_s <= 0:
             raise NotConnected(f"{replica.address}: no time is left")
         deadline_s = time.monotonic() + timeout_s
         race = ConnectionRace(self._keep_or_close)
         try:
-            for way in self._ways(replica, deadline_s):
+            for way in self._ways(replica, deadline_s, repeatable=repeatable):
                 race.start(way)
                 left_s = deadline_s - time.monotonic()
                 winner = race.winner(min(NEXT_WAY_DELAY_S, left_s))
@@ -106,15 +114,30 @@
         """Return whether an idle connection is likely to work."""
         links, replica = self._state.links, connection.replica
         if connection.peer is None:
-            return links.trusts_idle(replica, connection.idle_since_s)
+            return not links.unanswered and links.trusts_idle(
+                replica, connection.idle_since_s
+            )
         # Once the own links work again, requests return to them.
         now_s = time.monotonic()
-        cut = links.prefers_peer(replica, now_s)
+        in_doubt = links.unanswered and not links.trial_due(now_s)
+        cut = in_doubt or links.prefers_peer(replica, now_s)
         return cut and self.tunnels.usable(connection.peer, now_s)
 
-    def note_silent(self, connection: UpstreamConnection, sent_s: float) -> None:
+    def note_call_lost(self, call: LostCall) -> None:
+        """Record a call that ended before the head of its answer."""
+        now_s, connection = time.monotonic(), call.connection
+        if isinstance(call.error, AnswerTimeout):
+            self._note_silent(connection, call.sent_s, now_s)
+        is_new_link = connection.peer is None and not connection.answered
+        if is_new_link and _shows_no_answer(call, now_s):
+            self._state.links.note_unanswered(
+                connection.replica, sent_s=call.sent_s, now_s=now_s
+            )
+
+    def _note_silent(
+        self, connection: UpstreamConnection, sent_s: float, now_s: float
+    ) -> None:
         """Record a call without an answer, and check the links if all are silent."""
-        now_s = time.monotonic()
         if connection.peer is not None:
             self.tunnels.note_lost(connection.peer, now_s)
             return
@@ -184,16 +207,37 @@
             return
         self._state.pool.put_new(connection, now_s=time.monotonic())
 
-    def _ways(self, replica: Replica, deadline_s: float) -> Iterator[Attempt]:
+    def _ways(
+        self, replica: Replica, deadline_s: float, *, repeatable: bool
+    ) -> Iterator[Attempt]:
         """Return the ways to a replica, the most promising one first."""
-        if not self._needs_peer(replica):
-            left_s = deadline_s - time.monotonic()
-            yield lambda: self.open_directly(replica, left_s)
-        if not self._state.links.may_ask_peer(replica, time.monotonic()):
-            return
+        own = partial(self._open_own, replica, deadline_s)
+        needs_peer = self._needs_peer(replica)
+        in_doubt = self._links_in_doubt(repeatable=repeatable)
+        if not needs_peer and not in_doubt:
+            yield own
+        if self._state.links.may_ask_peer(replica, time.monotonic()):
+            yield from self._ways_by_peers(replica, deadline_s)
+        if in_doubt and not needs_peer:
+            yield own
+
+    def _ways_by_peers(self, replica: Replica, deadline_s: float) -> Iterator[Attempt]:
         for peer in self.tunnels.candidates(replica)[:MAX_PEERS_ASKED]:
             yield partial(self._open_by_peer, replica, peer, deadline_s)
 
+    def _links_in_doubt(self, *, repeatable: bool) -> bool:
+        """Return whether the own link is tried last, as no replica answers on any.
+
+        At intervals a call that may be repeated tries it first.
+        """
+        links = self._state.links
+        if not links.unanswered:
+            return False
+        return not (repeatable and links.claim_trial(time.monotonic()))
+
+    def _open_own(self, replica: Replica, deadline_s: float) -> UpstreamConnection:
+        return self.open_directly(replica, deadline_s - time.monotonic())
+
     def _needs_peer(self, replica: Replica) -> bool:
         """Return whether the own link is not worth trying; probes tell when it is."""
         links = self._state.links
@@ -241,6 +285,15 @@
         return NotConnected(reason)
 
 
+def _shows_no_answer(call: LostCall, now_s: float) -> bool:
+    """Return whether a call ended by itself, or was silent for long enough."""
+    if isinstance(call.error, ConnectionEnded):
+        return True
+    waited = now_s - call.sent_s >= MIN_SILENCE_S
+    stood_still = now_s >= call.deadline_s + STALL_S
+    return isinstance(call.error, AnswerTimeout) and waited and not stood_still
+
+
 def _timed_out(direct: NotConnected | None) -> bool:
     """Return whether a link was tried and the replica did not refuse."""
     return direct is not None and not isinstance(direct, ConnectionRefused)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/link_monitor.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/link_monitor.py
@@ -31,12 +31,19 @@
         self._forget_failures = forget_failures
         self._links = ReplicaLinks()
         self.state = LinkState.INTACT
+        self._was_unanswered = False
+        self._answered_by_peer = False
 
     @property
     def partitioned(self) -> bool:
         """Return whether only peers open connections to the replicas."""
         return self.state in PARTITIONED
 
+    @property
+    def unanswered(self) -> bool:
+        """Return whether replicas accept connections and none of them answers."""
+        return self._links.unanswered
+
     @property
     def failing(self) -> list[str]:
         """Return the replicas to which the last connection failed."""
@@ -60,6 +67,18 @@
         """Record an answer on a connection of this host."""
         self._links.note_answer(replica.replica_id, now_s)
         self._review(now_s)
+        self._review_answers()
+
+    def note_unanswered(self, replica: Replica, *, sent_s: float, now_s: float) -> None:
+        """Record a call on a new connection that ended without a byte."""
+        self._links.note_unanswered(replica.replica_id, sent_s=sent_s, now_s=now_s)
+        self._review_answers()
+
+    def note_answer_by_peer(self) -> None:
+        """Record an answer through a peer, which shows that replicas are sound."""
+        if self.unanswered and not self._answered_by_peer:
+            self._answered_by_peer = True
+            self._forget_failures()
 
     def note_silent(self, replica: Replica, *, sent_s: float, now_s: float) -> None:
         """Record a call on a connection of this host that got no answer."""
@@ -78,6 +97,15 @@
         """Drop the record of a replica that was removed."""
         self._links.forget(replica_id)
         self._review(now_s)
+        self._review_answers()
+
+    def trial_due(self, now_s: float) -> bool:
+        """Return whether it is time to try links on which no replica answers."""
+        return self._links.trial_due(now_s)
+
+    def claim_trial(self, now_s: float) -> bool:
+        """Return whether a connection may try the own links now, and count it."""
+        return self._links.claim_trial(now_s)
 
     def fails(self, replica: Replica) -> bool:
         """Return whether a link has failed after any replica accepted a connection."""
@@ -115,6 +143,14 @@
         """Return replicas in the order in which their links are to be tried again."""
         return self._links.probe_order(replica_ids)
 
+    def _review_answers(self) -> None:
+        """Apply and log a change of whether replicas answer."""
+        if self._links.unanswered is self._was_unanswered:
+            return
+        self._was_unanswered = self._links.unanswered
+        self._answered_by_peer = False
+        self._journal.event("links_answers", unanswered=self._was_unanswered)
+
     def _review(self, now_s: float) -> None:
         """Apply and log a change of the state."""
         former, known = self.state, self._count_replicas
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -251,7 +251,8 @@
 
     def _paused_replicas(self, now_s: float) -> tuple[str, ...]:
         """Return the replicas that fail, unless it may be this host's links."""
-        if self._state.links.state is not LinkState.INTACT:
+        links = self._state.links
+        if links.unanswered or links.state is not LinkState.INTACT:
             return ()
         paused = self._state.health.all_paused(now_s)
         return tuple(paused[:MAX_REPLICAS_PER_MESSAGE])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -59,7 +59,7 @@
         self.state = GatewayState(settings, wire, journal)
         self.dialer = ReplicaDialer(self.state)
         self.state.pool = ConnectionPool(self.dialer)
-        self.state.on_silent = self.dialer.note_silent
+        self.state.on_call_lost = self.dialer.note_call_lost
         self.tunnels = TunnelServer(self.state, self.dialer)
         self.front = FrontServer(self.state)
         self._auxiliary_server = StatusServer(self.state)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -52,9 +52,9 @@
 from persimmonyoke.internal.gateway.connections import (
     ConnectionPool,
     LinksDown,
+    LostCall,
     NotConnected,
     ReplicaWaits,
-    UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.journal import Journal
 from persimmonyoke.internal.gateway.link_monitor import LinkMonitor
@@ -148,9 +148,7 @@
         self.read_stream_records: Callable[[], bool] = lambda: False
         self.on_withheld: Callable[[bytes], None] = lambda _subject: None
         self.on_quarantine_lifted: Callable[[bytes], None] = lambda _subject: None
-        self.on_silent: Callable[[UpstreamConnection, float], None] = (
-            lambda _connection, _sent_s: None
-        )
+        self.on_call_lost: Callable[[LostCall], None] = lambda _call: None
         self.on_suspect: Callable[[SuspectNotice], None] = lambda _notice: None
 
     @property
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -7,7 +7,9 @@
 
 import hmac
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import gevent
 from gevent import socket
@@ -22,7 +24,7 @@
     ConnectionRefused,
     NotConnected,
 )
-from persimmonyoke.internal.gateway.dialer import ReplicaDialer
+from persimmonyoke.internal.gateway.dialer import MIN_SILENCE_S, ReplicaDialer
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.transports import (
     LAST_CHUNK,
@@ -72,10 +74,13 @@
     transport: Transport
     parser: TunnelRequestParser
     opened_s: float
+    on_answer: Callable[[], None]
     last_byte_s: float = 0.0
+    sent_s: float = 0.0
     bytes_to_replica: int = 0
     bytes_to_peer: int = 0
     end: str = ""
+    ended_by_replica: bool = False
 
 
 class TunnelServer:
@@ -137,7 +142,8 @@
         except TunnelRefused as refusal:
             self._refuse(sock, request, refusal)
             return
-        tunnel = _Tunnel(request, replica, sock, transport, parser, begun_s)
+        on_answer = partial(self._note_answer, replica)
+        tunnel = _Tunnel(request, replica, sock, transport, parser, begun_s, on_answer)
         tunnel.last_byte_s = time.monotonic()
         self._open[id(tunnel)] = tunnel
         try:
@@ -146,6 +152,7 @@
         finally:
             del self._open[id(tunnel)]
             transport.close()
+            self._note_end(tunnel)
             self._log(tunnel)
 
     def _accept(self, request: TunnelRequest) -> Replica:
@@ -157,6 +164,8 @@
             raise TunnelRefused(NO_TUNNEL, "host is stopping")
         if state.links.state is not LinkState.INTACT:
             raise TunnelRefused(NO_TUNNEL, "host is cut off as well")
+        if state.links.unanswered:
+            raise TunnelRefused(NO_TUNNEL, "no replica answers this host")
         if len(self._open) >= MAX_TUNNELS:
             raise TunnelRefused(NO_TUNNEL, "host has too many tunnels")
         for replica in state.replicas.all():
@@ -194,6 +203,19 @@
             % refusal.status
         )
 
+    def _note_answer(self, replica: Replica) -> None:
+        self._state.links.note_answer(replica, time.monotonic())
+
+    def _note_end(self, tunnel: _Tunnel) -> None:
+        """Record a call that ended without an answer on this host's link."""
+        now_s = time.monotonic()
+        if not tunnel.bytes_to_replica or tunnel.bytes_to_peer:
+            return
+        if tunnel.ended_by_replica or now_s - tunnel.sent_s >= MIN_SILENCE_S:
+            self._state.links.note_unanswered(
+                tunnel.replica, sent_s=tunnel.sent_s, now_s=now_s
+            )
+
     def _log(self, tunnel: _Tunnel) -> None:
         self._state.metrics.tunnels.add(result="served")
         self._state.journal.event(
@@ -241,7 +263,7 @@
             data = tunnel.parser.take_body()
             if data:
                 tunnel.bytes_to_replica += len(data)
-                tunnel.last_byte_s = time.monotonic()
+                tunnel.last_byte_s = tunnel.sent_s = time.monotonic()
                 tunnel.transport.send(data, timeout_s=MAX_SILENCE_S)
             received = tunnel.peer_sock.recv(READ_BYTES)
             if not received:
@@ -260,11 +282,14 @@
             data = tunnel.transport.receive(timeout_s=MAX_SILENCE_S)
             tunnel.last_byte_s = time.monotonic()
             if not data:
+                tunnel.ended_by_replica = not tunnel.end
                 tunnel.end = tunnel.end or "replica closed"
                 tunnel.peer_sock.sendall(LAST_CHUNK)
                 return
             tunnel.bytes_to_peer += len(data)
+            tunnel.on_answer()
             tunnel.peer_sock.sendall(encode_chunk(data))
     except OSError as error:
         # Without the last chunk the peer knows that the answer is not complete.
+        tunnel.ended_by_replica = not tunnel.end
         tunnel.end = tunnel.end or f"to peer: {error}"
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -11,8 +11,8 @@
 from persimmonyoke.internal.gateway.client_connection import ClientGone
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
-    AnswerTimeout,
     ConnectionEnded,
+    LostCall,
     ReplicaWaits,
     UpstreamConnection,
 )
@@ -131,6 +131,7 @@
             avoid=cancel_scope.used_connections,
             new_only=cancel_scope.connection_ended,
             directly=directly,
+            repeatable=call.repeatable,
         )
         sent_s = time.monotonic()
         try:
@@ -145,8 +146,9 @@
             cancel_scope.note_error(error)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
-            if isinstance(error, AnswerTimeout):
-                self._state.on_silent(connection, sent_s)
+                self._state.on_call_lost(
+                    LostCall(connection, error, sent_s, deadline_s)
+                )
             raise
 
     def read_body(
@@ -212,6 +214,8 @@
     def _note_answer(self, connection: UpstreamConnection) -> None:
         if connection.peer is None:
             self._state.links.note_answer(connection.replica, time.monotonic())
+        else:
+            self._state.links.note_answer_by_peer()
 
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_links.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_links.py
@@ -44,6 +44,11 @@
     return lambda links: links.note_silent(replica_id, sent_s=sent_s, now_s=now_s)
 
 
+def unanswered(replica_id: str, sent_s: float, now_s: float) -> Observation:
+    """Return the observation that a new connection brought no byte of the replica."""
+    return lambda links: links.note_unanswered(replica_id, sent_s=sent_s, now_s=now_s)
+
+
 def reached_by_peer(replica_id: str, now_s: float) -> Observation:
     """Return the observation that a peer connected to a replica."""
     return lambda links: links.note_reached_by_peer(replica_id, now_s)
