Hold a suspect back until the cause of its lost run is known

A host that loses several replicas within milliseconds takes its links for cut, and so do its peers. The reservation of a run alone ended with the run, so the next copy was sent to another replica before the crash counted.

All hosts know the reservation and let copies of the request wait, or answer 503. A run alone that got no answer in time does not keep it, as its replica may only be slow.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/isolations.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/isolations.py
@@ -1,6 +1,6 @@
 """Reserve engines for suspects, so that a crash identifies one request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from persimmonyoke.internal.delivery.suspect_types import SuspectNotice
 
@@ -62,6 +62,17 @@
             if other.engine == engine or other.digest == digest
         )
 
+    def extend(
+        self, digest: bytes, engine: str, *, now_s: float, until_s: float
+    ) -> bool:
+        """Prolong a reservation of this host; return whether there is one."""
+        isolation = self.own(now_s).get(digest)
+        if isolation is None or isolation.engine != engine:
+            return False
+        later_s = max(until_s, isolation.until_s)
+        self._isolations[(self._host, engine)] = replace(isolation, until_s=later_s)
+        return True
+
     def end(self, digest: bytes, engine: str) -> bool:
         """Release a reservation of this host; return whether there was one."""
         isolation = self._isolations.get((self._host, engine))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -188,11 +188,16 @@
         """Reserve the engine for the suspect unless it or the engine is reserved."""
         if not self._isolations.reserve(digest, engine, now_s=now_s, until_s=until_s):
             return False
-        if self._on_change is not None:
-            isolation = self._isolations.own(now_s)[digest]
-            self._on_change(self._notice(digest, isolation, now_s))
+        self._publish_isolation(digest, now_s)
         return True
 
+    def extend_isolation(
+        self, digest: bytes, engine: str, *, now_s: float, until_s: float
+    ) -> None:
+        """Keep a reservation of this host for longer, if it has not ended."""
+        if self._isolations.extend(digest, engine, now_s=now_s, until_s=until_s):
+            self._publish_isolation(digest, now_s)
+
     def holds_isolation(self, digest: bytes, engine: str, now_s: float) -> bool:
         """Return whether the reservation has precedence over those of other hosts."""
         return self._isolations.holds(digest, engine, now_s)
@@ -427,6 +432,11 @@
         if self._on_change is not None:
             self._on_change(self._notice(digest, None, now_s))
 
+    def _publish_isolation(self, digest: bytes, now_s: float) -> None:
+        if self._on_change is not None:
+            isolation = self._isolations.own(now_s)[digest]
+            self._on_change(self._notice(digest, isolation, now_s))
+
     def _publish_cleared(self, digest: bytes) -> None:
         if self._on_change is not None:
             number = self._next_number()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -174,6 +174,16 @@
         ]
         self.assertEqual(sorted(holders), [False, True])
 
+    def test_an_extended_reservation_holds_at_the_peers_too(self):
+        # Peers would send the request to further engines while its cause is not known.
+        peer = SuspectRegister("b")
+        register = SuspectRegister("a", on_change=lambda n: peer.merge(n, 1.0))
+        register.try_isolate(POISON, "e1", now_s=1.0, until_s=2.0)
+        register.extend_isolation(POISON, "e1", now_s=1.0, until_s=9.0)
+        for host in (register, peer):
+            self.assertTrue(host.is_isolated(POISON, 8.9))
+            self.assertFalse(host.is_isolated(POISON, 9.1))
+
     def test_reordered_notices_leave_the_newest_reservation(self):
         # If a late notice removed the reservation, two suspects would share an engine.
         notices = []
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/crash_evidence.py
@@ -72,6 +72,7 @@
     """Hold a request whose response was outstanding when its connection was lost.
 
     ``parts`` are the digests of the prompt parts that other requests may share.
+    The reservation for ``reserved_subject`` is kept until the cause is known.
     """
 
     digest: bytes
@@ -80,6 +81,7 @@
     lost_s: float
     alone: bool
     parts: tuple[bytes, ...] = ()
+    reserved_subject: bytes | None = None
 
 
 class OpenLosses:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -1,7 +1,7 @@
 """Detection of replica crashes from lost answers, and of the requests involved."""
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gevent.event import AsyncResult
 
@@ -12,6 +12,7 @@
     SuspectStatus,
 )
 from persimmonyoke.internal.dispatch.crash_evidence import (
+    OPEN_LOSS_TTL_S,
     Loss,
     LossKind,
     OpenLosses,
@@ -107,6 +108,8 @@
         if begun:
             return
         if verdict is Verdict.OPEN:
+            if loss.alone and kind is LossKind.ENDED:
+                loss = self._keep_reservation(exchange, loss, now_s=time.monotonic())
             self._open.add(loss)
         elif verdict is Verdict.CRASHED:
             self._note_crash(loss, now_s=time.monotonic())
@@ -116,6 +119,27 @@
         now_s = time.monotonic()
         for loss in self._open.take_restarted(started, now_s=now_s):
             self._note_crash(loss, now_s=now_s)
+            if loss.reserved_subject is not None:
+                self._state.suspects.end_isolation(
+                    loss.reserved_subject, loss.replica.replica_id
+                )
+
+    def _keep_reservation(
+        self, exchange: Exchange, loss: Loss, *, now_s: float
+    ) -> Loss:
+        """Let all hosts hold the suspect back until the cause of the loss is known.
+
+        A host that has lost several replicas at once may take their crashes for a cut
+        of its links until they restart. Meanwhile the suspect would crash further ones.
+        """
+        subject, exchange.isolated_on = exchange.isolated_subject, None
+        self._state.suspects.extend_isolation(
+            subject,
+            loss.replica.replica_id,
+            now_s=now_s,
+            until_s=loss.lost_s + OPEN_LOSS_TTL_S,
+        )
+        return replace(loss, reserved_subject=subject)
 
     def _note_crash(self, loss: Loss, *, now_s: float) -> None:
         suspects = self._state.suspects
