Run strong suspects alone until they complete

With four lethal requests at once, copies of one request arrived un-isolated at four replicas within 22 ms, although hosts knew of two crashes of it. Then another lethal request was quarantined, which had shared a replica with it. The crash of that replica was attributed to the other one, one crash was left, and the waiting copies on all hosts were sent at once. Crashes outside a run alone quarantine nothing, so this happened again at the next quarantine.

An attributed crash still does not count towards a quarantine, but where completed runs lift suspicion, a subject with two crashes now runs alone until a run completes. An innocent one that shared two crashes is cleared by its first answer.

test_a_strong_suspect_runs_alone_until_it_completes_though_one_is_explained failed before with "AssertionError: False is not true".

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -4,9 +4,9 @@
 other requests may share. Suspects are retried one at a time for each engine, so that
 the next crash identifies one request, of which the subjects that were part of enough
 crashes are then quarantined. A crash attributed to a quarantined subject no longer
-counts against the others. A request is refused only if it holds all strong suspects of
-one of the crashes. Subjects that crashed engines only together are told apart by the
-next run that has one of them without the others.
+counts towards the quarantine of the others. A request is refused only if it holds all
+strong suspects of one of the crashes. Subjects that crashed engines only together are
+told apart by the next run that has one of them without the others.
 """
 
 import time
@@ -321,8 +321,21 @@
         if record.quarantined_until_s or expired:
             self._records.remove(subject)
             return Clear()
-        unattributed = self._quarantines.unattributed_crashes(record)
-        return Suspect(unattributed, subject) if unattributed else Clear()
+        crashes = max(
+            self._quarantines.unattributed_crashes(record),
+            self._crashes_to_isolate(record),
+        )
+        return Suspect(crashes, subject) if crashes else Clear()
+
+    def _crashes_to_isolate(self, record: CrashRecord) -> int:
+        """Return the crashes for which a strong suspect still runs in isolation.
+
+        Several requests that crash engines may share the engine of an attributed crash,
+        so only a completed run shows that a strong suspect is not one of them.
+        """
+        threshold = self.rule.isolation_threshold
+        is_strong = len(record.crashes) >= threshold
+        return threshold if self.rule.completion_lifts and is_strong else 0
 
     def _clear(self, subject: bytes, now_s: float) -> bool:
         """Drop the record of a completed subject; return whether it was quarantined."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspect_parts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspect_parts.py
@@ -144,6 +144,22 @@
             self.assertIsInstance(self.traffic.status(FIRST, part), Quarantined)
         self.assertEqual(self.traffic.status(FIRST), Clear())
 
+    def test_a_strong_suspect_runs_alone_until_it_completes_though_one_is_explained(
+        self,
+    ):
+        # Two crashing parts shared an engine. When the crash counted against one, all
+        # waiting requests with the other were sent at once, and crashed many engines.
+        self.traffic.crash(DEADLY, engine="shared")
+        self.traffic.crash(OTHER_DEADLY, engine="shared")
+        self.traffic.crash(OTHER_DEADLY)
+        self.traffic.crash(DEADLY)
+        self.traffic.crash(DEADLY, alone=True)
+        self.assertIsInstance(self.traffic.status(DEADLY), Quarantined)
+        status = self.traffic.status(OTHER_DEADLY)
+        self.assertTrue(RULE.must_run_isolated(status))
+        self.traffic.complete(OTHER_DEADLY)
+        self.assertEqual(self.traffic.status(OTHER_DEADLY), Clear())
+
     def test_a_part_common_to_two_guilty_ones_is_not_refused_by_itself(self):
         # It was in more crashes than either, and no run could clear it any more.
         for alone in (False, False, True):
