Keep streams of a silent engine until another one can go on with them

A stream was taken from its engine after 1.2 s before it was known whether a retry was left, the budget allowed one, or an engine other than the silent one could go on with it; two silences used up the attempts.

A stream now leaves its engine only for an engine that may continue it and isn't silent itself, with its retry counted before the connection is closed; otherwise the open connection is kept, and the decision is made again each 0.1 s. Engines that were silent together get 0.3 s to go on. As a silence may also be that of one lost answer or of a cut link, an engine without an alternative is asked for its state after 0.8 s on a new connection; if it answers while the stream stays silent, the stream goes on there. A dead engine is left for another one after 1.2 s as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from persimmonyoke.internal.dispatch.engine_silence import engines_to_continue
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -60,6 +61,22 @@
             e for e in decoders if not health.failing(e.replica_id, now_s)
         ] or decoders
 
+    def engines_beside(self, silent: Replica) -> list[Replica]:
+        """Return the engines on which a stream of a silent engine may go on now."""
+        limits, now_s = self._state.replica_limits, time.monotonic()
+        engines = engines_to_continue(
+            self.engines(),
+            left=silent,
+            avoided=self.avoided,
+            silences=self._state.silences,
+            now_s=now_s,
+        )
+        return [
+            engine
+            for engine in self._without_reserved(engines)
+            if limits.wait_s(engine.replica_id, now_s) <= 0.0
+        ]
+
     def _without_reserved(self, decoders: list[Replica]) -> list[Replica]:
         """Leave out engines reserved for others, which a crash may be about to lose.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -92,6 +92,10 @@
         """Prefer other engines for the next run."""
         self._candidates.avoided.add(engine.replica_id)
 
+    def engines_beside(self, silent: Replica) -> list[Replica]:
+        """Return the engines on which a stream of a silent engine may go on now."""
+        return self._candidates.engines_beside(silent)
+
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
         self._versions.check_replica_left()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
+from persimmonyoke.internal.dispatch.engine_silence import EngineSilences
 from persimmonyoke.internal.dispatch.health import ReplicaHealth
 from persimmonyoke.internal.dispatch.limits import ReplicaLimits
 from persimmonyoke.internal.dispatch.loads import WorkLedger
@@ -105,6 +106,7 @@
         self.hosts = HostView(settings.host_name)
         self.ledger = WorkLedger()
         self.health = ReplicaHealth()
+        self.silences = EngineSilences()
         self.links = LinkMonitor(
             journal,
             count_replicas=lambda: len(self.replicas.all()),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from persimmonyoke.internal.dispatch.engine_silence import may_leave, next_look_s
+from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.admission import AdmissionGate
@@ -17,6 +19,7 @@
     NotConnected,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
+from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_selection import (
     RETRY_AFTER_REJECTED_S,
     EngineSelection,
@@ -36,12 +39,6 @@
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
 
-STREAM_SILENCE_S = 1.2
-"""Time without an event after which a resumable stream continues on another engine.
-
-A gap of more than 150 ms is late; clients disconnect after 2.4 s or more.
-"""
-
 MAX_EXTRA_EVENTS = 16
 """Events allowed beyond one per token, such as a final event that marks the end."""
 
@@ -82,6 +79,7 @@
         self._crashes = crashes
         self._prefill = PrefillCaller(state, crashes)
         self._guard = SuspectGuard(state)
+        self._probes = EngineProbes(state)
         self._gate = AdmissionGate(state)
         state.queued_s = lambda: self._gate.queued_s
         state.on_peer_work = self._gate.admit_waiting_if_affordable
@@ -100,6 +98,7 @@
             self._guard,
             versions,
             selection,
+            self._probes,
             exchange,
         )
         run.run()
@@ -117,6 +116,7 @@
         guard: SuspectGuard,
         versions: StreamVersionGuard,
         selection: EngineSelection,
+        probes: EngineProbes,
         exchange: Exchange,
     ) -> None:
         self._state = state
@@ -126,6 +126,7 @@
         self._guard = guard
         self._versions = versions
         self._selection = selection
+        self._probes = probes
         self._exchange = exchange
         self._budget = state.retry_budget(exchange.service.name)
         self._last_event_id = exchange.metadata.last_event_id
@@ -285,10 +286,11 @@
     def _relay_events(
         self, engine: Replica, opened: OpenResponse, start: AttemptStart
     ) -> RunOutcome:
-        splitter = EventSplitter()
+        splitter, silences = EventSplitter(), self._state.silences
+        silences.begin(engine, time.monotonic())
         try:
             while True:
-                part = opened.connection.read_part(timeout_s=self._silence_limit_s())
+                part = self._read_part(engine, opened)
                 self._exchange.cancel_scope.raise_if_cancelled()
                 if part is None:
                     break
@@ -306,6 +308,8 @@
         except BaseException:
             self._caller.abandon(opened, self._exchange.cancel_scope)
             raise
+        finally:
+            silences.end(engine)
         self._caller.finish(opened, self._exchange.cancel_scope)
         self._state.health.note_success(engine.replica_id)
         if not self._begun:
@@ -344,12 +348,56 @@
         if is_empty and not opened.head.self_delimited:
             raise ConnectionEnded("stream ended before its first event")
 
-    def _silence_limit_s(self) -> float:
+    def _read_part(self, engine: Replica, opened: OpenResponse) -> bytes | None:
+        """Return the next part of the stream, or ``None`` after the last one.
+
+        Raises ``AnswerTimeout`` at the deadline, or with a retry counted if another
+        engine is to continue the stream. Otherwise the silence of the engine is waited
+        out, as it may go on.
+        """
+        silent_since_s = time.monotonic()
+        while True:
+            limit_s = self._silence_limit_s(silent_since_s)
+            try:
+                part = opened.connection.read_part(timeout_s=limit_s)
+            except AnswerTimeout:
+                if self._ends_silence(engine, opened, silent_since_s):
+                    raise
+            else:
+                self._state.silences.note_answer(engine, time.monotonic())
+                return part
+
+    def _silence_limit_s(self, silent_since_s: float) -> float:
         left_s = max(0.001, self._exchange.remaining_s - RESPONSE_MARGIN_S)
         if self._exchange.response_started and self._exchange.route.resumable:
-            return min(left_s, STREAM_SILENCE_S)
+            return min(left_s, next_look_s(silent_since_s, time.monotonic()))
         return left_s
 
+    def _ends_silence(
+        self, engine: Replica, opened: OpenResponse, silent_since_s: float
+    ) -> bool:
+        """Return whether a silent stream is left; count the retry if there is one."""
+        exchange, now_s = self._exchange, time.monotonic()
+        if exchange.remaining_s <= RESPONSE_MARGIN_S:
+            return True
+        if opened.connection.has_more_input:
+            # This host stood still, and the engine went on meanwhile.
+            return False
+        engines = self._selection.engines_beside(engine)
+        if not engines:
+            self._probes.start(engine)
+        leaves = may_leave(
+            silent_since_s=silent_since_s,
+            event_wait_left_s=exchange.event_wait_left_s(now_s),
+            first_event_s=FIRST_EVENT_OVERHEAD_S,
+            engines=engines,
+            now_s=now_s,
+        )
+        if leaves:
+            loss = RunInterrupted("engine is silent")
+            self._retry_is_due = self._retry_obstacle(loss) is None
+        return self._retry_is_due
+
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
     ) -> None:
@@ -396,6 +444,9 @@
         return self._exchange.head(opened.head.status, opened.head.reason, headers)
 
     def _may_retry(self, outcome: RunOutcome) -> bool:
+        if self._retry_is_due:
+            # It was counted when the stream left a silent engine.
+            return True
         obstacle = self._retry_obstacle(outcome)
         if obstacle is None:
             return True
