Give a plain call up only if it can be sent to another replica

Callers of idempotent routes got 502 while the only replica was silent for 2.2 s, and also with others present when the retry budget was spent: a call without an answer was given up after 2.5 times its target, before it was known whether it could be sent again. It now goes on unless another replica takes the request and a retry, which is counted at once, is left; this is looked at again each 0.1 s until the deadline. A call of which the head has arrived waits for its body in the same way, but can't change that later. Requests that must not be repeated are not affected.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -18,6 +18,7 @@
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import RESPONSE_MARGIN_S, Exchange
+from persimmonyoke.internal.gateway.hedge import Hedge
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard, wait_limit_s
 from persimmonyoke.internal.gateway.upstream_call import UpstreamCaller
@@ -59,6 +60,8 @@
     """Report that the replica may have run the request."""
 
     reason: str
+    retry_counted: bool = False
+    """Whether the retry was counted when the replica was given up."""
 
 
 SendOutcome = ResponseReceived | NotRun | OutcomeUnknown
@@ -100,7 +103,7 @@
                     "no replica is left", self._retry_after_s(exchange)
                 )
             excluded.add(replica.replica_id)
-            outcome = self._send(exchange, replica)
+            outcome = self._send(exchange, replica, excluded)
             if isinstance(outcome, ResponseReceived):
                 if outcome.response.head.status < 500:
                     return outcome
@@ -137,8 +140,15 @@
         self, exchange: Exchange, outcome: SendOutcome, budget: RetryBudget
     ) -> bool:
         route = exchange.route
+        if isinstance(outcome, OutcomeUnknown) and outcome.retry_counted:
+            return True
         if not route.repeatable and not isinstance(outcome, NotRun):
             return False
+        return self._try_spend(exchange, budget)
+
+    def _try_spend(self, exchange: Exchange, budget: RetryBudget) -> bool:
+        """Count a retry and return whether the request may be sent again now."""
+        route = exchange.route
         if exchange.sends >= route.max_attempts:
             return False
         if exchange.remaining_s < route.target_latency_s / 4:
@@ -209,12 +219,14 @@
             rng=state.rng,
         )
 
-    def _send(self, exchange: Exchange, replica: Replica) -> SendOutcome:
+    def _send(
+        self, exchange: Exchange, replica: Replica, excluded: set[str]
+    ) -> SendOutcome:
         start = self._state.start_attempt("plain", replica)
         exchange.sends += 1
         self._state.ledger.begin_run(replica.replica_id)
         try:
-            outcome = self._call(exchange, replica, start)
+            outcome = self._call(exchange, replica, excluded, start)
         finally:
             self._state.ledger.end_run(replica.replica_id)
             self._guard.end_reservation(exchange)
@@ -231,7 +243,11 @@
         return outcome
 
     def _call(
-        self, exchange: Exchange, replica: Replica, start: AttemptStart
+        self,
+        exchange: Exchange,
+        replica: Replica,
+        excluded: set[str],
+        start: AttemptStart,
     ) -> SendOutcome:
         state, request = self._state, exchange.request
         headers = state.wire.request_headers(
@@ -250,6 +266,7 @@
             repeatable=exchange.route.repeatable,
         )
         deadline_s = self._attempt_deadline_s(exchange)
+        hedge = self._hedge(exchange, excluded)
         try:
             opened = self._caller.start(
                 replica,
@@ -258,7 +275,10 @@
                 request_id=exchange.metadata.request_id,
                 deadline_s=deadline_s,
                 slot=exchange.use_slot(replica.replica_id),
+                hedge=hedge,
             )
+            if hedge.extended or not self._reservable(exchange, excluded):
+                deadline_s = hedge.last_s
             body = self._caller.read_body(
                 opened, exchange.cancel_scope, deadline_s=deadline_s
             )
@@ -269,7 +289,7 @@
         except AnswerLost as error:
             exchange.may_have_run = True
             self._record_loss(exchange, replica, start, error)
-            return OutcomeUnknown(str(error))
+            return OutcomeUnknown(str(error), hedge.retry_counted)
         if opened.facts.not_executed or opened.head.status == 421:
             state.health.note_failure(replica.replica_id, time.monotonic())
             return NotRun(f"replica answered {opened.head.status}", sent=True)
@@ -285,8 +305,21 @@
             state.health.note_success(replica.replica_id)
         return ResponseReceived(CompleteResponse(opened.head, body))
 
+    def _hedge(self, exchange: Exchange, excluded: set[str]) -> Hedge:
+        budget = self._state.retry_budget(exchange.service.name)
+
+        def try_spend() -> bool:
+            if not exchange.route.repeatable:
+                return False
+            others = self._reservable(exchange, excluded)
+            return bool(others) and self._try_spend(exchange, budget)
+
+        return Hedge(
+            last_s=exchange.deadline_s - RESPONSE_MARGIN_S, try_spend=try_spend
+        )
+
     def _attempt_deadline_s(self, exchange: Exchange) -> float:
-        """Return the deadline of this attempt."""
+        """Return when this attempt may be given up for another replica."""
         route = exchange.route
         last_s = exchange.deadline_s - RESPONSE_MARGIN_S
         if not route.repeatable or exchange.sends >= route.max_attempts:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -16,6 +16,7 @@
     ReplicaWaits,
     UpstreamConnection,
 )
+from persimmonyoke.internal.gateway.hedge import Hedge
 from persimmonyoke.internal.gateway.state import GatewayState
 
 MAX_MISMATCHED_RESPONSES = 2
@@ -112,10 +113,12 @@
         deadline_s: float,
         slot: CallSlot = CallSlot.NEEDED,
         directly: bool = False,
+        hedge: Hedge | None = None,
     ) -> OpenResponse:
         """Send a call and return its response with the body still unread.
 
-        With ``directly`` it is sent over this host's links only.
+        With ``directly`` it is sent over this host's links only. A ``hedge`` may let it
+        wait for its answer beyond the deadline.
 
         Raises ``NotConnected``, ``AnswerLost`` or ``ClientGone``; the connection is
         then closed.
@@ -137,7 +140,7 @@
             cancel_scope.attach(connection)
             connection.send(call, timeout_s=deadline_s - sent_s)
             return self._read_matching_response(
-                connection, request_id, deadline_s, sent_s=sent_s
+                connection, request_id, deadline_s, sent_s=sent_s, hedge=hedge
             )
         except BaseException as error:
             connection.discard()
@@ -228,9 +231,10 @@
         deadline_s: float,
         *,
         sent_s: float,
+        hedge: Hedge | None = None,
     ) -> OpenResponse:
         for _ in range(MAX_MISMATCHED_RESPONSES + 1):
-            head = connection.read_head(timeout_s=deadline_s - time.monotonic())
+            head = _read_head(connection, deadline_s, hedge)
             self._note_answer(connection)
             facts = self._state.wire.response_metadata(head.headers)
             self._state.note_answer(
@@ -250,3 +254,17 @@
             )
             connection.read_body(timeout_s=deadline_s - time.monotonic())
         raise AnswerLost("too many answers to other requests")
+
+
+def _read_head(
+    connection: UpstreamConnection, deadline_s: float, hedge: Hedge | None
+) -> ResponseHead:
+    """Return the head of the next response, waiting as long as a hedge says."""
+    while True:
+        try:
+            return connection.read_head(timeout_s=deadline_s - time.monotonic())
+        except AnswerTimeout:
+            later_s = hedge.wait_until_s(time.monotonic()) if hedge else None
+            if later_s is None:
+                raise
+            deadline_s = later_s
