--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -16,13 +16,13 @@
     MIN_REPLICAS,
     LinkState,
 )
+from persimmonyoke.internal.gateway.connection_pool import Dialer
 from persimmonyoke.internal.gateway.connection_race import ConnectionRace
 from persimmonyoke.internal.gateway.connections import (
     CONNECT_TIMEOUT_S,
     AnswerTimeout,
     ConnectionEnded,
     ConnectionRefused,
-    Dialer,
     LinksDown,
     LostCall,
     NotConnected,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/json_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/json_client.py
@@ -6,11 +6,8 @@
 from persimmonyoke.errors import StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import RawCall
 from persimmonyoke.internal.fleet.model import Replica
-from persimmonyoke.internal.gateway.connections import (
-    AnswerLost,
-    ConnectionPool,
-    NotConnected,
-)
+from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
+from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
 
 HEADERS = ((b"Host", b"store"), (b"Content-Type", b"application/json"))
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -10,7 +10,7 @@
 from persimmonyoke.internal.awake_time import StallFreeClock
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
 from persimmonyoke.internal.gateway.cache_learning import CacheLearner
-from persimmonyoke.internal.gateway.connections import ConnectionPool
+from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.dialer import ReplicaDialer
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
 from persimmonyoke.internal.gateway.follower import StoreFollower
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -49,8 +49,8 @@
 from persimmonyoke.internal.fleet.store_contact import StoreContact
 from persimmonyoke.internal.fleet.view_age import ViewAge
 from persimmonyoke.internal.gateway.attempts import AttemptStart
+from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.connections import (
-    ConnectionPool,
     LinksDown,
     LostCall,
     NotConnected,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_join.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_join.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 
 from persimmonyoke.internal.gateway.answers import ResponseHead
-from persimmonyoke.internal.gateway.events import StreamEvent
+from persimmonyoke.internal.gateway.connections import ConnectionEnded
+from persimmonyoke.internal.gateway.events import EventSplitter, StreamEvent
 
 EVENT_STREAM = b"text/event-stream"
 
@@ -26,8 +27,20 @@
         """Return whether the body may hold events that continue the stream."""
         return not self._continues or self._type in (None, EVENT_STREAM)
 
+    def check_end(self, splitter: EventSplitter, *, begun: bool) -> None:
+        """Raise ``ConnectionEnded`` if the stream was broken off.
+
+        The end of a stream without a length or chunks can't be told from that of its
+        connection, so it must hold at least one event.
+        """
+        if splitter.rest:
+            raise ConnectionEnded("stream ended inside an event")
+        is_empty = not begun and not self._head.self_delimited
+        if is_empty or not self._may_end:
+            raise ConnectionEnded("stream ended before its first event")
+
     @property
-    def may_end(self) -> bool:
+    def _may_end(self) -> bool:
         """Return whether the end of the run may be that of the stream.
 
         A run without an event ends a stream of which the client has all events, if
