Try no replica of a plain service again to which no connection opened

One request could stop the whole process: a stream without a prompt whose only replica refuses connections was tried without a pause, as an attempt that is not sent costs nothing and the choice among plain replicas ignored it; after the deadline no other task ran any more. Such a replica is left out for the request, which is refused when none is left.

test_a_stream_whose_only_replica_refuses_connections_is_refused did not end within 20 s before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -26,6 +26,8 @@
         self._allows = allows
         self.excluded: set[str] = set()
         self.avoided: set[str] = set()
+        self.not_connected: set[str] = set()
+        """Replicas of a plain service to which no connection could be opened."""
 
     def engines(self) -> list[Replica]:
         """Return the engines that this host considers reachable."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -92,6 +92,10 @@
         """Prefer other engines for the next run."""
         self._candidates.avoided.add(engine.replica_id)
 
+    def note_not_connected(self, engine: Replica) -> None:
+        """Choose a replica that could not be reached no more for this request."""
+        self._candidates.not_connected.add(engine.replica_id)
+
     def engines_beside(self, silent: Replica) -> list[Replica]:
         """Return the engines on which a stream of a silent engine may go on now."""
         return self._candidates.engines_beside(silent)
@@ -150,6 +154,7 @@
         # What failed on the links of this host says nothing of the engines.
         self._candidates.excluded.clear()
         self._candidates.avoided.clear()
+        self._candidates.not_connected.clear()
         return True
 
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
@@ -424,7 +429,7 @@
             [r for r in sendable if self._versions.allows(r)],
             ledger=state.ledger,
             health=state.health,
-            excluded=self._candidates.excluded,
+            excluded=self._candidates.excluded | self._candidates.not_connected,
             own_zone=state.settings.availability_zone,
             now_s=now_s,
             rng=state.rng,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -102,6 +102,7 @@
             if isinstance(outcome, RunRejected) and not outcome.sent:
                 exchange.sends -= 1
                 self._retry_is_due = is_retry
+                self._selection.note_not_connected(choice.engine)
             else:
                 self._retry_is_due = self._may_retry(outcome)
                 if not self._retry_is_due:
