--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -214,8 +214,11 @@
         self.sock = socket.create_connection(("127.0.0.1", port), timeout=5.0)
         self._buffer = b""
 
-    def request(self, method, path, headers, body=b"", *, timeout_s):
-        """Send a request and return its answer; status 0 means that none came."""
+    def request(self, method, path, headers, body=b"", *, timeout_s, bytes_per_s=0):
+        """Send a request and return its answer; status 0 means that none came.
+
+        With ``bytes_per_s`` the body is sent no faster than that.
+        """
         lines = [f"{method} {path} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         if body or method == "POST":
@@ -223,11 +226,19 @@
         end_s = time.monotonic() + timeout_s
         self.sock.settimeout(timeout_s)
         try:
-            self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+            self._send_body(body, bytes_per_s)
             return self._answer(end_s)
         except OSError as error:
             return Answer(0, {"error": repr(error)}, b"", False)
 
+    def _send_body(self, body, bytes_per_s):
+        begun_s = time.monotonic()
+        for first in range(0, len(body), 65_536):
+            due_s = begun_s + (first / bytes_per_s if bytes_per_s else 0.0)
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            self.sock.sendall(body[first : first + 65_536])
+
     def _answer(self, end_s):
         while b"\r\n\r\n" not in self._buffer:
             if not self._more(end_s):
