--- a/review/standins/plain.py
+++ b/review/standins/plain.py
@@ -75,20 +75,35 @@
     def __init__(self, replica_id, record, work, *, receive_buffer=0):
         self.replica_id, self._record, self._work = replica_id, record, work
         self.run_ids = []
+        self._receive_buffer, self.port = receive_buffer, 0
+        self.listen()
+
+    def listen(self):
+        """Accept connections, after the first time at the same port again."""
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if receive_buffer:
+        if self._receive_buffer:
             self._listener.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_buffer
             )
-        self._listener.bind(("127.0.0.1", 0))
+        self._listener.bind(("127.0.0.1", self.port))
         self._listener.listen(100)
         self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        threading.Thread(
+            target=self._accept, args=(self._listener,), daemon=True
+        ).start()
+
+    def refuse(self):
+        """Refuse new connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
 
-    def _accept(self):
+    def _accept(self, listener):
         while True:
-            sock, _ = self._listener.accept()
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
