--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/engine_silence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/engine_silence.py
@@ -61,6 +61,11 @@
         if not heard.streams:
             del self._heard[_key(engine)]
 
+    def age_s(self, engine: Replica, now_s: float) -> float | None:
+        """Return how long ago an engine was heard, or ``None`` if it was not."""
+        heard = self._heard.get(_key(engine))
+        return None if heard is None else now_s - heard.last_s
+
     def silent(self, engine: Replica, now_s: float) -> bool:
         """Return whether an engine with streams is silent, or was until just now."""
         heard = self._heard.get(_key(engine))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -350,8 +350,30 @@
         if leaves:
             loss = RunInterrupted("engine is silent")
             self._retry_is_due = self._retry_obstacle(loss) is None
+        if self._retry_is_due:
+            self._log_leaving(engine, engines, silent_since_s, now_s)
         return self._retry_is_due
 
+    def _log_leaving(
+        self,
+        engine: Replica,
+        engines: Sequence[Replica],
+        silent_since_s: float,
+        now_s: float,
+    ) -> None:
+        ages_s = [self._state.silences.age_s(other, now_s) for other in engines]
+        heard_s = [age_s for age_s in ages_s if age_s is not None]
+        self._state.journal.event(
+            "stream_left",
+            request_id=self._exchange.metadata.request_id,
+            replica=engine.replica_id,
+            silent_ms=int((now_s - silent_since_s) * 1_000),
+            engines=len(engines),
+            heard=len(heard_s),
+            newest_ms=int(min(heard_s) * 1_000) if heard_s else None,
+            left_ms=int(self._exchange.event_wait_left_s(now_s) * 1_000),
+        )
+
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
     ) -> None:
