Let a silent stream leave its engine only with the next run in hand

Cause: on leaving, one retry was counted and the connection closed, and only then was the prompt read again, for which a second retry, an engine that reads and one that writes were needed.

Now an engine counts only if it was heard within 0.5 s, in any answer or stream; two others are asked for their state if none is. The next run is prepared, with a retry held for the second prefill, while the connection stays open, and the preparation is dropped as soon as the engine writes. Waiting longer before leaving was weighed and not taken: it delays streams of dead engines and does not end the loss.

The cases "another is idle" and "it was restarted" of the unit tests demanded the fault; they are replaced by cases for engines that were and were not heard.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_engine_silence.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_engine_silence.py
@@ -1,15 +1,18 @@
 """Test when streams leave engines that are silent."""
 
+import random
 import unittest
 
 from persimmonyoke.internal.dispatch.engine_silence import (
     ENGINE_SILENCE_S,
+    ENGINES_PROBED,
     LOOK_AGAIN_S,
     PROBE_AFTER_S,
     RECOVERY_S,
     STREAM_SILENCE_S,
     EngineSilences,
     engines_to_continue,
+    engines_to_probe,
     may_leave,
     next_look_s,
 )
@@ -23,23 +26,24 @@
 
 
 class EngineSilencesTest(unittest.TestCase):
-    def test_an_engine_without_streams_is_not_taken_for_silent(self):
-        # A stream on a dead engine would not be moved to an idle one.
+    def test_an_engine_that_was_not_heard_is_not_taken_for_one_that_answers(self):
+        # Streams of a large fleet left for engines that were silent as well.
         silences = EngineSilences()
-        self.assertFalse(silences.silent(A, NOW_S))
-        silences.begin(A, NOW_S)
-        silences.end(A)
-        self.assertFalse(silences.silent(A, NOW_S + ENGINE_SILENCE_S))
+        self.assertFalse(silences.answers(A, NOW_S))
+        silences.note_answer(A, NOW_S)
+        self.assertTrue(silences.answers(A, NOW_S + ENGINE_SILENCE_S / 2))
+        self.assertFalse(silences.answers(A, NOW_S + ENGINE_SILENCE_S))
 
-    def test_an_engine_is_silent_if_none_of_its_streams_brings_bytes(self):
+    def test_an_engine_answers_while_one_of_its_streams_brings_bytes(self):
         silences = EngineSilences()
         silences.begin(A, NOW_S)
         silences.begin(A, NOW_S)
-        later_s = NOW_S + ENGINE_SILENCE_S
-        self.assertTrue(silences.silent(A, later_s))
+        later_s = NOW_S + ENGINE_SILENCE_S / 2
+        self.assertTrue(silences.answers(A, later_s))
         silences.note_answer(A, later_s)
         silences.end(A)
-        self.assertTrue(silences.silent(A, later_s + ENGINE_SILENCE_S))
+        self.assertTrue(silences.answers(A, NOW_S + ENGINE_SILENCE_S))
+        self.assertFalse(silences.answers(A, later_s + ENGINE_SILENCE_S))
 
     def test_an_engine_that_was_silent_has_time_to_go_on(self):
         # The first stream that went on let all others of the engine be moved.
@@ -47,15 +51,33 @@
         silences.begin(A, NOW_S)
         later_s = NOW_S + ENGINE_SILENCE_S
         silences.note_answer(A, later_s)
-        self.assertTrue(silences.silent(A, later_s + RECOVERY_S / 2))
-        recovered_s = later_s + RECOVERY_S + 0.01
-        self.assertFalse(silences.silent(A, recovered_s))
+        self.assertFalse(silences.answers(A, later_s + RECOVERY_S / 2))
+        self.assertTrue(silences.answers(A, later_s + RECOVERY_S + 0.01))
 
-    def test_an_answer_of_an_engine_without_streams_is_ignored(self):
-        # A probe may be answered after the last stream has ended.
+    def test_an_engine_that_answered_late_has_time_to_go_on(self):
+        # A probe that is answered as a silence ends let streams be moved to others
+        # whose own engines went on at the same moment.
         silences = EngineSilences()
-        silences.note_answer(A, NOW_S)
-        self.assertFalse(silences.silent(A, NOW_S))
+        silences.note_answer(A, NOW_S, waited_s=ENGINE_SILENCE_S)
+        self.assertFalse(silences.answers(A, NOW_S + RECOVERY_S / 2))
+        self.assertTrue(silences.answers(A, NOW_S + RECOVERY_S + 0.01))
+
+    def test_an_idle_engine_that_answers_is_not_taken_for_one_that_was_silent(self):
+        # Nothing is heard of an idle engine, and its first answer counts.
+        silences = EngineSilences()
+        silences.begin(A, NOW_S)
+        silences.end(A)
+        later_s = NOW_S + 2 * ENGINE_SILENCE_S
+        silences.note_answer(A, later_s)
+        self.assertTrue(silences.answers(A, later_s))
+
+    def test_the_end_of_a_stream_of_a_forgotten_engine_is_ignored(self):
+        # An engine may be gone before this host has noticed that its stream ended.
+        silences = EngineSilences()
+        silences.begin(A, NOW_S)
+        silences.forget(A)
+        silences.end(A)
+        self.assertIsNone(silences.age_s(A, NOW_S))
 
 
 class ContinuationTest(unittest.TestCase):
@@ -74,18 +96,37 @@
         # Streams were ended or moved although no engine could go on with them.
         cases = (
             ("the only engine is silent", [A], {"silent": [A]}, []),
-            ("another is idle", [A, B], {"silent": [A]}, [B]),
-            ("another brings events", [A, B], {"silent": [A], "lively": [B]}, [B]),
+            ("another was not heard", [A, B], {"silent": [A]}, []),
+            ("another answers", [A, B], {"silent": [A], "lively": [B]}, [B]),
             ("all are silent", [A, B], {"silent": [A, B]}, []),
-            ("it failed on the other", [A, B], {"silent": [A], "avoided": "b"}, []),
+            ("it failed on the other", [A, B], {"lively": [B], "avoided": "b"}, []),
             ("one answer is lost", [A], {"lively": [A]}, [A]),
-            ("it was restarted", [RESTARTED], {"silent": [A]}, [RESTARTED]),
-            ("the other only prefills", [A, PREFILL], {"silent": [A]}, []),
+            ("it was restarted", [RESTARTED], {"lively": [A]}, []),
+            (
+                "its new start answers",
+                [RESTARTED],
+                {"lively": [RESTARTED]},
+                [RESTARTED],
+            ),
+            ("the other only prefills", [A, PREFILL], {"lively": [PREFILL]}, []),
         )
         for name, engines, facts, expected in cases:
             with self.subTest(name):
                 self.assertEqual(self.continuations(engines, **facts), expected)
 
+    def probed(self, engines, *, avoided=()):
+        return engines_to_probe(engines, left=A, avoided=avoided, rng=random.Random(1))
+
+    def test_some_engines_that_may_continue_a_stream_are_probed(self):
+        # Hosts of a large fleet would wait for a dead engine although others are idle.
+        others = [engine(f"e{number}", stage=Stage.DECODE) for number in range(9)]
+        first, *rest = self.probed([A, *others, PREFILL])
+        self.assertEqual(first, A)
+        self.assertEqual(len(rest), ENGINES_PROBED)
+        self.assertLess(set(rest), set(others))
+        self.assertEqual(self.probed([A, B], avoided={"a"}), [A, B])
+        self.assertEqual(self.probed([A, B], avoided={"b"}), [A])
+
 
 class MayLeaveTest(unittest.TestCase):
     def test_when_a_stream_leaves_its_engine(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -3,7 +3,10 @@
 import time
 from collections.abc import Callable
 
-from persimmonyoke.internal.dispatch.engine_silence import engines_to_continue
+from persimmonyoke.internal.dispatch.engine_silence import (
+    engines_to_continue,
+    engines_to_probe,
+)
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -29,6 +32,9 @@
         self.not_connected: set[str] = set()
         """Replicas of a plain service to which no connection could be opened."""
 
+        self.continue_on: frozenset[str] | None = None
+        """The only decode engines allowed while a silent stream is being moved."""
+
     def engines(self) -> list[Replica]:
         """Return the engines that this host considers reachable."""
         now_s = time.monotonic()
@@ -88,6 +94,15 @@
             if limits.wait_s(engine.replica_id, now_s) <= 0.0
         ]
 
+    def engines_to_probe(self, silent: Replica) -> list[Replica]:
+        """Return engines to ask for a sign of life while an engine is silent."""
+        return engines_to_probe(
+            self.engines(),
+            left=silent,
+            avoided=self.avoided,
+            rng=self._state.rng,
+        )
+
     def _without_reserved(self, decoders: list[Replica]) -> list[Replica]:
         """Leave out engines reserved for others, which a crash may be about to lose.
 
@@ -114,6 +129,7 @@
             )
             if engine.stage is Stage.DECODE
             and self._allows(engine)
+            and self._may_continue(engine)
             and not self._state.health.paused(engine.replica_id, now_s)
         ]
 
@@ -125,5 +141,11 @@
             )
             if engine.replica_id not in self.excluded
             and self._allows(engine)
+            and self._may_continue(engine)
             and not self._state.stage_changes.is_pending(engine, now_s)
         ]
+
+    def _may_continue(self, engine: Replica) -> bool:
+        if self.continue_on is None or engine.stage is not Stage.DECODE:
+            return True
+        return engine.replica_id in self.continue_on
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_probe.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_probe.py
@@ -1,6 +1,7 @@
 """Probes that tell an engine that is silent from a stream that is lost."""
 
 import time
+from collections.abc import Sequence
 
 import gevent
 
@@ -23,11 +24,12 @@
         self._caller = UpstreamCaller(state)
         self._probed: set[str] = set()
 
-    def start(self, engine: Replica) -> None:
-        """Ask an engine in the background unless it is being asked."""
-        if engine.replica_id not in self._probed:
-            self._probed.add(engine.replica_id)
-            gevent.spawn(self._probe, engine)
+    def start_all(self, engines: Sequence[Replica]) -> None:
+        """Ask engines in the background, except those that are being asked."""
+        for engine in engines:
+            if engine.replica_id not in self._probed:
+                self._probed.add(engine.replica_id)
+                gevent.spawn(self._probe, engine)
 
     def _probe(self, engine: Replica) -> None:
         try:
@@ -51,4 +53,3 @@
             deadline_s=time.monotonic() + CALL_TIMEOUT_S,
         )
         self._caller.abandon(opened, scope)
-        self._state.silences.note_answer(engine, time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -75,6 +75,7 @@
         self._candidates = EngineCandidates(state, exchange, versions.allows)
         self._link_wait = LinkWait(state, exchange)
         self._prefill_attempts = 0
+        self._retry_held = False
         self._decoders_missing_since_s: float | None = None
         self._local_prefill: PrefillJob | None = None
         self._slot: Slot | None = None
@@ -100,6 +101,49 @@
         """Return the engines on which a stream of a silent engine may go on now."""
         return self._candidates.engines_beside(silent)
 
+    def engines_to_probe(self, silent: Replica) -> list[Replica]:
+        """Return engines to ask for a sign of life while an engine is silent."""
+        return self._candidates.engines_to_probe(silent)
+
+    def prepare_to_continue(
+        self, left: Replica, engines: Sequence[Replica]
+    ) -> EngineChoice:
+        """Prepare a run on one of some engines for a stream that another one began.
+
+        Raises an error, without a call, unless the prompt may be read once more.
+        """
+        if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS:
+            raise StreamBroken("prompt was read too often")
+        if self._prefill_attempts:
+            self._hold_retry()
+        self.avoid(left)
+        ids = frozenset(engine.replica_id for engine in engines)
+        self._candidates.continue_on = ids
+        try:
+            return self.prepare()
+        finally:
+            self._candidates.continue_on = None
+            if self._take_held_retry():
+                self._budget.give_back()
+
+    def discard(self, choice: EngineChoice) -> None:
+        """Release what was prepared for a run that is not made."""
+        self.end_local_prefill()
+        self._guard.end_reservation(self._exchange)
+        self._exchange.slot_at = None
+        if choice.prefilled is not None:
+            self._prefill.release(choice.prefilled)
+
+    def _hold_retry(self) -> None:
+        if not self._budget.try_spend(time.monotonic()):
+            raise StreamBroken("retry budget is spent")
+        self._retry_held = True
+
+    def _take_held_retry(self) -> bool:
+        """Return whether a retry was held, which is then no longer held."""
+        held, self._retry_held = self._retry_held, False
+        return held
+
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
         self._versions.check_replica_left()
@@ -333,7 +377,7 @@
         """Prefill the prompt; return ``None`` if another engine may be tried."""
         exchange, engine = self._exchange, admitted.plan.engine
         is_retry = self._prefill_attempts > 0
-        if is_retry and not self._budget.try_spend(time.monotonic()):
+        if is_retry and not self._may_prefill_again():
             self._state.ledger.end_prefill(admitted.job)
             self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
         try:
@@ -367,6 +411,10 @@
             self.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
 
+    def _may_prefill_again(self) -> bool:
+        """Return whether a retry is counted for another prefill."""
+        return self._take_held_retry() or self._budget.try_spend(time.monotonic())
+
     def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
         """Wait until an engine takes the prompt; refuse what would come too late."""
         while True:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -272,6 +272,7 @@
         if status == _MISDIRECTED:
             # The address now belongs to another replica.
             return
+        self.silences.note_answer(replica, now_s, waited_s=now_s - sent_s)
         if facts.leaving:
             changes = self.replicas.note_leaving(replica, now_s=now_s)
             self.apply_replica_changes(changes, now_s=now_s)
@@ -399,6 +400,7 @@
         self.pool.drop_replica(replica)
         self.ledger.forget(replica.replica_id)
         self.health.forget(replica.replica_id)
+        self.silences.forget(replica)
         self.links.forget(replica.replica_id, time.monotonic())
         self.backoff.forget(replica.replica_id)
         self.prefixes.forget_replica(replica.replica_id)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -0,0 +1,118 @@
+"""Preparation of the next run of a stream whose engine is silent."""
+
+import time
+from collections.abc import Sequence
+
+import gevent
+
+from persimmonyoke.errors import RequestError
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.connections import UpstreamConnection
+from persimmonyoke.internal.gateway.engine_selection import (
+    EngineChoice,
+    EngineSelection,
+)
+from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import CancelScope
+
+RESUME_POLL_S = 0.02
+"""Interval at which a preparation looks whether the silent engine goes on."""
+
+LEFT, RESUMED = "left", "engine goes on"
+
+
+class EngineResumed(Exception):
+    """Signal that a silent engine goes on with its stream."""
+
+
+class StreamMove:
+    """Prepare the next run of a silent stream while its connection stays open.
+
+    The stream gives up its engine only with another one and the prompt in hand, since
+    a client resumes a stream that broke off only a few times.
+    """
+
+    def __init__(
+        self, state: GatewayState, selection: EngineSelection, exchange: Exchange
+    ) -> None:
+        self._state = state
+        self._selection = selection
+        self._exchange = exchange
+        self._logged: set[str] = set()
+
+    def prepare(
+        self,
+        engine: Replica,
+        connection: UpstreamConnection,
+        engines: Sequence[Replica],
+        *,
+        silent_since_s: float,
+    ) -> EngineChoice | None:
+        """Return what the next run needs, or ``None`` if the stream stays.
+
+        Raises the cause if the request is cancelled meanwhile.
+        """
+        choice, outcome = self._try(engine, connection, engines)
+        if choice is not None and connection.has_more_input:
+            self._selection.discard(choice)
+            choice, outcome = None, RESUMED
+        if outcome not in self._logged:
+            self._logged.add(outcome)
+            self._log(engine, engines, outcome, silent_since_s, time.monotonic())
+        return choice
+
+    def _try(
+        self,
+        engine: Replica,
+        connection: UpstreamConnection,
+        engines: Sequence[Replica],
+    ) -> tuple[EngineChoice | None, str]:
+        scope = self._exchange.cancel_scope
+        preparation = self._exchange.cancel_scope = scope.child()
+        watcher = gevent.spawn(_cancel_when_resumed, connection, preparation)
+        try:
+            return self._selection.prepare_to_continue(engine, engines), LEFT
+        except EngineResumed:
+            return None, RESUMED
+        except (RequestError, StreamBroken) as error:
+            return None, str(error)
+        finally:
+            watcher.kill()
+            self._exchange.cancel_scope = scope
+            if preparation.cancelled and not _is_resumed(preparation):
+                scope.cancel(preparation.cause)
+
+    def _log(
+        self,
+        engine: Replica,
+        engines: Sequence[Replica],
+        outcome: str,
+        silent_since_s: float,
+        now_s: float,
+    ) -> None:
+        ages_s = [self._state.silences.age_s(other, now_s) for other in engines]
+        heard_s = [age_s for age_s in ages_s if age_s is not None]
+        self._state.journal.event(
+            "stream_move",
+            request_id=self._exchange.metadata.request_id,
+            replica=engine.replica_id,
+            outcome=outcome,
+            silent_ms=int((now_s - silent_since_s) * 1_000),
+            engines=len(engines),
+            newest_ms=int(min(heard_s) * 1_000) if heard_s else None,
+            left_ms=int(self._exchange.event_wait_left_s(now_s) * 1_000),
+        )
+
+
+def _cancel_when_resumed(
+    connection: UpstreamConnection, preparation: CancelScope
+) -> None:
+    """Cancel a preparation as soon as the silent engine writes."""
+    while not connection.has_more_input:
+        gevent.sleep(RESUME_POLL_S)
+    preparation.cancel(EngineResumed("engine goes on"))
+
+
+def _is_resumed(preparation: CancelScope) -> bool:
+    return isinstance(preparation.cause, EngineResumed)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -19,6 +19,7 @@
 from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_selection import (
     RETRY_AFTER_REJECTED_S,
+    EngineChoice,
     EngineSelection,
 )
 from persimmonyoke.internal.gateway.events import EventSplitter, StreamEvent
@@ -39,6 +40,7 @@
 )
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_join import StreamJoin
+from persimmonyoke.internal.gateway.stream_move import StreamMove
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
@@ -80,6 +82,10 @@
         self._retry_is_due = False
         """Whether a retry was counted that has not been sent yet."""
 
+        self._move = StreamMove(state, selection, exchange)
+        self._prepared: EngineChoice | None = None
+        """What the next run needs, if it was prepared before this one was left."""
+
     def run(self) -> None:
         """Run the request until its response is complete or it is given up."""
         self._budget.note_first_attempt(time.monotonic())
@@ -88,12 +94,20 @@
             self._run_until_complete()
         finally:
             if self._retry_is_due:
-                self._budget.give_back()
+                self._give_retry_back()
+            if self._prepared is not None:
+                self._selection.discard(self._prepared)
+
+    def _give_retry_back(self) -> None:
+        self._retry_is_due = False
+        self._budget.give_back()
 
     def _run_until_complete(self) -> None:
         exchange = self._exchange
         while True:
-            choice = self._selection.prepare()
+            choice, self._prepared = self._prepared, None
+            if choice is None:
+                choice = self._selection.prepare()
             exchange.sends += 1
             is_retry, self._retry_is_due = self._retry_is_due, False
             outcome = self._run_once(choice.engine, choice.prefilled)
@@ -305,9 +319,9 @@
     def _read_part(self, engine: Replica, opened: OpenResponse) -> bytes | None:
         """Return the next part of the stream, or ``None`` after the last one.
 
-        Raises ``AnswerTimeout`` at the deadline, or with a retry counted if another
-        engine is to continue the stream. Otherwise the silence of the engine is waited
-        out, as it may go on.
+        Raises ``AnswerTimeout`` at the deadline, or if another engine is ready to
+        continue the stream. Otherwise the silence is waited out, as the engine may go
+        on.
         """
         silent_since_s = time.monotonic()
         while True:
@@ -330,7 +344,7 @@
     def _ends_silence(
         self, engine: Replica, opened: OpenResponse, silent_since_s: float
     ) -> bool:
-        """Return whether a silent stream is left; count the retry if there is one."""
+        """Return whether a silent stream is left, with its next run in hand."""
         exchange, now_s = self._exchange, time.monotonic()
         if exchange.remaining_s <= RESPONSE_MARGIN_S:
             return True
@@ -339,7 +353,7 @@
             return False
         engines = self._selection.engines_beside(engine)
         if not engines:
-            self._probes.start(engine)
+            self._probes.start_all(self._selection.engines_to_probe(engine))
         leaves = may_leave(
             silent_since_s=silent_since_s,
             event_wait_left_s=exchange.event_wait_left_s(now_s),
@@ -347,32 +361,16 @@
             engines=engines,
             now_s=now_s,
         )
-        if leaves:
-            loss = RunInterrupted("engine is silent")
-            self._retry_is_due = self._retry_obstacle(loss) is None
-        if self._retry_is_due:
-            self._log_leaving(engine, engines, silent_since_s, now_s)
-        return self._retry_is_due
-
-    def _log_leaving(
-        self,
-        engine: Replica,
-        engines: Sequence[Replica],
-        silent_since_s: float,
-        now_s: float,
-    ) -> None:
-        ages_s = [self._state.silences.age_s(other, now_s) for other in engines]
-        heard_s = [age_s for age_s in ages_s if age_s is not None]
-        self._state.journal.event(
-            "stream_left",
-            request_id=self._exchange.metadata.request_id,
-            replica=engine.replica_id,
-            silent_ms=int((now_s - silent_since_s) * 1_000),
-            engines=len(engines),
-            heard=len(heard_s),
-            newest_ms=int(min(heard_s) * 1_000) if heard_s else None,
-            left_ms=int(self._exchange.event_wait_left_s(now_s) * 1_000),
+        loss = RunInterrupted("engine is silent")
+        if not leaves or self._retry_obstacle(loss) is not None:
+            return False
+        self._retry_is_due = True
+        self._prepared = self._move.prepare(
+            engine, opened.connection, engines, silent_since_s=silent_since_s
         )
+        if self._prepared is None:
+            self._give_retry_back()
+        return self._retry_is_due
 
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -55,10 +55,22 @@
         self._connection: UpstreamConnection | None = None
         self._on_cancel: Callable[[], None] | None = None
 
+    def child(self) -> "CancelScope":
+        """Return a scope for calls that are made beside the one in progress."""
+        scope = CancelScope()
+        scope.used_connections = self.used_connections
+        scope.connection_ended = self.connection_ended
+        return scope
+
     def on_cancel(self, callback: Callable[[], None]) -> None:
         """Set the callback for a cancellation, replacing an earlier one."""
         self._on_cancel = callback
 
+    @property
+    def cause(self) -> Exception | None:
+        """Return why the request has been cancelled, if it has."""
+        return self._cause
+
     @property
     def cancelled(self) -> bool:
         """Return whether the request has been cancelled."""
