Split the retries of a stream and the slots of decode engines from their users

No behaviour changes, but that a slot that is held when a prepared move ends without a run is given back.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -8,7 +8,6 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
-from persimmonyoke.internal.dispatch.limits import Slot
 from persimmonyoke.internal.dispatch.loads import PrefillJob
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
@@ -22,9 +21,11 @@
     AdmissionRequest,
     Admitted,
 )
+from persimmonyoke.internal.gateway.decoder_slots import DecoderSlots
 from persimmonyoke.internal.gateway.engine_candidates import EngineCandidates
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
+    RETRY_AFTER_REJECTED_S,
     Exchange,
     StreamBroken,
 )
@@ -35,10 +36,8 @@
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 
 MAX_PREFILL_ATTEMPTS = 3
-RETRY_AFTER_REJECTED_S = 0.4
 RETRY_AFTER_NO_ENGINE_S = 0.5
 DECODER_POLL_INTERVAL_S = 0.02
-DECODERS_LIMITED = "decode engines limit their requests"
 MAX_HANDLE_AGE_S = 4.5
 """Age up to which a KV handle is used; engines are specified to keep it for 5 s."""
 
@@ -78,7 +77,7 @@
         self._retry_held = False
         self._decoders_missing_since_s: float | None = None
         self._local_prefill: PrefillJob | None = None
-        self._slot: Slot | None = None
+        self._slots = DecoderSlots(state, exchange, self._candidates, self.refuse)
         self._value = 1.0
         self._key: int | None = None
         self._returning = False
@@ -123,6 +122,7 @@
             return self.prepare()
         finally:
             self._candidates.continue_on = None
+            self._slots.give_back()
             if self._take_held_retry():
                 self._budget.give_back()
 
@@ -153,7 +153,7 @@
             return EngineChoice(reserved or self._choose_plain(), None)
         while True:
             self._reserve_for_prefill()
-            self._take_slot_before_prefill()
+            self._slots.take_before_prefill()
             try:
                 admitted = self._admit(prompt, service.engine)
                 if admitted.plan.local:
@@ -203,9 +203,7 @@
 
     def refuse(self, reason: str, retry_after_s: float) -> NoReturn:
         """Raise the error for a request that is given up before it has run."""
-        if self._slot is not None:
-            self._state.replica_limits.give_back(self._slot)
-            self._slot = None
+        self._slots.give_back()
         if self._exchange.response_started:
             raise StreamBroken(reason)
         error = self._exchange.not_served(reason, retry_after_s)
@@ -284,7 +282,7 @@
             if reserved is not None:
                 return reserved
             while True:
-                limited = self._await_slot()
+                limited = self._slots.wait()
                 if limited is not None:
                     return limited
                 decode = self._state.placement.decoder(
@@ -304,56 +302,6 @@
         self._prefill.release(prefilled)
         self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
 
-    def _take_slot_before_prefill(self) -> None:
-        """Take a slot if all decode engines have limits, so that no prefill is wasted.
-
-        Refuse the request if the next slot would miss its target.
-        """
-        if not any(
-            engine.stage is Stage.PREFILL for engine in self._candidates.engines()
-        ):
-            return
-        exchange, now_s = self._exchange, time.monotonic()
-        patience_s = exchange.started_s + exchange.route.target_latency_s - now_s
-        if exchange.response_started:
-            patience_s = exchange.event_wait_left_s(now_s)
-        self._take_slot(patience_s)
-
-    def _take_slot(self, patience_s: float) -> None:
-        """Take the next slot of the decode engines if all of them have limits."""
-        limits, decoders = (
-            self._state.replica_limits,
-            self._candidates.reachable_decoders(),
-        )
-        if self._slot is not None or not decoders:
-            return
-        if not all(limits.is_limited(engine.replica_id) for engine in decoders):
-            return
-        self._slot = limits.reserve(
-            [engine.replica_id for engine in decoders],
-            now_s=time.monotonic(),
-            patience_s=patience_s,
-        )
-        if self._slot is None:
-            service = self._exchange.service.name
-            retry_after_s = self._state.retry_after_s(service, decoders)
-            self.refuse(DECODERS_LIMITED, retry_after_s or RETRY_AFTER_REJECTED_S)
-
-    def _await_slot(self) -> Replica | None:
-        """Wait for the slot of a decode engine; ``None`` if none is needed."""
-        exchange = self._exchange
-        self._take_slot(exchange.event_wait_left_s(time.monotonic()))
-        slot, self._slot = self._slot, None
-        if slot is None:
-            return None
-        gevent.sleep(max(0.0, slot.at_s - time.monotonic()))
-        exchange.cancel_scope.raise_if_cancelled()
-        for engine in self._candidates.reachable_decoders():
-            if engine.replica_id == slot.replica_id:
-                exchange.slot_at = slot.replica_id
-                return engine
-        return None
-
     def _await_decoder(self, limits: EngineLimits) -> None:
         """Wait one poll interval; refuse if no decode engine is expected in time."""
         exchange, now_s = self._exchange, time.monotonic()
@@ -462,7 +410,7 @@
 
     def _may_prefill(self, limits: EngineLimits) -> bool:
         """Return whether a decode engine will be available after a prefill now."""
-        if self._slot is not None or self._candidates.decoders():
+        if self._slots.held or self._candidates.decoders():
             return True
         expected_s = self._decoder_expected_in_s(limits, time.monotonic())
         if expected_s is None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -27,8 +27,8 @@
 RESPONSE_MARGIN_S = 0.02
 """Margin before the deadline by which the final response must be sent."""
 
-
 RETRY_AFTER_STOPPING_S = 0.2
+RETRY_AFTER_REJECTED_S = 0.4
 
 
 class HostStopping(Exception):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -18,13 +18,13 @@
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_selection import (
-    RETRY_AFTER_REJECTED_S,
     EngineChoice,
     EngineSelection,
 )
 from persimmonyoke.internal.gateway.events import EventSplitter, StreamEvent
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
+    RETRY_AFTER_REJECTED_S,
     Exchange,
     StreamBroken,
 )
@@ -41,6 +41,7 @@
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_join import StreamJoin
 from persimmonyoke.internal.gateway.stream_move import StreamMove
+from persimmonyoke.internal.gateway.stream_retries import StreamRetries
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
@@ -75,33 +76,25 @@
         self._selection = selection
         self._probes = probes
         self._exchange = exchange
-        self._budget = state.retry_budget(exchange.service.name)
+        self._retries = StreamRetries(state, exchange)
         self._last_event_id = exchange.metadata.last_event_id
         self._events_read = 0
         self._begun = False
-        self._retry_is_due = False
-        """Whether a retry was counted that has not been sent yet."""
-
         self._move = StreamMove(state, selection, exchange)
         self._prepared: EngineChoice | None = None
         """What the next run needs, if it was prepared before this one was left."""
 
     def run(self) -> None:
         """Run the request until its response is complete or it is given up."""
-        self._budget.note_first_attempt(time.monotonic())
+        self._retries.note_first_attempt()
         self._versions.resolve()
         try:
             self._run_until_complete()
         finally:
-            if self._retry_is_due:
-                self._give_retry_back()
+            self._retries.give_back()
             if self._prepared is not None:
                 self._selection.discard(self._prepared)
 
-    def _give_retry_back(self) -> None:
-        self._retry_is_due = False
-        self._budget.give_back()
-
     def _run_until_complete(self) -> None:
         exchange = self._exchange
         while True:
@@ -109,18 +102,16 @@
             if choice is None:
                 choice = self._selection.prepare()
             exchange.sends += 1
-            is_retry, self._retry_is_due = self._retry_is_due, False
+            is_retry = self._retries.take_due()
             outcome = self._run_once(choice.engine, choice.prefilled)
             if isinstance(outcome, RunCompleted):
                 return
             if isinstance(outcome, RunRejected) and not outcome.sent:
                 exchange.sends -= 1
-                self._retry_is_due = is_retry
+                self._retries.is_due = is_retry
                 self._selection.note_not_connected(choice.engine)
-            else:
-                self._retry_is_due = self._may_retry(outcome)
-                if not self._retry_is_due:
-                    self._give_up(outcome)
+            elif not self._retries.count_after(outcome):
+                self._give_up(outcome)
             self._versions.check_version()
             if isinstance(outcome, RunRejected) and outcome.links_down:
                 self._selection.wait_for_links(outcome.reason)
@@ -361,16 +352,14 @@
             engines=engines,
             now_s=now_s,
         )
-        loss = RunInterrupted("engine is silent")
-        if not leaves or self._retry_obstacle(loss) is not None:
+        if not leaves or not self._retries.count_for_silent_engine():
             return False
-        self._retry_is_due = True
         self._prepared = self._move.prepare(
             engine, opened.connection, engines, silent_since_s=silent_since_s
         )
         if self._prepared is None:
-            self._give_retry_back()
-        return self._retry_is_due
+            self._retries.give_back()
+        return self._prepared is not None
 
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
@@ -418,34 +407,6 @@
         headers = list(self._state.wire.client_headers(opened.head.headers))
         return self._exchange.head(opened.head.status, opened.head.reason, headers)
 
-    def _may_retry(self, outcome: RunOutcome) -> bool:
-        if self._retry_is_due:
-            # It was counted when the stream left a silent engine.
-            return True
-        obstacle = self._retry_obstacle(outcome)
-        if obstacle is None:
-            return True
-        self._state.journal.event(
-            "not_retried",
-            request_id=self._exchange.metadata.request_id,
-            obstacle=obstacle,
-            sends=self._exchange.sends,
-        )
-        return False
-
-    def _retry_obstacle(self, outcome: RunOutcome) -> str | None:
-        """Return why there is no further run; spend a retry if there may be one."""
-        exchange = self._exchange
-        if isinstance(outcome, RunInterrupted) and not exchange.route.resumable:
-            return "route is not resumable"
-        if exchange.sends >= exchange.route.max_attempts:
-            return "route allows no more attempts"
-        if exchange.remaining_s < 0.1:
-            return "deadline is too close"
-        if not self._budget.try_spend(time.monotonic()):
-            return "retry budget is spent"
-        return None
-
     def _give_up(self, outcome: RunOutcome) -> None:
         assert not isinstance(outcome, RunCompleted)
         if self._exchange.response_started:
