Hold kept connections to the limits of the newest configuration

A connection took a copy of the limits when it was accepted and never looked again.

A connection now asks for the limits in force, and applies the widest ones since its last answer.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -87,6 +87,15 @@
     header_timeout_s: float
     idle_timeout_s: float
 
+    def widened(self, other: "ClientLimits") -> "ClientLimits":
+        """Return limits that allow what these or others allow."""
+        return ClientLimits(
+            max_header_bytes=max(self.max_header_bytes, other.max_header_bytes),
+            max_body_bytes=max(self.max_body_bytes, other.max_body_bytes),
+            header_timeout_s=max(self.header_timeout_s, other.header_timeout_s),
+            idle_timeout_s=max(self.idle_timeout_s, other.idle_timeout_s),
+        )
+
 
 @dataclass(frozen=True)
 class Configuration:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -22,6 +22,8 @@
 SEND_TIMEOUT_S = 5.0
 """Time limit for one send; a client that does not read is disconnected after it."""
 
+MIN_TIMEOUT_S = 0.001
+
 MAX_PENDING_BYTES = 262_144
 """Limit of pipelined input that is buffered while a request is being served."""
 
@@ -44,12 +46,16 @@
 
     While a request is being served, a watcher detects that the client disconnects,
     although no task reads from the socket.
+
+    ``limits`` returns the limits in force. They may change while a client is idle or
+    sends a request; the widest limits since then apply, as a client may not yet know
+    of narrower ones.
     """
 
-    def __init__(self, sock: socket.socket, limits: ClientLimits) -> None:
+    def __init__(self, sock: socket.socket, limits: Callable[[], ClientLimits]) -> None:
         self._sock = sock
         self._limits = limits
-        self._parser = RequestParser(limits)
+        self._parser = RequestParser(limits())
         self._pending: list[bytes] = []
         self._pending_bytes = 0
         self._watcher = None
@@ -66,6 +72,8 @@
         """
         request = self._parser.next_request()
         started_s = time.monotonic()
+        if not self._parser.reading:
+            self._parser.limits = self._limits()
         while request is None:
             if not self._read_some(started_s):
                 return None
@@ -88,34 +96,47 @@
             data = self._receive(started_s)
         if not data:
             return False
+        self._widen_limits()
         self._parser.feed(data)
         if self._parser.wants_continue:
             self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return True
 
+    def _widen_limits(self) -> ClientLimits:
+        self._parser.limits = self._parser.limits.widened(self._limits())
+        return self._parser.limits
+
     def _receive(self, started_s: float) -> bytes:
+        """Return received bytes, or none if the client is gone or idle for too long."""
         if self.disconnected:
             return b""
-        if not self._parser.reading:
-            self.idle = True
-            limit_s = self._limits.idle_timeout_s
-        elif self._parser.head_complete:
-            limit_s = BODY_TIMEOUT_S
-        else:
-            limit_s = self._limits.header_timeout_s
-        left_s = limit_s if self.idle else started_s + limit_s - time.monotonic()
-        try:
-            self._sock.settimeout(max(0.001, left_s))
-            return self._sock.recv(READ_BYTES)
-        except TimeoutError as error:
-            if self.idle:
+        self.idle = not self._parser.reading
+        while True:
+            left_s = started_s + self._limit_s() - time.monotonic()
+            try:
+                self._sock.settimeout(max(MIN_TIMEOUT_S, left_s))
+                return self._sock.recv(READ_BYTES)
+            except TimeoutError as error:
+                if started_s + self._limit_s() > time.monotonic():
+                    # The limit has been raised meanwhile.
+                    continue
+                if self.idle:
+                    return b""
+                raise RequestError(
+                    ErrorKind.REQUEST_TIMEOUT, "request did not arrive in time"
+                ) from error
+            except OSError:
+                # There is no complete request to respond to, so a reset is no error.
                 return b""
-            raise RequestError(
-                ErrorKind.REQUEST_TIMEOUT, "request did not arrive in time"
-            ) from error
-        except OSError:
-            # There is no complete request to respond to, so a reset is not an error.
-            return b""
+
+    def _limit_s(self) -> float:
+        """Return how long the client may take for what it does now."""
+        limits = self._widen_limits()
+        if self.idle:
+            return limits.idle_timeout_s
+        if self._parser.head_complete:
+            return BODY_TIMEOUT_S
+        return limits.header_timeout_s
 
     def watch_for_disconnect(self, on_disconnect: Callable[[], None]) -> None:
         """Call ``on_disconnect`` if the client disconnects before ``stop_watching``."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -100,7 +100,7 @@
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
         sockets.enable_dead_peer_detection(sock, sockets.CLIENT_USER_TIMEOUT_MS)
-        connection = ClientConnection(sock, self._state.limits)
+        connection = ClientConnection(sock, lambda: self._state.limits)
         self._connections.add(connection)
         try:
             self._serve_requests(connection)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -85,7 +85,7 @@
     """
 
     def __init__(self, limits: ClientLimits) -> None:
-        self._limits = limits
+        self.limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._partial: _PartialRequest | None = None
         self._complete: deque[ClientRequest] = deque()
@@ -206,7 +206,7 @@
         """Append a part of the body."""
         partial = self._current()
         partial.body_bytes += len(part)
-        if partial.body_bytes > self._limits.max_body_bytes:
+        if partial.body_bytes > self.limits.max_body_bytes:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, "body is too large")
         partial.body.append(part)
 
@@ -244,7 +244,7 @@
 
     def _check_length(self, value: bytes) -> None:
         """Reject a body by its declared length, before it is received."""
-        if value.isdigit() and int(value) > self._limits.max_body_bytes:
+        if value.isdigit() and int(value) > self.limits.max_body_bytes:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, "body is too large")
 
     def _current(self) -> _PartialRequest:
@@ -255,14 +255,14 @@
     def _count_framing(self, partial: _PartialRequest, size: int) -> None:
         """Count input without body bytes: head, chunk extensions or trailers."""
         partial.framing_bytes += size
-        if partial.framing_bytes > self._limits.max_header_bytes:
+        if partial.framing_bytes > self.limits.max_header_bytes:
             raise RequestError(
                 ErrorKind.HEADER_TOO_LARGE, "head of request is too large"
             )
 
     def _count_head(self, partial: _PartialRequest, size: int) -> None:
         partial.head_bytes += size
-        if partial.head_bytes > self._limits.max_header_bytes:
+        if partial.head_bytes > self.limits.max_header_bytes:
             raise RequestError(
                 ErrorKind.HEADER_TOO_LARGE, "head of request is too large"
             )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -55,7 +55,7 @@
             server.stop(timeout=0)
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
-        connection = ClientConnection(sock, self._state.limits)
+        connection = ClientConnection(sock, lambda: self._state.limits)
         try:
             while (request := connection.next_request()) is not None:
                 self._handle_request(connection, request)
