Give peers time before a call that runs once uses a link in doubt

Callers of a host whose connections to replicas are accepted and then reset got 502 for a request that must not be repeated, if its tunnel through a peer took over 0.1 s: the own link was then tried too, and wins at once, as something accepts its connections.

Such a call now waits 0.4 s for peers, or until they have failed. Calls that may be repeated try their own link after 0.1 s as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
 from functools import partial
 
 import gevent
@@ -39,6 +40,12 @@
 NEXT_WAY_DELAY_S = 0.1
 """Time after which a connection that is not open yet is tried on the next way too."""
 
+DOUBTED_LINK_DELAY_S = 0.4
+"""Time that peers have before a call that must not be repeated uses a link in doubt.
+
+Such a link may accept connections and answer nothing, and would win the race.
+"""
+
 MAX_PEERS_ASKED = 3
 
 PROBE_INTERVAL_S = 0.5
@@ -51,10 +58,17 @@
 MIN_SILENCE_S = 0.2
 """A call that ends sooner without an answer says nothing of the link."""
 
-Way = Callable[[Replica, float], UpstreamConnection]
 Attempt = Callable[[], UpstreamConnection]
 
 
+@dataclass(frozen=True)
+class Way:
+    """Describe a way to a replica, tried if earlier ones take ``delay_s`` longer."""
+
+    attempt: Attempt
+    delay_s: float = NEXT_WAY_DELAY_S
+
+
 class ReplicaDialer(Dialer):
     """Open connections to replicas, and find out whether the own links are cut."""
 
@@ -74,13 +88,13 @@
         race = ConnectionRace(self._keep_or_close)
         try:
             for way in self._ways(replica, deadline_s, repeatable=repeatable):
-                race.start(way)
                 left_s = deadline_s - time.monotonic()
-                winner = race.winner(min(NEXT_WAY_DELAY_S, left_s))
+                winner = race.winner(min(way.delay_s, left_s))
                 if winner is not None:
                     return winner
                 if isinstance(race.peer_error, PeerCannotReach):
                     break
+                race.start(way.attempt)
             winner = race.winner(deadline_s - time.monotonic())
         finally:
             race.end()
@@ -204,10 +218,14 @@
                 self._try_link(replica, self.open_directly)
         return self._state.links.connected_since(time_s)
 
-    def _try_link(self, replica: Replica, way: Way) -> None:
+    def _try_link(
+        self,
+        replica: Replica,
+        open_link: Callable[[Replica, float], UpstreamConnection],
+    ) -> None:
         """Open a connection for later use, which shows whether a link works."""
         try:
-            connection = way(replica, CONNECT_TIMEOUT_S)
+            connection = open_link(replica, CONNECT_TIMEOUT_S)
         except NotConnected:
             # The failure is recorded with the link.
             return
@@ -215,21 +233,22 @@
 
     def _ways(
         self, replica: Replica, deadline_s: float, *, repeatable: bool
-    ) -> Iterator[Attempt]:
+    ) -> Iterator[Way]:
         """Return the ways to a replica, the most promising one first."""
         own = partial(self._open_own, replica, deadline_s)
         needs_peer = self._needs_peer(replica)
         in_doubt = self._links_in_doubt(repeatable=repeatable)
         if not needs_peer and not in_doubt:
-            yield own
+            yield Way(own)
         if self._state.links.may_ask_peer(replica, time.monotonic()):
             yield from self._ways_by_peers(replica, deadline_s)
         if in_doubt and not needs_peer:
-            yield own
+            delay_s = NEXT_WAY_DELAY_S if repeatable else DOUBTED_LINK_DELAY_S
+            yield Way(own, delay_s)
 
-    def _ways_by_peers(self, replica: Replica, deadline_s: float) -> Iterator[Attempt]:
+    def _ways_by_peers(self, replica: Replica, deadline_s: float) -> Iterator[Way]:
         for peer in self.tunnels.candidates(replica)[:MAX_PEERS_ASKED]:
-            yield partial(self._open_by_peer, replica, peer, deadline_s)
+            yield Way(partial(self._open_by_peer, replica, peer, deadline_s))
 
     def _links_in_doubt(self, *, repeatable: bool) -> bool:
         """Return whether the own link is tried last, as no replica answers on any.
