--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/suspects.py
@@ -9,7 +9,6 @@
 told apart by the next run that has one of them without the others.
 """
 
-import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 
@@ -18,8 +17,9 @@
     CrashRecord,
     CrashRecords,
 )
-from persimmonyoke.internal.delivery.isolations import Isolation, IsolationTable
+from persimmonyoke.internal.delivery.isolations import IsolationTable
 from persimmonyoke.internal.delivery.quarantines import Quarantines
+from persimmonyoke.internal.delivery.suspect_notices import SuspectNotices
 from persimmonyoke.internal.delivery.suspect_types import (
     Clear,
     Quarantined,
@@ -79,11 +79,9 @@
             min_crashes=self.rule.isolation_threshold if lifts else None,
             max_events=max_records,
         )
-        self._on_change = on_change
+        self._notices = SuspectNotices(host, on_change)
         self._completions = Completions()
         self._isolations = IsolationTable(host)
-        # The wall clock keeps the numbers increasing across restarts of the host.
-        self._number = int(time.time() * 1000)
         self._crashes: OrderedDict[str, None] = OrderedDict()
         self.quarantined_total = 0
         # Counts changes, so that waiting suspects can detect one cheaply.
@@ -206,7 +204,7 @@
         """Release the reservation of this host."""
         if self._isolations.end(digest, engine):
             self.version += 1
-            self._publish_release(digest, engine)
+            self._notices.publish_release(digest, engine)
 
     def isolated_engines(self, now_s: float) -> frozenset[str]:
         """Return the engines that are reserved for a suspect."""
@@ -251,7 +249,10 @@
         digests = dict.fromkeys([r.subject for r in self._records])
         digests.update(dict.fromkeys(isolations))
         return tuple(
-            self._notice(digest, isolations.get(digest), now_s) for digest in digests
+            self._notices.notice(
+                self._known_record(digest), isolations.get(digest), now_s
+            )
+            for digest in digests
         )
 
     def isolated_notices(self, now_s: float) -> tuple[SuspectNotice, ...]:
@@ -265,7 +266,7 @@
 
     def notice(self, digest: bytes, now_s: float) -> SuspectNotice:
         """Return the notice of one request, for a peer."""
-        return self._notice(digest, None, now_s)
+        return self._notices.notice(self._known_record(digest), None, now_s)
 
     def forget_host(self, host: str) -> None:
         """Drop the reservations of a host that has left the fleet."""
@@ -348,7 +349,7 @@
         self._remove(record, now_s)
         self.version += 1
         if len(record.crashes) >= self.rule.isolation_threshold:
-            self._publish_cleared(subject)
+            self._notices.publish_cleared(subject)
         return was_quarantined
 
     def _remove(self, record: CrashRecord, now_s: float) -> None:
@@ -360,7 +361,7 @@
         is_strong = len(notice.crashes) >= self.rule.isolation_threshold
         if is_strong or notice.quarantine_left_s > 0:
             self._merge_cleared(notice.digest, now_s)
-            self._publish_cleared(notice.digest)
+            self._notices.publish_cleared(notice.digest)
 
     def _crash_event(
         self, record: CrashRecord, engine: str, incarnation: str, now_s: float
@@ -420,50 +421,16 @@
         if record.quarantined_until_s <= now_s or self.rule.completion_lifts:
             self._remove(record, now_s)
 
-    def _notice(
-        self, subject: bytes, isolation: Isolation | None, now_s: float
-    ) -> SuspectNotice:
-        record = self._records.get(subject) or CrashRecord(subject)
-        return SuspectNotice(
-            digest=subject,
-            host=self.host,
-            crashes=frozenset(record.crashes),
-            quarantine_left_s=max(0.0, record.quarantined_until_s - now_s),
-            isolated_on=isolation.engine if isolation else None,
-            isolation_left_s=max(0.0, isolation.until_s - now_s) if isolation else 0.0,
-            number=self._next_number(),
-            crash_age_s=max(0.0, now_s - record.last_crash_s)
-            if record.crashes
-            else 0.0,
-        )
-
-    def _next_number(self) -> int:
-        self._number += 1
-        return self._number
-
-    def _publish(self, digest: bytes, now_s: float) -> None:
-        if self._on_change is not None:
-            self._on_change(self._notice(digest, None, now_s))
+    def _publish(self, subject: bytes, now_s: float) -> None:
+        self._notices.publish(self._known_record(subject), None, now_s)
 
-    def _publish_isolation(self, digest: bytes, now_s: float) -> None:
-        if self._on_change is not None:
-            isolation = self._isolations.own(now_s)[digest]
-            self._on_change(self._notice(digest, isolation, now_s))
+    def _publish_isolation(self, subject: bytes, now_s: float) -> None:
+        isolation = self._isolations.own(now_s)[subject]
+        self._notices.publish(self._known_record(subject), isolation, now_s)
 
-    def _publish_cleared(self, digest: bytes) -> None:
-        if self._on_change is not None:
-            number = self._next_number()
-            self._on_change(
-                SuspectNotice(digest, self.host, cleared=True, number=number)
-            )
-
-    def _publish_release(self, digest: bytes, engine: str) -> None:
-        if self._on_change is None:
-            return
-        number = self._next_number()
-        self._on_change(
-            SuspectNotice(digest, self.host, isolated_on=engine, number=number)
-        )
+    def _known_record(self, subject: bytes) -> CrashRecord:
+        """Return the record of a subject, or an empty one that is not kept."""
+        return self._records.get(subject) or CrashRecord(subject)
 
 
 def _crashes(status: SuspectStatus) -> int:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspect_parts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspect_parts.py
@@ -236,7 +236,7 @@
         self.traffic.complete(DOCUMENT)
         sent = []
         told = self.traffic.registers[0]
-        told._on_change = sent.append
+        told._notices.on_change = sent.append
         for notice in alone.isolated_notices(self.traffic.now_s):
             told.merge(notice, self.traffic.now_s)
         self.assertEqual(self.traffic.status(DOCUMENT), Clear())
