End the pause of a peer with the entry of its next process

Callers at hosts that reach no replica by themselves were refused for up to a second after the peers that open their tunnels had restarted. A peer that has restarted answers its former tunnel key with 401, and one that is still starting refuses connections; either left the peer out for a second by its name, though its entry with the new key arrived some 30 ms later.

A pause now holds for the key that the peer was asked with. Each process of a host has a key of its own, so it ends with the entry of the next one.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -83,6 +83,10 @@
         self._by_zone = None
         self._first_seen_s.pop(name, None)
 
+    def entry(self, name: str) -> HostEntry | None:
+        """Return the entry of a registered host."""
+        return self._entries.get(name)
+
     def note_peer(self, name: str, state: PeerState) -> None:
         """Record a peer's state unless a newer one is known."""
         known = self._peers.get(name)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
@@ -43,11 +43,25 @@
         self.assertEqual(self.ranked(hosts), ["a", "c"])
 
     def test_a_peer_that_could_not_help_is_left_out_for_a_while(self):
-        self.peers.note_failed("a", NOW_S)
+        self.peers.note_failed(peer("a"), NOW_S)
         hosts = [peer("a"), peer("b")]
         self.assertEqual(self.ranked(hosts), ["b"])
         self.assertEqual(len(self.ranked(hosts, now_s=NOW_S + PEER_PAUSE_S)), 2)
 
+    def test_the_pause_of_a_peer_ends_with_the_key_of_its_next_process(self):
+        # A peer that had restarted was left out for what its former process did.
+        self.peers.note_failed(peer("a", key="former"), NOW_S)
+        self.assertEqual(self.ranked([peer("a", key="former")]), [])
+        self.assertEqual(self.ranked([peer("a", key="new")]), ["a"])
+        self.peers.note_failed(peer("a", key="new"), NOW_S)
+        self.assertEqual(self.ranked([peer("a", key="new")]), [])
+
+    def test_a_late_failure_with_the_former_key_does_not_end_a_pause(self):
+        # Requests with both keys may be under way at once.
+        self.peers.note_failed(peer("a", key="new"), NOW_S)
+        self.peers.note_failed(peer("a", key="former"), NOW_S)
+        self.assertEqual(self.ranked([peer("a", key="new")]), [])
+
     def test_a_peer_on_whose_tunnel_an_answer_was_lost_comes_last(self):
         # If it is the only peer left, a replica that fails must not rule it out.
         self.peers.note_lost("a", NOW_S)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -47,9 +47,12 @@
 
     def usable(self, peer: str, now_s: float) -> bool:
         """Return whether tunnels through a peer are likely to work."""
-        is_alive = self._state.hosts.takes_callers(peer, now_s)
-        doubted = self._peers.doubted(peer, now_s) or self._peers.paused(peer, now_s)
-        return is_alive and not doubted
+        entry = self._state.hosts.entry(peer)
+        if entry is None or not self._state.hosts.takes_callers(peer, now_s):
+            return False
+        return not (
+            self._peers.doubted(peer, now_s) or self._peers.paused(entry, now_s)
+        )
 
     def note_lost(self, peer: str, now_s: float) -> None:
         """Record that an answer was lost on a tunnel through a peer."""
@@ -129,7 +132,7 @@
         raise NoTunnel(reason)
 
     def _note_failed(self, peer: HostEntry, replica: Replica, error: Exception) -> None:
-        self._peers.note_failed(peer.name, time.monotonic())
+        self._peers.note_failed(peer, time.monotonic())
         self._state.metrics.tunnels.add(result="not_opened")
         self._state.journal.failure(
             "tunnel_not_opened", error, peer=peer.name, replica=replica.replica_id
