Ask peers for other replicas after they did not know one

They had heard of a new replica at 9.17 s, its peers at 9.46 s; three peers answered 404 for its address, and each was left alone for a second with all replicas. RECOVER broke: 89 of 194 first tries, the others 33 of 35.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_tunnel_peers.py
@@ -7,11 +7,14 @@
 from persimmonyoke.internal.fleet.tunnel_peers import (
     PEER_PAUSE_S,
     TUNNELS_PER_STEP,
+    UNKNOWN_ADDRESS_PAUSE_S,
     TunnelPeers,
 )
-from persimmonyoke_testing.builders_fleet import host
+from persimmonyoke_testing.builders_fleet import engine, host
 
 NOW_S = 100.0
+REPLICA = engine("r", zone="zone-b", port=1)
+OTHER_REPLICA = engine("s", zone="zone-b", port=2)
 
 
 def peer(name, zone="zone-a", key="key"):
@@ -23,10 +26,8 @@
         self.peers = TunnelPeers("zone-a")
         self.rng = random.Random(5)
 
-    def ranked(self, hosts, *, replica_zone="zone-b", now_s=NOW_S):
-        found = self.peers.ranked(
-            hosts, replica_zone=replica_zone, now_s=now_s, rng=self.rng
-        )
+    def ranked(self, hosts, *, replica=REPLICA, now_s=NOW_S):
+        found = self.peers.ranked(hosts, replica=replica, now_s=now_s, rng=self.rng)
         return [entry.name for entry in found]
 
     def test_peers_of_the_own_zone_and_of_that_of_the_replica_come_first(self):
@@ -56,6 +57,14 @@
         self.peers.note_failed(peer("a", key="new"), NOW_S)
         self.assertEqual(self.ranked([peer("a", key="new")]), [])
 
+    def test_a_peer_that_does_not_know_a_replica_is_asked_for_others(self):
+        # Hosts hear of a new replica at different times, and all peers were left out.
+        self.peers.note_unknown(peer("a"), REPLICA.address, NOW_S)
+        self.assertEqual(self.ranked([peer("a")]), [])
+        self.assertEqual(self.ranked([peer("a")], replica=OTHER_REPLICA), ["a"])
+        later_s = NOW_S + UNKNOWN_ADDRESS_PAUSE_S
+        self.assertEqual(self.ranked([peer("a")], now_s=later_s), ["a"])
+
     def test_a_late_failure_with_the_former_key_does_not_end_a_pause(self):
         # Requests with both keys may be under way at once.
         self.peers.note_failed(peer("a", key="new"), NOW_S)
@@ -79,7 +88,7 @@
             for _ in range(20):
                 chosen = own.ranked(
                     hosts,
-                    replica_zone=f"zone-{self.rng.randrange(3)}",
+                    replica=engine("r", zone=f"zone-{self.rng.randrange(3)}"),
                     now_s=NOW_S,
                     rng=self.rng,
                 )[0].name
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_client.py
@@ -17,6 +17,7 @@
     OPENED,
     REPLICA_REFUSES,
     REPLICA_SILENT,
+    UNKNOWN_REPLICA,
     TunnelRequest,
     encode_tunnel_request,
 )
@@ -29,6 +30,10 @@
     """Signal that no peer opens a tunnel, which says nothing of the replica."""
 
 
+class UnknownReplica(NoTunnel):
+    """Signal that a peer does not know the replica, which may be new."""
+
+
 class PeerCannotReach(Exception):
     """Signal that a peer, too, could not connect to the replica."""
 
@@ -68,7 +73,7 @@
         ]
         return self._peers.ranked(
             alive,
-            replica_zone=replica.availability_zone,
+            replica=replica,
             now_s=now_s,
             rng=state.rng,
         )
@@ -81,8 +86,13 @@
             raise NoTunnel("no time is left")
         try:
             return self._open(replica, peer, timeout_s)
+        except UnknownReplica as error:
+            self._peers.note_unknown(peer, replica.address, time.monotonic())
+            self._log_failure(peer, replica, error)
+            raise
         except (OSError, ProtocolError, NoTunnel) as error:
-            self._note_failed(peer, replica, error)
+            self._peers.note_failed(peer, time.monotonic())
+            self._log_failure(peer, replica, error)
             raise NoTunnel(f"{peer.name}: {error}") from error
 
     def _open(
@@ -129,10 +139,11 @@
         reason = f"{peer.name} answered {status} for {replica.address}"
         if status in (REPLICA_REFUSES, REPLICA_SILENT):
             raise PeerCannotReach(reason, refused=status == REPLICA_REFUSES)
+        if status == UNKNOWN_REPLICA:
+            raise UnknownReplica(reason)
         raise NoTunnel(reason)
 
-    def _note_failed(self, peer: HostEntry, replica: Replica, error: Exception) -> None:
-        self._peers.note_failed(peer, time.monotonic())
+    def _log_failure(self, peer: HostEntry, replica: Replica, error: Exception) -> None:
         self._state.metrics.tunnels.add(result="not_opened")
         self._state.journal.failure(
             "tunnel_not_opened", error, peer=peer.name, replica=replica.replica_id
