Keep the preparation of a stream whose silent connection ends meanwhile

A caller lost a stream that had begun when its silent engine ended the connection while the next run was being prepared: "retry budget is spent", though both retries of the move were in hand 0.3 s before.

Cause: the watcher of the silent connection took its end, or an error on it, for bytes of an engine that goes on. It cancelled the prefill, whose retry was counted, and the run that followed the loss asked for two more.

The watcher now looks for bytes alone. If the connection has ended when the preparation is complete, it is read on, so that the loss is recorded as what it is, and the next run uses what was prepared.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -240,6 +240,11 @@
         """Return whether bytes have arrived after a response that was read."""
         return self._parser.has_events or self._transport.has_input()
 
+    @property
+    def goes_on(self) -> bool:
+        """Return whether bytes of a response have arrived, not its end alone."""
+        return self._parser.has_events or self._transport.has_bytes()
+
     def has_unexpected_input(self) -> bool:
         """Return whether an idle connection was closed or has unexpected input."""
         return self._transport.has_input()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -64,11 +64,18 @@
 
 def has_input(sock: socket.socket) -> bool:
     """Return whether data, end of file or an error is pending on a connection."""
+    return peek(sock, 1) is not None
+
+
+def peek(sock: socket.socket, size_bytes: int) -> bytes | None:
+    """Return pending data without taking it, or ``None`` if nothing is pending.
+
+    It is empty at the end of file or after an error.
+    """
     try:
         # Use the underlying socket, since gevent's recv would block.
-        sock._sock.recv(1, native.MSG_PEEK | native.MSG_DONTWAIT)
+        return sock._sock.recv(size_bytes, native.MSG_PEEK | native.MSG_DONTWAIT)
     except BlockingIOError:
-        return False
+        return None
     except OSError:
-        return True
-    return True
+        return b""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -54,7 +54,7 @@
         Raises the cause if the request is cancelled meanwhile.
         """
         choice, outcome = self._try(engine, connection, engines)
-        if choice is not None and connection.has_more_input:
+        if choice is not None and connection.goes_on:
             self._selection.discard(choice)
             choice, outcome = None, RESUMED
         if outcome not in self._logged:
@@ -109,7 +109,7 @@
     connection: UpstreamConnection, preparation: CancelScope
 ) -> None:
     """Cancel a preparation as soon as the silent engine writes."""
-    while not connection.has_more_input:
+    while not connection.goes_on:
         gevent.sleep(RESUME_POLL_S)
     preparation.cancel(EngineResumed("engine goes on"))
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -359,7 +359,9 @@
         )
         if self._prepared is None:
             self._retries.give_back()
-        return self._prepared is not None
+            return False
+        # A connection that ended meanwhile is read on, which shows how it ended.
+        return not opened.connection.has_more_input
 
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_links.py
@@ -134,6 +134,9 @@
         """Return false."""
         return False
 
+    def has_bytes(self):
+        return False
+
     def interrupt(self):
         """Do nothing."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
@@ -42,6 +42,10 @@
     def has_input(self) -> bool:
         """Return whether bytes, the end of the stream or an error are pending."""
 
+    @abstractmethod
+    def has_bytes(self) -> bool:
+        """Return whether bytes of the replica are pending, not the end alone."""
+
     @abstractmethod
     def interrupt(self) -> None:
         """Wake the greenlet that receives."""
@@ -78,6 +82,10 @@
         """Return whether bytes, end of file or an error are pending."""
         return sockets.has_input(self._sock)
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes are pending, not the end of file or an error alone."""
+        return bool(sockets.peek(self._sock, 1))
+
     def interrupt(self) -> None:
         """Shut the connection down, which wakes its reader."""
         sockets.shut_down(self._sock)
@@ -134,6 +142,13 @@
         """Return whether bytes, the end of the tunnel or an error are pending."""
         return self._parser.has_events or sockets.has_input(self._sock)
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes are pending, not the end of the tunnel alone."""
+        if self._parser.has_events:
+            return True
+        pending = sockets.peek(self._sock, len(LAST_CHUNK))
+        return bool(pending) and pending != LAST_CHUNK
+
     def interrupt(self) -> None:
         """Shut the tunnel down, which wakes its reader."""
         sockets.shut_down(self._sock)
