Let a begun stream go on at another engine while its host stops

A stream that arrived more than 2.5 s after the signal, had begun and left a silent engine ended with "host is stopping", with its next run in hand.

Cause: each run of such a request asked whether an answer of its full length would still end before the host does, as if no event had been sent. For a stream that has begun, the answer was decided at its first run; its waits are bounded by the end of the answers as before.

The new test (with the answer of the schedule replaced by "no" after the first event) failed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -129,7 +129,7 @@
         ledger.begin_run(engine.replica_id, tokens)
         used = False
         try:
-            if not exchange.may_begin():
+            if not exchange.response_started and not exchange.may_begin():
                 raise exchange.stopped()
             exchange.call_outstanding = True
             outcome = self._call(engine, prefilled, start)
