Keep what a prepared run reserved until that run ends

The end of the run that a stream leaves released the reservation of a suspect on the next engine, and ended the prefill that was planned there, before the next run began. The suspect shared its engine with others, and further prompts were sent to an engine that was busy.

Cause: both are held by the request, not by a run, and the next run is prepared before the run before has ended. A run now releases them only if no next run is prepared.

Both new tests failed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -136,8 +136,10 @@
             used = not isinstance(outcome, RunRejected)
         finally:
             ledger.end_run(engine.replica_id, tokens)
-            self._guard.end_reservation(self._exchange)
-            self._selection.end_local_prefill()
+            if self._prepared is None:
+                # Otherwise they belong to the next run.
+                self._guard.end_reservation(exchange)
+                self._selection.end_local_prefill()
             if prefilled is not None and not used:
                 self._prefill.release(prefilled)
         exchange.call_outstanding = False
