Test stalled idle connections with calls that overlap, without short timeouts

Nor did it show the failure that it guards against: with the call of discard_idle taken out it passed, as the pool hands out the closed connection first, which connects anew.

The connections are now opened by answers that overlap, with a timeout beyond any stall; their number is checked; and after the one time-out eight calls that overlap have to succeed. It no longer reads None once more through the store, which the eight reads replace.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/tests/test_key_value_store.py
@@ -25,11 +25,16 @@
     WriteUnknown,
     settle_write,
 )
+from persimmonyoke.internal.platform.etcd_json import encode_bytes
+from persimmonyoke.internal.platform.http_json import Connections, send
 from persimmonyoke_testing.key_value_standin import KeyValueStandIn
 from persimmonyoke_testing.key_value_state import StoreFaults
 from persimmonyoke_testing.memory_store import MemoryStore
 
 TIMEOUT_S = 0.3
+PATIENT_TIMEOUT_S = 10.0
+"""Timeout of calls that are answered, beyond any stall of the test process."""
+
 WATCH_IDLE_S = 0.4
 
 
@@ -309,21 +314,39 @@
         self.assertEqual(len(watch_lines), 2, watch_lines)
         self.assertIn("works again", watch_lines[-1])
 
-    def test_idle_connections_that_stalled_together_cost_one_timeout(self):
-        # One timeout for each of them could outlast the lease of an authority.
-        tasks = [
-            threading.Thread(target=self.store.get, args=("/p/a",)) for _ in range(8)
+    def call_on_connections(self, connections: Connections, count: int) -> None:
+        """Make calls that overlap, so that each takes a connection of its own."""
+        body = {"key": encode_bytes(b"/p/a")}
+        answers = [
+            send(
+                connections,
+                "POST",
+                "/v3/kv/range",
+                body,
+                timeout_s=PATIENT_TIMEOUT_S,
+                stream=True,
+            )
+            for _ in range(count)
         ]
-        self.faults.slow_s = 0.05
-        for task in tasks:
-            task.start()
-        for task in tasks:
-            task.join()
-        self.faults.slow_s = 0.0
+        for answer in answers:
+            answer.drain_conn()
+
+    def test_idle_connections_that_stalled_together_cost_one_timeout(self):
+        # One timeout for each of them could outlast the lease of an authority. A single
+        # later call would not show it: the pool hands out the closed connection first.
+        connections = Connections(self.service.url)
+        store = EtcdGatewayStore(
+            self.service.url,
+            budget=self.budget,
+            timeout_s=TIMEOUT_S,
+            connections=connections,
+        )
+        self.call_on_connections(connections, 8)
+        self.assertEqual(connections.pool.num_connections, 8)
         self.service.stall_open_connections()
         with self.assertRaises(StoreUnavailable):
-            self.store.get("/p/a")
-        self.assertIsNone(self.store.get("/p/a"))
+            store.get("/p/a")
+        self.call_on_connections(connections, 8)
 
     def test_calls_are_counted_by_purpose_as_the_service_sees_them(self):
         # The counts would otherwise not match the load on the service.
