Use a prompt that was read for another engine if its engine is not reached

A stream that had left a silent engine ended with "retry budget is spent" when no connection to the next engine could be opened, though its prompt had been read and a third engine was there.

Cause: the handle of the prompt was released with the call that was not sent, and to read the prompt for a third time takes another retry.

A prompt whose decode engine is not reached is now kept for one further run, as long as the engine that holds it is in use and its handle is young enough. A request that has not begun saves its second prefill alike.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -29,6 +29,7 @@
     Exchange,
     StreamBroken,
 )
+from persimmonyoke.internal.gateway.kept_prompt import MAX_HANDLE_AGE_S, KeptPrompt
 from persimmonyoke.internal.gateway.link_wait import LinkWait
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -38,8 +39,6 @@
 MAX_PREFILL_ATTEMPTS = 3
 RETRY_AFTER_NO_ENGINE_S = 0.5
 DECODER_POLL_INTERVAL_S = 0.02
-MAX_HANDLE_AGE_S = 4.5
-"""Age up to which a KV handle is used; engines are specified to keep it for 5 s."""
 
 
 @dataclass(frozen=True)
@@ -73,6 +72,7 @@
         self._budget = state.retry_budget(exchange.service.name)
         self._candidates = EngineCandidates(state, exchange, versions.allows)
         self._link_wait = LinkWait(state, exchange)
+        self.kept_prompt = KeptPrompt(prefill)
         self._prefill_attempts = 0
         self._retry_held = False
         self._decoders_missing_since_s: float | None = None
@@ -151,6 +151,10 @@
         if service.engine is None or prompt is None:
             reserved = self._reserve(self._candidates.engines)
             return EngineChoice(reserved or self._choose_plain(), None)
+        engines, now_s = self._candidates.engines(), time.monotonic()
+        kept = self.kept_prompt.take(engines, now_s=now_s)
+        if kept is not None:
+            return EngineChoice(self._select_decoder(kept, service.engine), kept)
         while True:
             self._reserve_for_prefill()
             self._slots.take_before_prefill()
@@ -274,7 +278,7 @@
         self, prefilled: PrefilledPrompt, limits: EngineLimits
     ) -> Replica:
         """Return a decode engine for a prefilled prompt; wait for one if necessary."""
-        wait_until_s = time.monotonic() + MAX_HANDLE_AGE_S
+        wait_until_s = prefilled.done_s + MAX_HANDLE_AGE_S
         try:
             reserved = self._reserve(
                 self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
@@ -0,0 +1,56 @@
+"""Prompt of a run whose decode engine was not reached."""
+
+from collections.abc import Iterable
+
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
+
+MAX_HANDLE_AGE_S = 4.5
+"""Age up to which a KV handle is used; engines are specified to keep it for 5 s."""
+
+
+class KeptPrompt:
+    """Keep a prefilled prompt for one further run, so that it is not read again.
+
+    Reading it again takes a retry, which a stream that has left its engine may not get.
+    """
+
+    def __init__(self, prefill: PrefillCaller) -> None:
+        self._prefill = prefill
+        self._prompt: PrefilledPrompt | None = None
+        self._taken: PrefilledPrompt | None = None
+
+    def keep(self, prefilled: PrefilledPrompt) -> None:
+        """Keep a prompt, or release it if it was kept before."""
+        if prefilled is self._taken:
+            self._prefill.release(prefilled)
+        else:
+            self._prompt = prefilled
+
+    def take(
+        self, engines: Iterable[Replica], *, now_s: float
+    ) -> PrefilledPrompt | None:
+        """Return the prompt that is kept if its engine may still hand it over."""
+        kept = self._prompt
+        if kept is None:
+            return None
+        reachable = any(_is_same(engine, kept.engine) for engine in engines)
+        if not reachable or now_s >= kept.done_s + MAX_HANDLE_AGE_S:
+            self.release()
+            return None
+        self._prompt, self._taken = None, kept
+        return kept
+
+    def release(self) -> None:
+        """Release the prompt that is kept, if there is one."""
+        kept, self._prompt = self._prompt, None
+        if kept is not None:
+            self._prefill.release(kept)
+
+
+def _is_same(engine: Replica, other: Replica) -> bool:
+    """Return whether two entries describe one incarnation of an engine."""
+    return (engine.replica_id, engine.born_unix_ms) == (
+        other.replica_id,
+        other.born_unix_ms,
+    )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -41,6 +41,7 @@
 
     engine: Replica
     result: PrefillResult
+    done_s: float
 
     @property
     def source(self) -> str:
@@ -131,7 +132,7 @@
             state.health.note_unreachable(engine.replica_id, time.monotonic())
             return PrefillFailed(f"engine answered {opened.head.status}", sent=True)
         state.health.note_success(engine.replica_id)
-        return PrefilledPrompt(engine, result)
+        return PrefilledPrompt(engine, result, done_s=time.monotonic())
 
     def _note_loss(self, engine: Replica, error: AnswerLost) -> None:
         """Pause the engine unless the loss may be due to a peer in between."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -92,6 +92,7 @@
             self._run_until_complete()
         finally:
             self._retries.give_back()
+            self._selection.kept_prompt.release()
             if self._prepared is not None:
                 self._selection.discard(self._prepared)
 
@@ -127,25 +128,36 @@
         tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
         start = self._state.start_attempt(Stage.DECODE.value, engine)
         ledger.begin_run(engine.replica_id, tokens)
-        used = False
+        outcome: RunOutcome | None = None
         try:
             if not exchange.response_started and not exchange.may_begin():
                 raise exchange.stopped()
             exchange.call_outstanding = True
             outcome = self._call(engine, prefilled, start)
-            used = not isinstance(outcome, RunRejected)
         finally:
             ledger.end_run(engine.replica_id, tokens)
             if self._prepared is None:
                 # Otherwise they belong to the next run.
                 self._guard.end_reservation(exchange)
                 self._selection.end_local_prefill()
-            if prefilled is not None and not used:
-                self._prefill.release(prefilled)
+            if prefilled is not None:
+                self._end_prompt(prefilled, outcome)
         exchange.call_outstanding = False
         self._record_attempt(start, outcome)
         return outcome
 
+    def _end_prompt(
+        self, prefilled: PrefilledPrompt, outcome: RunOutcome | None
+    ) -> None:
+        """Release a prompt that no engine has used, unless the next run uses it."""
+        if outcome is None:
+            self._prefill.release(prefilled)
+        elif isinstance(outcome, RunRejected):
+            if outcome.sent or outcome.links_down:
+                self._prefill.release(prefilled)
+            else:
+                self._selection.kept_prompt.keep(prefilled)
+
     def _call(
         self, engine: Replica, prefilled: PrefilledPrompt | None, start: AttemptStart
     ) -> RunOutcome:
