End the wait for a slot when the silent engine goes on

Events of an engine that went on were held back until the slot of another engine came: 2.08 s after the request in the new test, in which the engine goes on after 1.4 s and the other one names a limit of one request a second while the prompt is read. A client may leave meanwhile.

Cause: the wait was one sleep, and the cancellation was looked at after it. The slot that was taken for it was then lost to other requests.

The wait now looks every 20 ms whether it is cancelled, also by a client that leaves, and gives its slot back. The new test failed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/decoder_slots.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/decoder_slots.py
@@ -12,6 +12,9 @@
 from persimmonyoke.internal.gateway.exchange import RETRY_AFTER_REJECTED_S, Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
 
+SLOT_POLL_S = 0.02
+"""Interval at which a request that waits for a slot looks whether it is cancelled."""
+
 DECODERS_LIMITED = "decode engines limit their requests"
 
 
@@ -65,17 +68,29 @@
         """Wait for the slot of a decode engine; ``None`` if none is needed."""
         exchange = self._exchange
         self._take(exchange.event_wait_left_s(time.monotonic()))
-        slot, self._slot = self._slot, None
+        slot = self._slot
         if slot is None:
             return None
-        gevent.sleep(max(0.0, slot.at_s - time.monotonic()))
-        exchange.cancel_scope.raise_if_cancelled()
+        self._await(slot)
+        self._slot = None
         for engine in self._candidates.reachable_decoders():
             if engine.replica_id == slot.replica_id:
                 exchange.slot_at = slot.replica_id
                 return engine
         return None
 
+    def _await(self, slot: Slot) -> None:
+        """Wait for a slot; give it back if the request is cancelled meanwhile."""
+        scope = self._exchange.cancel_scope
+        try:
+            while (left_s := slot.at_s - time.monotonic()) > 0.0:
+                gevent.sleep(min(SLOT_POLL_S, left_s))
+                scope.raise_if_cancelled()
+            scope.raise_if_cancelled()
+        except BaseException:
+            self.give_back()
+            raise
+
     def _take(self, patience_s: float) -> None:
         """Take the next slot of the decode engines if all of them have limits."""
         limits = self._state.replica_limits
