Leave a silent engine only if the next one still answers after the preparation

A stream left its engine for one that had fallen silent while the prompt was read, and got no further event, although its own engine went on 0.5 s later (new test: the next engine falls silent 1.2 s after the last event, the prefill takes 0.8 s, and the first engine goes on after 2.5 s).

Cause: which engines answer was looked at before the preparation alone. A long prompt takes longer than the 0.5 s for which an answer counts, so at the end of it nothing was known.

If the next engine was not heard within that time, it is now asked for its state, and the stream leaves when it answers. Until then the engine that is left may go on. The new test failed before; a second one guards against staying when the next engine answers.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -6,8 +6,11 @@
 import gevent
 
 from persimmonyoke.errors import RequestError
+from persimmonyoke.internal.dispatch.engine_silence import LOOK_AGAIN_S
+from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
+from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_selection import (
     EngineChoice,
     EngineSelection,
@@ -20,6 +23,7 @@
 """Interval at which a preparation looks whether the silent engine goes on."""
 
 LEFT, RESUMED = "left", "engine goes on"
+NEXT_SILENT = "next engine is silent"
 
 
 class EngineResumed(Exception):
@@ -34,10 +38,15 @@
     """
 
     def __init__(
-        self, state: GatewayState, selection: EngineSelection, exchange: Exchange
+        self,
+        state: GatewayState,
+        selection: EngineSelection,
+        probes: EngineProbes,
+        exchange: Exchange,
     ) -> None:
         self._state = state
         self._selection = selection
+        self._probes = probes
         self._exchange = exchange
         self._logged: set[str] = set()
 
@@ -54,9 +63,12 @@
         Raises the cause if the request is cancelled meanwhile.
         """
         choice, outcome = self._try(engine, connection, engines)
-        if choice is not None and connection.goes_on:
-            self._selection.discard(choice)
-            choice, outcome = None, RESUMED
+        if choice is not None:
+            still_answers = self._still_answers(choice.engine, connection)
+            if connection.goes_on or not still_answers:
+                self._selection.discard(choice)
+                outcome = RESUMED if connection.goes_on else NEXT_SILENT
+                choice = None
         if outcome not in self._logged:
             self._logged.add(outcome)
             self._log(engine, engines, outcome, silent_since_s, time.monotonic())
@@ -83,6 +95,24 @@
             if preparation.cancelled and not _is_resumed(preparation):
                 scope.cancel(preparation.cause)
 
+    def _still_answers(self, engine: Replica, connection: UpstreamConnection) -> bool:
+        """Return whether the next engine answers in time, after a long preparation.
+
+        Bytes or the end of the silent connection end the wait.
+        """
+        probe_s = 0.0
+        while not connection.has_more_input:
+            now_s = time.monotonic()
+            if self._state.silences.answers(engine, now_s):
+                return True
+            if self._exchange.event_wait_left_s(now_s) <= FIRST_EVENT_OVERHEAD_S:
+                return False
+            if now_s >= probe_s:
+                self._probes.start_all([engine])
+                probe_s = now_s + LOOK_AGAIN_S
+            gevent.sleep(RESUME_POLL_S)
+        return True
+
     def _log(
         self,
         engine: Replica,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -80,7 +80,7 @@
         self._last_event_id = exchange.metadata.last_event_id
         self._events_read = 0
         self._begun = False
-        self._move = StreamMove(state, selection, exchange)
+        self._move = StreamMove(state, selection, probes, exchange)
         self._prepared: EngineChoice | None = None
         """What the next run needs, if it was prepared before this one was left."""
 
