Queue no prompt for a request that was cancelled before

A client that left while its request waited for a quarantine to settle was not noticed: the prompt then waited in the queue until it was admitted or too late. For a stream that is being moved, the events of an engine that goes on would have waited with it.

Cause: the queue hears of a cancellation by a callback, which is not called for one that came before it was set.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -394,6 +394,7 @@
             returning=self._returning,
             engines=self._prefill_candidates,
         )
+        exchange.cancel_scope.raise_if_cancelled()
         admitted = self._gate.admit(request, exchange.cancel_scope.on_cancel)
         if exchange.cancel_scope.cancelled and isinstance(admitted, Admitted):
             # The client disconnected at the moment of admission.
