Let begun streams go on only at the incarnation that the entry names

Callers saw answers with status 200, complete, with events of two software versions: a decode engine crashed and started again under its id and address at another version, and hosts went on there until its new entry was in the store.

The version of an engine was that of its entry, and nothing showed that the engine was still the incarnation that wrote the entry. A host now asks for the start of an engine (GET /report, born) before a begun or resumed stream goes on there, and once more after the first event of that run, before it is sent on. Streams wait for the new entry of an engine that has started again.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -76,6 +76,13 @@
     sequence: int
 
 
+@dataclass(frozen=True)
+class ToldStart:
+    """Hold the start that an engine tells in an answer, if it tells one."""
+
+    born_unix_ms: int | None
+
+
 @dataclass(frozen=True)
 class RawCall:
     """Hold the method, target, headers and body of an HTTP call to a replica."""
@@ -123,6 +130,10 @@
     def decode_report(self, body: bytes) -> EngineReport | None:
         """Decode an engine's state; ``None`` if it is malformed."""
 
+    @abstractmethod
+    def decode_start(self, body: bytes) -> ToldStart | None:
+        """Decode the start in an engine's report; ``None`` if it is malformed."""
+
     @abstractmethod
     def cache_call(self, replica_id: str) -> RawCall:
         """Return the call that queries which prompt parts an engine has cached."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -162,6 +162,9 @@
                 admitted = self._admit(prompt, service.engine)
                 if admitted.plan.local:
                     self._local_prefill = admitted.job
+                    if not self._versions.may_go_on_at(admitted.plan.engine):
+                        self.end_local_prefill()
+                        continue
                     self._exchange.slot_at = admitted.plan.engine.replica_id
                     return EngineChoice(admitted.plan.engine, None)
                 prefilled = self._prefill_prompt(admitted)
@@ -280,22 +283,17 @@
         """Return a decode engine for a prefilled prompt; wait for one if necessary."""
         wait_until_s = prefilled.done_s + MAX_HANDLE_AGE_S
         try:
-            reserved = self._reserve(
-                self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
-            )
+            reserved = self._reserve_decoder()
             if reserved is not None:
                 return reserved
             while True:
-                limited = self._slots.wait()
-                if limited is not None:
-                    return limited
-                decode = self._state.placement.decoder(
+                decode = self._slots.wait() or self._state.placement.decoder(
                     self._candidates.decoders(),
                     limits,
                     zone=prefilled.engine.availability_zone,
                     now_s=time.monotonic(),
                 )
-                if decode is not None:
+                if decode is not None and self._versions.may_go_on_at(decode):
                     return decode
                 if time.monotonic() >= wait_until_s:
                     break
@@ -306,6 +304,16 @@
         self._prefill.release(prefilled)
         self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
 
+    def _reserve_decoder(self) -> Replica | None:
+        """Reserve a decode engine at which the request may go on, if it must."""
+        while True:
+            reserved = self._reserve(
+                self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
+            )
+            if reserved is None or self._versions.may_go_on_at(reserved):
+                return reserved
+            self._guard.end_reservation(self._exchange)
+
     def _await_decoder(self, limits: EngineLimits) -> None:
         """Wait one poll interval; refuse if no decode engine is expected in time."""
         exchange, now_s = self._exchange, time.monotonic()
@@ -314,7 +322,7 @@
         if wait_s is not None:
             self.refuse("decode engines are full", wait_s)
         if expected_s is None:
-            if self._decoders_missing_since_s is None:
+            if self._decoders_missing_since_s is None or self._versions.awaits_entry():
                 self._decoders_missing_since_s = now_s
             if now_s - self._decoders_missing_since_s > ANNOUNCEMENT_WAIT_S:
                 self._refuse_or_wait("no decode engine", RETRY_AFTER_NO_ENGINE_S)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -0,0 +1,147 @@
+"""Questions to engines at which a stream is to go on: which incarnation they are."""
+
+import time
+
+from persimmonyoke.internal.dispatch.engine_restarts import (
+    Incarnation,
+    judge_incarnation,
+)
+from persimmonyoke.internal.fleet.interfaces import ToldStart
+from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.engine_calls import CALL_TIMEOUT_S, OK
+from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import CancelScope, UpstreamCaller
+
+NOT_FOUND = 404
+"""Status of an engine that has no reports."""
+
+RECHECK_S = 0.1
+"""Pause before an engine that did not tell its start is asked again."""
+
+MAX_WRITER_CHECKS = 3
+"""Questions to the engine of a run whose first event is held back meanwhile."""
+
+
+class IncarnationCheck:
+    """Ask whether engines are the incarnations whose version their entries name.
+
+    The entry of an engine that starts again under its id comes later than its first
+    answers, which do not name the start.
+    """
+
+    def __init__(self, state: GatewayState, exchange: Exchange) -> None:
+        self._state = state
+        self._exchange = exchange
+        self._caller = UpstreamCaller(state)
+        self._not_before_s: dict[str, float] = {}
+        self._logged: set[tuple[str, Incarnation]] = set()
+
+    def is_excluded(self, engine: Replica) -> bool:
+        """Return whether an engine is another incarnation, or was not confirmed."""
+        if self._state.engine_restarts.is_outdated(engine):
+            return True
+        not_before_s = self._not_before_s.get(engine.replica_id, float("-inf"))
+        return time.monotonic() < not_before_s
+
+    def confirm(self, engine: Replica) -> bool:
+        """Ask an engine, before a run; return whether a stream may go on at it."""
+        found = self._ask(engine)
+        if not found.may_write:
+            self._not_before_s[engine.replica_id] = time.monotonic() + RECHECK_S
+        return found.may_write
+
+    def confirm_writer(self, engine: Replica) -> bool:
+        """Ask the engine of a run that has begun, before its events are sent on.
+
+        An incarnation that is still the one of its entry wrote the events before its
+        answer, so no restart between an earlier question and the run is overlooked.
+        """
+        for _ in range(MAX_WRITER_CHECKS):
+            found = self._ask(engine)
+            if found is not Incarnation.UNKNOWN:
+                return found.may_write
+        return False
+
+    def _ask(self, engine: Replica) -> Incarnation:
+        if not engine.born_unix_ms:
+            # The entry names no start with which an answer could be compared.
+            return Incarnation.NOT_TOLD
+        started_s = time.monotonic()
+        told = self._told_start(engine)
+        self._exchange.cancel_scope.raise_if_cancelled()
+        now_s, found = time.monotonic(), judge_incarnation(engine, told)
+        born_unix_ms = told.born_unix_ms if told else None
+        if found is Incarnation.STARTED_AGAIN and born_unix_ms is not None:
+            self._state.engine_restarts.note(
+                engine.replica_id, born_unix_ms, now_s=now_s
+            )
+        if found is not Incarnation.SAME:
+            self._log(engine, found, born_unix_ms, took_s=now_s - started_s)
+        return found
+
+    def _told_start(self, engine: Replica) -> ToldStart | None:
+        """Return what an engine tells of its start, or ``None`` without an answer.
+
+        A connection that was idle may have ended with a former incarnation, so the
+        engine is asked once more over a new one.
+        """
+        scope = CancelScope()
+        scope.connection_ended = self._exchange.cancel_scope.connection_ended
+        used_new = scope.connection_ended
+        try:
+            return self._report(engine, scope)
+        except (NotConnected, AnswerLost) as error:
+            if used_new or not scope.connection_ended:
+                return self._note_unanswered(engine, error)
+        try:
+            return self._report(engine, scope)
+        except (NotConnected, AnswerLost) as error:
+            return self._note_unanswered(engine, error)
+
+    def _report(self, engine: Replica, scope: CancelScope) -> ToldStart | None:
+        deadline_s = time.monotonic() + CALL_TIMEOUT_S
+        opened = self._caller.start(
+            engine,
+            self._state.wire.report_call(engine.replica_id),
+            scope,
+            request_id="",
+            deadline_s=deadline_s,
+        )
+        body = self._caller.read_body(opened, scope, deadline_s=deadline_s)
+        if opened.head.status == NOT_FOUND:
+            return ToldStart(None)
+        if opened.head.status != OK:
+            return None
+        return self._state.wire.decode_start(body)
+
+    def _note_unanswered(self, engine: Replica, error: Exception) -> None:
+        if (engine.replica_id, Incarnation.UNKNOWN) not in self._logged:
+            self._state.journal.failure(
+                "start_without_answer",
+                error,
+                request_id=self._exchange.metadata.request_id,
+                replica=engine.replica_id,
+            )
+
+    def _log(
+        self,
+        engine: Replica,
+        found: Incarnation,
+        told_born_unix_ms: int | None,
+        *,
+        took_s: float,
+    ) -> None:
+        if (engine.replica_id, found) in self._logged:
+            return
+        self._logged.add((engine.replica_id, found))
+        self._state.journal.event(
+            "engine_not_confirmed",
+            request_id=self._exchange.metadata.request_id,
+            replica=engine.replica_id,
+            found=found.value,
+            entry_born_unix_ms=engine.born_unix_ms,
+            told_born_unix_ms=told_born_unix_ms,
+            took_ms=int(took_s * 1_000),
+        )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.delivery.suspects import SuspectRegister
 from persimmonyoke.internal.dispatch.backoff import ReplicaBackoff
 from persimmonyoke.internal.dispatch.costs import DEFAULT_SPEED
+from persimmonyoke.internal.dispatch.engine_restarts import EngineRestarts
 from persimmonyoke.internal.dispatch.engine_silence import EngineSilences
 from persimmonyoke.internal.dispatch.health import ReplicaHealth
 from persimmonyoke.internal.dispatch.limits import ReplicaLimits
@@ -118,6 +119,7 @@
         self.backoff = ReplicaBackoff()
         self.replica_limits = ReplicaLimits(settings.host_name)
         self.stream_versions = StreamVersions(settings.host_name)
+        self.engine_restarts = EngineRestarts()
         self.suspects = SuspectRegister(
             settings.host_name,
             max_records=MAX_SUSPECTS,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -80,6 +80,7 @@
         self._last_event_id = exchange.metadata.last_event_id
         self._events_read = 0
         self._begun = False
+        self._writer_known = False
         self._move = StreamMove(state, selection, probes, exchange)
         self._prepared: EngineChoice | None = None
         """What the next run needs, if it was prepared before this one was left."""
@@ -124,6 +125,7 @@
     ) -> RunOutcome:
         exchange, ledger = self._exchange, self._state.ledger
         self._begun = False
+        self._writer_known = not self._versions.is_bound
         prompt = exchange.metadata.prompt
         tokens = prompt.input_tokens + prompt.max_output_tokens if prompt else 0
         start = self._state.start_attempt(Stage.DECODE.value, engine)
@@ -285,6 +287,7 @@
                 events = join.sound(complete)
                 self._check_bounds(splitter, events)
                 self._note_begun(events)
+                self._check_writer(engine, events)
                 self._forward(engine, opened, events)
                 if len(events) < len(complete):
                     raise AnswerLost("stream holds an error in place of an event")
@@ -313,6 +316,14 @@
             self._begun = True
             self._guard.note_completed(self._exchange)
 
+    def _check_writer(self, engine: Replica, events: Sequence[StreamEvent]) -> None:
+        """Raise ``AnswerLost`` if the first events may be of another version."""
+        if not events or self._writer_known:
+            return
+        self._writer_known = True
+        if not self._versions.wrote_events(engine):
+            raise AnswerLost("engine is not known to have the stream's version")
+
     def _check_bounds(
         self, splitter: EventSplitter, events: Sequence[StreamEvent]
     ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -17,6 +17,7 @@
 )
 from persimmonyoke.internal.fleet.model import Replica, ServiceVersions, Stage
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
+from persimmonyoke.internal.gateway.incarnation_check import IncarnationCheck
 from persimmonyoke.internal.gateway.state import GatewayState
 
 LOOKUP_PAUSES_S = (0.0, 0.15, 0.3)
@@ -52,6 +53,7 @@
         self._required: str | None = None
         self._noted = False
         self._store_answered = False
+        self._incarnations = IncarnationCheck(state, exchange)
 
     @property
     def compatible_engines(self) -> set[str] | None:
@@ -84,9 +86,38 @@
         if not self._applies or not writes_events(replica):
             return True
         if self._required is not None:
-            return replica.software_version == self._required
+            is_compatible = replica.software_version == self._required
+            return is_compatible and not self._incarnations.is_excluded(replica)
         return self._may_begin(replica)
 
+    @property
+    def is_bound(self) -> bool:
+        """Return whether the stream may go on only at one version."""
+        return self._required is not None
+
+    def may_go_on_at(self, replica: Replica) -> bool:
+        """Return whether a replica is known to have the stream's version now.
+
+        Replicas without a stage tell their start in their entry only.
+        """
+        if self._required is None or replica.stage is None:
+            return True
+        return self._incarnations.confirm(replica)
+
+    def wrote_events(self, replica: Replica) -> bool:
+        """Return whether the events of a run are from the entry's incarnation."""
+        return replica.stage is None or self._incarnations.confirm_writer(replica)
+
+    def awaits_entry(self) -> bool:
+        """Return whether a new entry may let the stream go on in time."""
+        now_s, restarts = time.monotonic(), self._state.engine_restarts
+        if self._required is None or self._exchange.event_wait_left_s(now_s) <= 0:
+            return False
+        return any(
+            restarts.awaits_entry(replica, now_s=now_s)
+            for replica in self._state.replicas.usable(self._service, now_s=now_s)
+        )
+
     def check_replica_left(self) -> None:
         """Refuse the request if no replica that could go on with it is left."""
         if self._required is None:
