Keep a prompt that was read for a move that could not be made

A stream whose next engine could not be confirmed stayed with its silent engine, and its handle was released; the next move then asked for a third prefill and was refused for the budget. The prompt is now kept for the next move, which needs no retry for a prefill then.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -111,9 +111,7 @@
 
         Raises an error, without a call, unless the prompt may be read once more.
         """
-        if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS:
-            raise StreamBroken("prompt was read too often")
-        if self._prefill_attempts:
+        if self._prefill_attempts and not self.kept_prompt.is_held:
             self._hold_retry()
         self.avoid(left)
         ids = frozenset(engine.replica_id for engine in engines)
@@ -135,6 +133,9 @@
             self._prefill.release(choice.prefilled)
 
     def _hold_retry(self) -> None:
+        """Hold a retry for another prefill; raise an error if there may be none."""
+        if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS:
+            raise StreamBroken("prompt was read too often")
         if not self._budget.try_spend(time.monotonic()):
             raise StreamBroken("retry budget is spent")
         self._retry_held = True
@@ -298,11 +299,14 @@
                 if time.monotonic() >= wait_until_s:
                     break
                 self._await_decoder(limits)
+            self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
+        except StreamBroken:
+            # A stream that stays may go on with the prompt at another engine later.
+            self.kept_prompt.keep(prefilled)
+            raise
         except BaseException:
             self._prefill.release(prefilled)
             raise
-        self._prefill.release(prefilled)
-        self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
 
     def _reserve_decoder(self) -> Replica | None:
         """Reserve a decode engine at which the request may go on, if it must."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
@@ -1,4 +1,4 @@
-"""Prompt of a run whose decode engine was not reached."""
+"""Prompt of a run for which no decode engine was reached."""
 
 from collections.abc import Iterable
 
@@ -20,6 +20,11 @@
         self._prompt: PrefilledPrompt | None = None
         self._taken: PrefilledPrompt | None = None
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether a prompt is kept."""
+        return self._prompt is not None
+
     def keep(self, prefilled: PrefilledPrompt) -> None:
         """Keep a prompt, or release it if it was kept before."""
         if prefilled is self._taken:
