--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -32,11 +32,11 @@
 from persimmonyoke.internal.gateway.kept_prompt import MAX_HANDLE_AGE_S, KeptPrompt
 from persimmonyoke.internal.gateway.link_wait import LinkWait
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
+from persimmonyoke.internal.gateway.prefill_retries import PrefillRetries
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 
-MAX_PREFILL_ATTEMPTS = 3
 RETRY_AFTER_NO_ENGINE_S = 0.5
 DECODER_POLL_INTERVAL_S = 0.02
 
@@ -69,12 +69,10 @@
         self._prefill = prefill
         self._gate = gate
         self._exchange = exchange
-        self._budget = state.retry_budget(exchange.service.name)
         self._candidates = EngineCandidates(state, exchange, versions.allows)
         self._link_wait = LinkWait(state, exchange)
         self.kept_prompt = KeptPrompt(prefill)
-        self._prefill_attempts = 0
-        self._retry_held = False
+        self._prefills = PrefillRetries(state.retry_budget(exchange.service.name))
         self._decoders_missing_since_s: float | None = None
         self._local_prefill: PrefillJob | None = None
         self._slots = DecoderSlots(state, exchange, self._candidates, self.refuse)
@@ -111,8 +109,8 @@
 
         Raises an error, without a call, unless the prompt may be read once more.
         """
-        if self._prefill_attempts and not self.kept_prompt.is_held:
-            self._hold_retry()
+        if not self._prefills.is_first and not self.kept_prompt.is_held:
+            self._prefills.hold()
         self.avoid(left)
         ids = frozenset(engine.replica_id for engine in engines)
         self._candidates.continue_on = ids
@@ -121,8 +119,7 @@
         finally:
             self._candidates.continue_on = None
             self._slots.give_back()
-            if self._take_held_retry():
-                self._budget.give_back()
+            self._prefills.end_hold()
 
     def discard(self, choice: EngineChoice) -> None:
         """Release what was prepared for a run that is not made."""
@@ -132,19 +129,6 @@
         if choice.prefilled is not None:
             self._prefill.release(choice.prefilled)
 
-    def _hold_retry(self) -> None:
-        """Hold a retry for another prefill; raise an error if there may be none."""
-        if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS:
-            raise StreamBroken("prompt was read too often")
-        if not self._budget.try_spend(time.monotonic()):
-            raise StreamBroken("retry budget is spent")
-        self._retry_held = True
-
-    def _take_held_retry(self) -> bool:
-        """Return whether a retry was held, which is then no longer held."""
-        held, self._retry_held = self._retry_held, False
-        return held
-
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
         self._versions.check_replica_left()
@@ -340,8 +324,8 @@
     def _prefill_prompt(self, admitted: Admitted) -> PrefilledPrompt | None:
         """Prefill the prompt; return ``None`` if another engine may be tried."""
         exchange, engine = self._exchange, admitted.plan.engine
-        is_retry = self._prefill_attempts > 0
-        if is_retry and not self._may_prefill_again():
+        is_retry = not self._prefills.is_first
+        if is_retry and not self._prefills.take():
             self._state.ledger.end_prefill(admitted.job)
             self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
         try:
@@ -357,12 +341,12 @@
         finally:
             self._gate.admit_waiting()
         if isinstance(outcome, PrefilledPrompt):
-            self._prefill_attempts += 1
+            self._prefills.note_sent()
             return outcome
         if outcome.sent:
-            self._prefill_attempts += 1
+            self._prefills.note_sent()
         elif is_retry:
-            self._budget.give_back()
+            self._prefills.give_back()
         if outcome.links_down:
             # The engine still has the parts of the prompt that it had.
             self.wait_for_links(outcome.reason)
@@ -371,14 +355,10 @@
         assert prompt is not None
         self._state.prefixes.forget(engine.replica_id, prompt.parts)
         self._candidates.excluded.add(engine.replica_id)
-        if self._prefill_attempts >= MAX_PREFILL_ATTEMPTS or exchange.remaining_s < 0.1:
+        if self._prefills.exhausted or exchange.remaining_s < 0.1:
             self.refuse(outcome.reason, RETRY_AFTER_REJECTED_S)
         return None
 
-    def _may_prefill_again(self) -> bool:
-        """Return whether a retry is counted for another prefill."""
-        return self._take_held_retry() or self._budget.try_spend(time.monotonic())
-
     def _admit(self, prompt: Prompt, limits: EngineLimits) -> Admitted:
         """Wait until an engine takes the prompt; refuse what would come too late."""
         while True:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -39,6 +39,7 @@
     RunRejected,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_bounds import StreamBounds
 from persimmonyoke.internal.gateway.stream_join import StreamJoin
 from persimmonyoke.internal.gateway.stream_move import StreamMove
 from persimmonyoke.internal.gateway.stream_retries import StreamRetries
@@ -46,9 +47,6 @@
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard
 from persimmonyoke.internal.gateway.upstream_call import OpenResponse, UpstreamCaller
 
-MAX_EXTRA_EVENTS = 16
-"""Events allowed beyond one per token, such as a final event that marks the end."""
-
 _OK, _MULTIPLE_CHOICES, _MISDIRECTED = 200, 300, 421
 
 
@@ -78,7 +76,7 @@
         self._exchange = exchange
         self._retries = StreamRetries(state, exchange)
         self._last_event_id = exchange.metadata.last_event_id
-        self._events_read = 0
+        self._bounds = StreamBounds(exchange.metadata.prompt)
         self._begun = False
         self._writer_known = False
         self._move = StreamMove(state, selection, probes, exchange)
@@ -285,7 +283,7 @@
                     break
                 complete = splitter.feed(part)
                 events = join.sound(complete)
-                self._check_bounds(splitter, events)
+                self._bounds.check(splitter, events, self._last_event_id or 0)
                 self._note_begun(events)
                 self._check_writer(engine, events)
                 self._forward(engine, opened, events)
@@ -324,19 +322,6 @@
         if not self._versions.wrote_events(engine):
             raise AnswerLost("engine is not known to have the stream's version")
 
-    def _check_bounds(
-        self, splitter: EventSplitter, events: Sequence[StreamEvent]
-    ) -> None:
-        """Raise ``AnswerLost`` if the stream is malformed or too long."""
-        prompt, last_id = self._exchange.metadata.prompt, self._last_event_id or 0
-        new_count = sum((e.event_id or 0) > last_id for e in events)
-        self._events_read += new_count
-        limit = prompt.max_output_tokens + MAX_EXTRA_EVENTS if prompt else None
-        if splitter.malformed:
-            raise AnswerLost("stream holds bytes that are no events")
-        if limit is not None and self._events_read > limit:
-            raise AnswerLost("stream has more events than tokens were asked for")
-
     def _read_part(self, engine: Replica, opened: OpenResponse) -> bytes | None:
         """Return the next part of the stream, or ``None`` after the last one.
 
