End a move of a stream at once if its next engines are gone

It now ends at once, and the next one goes on at an engine that answers by then, with the prompt that was read. What a preparation returns is a data class.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -305,6 +305,10 @@
     def _await_decoder(self, limits: EngineLimits) -> None:
         """Wait one poll interval; refuse if no decode engine is expected in time."""
         exchange, now_s = self._exchange, time.monotonic()
+        is_move = self._candidates.continue_on is not None
+        if is_move and not self._candidates.reachable_decoders():
+            # Others that answer by now can be chosen for another move.
+            self.refuse("no engine to go on at is left", RETRY_AFTER_NO_ENGINE_S)
         expected_s = self._decoder_expected_in_s(limits, now_s)
         wait_s = self._candidates.decoders_back_in_s(now_s)
         if wait_s is not None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import gevent
 
@@ -26,6 +27,14 @@
 NEXT_SILENT = "next engine is silent"
 
 
+@dataclass(frozen=True)
+class Preparation:
+    """Hold what the next run needs, if it was prepared, and the outcome to log."""
+
+    choice: EngineChoice | None
+    outcome: str
+
+
 class EngineResumed(Exception):
     """Signal that a silent engine goes on with its stream."""
 
@@ -62,33 +71,41 @@
 
         Raises the cause if the request is cancelled meanwhile.
         """
-        choice, outcome = self._try(engine, connection, engines)
-        if choice is not None:
-            still_answers = self._still_answers(choice.engine, connection)
-            if connection.goes_on or not still_answers:
-                self._selection.discard(choice)
-                outcome = RESUMED if connection.goes_on else NEXT_SILENT
-                choice = None
-        if outcome not in self._logged:
-            self._logged.add(outcome)
-            self._log(engine, engines, outcome, silent_since_s, time.monotonic())
-        return choice
+        prepared = self._try(engine, connection, engines)
+        if prepared.choice is not None:
+            prepared = self._confirm(prepared.choice, connection)
+        if prepared.outcome not in self._logged:
+            self._logged.add(prepared.outcome)
+            now_s = time.monotonic()
+            self._log(engine, engines, prepared.outcome, silent_since_s, now_s)
+        return prepared.choice
+
+    def _confirm(
+        self, choice: EngineChoice, connection: UpstreamConnection
+    ) -> Preparation:
+        """Discard what was prepared if it is of no use any more."""
+        still_answers = self._still_answers(choice.engine, connection)
+        if still_answers and not connection.goes_on:
+            return Preparation(choice, LEFT)
+        self._selection.discard(choice)
+        return Preparation(None, RESUMED if connection.goes_on else NEXT_SILENT)
 
     def _try(
         self,
         engine: Replica,
         connection: UpstreamConnection,
         engines: Sequence[Replica],
-    ) -> tuple[EngineChoice | None, str]:
+    ) -> Preparation:
         scope = self._exchange.cancel_scope
         preparation = self._exchange.cancel_scope = scope.child()
         watcher = gevent.spawn(_cancel_when_resumed, connection, preparation)
         try:
-            return self._selection.prepare_to_continue(engine, engines), LEFT
+            choice = self._selection.prepare_to_continue(engine, engines)
+            return Preparation(choice, LEFT)
         except EngineResumed:
-            return None, RESUMED
+            return Preparation(None, RESUMED)
         except (RequestError, StreamBroken) as error:
-            return None, str(error)
+            return Preparation(None, str(error))
         finally:
             watcher.kill()
             self._exchange.cancel_scope = scope
