Let a begun stream outlive engines that reject its next run

A run that an engine rejects has not taken place, but it used up an attempt of the route, so that callers of begun streams saw them end at the first rejection after a lost answer, or after a late rejection from an engine's queue.

While its client waits, such a stream now goes on to another engine, or to the same one after a pause that doubles, and waits for a retry if the budget has none. The prompt that was read for the rejected run is used once more. Requests whose client holds no part are refused at once as before. A silent stream stays with its engine after three rejections, since each of them uses up a retry.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -132,7 +132,10 @@
     def end_prompt(self, choice: EngineChoice, outcome: RunOutcome | None) -> None:
         """Release the prompt of a run, unless an engine has used it or may use it."""
         if choice.prefilled is not None:
-            self.kept_prompt.after_run(choice.prefilled, outcome)
+            holds_part = self._exchange.holds_part
+            self.kept_prompt.after_run(
+                choice.prefilled, outcome, keep_rejected=holds_part
+            )
 
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
@@ -30,15 +30,21 @@
         self,
         prefilled: PrefilledPrompt,
         outcome: RunOutcome | None,
+        *,
+        keep_rejected: bool,
     ) -> None:
-        """Keep a prompt that was not sent for the next run, or release it."""
+        """Keep a prompt that no engine has used for the next run, or release it.
+
+        An engine rejects a run when it is full, but also when it can't get the prompt.
+        """
         if outcome is None:
             self._prefill.release(prefilled)
         elif isinstance(outcome, RunRejected):
-            if outcome.sent or outcome.links_down:
-                self._prefill.release(prefilled)
-            else:
+            is_kept = keep_rejected if outcome.sent else not outcome.links_down
+            if is_kept:
                 self.keep(prefilled)
+            else:
+                self._prefill.release(prefilled)
 
     def keep(self, prefilled: PrefilledPrompt) -> None:
         """Keep a prompt, or release it if it was kept before."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -2,13 +2,23 @@
 
 import time
 
+import gevent
+
+from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.gateway.exchange import Exchange
-from persimmonyoke.internal.gateway.run_outcomes import RunInterrupted, RunOutcome
+from persimmonyoke.internal.gateway.run_outcomes import (
+    RunInterrupted,
+    RunOutcome,
+    RunRejected,
+)
 from persimmonyoke.internal.gateway.state import GatewayState
 
 MIN_RETRY_TIME_S = 0.1
 """Least time before the deadline that a further run is worth."""
 
+FIRST_PAUSE_S = 0.1
+"""Pause after the second rejection of a stream, doubled after each further one."""
+
 MAX_REJECTED_MOVES = 3
 """Rejections after which a stream stays with its silent engine.
 
@@ -54,14 +64,24 @@
             self._budget.give_back()
 
     def count_after(self, outcome: RunOutcome) -> bool:
-        """Count a retry; return whether another run follows."""
-        obstacle = self._obstacle(outcome) or self._spend()
+        """Count a retry; return whether another run follows.
+
+        A stream of which the client holds a part outlives a rejection: the run used up
+        no attempt of the route, as it did not take place.
+        """
+        if isinstance(outcome, RunRejected) and self._exchange.holds_part:
+            self._exchange.sends -= 1
+            self.note_rejected()
+            obstacle = self._obstacle_after_rejection(outcome)
+        else:
+            obstacle = self._obstacle(outcome) or self._spend()
         if obstacle is not None:
             self._state.journal.event(
                 "not_retried",
                 request_id=self._exchange.metadata.request_id,
                 obstacle=obstacle,
                 sends=self._exchange.sends,
+                rejections=self._rejections,
             )
         return self._is_due
 
@@ -72,6 +92,29 @@
         obstacle = self._obstacle(RunInterrupted("engine is silent"))
         return obstacle is None and self._spend() is None
 
+    def pause_after_rejection(self) -> bool:
+        """Pause before the next attempt at a run after one was rejected.
+
+        Returns false if none was rejected, or the client would not wait for the run.
+        """
+        exchange, now_s = self._exchange, time.monotonic()
+        left_s = exchange.event_wait_left_s(now_s) - FIRST_EVENT_OVERHEAD_S
+        if not self._rejections or left_s <= 0.0:
+            return False
+        gevent.sleep(min(FIRST_PAUSE_S * 2 ** (self._rejections - 1), left_s))
+        exchange.cancel_scope.raise_if_cancelled()
+        return True
+
+    def _obstacle_after_rejection(self, outcome: RunOutcome) -> str | None:
+        """Wait for a retry while the client waits; return why there is none."""
+        if self._rejections > 1 and not self.pause_after_rejection():
+            return outcome.reason
+        while (obstacle := self._obstacle(outcome)) is None:
+            spent = self._spend()
+            if spent is None or not self.pause_after_rejection():
+                return spent
+        return obstacle
+
     def _obstacle(self, outcome: RunOutcome) -> str | None:
         """Return why there can be no further run."""
         exchange = self._exchange
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -103,11 +103,20 @@
         if moved_to is not None:
             # It was counted when it was sent.
             return moved_to
-        choice = self._selection.prepare()
+        choice = self._prepare()
         self._exchange.sends += 1
         self._retries.note_sent()
         return self._new_run(choice)
 
+    def _prepare(self) -> EngineChoice:
+        """Prepare a run; one that follows a rejection is tried for again and again."""
+        while True:
+            try:
+                return self._selection.prepare()
+            except StreamBroken:
+                if not self._retries.pause_after_rejection():
+                    raise
+
     def _new_run(self, choice: EngineChoice) -> EngineRun:
         return EngineRun(
             self._state, self._caller, self._crashes, self._exchange, choice
