Wait for the start of a silent engine that has written the first event of a run

Callers saw begun streams end with seconds left. The first event of a run that goes on with a stream is held until its engine has told its start. It was asked three times for 0.4 s at most, so an engine that fell silent for 1.2 s between its event and its answer counted as one of another version.

The event is now held for as long as the client waits for it. Another start ends the run as before, and so do three refused connections, since the process that wrote the event is gone.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -2,13 +2,19 @@
 
 import time
 
+import gevent
+
 from persimmonyoke.internal.dispatch.engine_restarts import (
     Incarnation,
     judge_incarnation,
 )
 from persimmonyoke.internal.fleet.interfaces import ToldStart
 from persimmonyoke.internal.fleet.model import Replica
-from persimmonyoke.internal.gateway.connections import AnswerLost, NotConnected
+from persimmonyoke.internal.gateway.connections import (
+    AnswerLost,
+    ConnectionRefused,
+    NotConnected,
+)
 from persimmonyoke.internal.gateway.engine_calls import CALL_TIMEOUT_S, OK
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -20,8 +26,8 @@
 RECHECK_S = 0.1
 """Pause before an engine that did not tell its start is asked again."""
 
-MAX_WRITER_CHECKS = 3
-"""Questions to the engine of a run whose first event is held back meanwhile."""
+MAX_REFUSED_CHECKS = 3
+"""Refused connections after which the engine of a run counts as gone."""
 
 
 class IncarnationCheck:
@@ -37,6 +43,8 @@
         self._caller = UpstreamCaller(state)
         self._not_before_s: dict[str, float] = {}
         self._logged: set[tuple[str, Incarnation]] = set()
+        self._unanswered: Exception | None = None
+        """Why the newest question was not answered, if it was not."""
 
     def is_excluded(self, engine: Replica) -> bool:
         """Return whether an engine is another incarnation, or was not confirmed."""
@@ -56,19 +64,31 @@
         """Ask the engine of a run that has begun, before its events are sent on.
 
         An incarnation that is still the one of its entry wrote the events before its
-        answer, so no restart between an earlier question and the run is overlooked.
+        answer, so no restart between an earlier question and the run is overlooked. An
+        engine that does not answer may be silent, so it is asked while the client
+        waits for the events.
         """
-        for _ in range(MAX_WRITER_CHECKS):
+        refused = 0
+        while True:
+            asked_s = time.monotonic()
             found = self._ask(engine)
             if found is not Incarnation.UNKNOWN:
                 return found.may_write
-        return False
+            refused += isinstance(self._unanswered, ConnectionRefused)
+            now_s = time.monotonic()
+            if refused >= MAX_REFUSED_CHECKS:
+                return False
+            if self._exchange.event_wait_left_s(now_s) <= 0.0:
+                return False
+            gevent.sleep(max(0.0, asked_s + RECHECK_S - now_s))
+            self._exchange.cancel_scope.raise_if_cancelled()
 
     def _ask(self, engine: Replica) -> Incarnation:
         if not engine.born_unix_ms:
             # The entry names no start with which an answer could be compared.
             return Incarnation.NOT_TOLD
         started_s = time.monotonic()
+        self._unanswered = None
         told = self._told_start(engine)
         self._exchange.cancel_scope.raise_if_cancelled()
         now_s, found = time.monotonic(), judge_incarnation(engine, told)
@@ -117,6 +137,7 @@
         return self._state.wire.decode_start(body)
 
     def _note_unanswered(self, engine: Replica, error: Exception) -> None:
+        self._unanswered = error
         if (engine.replica_id, Incarnation.UNKNOWN) not in self._logged:
             self._state.journal.failure(
                 "start_without_answer",
