--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -34,8 +34,8 @@
 RESUME_POLL_S = 0.02
 """Interval at which a preparation looks whether the silent engine goes on."""
 
-LEFT, RESUMED = "left", "engine goes on"
-NEXT_SILENT = "next engine is silent"
+LEFT, LEFT_UNANSWERED = "left", "left before an answer"
+RESUMED, NEXT_SILENT = "engine goes on", "next engine is silent"
 
 
 @dataclass(frozen=True)
@@ -155,9 +155,9 @@
         is_open = isinstance(run.answer, OpenResponse)
         if is_open:
             scope.take_over(next_scope)
-        if is_open or handover.has_left:
-            return self._sent(run, LEFT, run)
-        return self._stay(run)
+        if handover.has_left:
+            return self._sent(run, LEFT_UNANSWERED, run)
+        return self._sent(run, LEFT, run) if is_open else self._stay(run)
 
     def _stay(self, run: EngineRun) -> MoveResult:
         """Return the result of a run that was not accepted."""
