Close the run to which a stream moved when its client leaves

A request that ended between the move and the next run left that run open and counted.

The next connection is registered when its run goes on, and a run that is not used is closed. test_a_client_that_leaves_after_a_move_ends_the_next_run fails without this; test_a_client_that_leaves_during_a_move_ends_both_runs passed before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -150,14 +150,14 @@
             raise
         finally:
             exchange.cancel_scope = scope
+            scope.connection_ended |= next_scope.connection_ended
             if next_scope.cancelled:
                 scope.cancel(next_scope.cause)
-        is_open = isinstance(run.answer, OpenResponse)
-        if is_open:
-            scope.take_over(next_scope)
         if handover.has_left:
             return self._sent(run, LEFT_UNANSWERED, run)
-        return self._sent(run, LEFT, run) if is_open else self._stay(run)
+        if isinstance(run.answer, OpenResponse):
+            return self._sent(run, LEFT, run)
+        return self._stay(run)
 
     def _stay(self, run: EngineRun) -> MoveResult:
         """Return the result of a run that was not accepted."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -82,8 +82,17 @@
             self._run_until_complete()
         finally:
             self._retries.give_back()
+            if self._moved_to is not None:
+                self._end_unused(self._moved_to)
             self._selection.kept_prompt.release()
 
+    def _end_unused(self, run: EngineRun) -> None:
+        """End the run to which a request moved that ended before it was read."""
+        if isinstance(run.answer, OpenResponse):
+            self._caller.abandon(run.answer, self._exchange.cancel_scope)
+        self._selection.discard(run.choice)
+        run.end(None)
+
     def _run_until_complete(self) -> None:
         while True:
             run = self._next_run()
@@ -99,9 +108,12 @@
                 self._selection.avoid(run.engine)
 
     def _next_run(self) -> EngineRun:
-        moved_to, self._moved_to = self._moved_to, None
+        moved_to = self._moved_to
         if moved_to is not None:
             # It was counted when it was sent.
+            if isinstance(moved_to.answer, OpenResponse):
+                self._exchange.cancel_scope.reattach(moved_to.answer.connection)
+            self._moved_to = None
             return moved_to
         choice = self._prepare()
         self._exchange.sends += 1
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -78,10 +78,10 @@
         """Return whether the request has been cancelled."""
         return self._cause is not None
 
-    def take_over(self, child: "CancelScope") -> None:
-        """Take over the connection of a child scope, which goes on under this one."""
-        self._connection = child._connection
-        self.connection_ended |= child.connection_ended
+    def reattach(self, connection: UpstreamConnection) -> None:
+        """Register a connection that was opened under a child scope."""
+        self.raise_if_cancelled()
+        self._connection = connection
 
     def cancel(self, cause: Exception) -> None:
         """Interrupt the wait or the call in progress, which then raises the cause."""
