End a rejected stream at once if no engine may ever go on with it

After a rejection a begun stream waited out its client's patience also if the version of the stream had left or the request was quarantined, which no wait changes. StreamNotPlaced marks the refusals that depend on load; only these are waited out.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -28,6 +28,7 @@
     RETRY_AFTER_REJECTED_S,
     Exchange,
     StreamBroken,
+    StreamNotPlaced,
 )
 from persimmonyoke.internal.gateway.kept_prompt import MAX_HANDLE_AGE_S, KeptPrompt
 from persimmonyoke.internal.gateway.link_wait import LinkWait
@@ -205,7 +206,7 @@
         """Raise the error for a request that is given up before it has run."""
         self._slots.give_back()
         if self._exchange.response_started:
-            raise StreamBroken(reason)
+            raise StreamNotPlaced(reason)
         error = self._exchange.not_served(reason, retry_after_s)
         if error.kind is ErrorKind.UPSTREAM_UNAVAILABLE:
             if self._key is not None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -39,6 +39,10 @@
     """Signal that a response has started and can't be completed."""
 
 
+class StreamNotPlaced(StreamBroken):
+    """Signal that no engine can take a stream that has started now."""
+
+
 @dataclass
 class Exchange:
     """Hold a request, its deadlines and the progress of its response."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -24,6 +24,7 @@
     RETRY_AFTER_REJECTED_S,
     Exchange,
     StreamBroken,
+    StreamNotPlaced,
 )
 from persimmonyoke.internal.gateway.run_outcomes import (
     RunCompleted,
@@ -121,11 +122,11 @@
         return self._new_run(choice)
 
     def _prepare(self) -> EngineChoice:
-        """Prepare a run; one that follows a rejection is tried for again and again."""
+        """Prepare a run, and after a rejection wait until an engine can take it."""
         while True:
             try:
                 return self._selection.prepare()
-            except StreamBroken:
+            except StreamNotPlaced:
                 if not self._retries.pause_after_rejection():
                     raise
 
