Move streams of replicas without a stage only to those that answer

Callers of streams of plain services saw no event until their patience ended: a move chose the silent replica again if it had the least load, and after a rejection the same replica once more, as the choice of replicas without a stage ignored which of them answer and which were tried. It follows both now. An engine that did not accept a move can be paused for 0.4 s in place of being avoided for good, and a local prefill that a second one replaces is no longer counted at the former engine.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -7,6 +7,7 @@
     engines_to_continue,
     engines_to_probe,
 )
+from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.model import Replica, Stage
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -32,6 +33,9 @@
         self.not_connected: set[str] = set()
         """Replicas of a plain service to which no connection could be opened."""
 
+        self.paused_until_s: dict[str, float] = {}
+        """Engines at which a move failed, with the time of the next attempt."""
+
         self.continue_on: frozenset[str] | None = None
         """The only decode engines allowed while a silent stream is being moved."""
 
@@ -78,6 +82,26 @@
             e for e in decoders if not health.failing(e.replica_id, now_s)
         ] or decoders
 
+    def choose_plain(self, *, now_s: float) -> Replica | None:
+        """Return a replica for a run on a service whose replicas have no stage."""
+        state, service = self._state, self._exchange.service.name
+        replicas = [
+            replica
+            for replica in state.sendable_replicas(service, now_s=now_s)
+            if self._allows(replica)
+            and (self.continue_on is None or replica.replica_id in self.continue_on)
+        ]
+        others = [r for r in replicas if r.replica_id not in self.avoided]
+        return choose_replica(
+            others or replicas,
+            ledger=state.ledger,
+            health=state.health,
+            excluded=self.excluded | self.not_connected,
+            own_zone=state.settings.availability_zone,
+            now_s=now_s,
+            rng=state.rng,
+        )
+
     def engines_beside(self, silent: Replica) -> list[Replica]:
         """Return the engines on which a stream of a silent engine may go on now."""
         limits, now_s = self._state.replica_limits, time.monotonic()
@@ -92,6 +116,7 @@
             engine
             for engine in self._without_reserved(engines)
             if limits.wait_s(engine.replica_id, now_s) <= 0.0
+            and now_s >= self.paused_until_s.get(engine.replica_id, 0.0)
         ]
 
     def engines_to_probe(self, silent: Replica) -> list[Replica]:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -13,7 +13,6 @@
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.dispatch.refusal import Refused
 from persimmonyoke.internal.dispatch.returns import RETRY_VALUE_FACTOR, request_key
-from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
 from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway.admission import (
@@ -41,6 +40,8 @@
 
 RETRY_AFTER_NO_ENGINE_S = 0.5
 DECODER_POLL_INTERVAL_S = 0.02
+FAILED_MOVE_PAUSE_S = 0.4
+"""Pause before a silent stream asks an engine again that did not accept its run."""
 
 
 @dataclass(frozen=True)
@@ -92,6 +93,11 @@
         """Prefer other engines for the next run."""
         self._candidates.avoided.add(engine.replica_id)
 
+    def pause(self, engine: Replica, *, now_s: float) -> None:
+        """Make no move of a silent stream to an engine for a while."""
+        until_s = now_s + FAILED_MOVE_PAUSE_S
+        self._candidates.paused_until_s[engine.replica_id] = until_s
+
     def note_not_connected(self, engine: Replica) -> None:
         """Choose a replica that could not be reached no more for this request."""
         self._candidates.not_connected.add(engine.replica_id)
@@ -133,9 +139,10 @@
     def end_prompt(self, choice: EngineChoice, outcome: RunOutcome | None) -> None:
         """Release the prompt of a run, unless an engine has used it or may use it."""
         if choice.prefilled is not None:
-            holds_part = self._exchange.holds_part
             self.kept_prompt.after_run(
-                choice.prefilled, outcome, keep_rejected=holds_part
+                choice.prefilled,
+                outcome,
+                keep_rejected=self._exchange.response_started,
             )
 
     def prepare(self) -> EngineChoice:
@@ -155,6 +162,7 @@
             try:
                 admitted = self._admit(prompt, service.engine)
                 if admitted.plan.local:
+                    self.end_local_prefill()
                     self._local_prefill = admitted.job
                     if not self._versions.may_go_on_at(admitted.plan.engine):
                         self.end_local_prefill()
@@ -430,16 +438,7 @@
 
     def _choose_plain(self) -> Replica:
         state, now_s = self._state, time.monotonic()
-        sendable = state.sendable_replicas(self._exchange.service.name, now_s=now_s)
-        replica = choose_replica(
-            [r for r in sendable if self._versions.allows(r)],
-            ledger=state.ledger,
-            health=state.health,
-            excluded=self._candidates.excluded | self._candidates.not_connected,
-            own_zone=state.settings.availability_zone,
-            now_s=now_s,
-            rng=state.rng,
-        )
+        replica = self._candidates.choose_plain(now_s=now_s)
         if replica is None:
             service = self._exchange.service.name
             replicas = state.replicas.usable(service, now_s=now_s)
