Refuse a resumed request after rejections as before

Only streams whose answer has begun outlive rejections now; others are refused by the route's attempts, so that their clients can come back.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -66,10 +66,10 @@
     def count_after(self, outcome: RunOutcome) -> bool:
         """Count a retry; return whether another run follows.
 
-        A stream of which the client holds a part outlives a rejection: the run used up
-        no attempt of the route, as it did not take place.
+        A stream that has begun outlives a rejection: the run used up no attempt of the
+        route, as it did not take place.
         """
-        if isinstance(outcome, RunRejected) and self._exchange.holds_part:
+        if isinstance(outcome, RunRejected) and self._exchange.response_started:
             self._exchange.sends -= 1
             self.note_rejected()
             obstacle = self._obstacle_after_rejection(outcome)
@@ -101,7 +101,7 @@
         left_s = exchange.event_wait_left_s(now_s) - FIRST_EVENT_OVERHEAD_S
         if not self._rejections or left_s <= 0.0:
             return False
-        gevent.sleep(min(FIRST_PAUSE_S * 2 ** (self._rejections - 1), left_s))
+        gevent.sleep(min(FIRST_PAUSE_S * 2 ** max(0, self._rejections - 2), left_s))
         exchange.cancel_scope.raise_if_cancelled()
         return True
 
