Mend what the review of the handover of silent streams found

Callers and engines saw, each with a test that failed before: - A stream whose lost answer held the last place of its engine was rejected by that engine. If the next engine is the same one, the silent connection is closed first. - The next engine counted as failing, and its prompt stayed until it lapsed, if the silent one went on within the overlap. Such a run is given up without a record. - Two engines held a stream for long if the next one sent an answer to another request first. Its body is read within the overlap, which is 0.2 s now, as reading a rejection may take 0.2 s more and 0.4 s count as run twice. - An engine that rejected a move once was never asked again by a silent stream.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -121,6 +121,7 @@
         self.idle_limit_s = DEFAULT_IDLE_S
         self._parser = ResponseParser()
         self._ended = False
+        self._is_closed = False
         self._fault: str | None = None
         self._complete = True
         self._request_sent = True
@@ -247,7 +248,7 @@
 
     def close(self) -> None:
         """Close the connection."""
-        self._ended = True
+        self._ended = self._is_closed = True
         self._transport.close()
 
     def discard(self) -> None:
@@ -264,6 +265,11 @@
         """Return whether bytes have arrived after a response that was read."""
         return self._parser.has_events or self._transport.has_input()
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether this host has closed the connection."""
+        return self._is_closed
+
     @property
     def goes_on(self) -> bool:
         """Return whether bytes of a response have arrived, not its end alone."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
@@ -4,10 +4,10 @@
 from persimmonyoke.internal.gateway.hedge import AnswerWait
 from persimmonyoke.internal.gateway.upstream_call import CancelScope
 
-MAX_OVERLAP_S = 0.25
+MAX_OVERLAP_S = 0.2
 """Time in which two engines may hold a stream; an engine rejects a run at once.
 
-Beyond 0.4 s a stream would count as run twice.
+Beyond 0.4 s a stream would count as run twice, and reading a rejection may take 0.2 s.
 """
 
 
@@ -24,16 +24,28 @@
         self.has_left = False
         """Whether the silent engine was left before the next one answered."""
 
+        self.has_given_up = False
+        """Whether the run that was sent is given up, as the silent engine goes on."""
+
     def first_limit_s(self, sent_s: float, deadline_s: float) -> float:
         """Return until when both engines may hold the stream."""
+        if self.has_left:
+            return deadline_s
         return min(deadline_s, sent_s + MAX_OVERLAP_S)
 
-    def wait_until_s(self, now_s: float) -> float | None:
-        """Leave the silent engine, unless it goes on; then the next one is left."""
-        if self.has_left or self._silent.goes_on:
-            return None
+    def leave(self) -> None:
+        """Close the silent connection."""
         self.has_left = True
         self._silent.close()
+
+    def wait_until_s(self, now_s: float) -> float | None:
+        """Leave the silent engine; raise ``EngineResumed`` if it goes on."""
+        if self.has_left:
+            return None
+        if self._silent.goes_on:
+            self.has_given_up = True
+            raise EngineResumed("engine goes on")
+        self.leave()
         return self._deadline_s
 
 
@@ -51,6 +63,6 @@
 
     def attach(self, connection: UpstreamConnection) -> None:
         """Register the connection; raise ``EngineResumed`` if it is not needed."""
-        if self._silent.goes_on:
+        if not self._silent.is_closed and self._silent.goes_on:
             raise EngineResumed("engine goes on")
         super().attach(connection)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -72,7 +72,7 @@
         self._probes = probes
         self._exchange = exchange
         self._open_run = open_run
-        self._logged: set[str] = set()
+        self._logged: set[tuple[str, str | None]] = set()
 
     def move(
         self,
@@ -91,8 +91,9 @@
         if isinstance(prepared, EngineChoice):
             result = self._confirm(prepared, connection)
             result = result or self._hand_over(prepared, connection)
-        if result.outcome not in self._logged:
-            self._logged.add(result.outcome)
+        key = (result.outcome, result.next_replica)
+        if key not in self._logged:
+            self._logged.add(key)
             self._log(engine, engines, result, silent_since_s, time.monotonic())
         return result
 
@@ -140,11 +141,19 @@
         handover = Handover(
             connection, deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S
         )
+        if choice.engine == connection.replica:
+            # The lost answer may hold the last place of its engine.
+            handover.leave()
         try:
             run = self._open_run(choice, handover)
         except EngineResumed:
             self._selection.discard(choice)
-            return MoveResult(RESUMED)
+            return MoveResult(
+                RESUMED,
+                next_replica=choice.engine.replica_id,
+                was_sent=handover.has_given_up,
+                may_have_run=handover.has_given_up,
+            )
         except BaseException:
             self._selection.discard(choice)
             raise
@@ -164,7 +173,7 @@
         outcome = run.answer
         run.end(outcome)
         self._selection.discard(run.choice, outcome)
-        self._selection.avoid(run.engine)
+        self._selection.pause(run.engine, now_s=time.monotonic())
         return self._sent(run, outcome.reason, None)
 
     @staticmethod
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -300,7 +300,8 @@
                 answered_id=facts.request_id,
                 replica=connection.replica.replica_id,
             )
-            connection.read_body(timeout_s=deadline_s - time.monotonic())
+            limit_s = wait.first_limit_s(sent_s, deadline_s) if wait else deadline_s
+            connection.read_body(timeout_s=limit_s - time.monotonic())
         raise AnswerLost("too many answers to other requests")
 
 
