Leave out entries of replicas whose address a later start has taken

Callers of streams got 429 with "engine answered 421", or "retry budget is spent", for seconds after engines had crashed or had come back from behind a cut. The engines had started again under new ids at their addresses. The entry of the former start stays in the store for some heartbeats, and a late heartbeat may write it once more. Hosts keyed replicas by id alone, so the former one looked like an idle engine, got most runs, and was counted in the plan of the stages. Each 421 used up an attempt and a retry.

One process listens at an address, so of the replicas that name it only the one with the latest start can answer. ReplicaView lists the others no more. An entry without a start is not compared, and a replica is listed again when the later entry is gone.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/replicas.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from persimmonyoke.internal.fleet.address_starts import AddressStarts
 from persimmonyoke.internal.fleet.model import Replica
 
 REREGISTRATION_GRACE_S = 2.0
@@ -102,23 +103,28 @@
 
     After an outage, a replica without an entry stays usable for
     ``REREGISTRATION_GRACE_S``, since a running replica may have been unable to renew
-    its entry.
+    its entry. A replica whose address a later start has taken is not listed.
     """
 
     def __init__(self) -> None:
         self._replicas: dict[str, Replica] = {}
+        self._starts = AddressStarts()
         self._missing: set[str] = set()
         self._outage_ended_s = float("-inf")
         self._leaving_since_s: dict[str, float] = {}
         self._announced_leaving: OrderedDict[_Incarnation, None] = OrderedDict()
 
     def get(self, replica_id: str) -> Replica | None:
-        """Return a known replica, draining and missing ones included."""
+        """Return a known replica, draining, missing and former ones included."""
         return self._replicas.get(replica_id)
 
     def all(self) -> tuple[Replica, ...]:
         """Return all known replicas, draining and missing ones included."""
-        return tuple(self._replicas.values())
+        return tuple(
+            replica
+            for replica in self._replicas.values()
+            if replica.replica_id not in self._starts.former
+        )
 
     def usable(self, service: str, *, now_s: float) -> list[Replica]:
         """Return the replicas of a service that may get new work."""
@@ -128,6 +134,7 @@
             for replica in self._replicas.values()
             if replica.service == service
             and not replica.draining
+            and replica.replica_id not in self._starts.former
             and (in_grace or replica.replica_id not in self._missing)
         ]
 
@@ -142,6 +149,7 @@
             for replica in self._replicas.values()
             if replica.service == service
             and replica.draining
+            and replica.replica_id not in self._starts.former
             and now_s - self._leaving_since_s.get(replica.replica_id, float("-inf"))
             < LEAVING_FALLBACK_S
         ]
@@ -182,6 +190,7 @@
         returned = replica.replica_id in self._missing
         self._missing.discard(replica.replica_id)
         self._replicas[replica.replica_id] = replica
+        self._starts.put(replica, known)
         if known is None:
             return [ReplicaAdded(replica)]
         if known == replica:
@@ -235,7 +244,10 @@
         self._missing.discard(replica_id)
         self._leaving_since_s.pop(replica_id, None)
         replica = self._replicas.pop(replica_id, None)
-        return [] if replica is None else [ReplicaGone(replica, reason)]
+        if replica is None:
+            return []
+        self._starts.remove(replica)
+        return [ReplicaGone(replica, reason)]
 
 
 def _same_incarnation(known: Replica, replica: Replica) -> bool:
