Make no reservation of an engine that has ended before it begins

A caller of a stream got 504, though its request had not run: a request that may crash engines had waited for a decode engine until its client gave up, and was then to reserve one until a time that had passed. The reservation was dropped as it was looked up, and the KeyError ended the request as failed.

Such a reservation is now refused, so the request is given up as one that found no free replica.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/isolations.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/isolations.py
@@ -42,7 +42,12 @@
     def reserve(
         self, digest: bytes, engine: str, *, now_s: float, until_s: float
     ) -> bool:
-        """Reserve the engine for the suspect unless it or the engine is reserved."""
+        """Reserve the engine for the suspect unless it or the engine is reserved.
+
+        A reservation that would have ended already is not made.
+        """
+        if until_s <= now_s:
+            return False
         for isolation in self.active(now_s):
             if isolation.engine == engine or isolation.digest == digest:
                 return False
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -174,6 +174,18 @@
         ]
         self.assertEqual(sorted(holders), [False, True])
 
+    def test_no_engine_is_reserved_until_a_time_that_has_passed(self):
+        # A request that had waited until its client left ended with a KeyError, and
+        # was reported as failed though it had not run.
+        register = SuspectRegister("a")
+        for until_s in (0.9, 1.0):
+            with self.subTest(until_s):
+                reserved = register.try_isolate(
+                    POISON, "e1", now_s=1.0, until_s=until_s
+                )
+                self.assertFalse(reserved)
+        self.assertEqual(register.isolated_engines(1.0), frozenset())
+
     def test_an_extended_reservation_holds_at_the_peers_too(self):
         # Peers would send the request to further engines while its cause is not known.
         peer = SuspectRegister("b")
