Let a client that leaves end the run to which its stream was moved

An engine worked on for a client that had left, until it wrote again or the deadline came, if the stream had been moved to it from a silent engine.

The request takes over the connection of the next run while that of the silent engine is still open. Closing the silent one then unregistered whatever connection the request held, so that a cancellation found none to interrupt. A connection now unregisters itself only.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -98,9 +98,10 @@
         self._connection = connection
         self.used_connections.append(connection)
 
-    def detach(self) -> None:
-        """Unregister the connection."""
-        self._connection = None
+    def detach(self, connection: UpstreamConnection) -> None:
+        """Unregister a connection, unless another one has replaced it."""
+        if self._connection is connection:
+            self._connection = None
 
     def note_error(self, error: BaseException) -> None:
         """Record the error that ended a call of this request."""
@@ -170,7 +171,7 @@
             )
         except BaseException as error:
             connection.discard()
-            cancel_scope.detach()
+            cancel_scope.detach(connection)
             cancel_scope.note_error(error)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
@@ -240,7 +241,7 @@
 
     def finish(self, response: OpenResponse, cancel_scope: CancelScope) -> None:
         """Return the connection to the pool after the response has been read."""
-        cancel_scope.detach()
+        cancel_scope.detach(response.connection)
         response.connection.mark_response_complete(
             response.head, now_s=time.monotonic()
         )
@@ -253,7 +254,7 @@
         error: BaseException | None = None,
     ) -> None:
         """Close the connection, which makes the replica stop the request."""
-        cancel_scope.detach()
+        cancel_scope.detach(response.connection)
         if error is not None:
             cancel_scope.note_error(error)
         response.connection.close()
