Keep the tunnels of a stopping host open while an engine may be silent

Callers of a host that reaches replicas through a peer saw a begun stream end in the middle as that peer stopped, if its engine was silent for 1.2 s or more at that moment.

A tunnel without a byte for 1.2 s counted as idle, and a stopping host that has nothing else to do exits then, which breaks its tunnels off. What a tunnel carries is not read by the peer, so a silent stream looks like an idle connection. A tunnel now counts as busy for as long as the callers of streams in the peer's configuration wait for an event, and for 2 s at least. The grace period bounds the stop as before; a host with tunnels that are idle stops up to 0.8 s later, or later where callers wait longer.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -16,7 +16,7 @@
 from gevent.server import StreamServer
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.fleet.model import Replica, RequestKind
 from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.connections import (
@@ -47,8 +47,8 @@
 MAX_TUNNELS = 256
 """Open tunnels of one host, each of which takes two descriptors and some 30 KB."""
 
-BUSY_S = 1.2
-"""Time without a byte after which a tunnel counts as idle."""
+MIN_BUSY_S = 2.0
+"""Least time without a byte after which a tunnel counts as idle."""
 
 MAX_SILENCE_S = 300.0
 """Time after which a tunnel without a byte in one direction is closed."""
@@ -115,8 +115,23 @@
         return sum(tunnel.bytes_to_peer for tunnel in self._open.values())
 
     def busy(self, now_s: float) -> bool:
-        """Return whether a tunnel has carried bytes recently."""
-        return any(now_s - t.last_byte_s < BUSY_S for t in self._open.values())
+        """Return whether a tunnel may carry an answer that is not complete."""
+        busy_s = self._busy_s
+        return any(now_s - t.last_byte_s < busy_s for t in self._open.values())
+
+    @property
+    def _busy_s(self) -> float:
+        """Return the longest silence of an engine that the caller of a stream allows.
+
+        What a tunnel carries is not read here, so a silent stream can't be told from
+        an idle connection before.
+        """
+        configuration = self._state.configuration
+        routes = configuration.routes if configuration else ()
+        waits_s = [
+            r.caller_timeout_s for r in routes if r.kind is RequestKind.STREAMING
+        ]
+        return max([MIN_BUSY_S, *waits_s])
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
         sockets.enable_dead_peer_detection(sock, sockets.TUNNEL_USER_TIMEOUT_MS)
