Allow a late stream of a stopping host a silence of 2 s

Callers that sent a stream over 3 s after the stop signal of their host saw it cut by the exit if its engine was silent for 1.6 s or more, though the host had judged that it would end in time.

The judgement allowed for a silence of 1.3 s. Sound engines are silent for longer, and callers wait for 2 s at least, so the allowance is 2 s now. Streams for which this leaves no time are refused as not run; with 7 s of grace this concerns those that come 0.7 s later than the last ones that are accepted now.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stop_schedule.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stop_schedule.py
@@ -14,8 +14,11 @@
 PACE_FACTOR = 1.5
 """Factor by which a stream may be slower than the slowest recent one."""
 
-SILENCE_S = 1.3
-"""Time for which a sound engine may fall silent in the middle of a stream."""
+SILENCE_S = 2.0
+"""Time for which a sound engine may fall silent in the middle of a stream.
+
+The least patient callers wait for as long.
+"""
 
 
 @dataclass(frozen=True)
