Let a plain request that left a silent replica outlive a rejection

Callers of requests that may be repeated got 502 with a free replica beside, if their first replica was silent and the second one rejected the request.

A run that a replica rejects has not taken place, but it used up the last attempt of the route, and the request could not be told as not run because of the first attempt. Such a rejection now uses up no attempt, as with begun streams; each further attempt still takes a retry of the host, another replica and a quarter of the target latency. A request that has not been sent to another replica before is refused as before.

Evidence: the test added here (502 without the change) passes with it, as do test_plain_relay, test_silent_replicas, test_withheld_requests and test_replica_limits.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -118,6 +118,9 @@
             if isinstance(outcome, NotRun) and not outcome.sent:
                 continue
             retry_is_due = False
+            if isinstance(outcome, NotRun) and exchange.may_have_run:
+                # It used up no attempt, and the one before can't be told as not run.
+                exchange.sends -= 1
             if not self._may_repeat(exchange, outcome, budget):
                 return self._final_outcome(exchange, outcome, last_response)
             retry_is_due = True
