Pause a decode engine that answers 421

Streams of a route with one attempt were refused with 429 as long as the entry of a decode engine stood that another replica had replaced, or that was in another stage. The engine answered 421 to each run, was not marked in any way, and seemed to be the one with the least work. Streams with more attempts used up a retry each.

Such an engine is now paused like a prefill engine that rejects a prompt: for 0.5 s at first, longer after each further rejection, and until its next start is read. The 421 is counted as a rejected arrival as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
@@ -115,6 +115,7 @@
             reason = f"engine answered {opened.head.status}"
             later = self._answer_after(opened)
             if later is None:
+                self._pause_if_misdirected(opened.head.status)
                 return RunRejected(reason, sent=True)
             opened = later
         exchange.may_have_run = True
@@ -139,6 +140,15 @@
             repeatable=self._exchange.route.resumable,
         )
 
+    def _pause_if_misdirected(self, status: int) -> None:
+        """Pause an engine that is not the one of its entry, or is in another stage.
+
+        It rejects all runs until its entry changes, and seems idle meanwhile.
+        """
+        if status == _MISDIRECTED:
+            health = self._state.health
+            health.note_unreachable(self.engine.replica_id, time.monotonic())
+
     def _answer_after(self, refusal: OpenResponse) -> OpenResponse | None:
         """Return the answer that follows a refusal at once, if any."""
         exchange = self._exchange
