Let a begun stream wait for its retry after a lost answer too

A begun stream whose answer was lost, for example with the tunnel of a peer that stopped, broke off at once if the retry budget was spent or all engines had asked for a pause, though its client still waited and either would have passed in time. It now waits as after a rejection, with pauses that double, until its client would not see the next event in time. Requests whose answer has not begun are refused at once as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -17,7 +17,7 @@
 """Least time before the deadline that a further run is worth."""
 
 FIRST_PAUSE_S = 0.1
-"""Pause after the second rejection of a stream, doubled after each further one."""
+"""Pause of a begun stream that finds no engine or retry, doubled with each failure."""
 
 MAX_REJECTED_MOVES = 3
 """Rejections after which a stream stays with its silent engine.
@@ -40,6 +40,8 @@
         """Whether the newest run is a retry that was counted."""
 
         self._rejections = 0
+        self._failures = 0
+        """Runs of the begun stream that were rejected or lost."""
 
     def note_first_attempt(self) -> None:
         """Count the first attempt."""
@@ -66,13 +68,11 @@
     def count_after(self, outcome: RunOutcome) -> bool:
         """Count a retry; return whether another run follows.
 
-        A stream that has begun outlives a rejection: the run used up no attempt of the
-        route, as it did not take place.
+        A stream that has begun waits for its retry, and outlives a rejection: the run
+        used up no attempt of the route, as it did not take place.
         """
-        if isinstance(outcome, RunRejected) and self._exchange.response_started:
-            self._exchange.sends -= 1
-            self.note_rejected()
-            obstacle = self._obstacle_after_rejection(outcome)
+        if self._exchange.response_started:
+            obstacle = self._obstacle_of_begun(outcome)
         else:
             obstacle = self._obstacle(outcome) or self._spend()
         if obstacle is not None:
@@ -92,26 +92,30 @@
         obstacle = self._obstacle(RunInterrupted("engine is silent"))
         return obstacle is None and self._spend() is None
 
-    def pause_after_rejection(self) -> bool:
-        """Pause before the next attempt at a run after one was rejected.
+    def pause_after_failure(self) -> bool:
+        """Pause before the next attempt at a run after one was rejected or lost.
 
-        Returns false if none was rejected, or the client would not wait for the run.
+        Returns false if there was none, or the client would not wait for the run.
         """
         exchange, now_s = self._exchange, time.monotonic()
         left_s = exchange.event_wait_left_s(now_s) - FIRST_EVENT_OVERHEAD_S
-        if not self._rejections or left_s <= 0.0:
+        if not self._failures or left_s <= 0.0:
             return False
-        gevent.sleep(min(FIRST_PAUSE_S * 2 ** max(0, self._rejections - 2), left_s))
+        gevent.sleep(min(FIRST_PAUSE_S * 2 ** (self._failures - 1), left_s))
         exchange.cancel_scope.raise_if_cancelled()
         return True
 
-    def _obstacle_after_rejection(self, outcome: RunOutcome) -> str | None:
+    def _obstacle_of_begun(self, outcome: RunOutcome) -> str | None:
         """Wait for a retry while the client waits; return why there is none."""
-        if self._rejections > 1 and not self.pause_after_rejection():
-            return outcome.reason
+        self._failures += 1
+        if isinstance(outcome, RunRejected):
+            self._exchange.sends -= 1
+            self.note_rejected()
+            if self._rejections > 1 and not self.pause_after_failure():
+                return outcome.reason
         while (obstacle := self._obstacle(outcome)) is None:
             spent = self._spend()
-            if spent is None or not self.pause_after_rejection():
+            if spent is None or not self.pause_after_failure():
                 return spent
         return obstacle
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -122,12 +122,12 @@
         return self._new_run(choice)
 
     def _prepare(self) -> EngineChoice:
-        """Prepare a run, and after a rejection wait until an engine can take it."""
+        """Prepare a run, and after a failed one wait until an engine can take it."""
         while True:
             try:
                 return self._selection.prepare()
             except StreamNotPlaced:
-                if not self._retries.pause_after_rejection():
+                if not self._retries.pause_after_failure():
                     raise
 
     def _new_run(self, choice: EngineChoice) -> EngineRun:
