Shorten the handover of silent streams for the reader

The result of a move is built by a function of its own, and the pause before a further attempt depends on whether the stream has begun, which every stream has that waits. No change of behaviour is intended: test_lost_answers_of_streams, test_rejected_moves, test_stream_handover, test_stream_moves and test_unanswered_paths pass as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -133,10 +133,8 @@
     ) -> MoveResult:
         """Send the next run, and leave the silent engine unless it is rejected."""
         exchange = self._exchange
-        scope, next_scope = (
-            exchange.cancel_scope,
-            HandoverScope(exchange.cancel_scope, connection),
-        )
+        scope = exchange.cancel_scope
+        next_scope = HandoverScope(scope, connection)
         exchange.cancel_scope = next_scope
         handover = Handover(
             connection, deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S
@@ -163,9 +161,9 @@
             if next_scope.cancelled:
                 scope.cancel(next_scope.cause)
         if handover.has_left:
-            return self._sent(run, LEFT_UNANSWERED, run)
+            return _result(run, LEFT_UNANSWERED, going_on=True)
         if isinstance(run.answer, OpenResponse):
-            return self._sent(run, LEFT, run)
+            return _result(run, LEFT, going_on=True)
         return self._stay(run)
 
     def _stay(self, run: EngineRun) -> MoveResult:
@@ -174,18 +172,7 @@
         run.end(outcome)
         self._selection.discard(run.choice, outcome)
         self._selection.pause(run.engine, now_s=time.monotonic())
-        return self._sent(run, outcome.reason, None)
-
-    @staticmethod
-    def _sent(run: EngineRun, reason: str, going_on: EngineRun | None) -> MoveResult:
-        rejected = isinstance(run.answer, RunRejected)
-        return MoveResult(
-            reason,
-            run=going_on,
-            next_replica=run.engine.replica_id,
-            was_sent=not rejected or run.answer.sent,
-            may_have_run=going_on is not None or not rejected,
-        )
+        return _result(run, outcome.reason, going_on=False)
 
     def _still_answers(self, engine: Replica, connection: UpstreamConnection) -> bool:
         """Return whether the next engine answers in time, after a long preparation.
@@ -229,6 +216,18 @@
         )
 
 
+def _result(run: EngineRun, outcome: str, *, going_on: bool) -> MoveResult:
+    """Return the result of a move whose next run was opened."""
+    rejected = isinstance(run.answer, RunRejected)
+    return MoveResult(
+        outcome,
+        run=run if going_on else None,
+        next_replica=run.engine.replica_id,
+        was_sent=not rejected or run.answer.sent,
+        may_have_run=going_on or not rejected,
+    )
+
+
 def _cancel_when_resumed(
     connection: UpstreamConnection, preparation: CancelScope
 ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -93,15 +93,15 @@
         return obstacle is None and self._spend() is None
 
     def pause_after_failure(self) -> bool:
-        """Pause before the next attempt at a run after one was rejected or lost.
+        """Pause a begun stream before the next attempt at a run after a failed one.
 
-        Returns false if there was none, or the client would not wait for the run.
+        Returns false if it has not begun, or its client would not wait for the run.
         """
         exchange, now_s = self._exchange, time.monotonic()
         left_s = exchange.event_wait_left_s(now_s) - FIRST_EVENT_OVERHEAD_S
-        if not self._failures or left_s <= 0.0:
+        if not exchange.response_started or left_s <= 0.0:
             return False
-        gevent.sleep(min(FIRST_PAUSE_S * 2 ** (self._failures - 1), left_s))
+        gevent.sleep(min(FIRST_PAUSE_S * 2 ** max(0, self._failures - 1), left_s))
         exchange.cancel_scope.raise_if_cancelled()
         return True
 
