Log what a begun stream waits for, and the cause first in each line

The users' collectors keep about 200 characters of a line. A stream that waited for a retry logged nothing for 2.2 s, and then the last obstacle it met.

- error, running_ms and verdict stand first in answer_lost, outcome, status and reason in request, and level last in all lines
- not_retried holds the budget of the host: retries, retries_allowed, first_attempts
- stream_waits names each obstacle a begun stream waits for, once

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -1,6 +1,7 @@
 """Limit retries to a share of first attempts."""
 
 from collections import deque
+from dataclasses import dataclass
 
 DEFAULT_SHARE = 0.10
 DEFAULT_WINDOW_S = 30.0
@@ -11,6 +12,15 @@
 BUCKETS = 30
 
 
+@dataclass(frozen=True)
+class RetryUsage:
+    """Hold what a budget counts in its window, and how many retries it allows."""
+
+    first_attempts: int
+    retries: int
+    allowed: int
+
+
 class RetryBudget:
     """Allow ``share`` of the first attempts of a sliding window as retries.
 
@@ -55,8 +65,7 @@
     def try_spend(self, now_s: float) -> bool:
         """Count a retry and return whether it is allowed."""
         bucket = self._current_bucket(now_s)
-        allowed = max(self._floor, int(self.share * self._first_attempts + self.slack))
-        if self._retries >= allowed:
+        if self._retries >= self._allowed:
             self.refused += 1
             return False
         bucket[2] += 1
@@ -64,6 +73,16 @@
         self.retries_total += 1
         return True
 
+    def usage(self, now_s: float) -> RetryUsage:
+        """Return what is counted in the window that ends now."""
+        self._current_bucket(now_s)
+        return RetryUsage(self._first_attempts, self._retries, self._allowed)
+
+    @property
+    def _allowed(self) -> int:
+        """Return the retries that the first attempts in the window allow."""
+        return max(self._floor, int(self.share * self._first_attempts + self.slack))
+
     def give_back(self) -> None:
         """Uncount the newest retry, which was not sent."""
         for bucket in reversed(self._buckets):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -90,17 +90,17 @@
         self._state.journal.event(
             "answer_lost",
             request_id=exchange.metadata.request_id,
-            content=exchange.content_digest_hex,
-            parts=exchange.shared_part_ids,
-            replica=replica.replica_id,
-            born_unix_ms=replica.born_unix_ms,
-            stage=start.stage,
-            begun=begun,
-            running_ms=int((now_s - start.started_s) * 1_000),
             error=f"{type(error).__name__}: {error}",
+            running_ms=int((now_s - start.started_s) * 1_000),
+            verdict=verdict,
             probe=probe,
+            begun=begun,
+            replica=replica.replica_id,
+            stage=start.stage,
             leaving=leaving,
-            verdict=verdict,
+            born_unix_ms=replica.born_unix_ms,
+            content=exchange.content_digest_hex,
+            parts=exchange.shared_part_ids,
         )
         if verdict is Verdict.CRASHED:
             self._state.pool.drop_replica(replica)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -356,11 +356,11 @@
         state.journal.event(
             "request",
             request_id=exchange.metadata.request_id,
-            route=exchange.route.name,
-            kind=kind,
             outcome=outcome,
             status=exchange.status,
             reason=reason,
+            route=exchange.route.name,
+            kind=kind,
             ms=int((now_s - exchange.started_s) * 1_000),
             first_ms=first_ms,
             events=exchange.events,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/journal.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/journal.py
@@ -25,7 +25,10 @@
         logger.add(self._emit, level="INFO", format="{message}", catch=True)
 
     def event(self, name: str, **fields: Any) -> None:
-        """Log one decision or change; fields are numbers, texts and flat lists."""
+        """Log one decision or change; fields are numbers, texts and flat lists.
+
+        Collectors may cut long lines, so what tells the cause comes first.
+        """
         logger.bind(fields=fields).info(name)
 
     def failure(self, name: str, error: BaseException, **fields: Any) -> None:
@@ -50,10 +53,10 @@
         record = message.record
         line = {
             "time_unix_s": round(record["time"].timestamp(), 3),
-            "level": record["level"].name,
             "host": self._host_name,
             "event": record["message"],
             **record["extra"].get("fields", {}),
+            "level": record["level"].name,
         }
         if record["exception"] is not None:
             line["exception"] = str(message).strip()[-2_000:]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -43,6 +43,9 @@
         self._failures = 0
         """Runs of the begun stream that were rejected or lost."""
 
+        self._logged_wait = ""
+        """What the stream waited for according to its newest log line."""
+
     def note_first_attempt(self) -> None:
         """Count the first attempt."""
         self._budget.note_first_attempt(time.monotonic())
@@ -76,13 +79,7 @@
         else:
             obstacle = self._obstacle(outcome) or self._spend()
         if obstacle is not None:
-            self._state.journal.event(
-                "not_retried",
-                request_id=self._exchange.metadata.request_id,
-                obstacle=obstacle,
-                sends=self._exchange.sends,
-                rejections=self._rejections,
-            )
+            self._log("not_retried", obstacle, time.monotonic())
         return self._is_due
 
     def count_for_silent_engine(self) -> bool:
@@ -92,7 +89,7 @@
         obstacle = self._obstacle(RunInterrupted("engine is silent"))
         return obstacle is None and self._spend() is None
 
-    def pause_after_failure(self) -> bool:
+    def pause_after_failure(self, obstacle: str) -> bool:
         """Pause a begun stream before the next attempt at a run after a failed one.
 
         Returns false if it has not begun, or its client would not wait for the run.
@@ -101,6 +98,9 @@
         left_s = exchange.event_wait_left_s(now_s) - FIRST_EVENT_OVERHEAD_S
         if not exchange.response_started or left_s <= 0.0:
             return False
+        if obstacle != self._logged_wait:
+            self._logged_wait = obstacle
+            self._log("stream_waits", obstacle, now_s)
         gevent.sleep(min(FIRST_PAUSE_S * 2 ** max(0, self._failures - 1), left_s))
         exchange.cancel_scope.raise_if_cancelled()
         return True
@@ -111,11 +111,11 @@
         if isinstance(outcome, RunRejected):
             self._exchange.sends -= 1
             self.note_rejected()
-            if self._rejections > 1 and not self.pause_after_failure():
+            if self._rejections > 1 and not self.pause_after_failure(outcome.reason):
                 return outcome.reason
         while (obstacle := self._obstacle(outcome)) is None:
             spent = self._spend()
-            if spent is None or not self.pause_after_failure():
+            if spent is None or not self.pause_after_failure(spent):
                 return spent
         return obstacle
 
@@ -134,3 +134,18 @@
         """Count a retry; return why there is none."""
         self._is_due = self._budget.try_spend(time.monotonic())
         return None if self._is_due else "retry budget is spent"
+
+    def _log(self, event: str, obstacle: str, now_s: float) -> None:
+        """Log what keeps the request from its next run, and the state of the budget."""
+        usage = self._budget.usage(now_s)
+        self._state.journal.event(
+            event,
+            request_id=self._exchange.metadata.request_id,
+            obstacle=obstacle,
+            retries=usage.retries,
+            retries_allowed=usage.allowed,
+            first_attempts=usage.first_attempts,
+            wait_left_ms=int(self._exchange.event_wait_left_s(now_s) * 1_000),
+            sends=self._exchange.sends,
+            rejections=self._rejections,
+        )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -126,8 +126,8 @@
         while True:
             try:
                 return self._selection.prepare()
-            except StreamNotPlaced:
-                if not self._retries.pause_after_failure():
+            except StreamNotPlaced as error:
+                if not self._retries.pause_after_failure(str(error)):
                     raise
 
     def _new_run(self, choice: EngineChoice) -> EngineRun:
