Lend retries between hosts for begun streams that wait for one

Callers lost begun streams as their host's fixed share of the retry budget was spent, while the fleet's was not: the slack is divided evenly, but losses hit some hosts more than others. Beside resets of one engine every 2 s, 23 streams waited for a retry and up to 12 were cut, with at most 68 of 98 allowed retries made by all hosts.

A begun stream without a retry now asks two random peers, which lend up to half of what is left of their share. The lender counts a loan until the borrower's send is in no window with one of its own, so that the sum of all shares stays the same; a lost or late datagram costs retries and never adds any. Without contact each host has its share as before. Other requests don't use loans.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -19,6 +19,16 @@
     first_attempts: int
     retries: int
     allowed: int
+    """Retries that this share allows, without what is lent and with what is left of
+    loans."""
+
+
+@dataclass(frozen=True)
+class _Retries:
+    """Hold retries that are lent or borrowed until a time."""
+
+    count: int
+    until_s: float
 
 
 class RetryBudget:
@@ -47,10 +57,16 @@
         self.share = share
         self.slack = slack
         self._floor = floor
+        self._window_s = window_s
         self._bucket_s = window_s / BUCKETS
         self._buckets: deque[list[int]] = deque()
         self._first_attempts = 0
         self._retries = 0
+        self._lent: list[_Retries] = []
+        self._borrowed: list[_Retries] = []
+        self._spent_loans: list[_Retries] = []
+        """Borrowed retries that were spent and may be given back, newest last."""
+
         # Totals since the start.
         self.first_attempts_total = 0
         self.retries_total = 0
@@ -62,29 +78,75 @@
         self._first_attempts += 1
         self.first_attempts_total += 1
 
-    def try_spend(self, now_s: float) -> bool:
-        """Count a retry and return whether it is allowed."""
+    def try_spend(self, now_s: float, *, loans: bool = False) -> bool:
+        """Count a retry and return whether it is allowed.
+
+        With ``loans`` one that another host has lent may be used.
+        """
         bucket = self._current_bucket(now_s)
-        if self._retries >= self._allowed:
+        if self._retries < self._own_allowed(now_s):
+            bucket[2] += 1
+            self._retries += 1
+        elif not loans or not self._spend_loan():
             self.refused += 1
             return False
-        bucket[2] += 1
-        self._retries += 1
         self.retries_total += 1
         return True
 
+    def lend(self, count: int, *, now_s: float, ttl_s: float) -> int:
+        """Lend up to ``count`` retries, at most half of what is left; return how many.
+
+        The borrower sends them within ``ttl_s``. They stay counted here until the
+        last of these is in no window with a retry of this host.
+        """
+        self._current_bucket(now_s)
+        spare = (self._own_allowed(now_s) - self._retries) // 2
+        lent = max(0, min(count, spare))
+        if lent:
+            until_s = now_s + ttl_s + self._window_s + self._bucket_s
+            self._lent.append(_Retries(lent, until_s))
+        return lent
+
+    def borrow(self, count: int, *, until_s: float) -> None:
+        """Add retries that another host lends, to be spent before ``until_s``."""
+        self._borrowed.append(_Retries(count, until_s))
+
     def usage(self, now_s: float) -> RetryUsage:
         """Return what is counted in the window that ends now."""
         self._current_bucket(now_s)
-        return RetryUsage(self._first_attempts, self._retries, self._allowed)
+        self._drop_expired(now_s)
+        allowed = self._own_allowed(now_s) + sum(loan.count for loan in self._borrowed)
+        return RetryUsage(self._first_attempts, self._retries, allowed)
+
+    def _own_allowed(self, now_s: float) -> int:
+        """Return the retries that this host may make of its own share."""
+        self._drop_expired(now_s)
+        lent = sum(loan.count for loan in self._lent)
+        share = int(self.share * self._first_attempts + self.slack)
+        return max(self._floor, share) - lent
+
+    def _spend_loan(self) -> bool:
+        """Spend a retry that its lender counts; return whether there is one."""
+        if not self._borrowed:
+            return False
+        loan = self._borrowed.pop(0)
+        if loan.count > 1:
+            self._borrowed.insert(0, _Retries(loan.count - 1, loan.until_s))
+        self._spent_loans.append(_Retries(1, loan.until_s))
+        return True
 
-    @property
-    def _allowed(self) -> int:
-        """Return the retries that the first attempts in the window allow."""
-        return max(self._floor, int(self.share * self._first_attempts + self.slack))
+    def _drop_expired(self, now_s: float) -> None:
+        """Drop what was lent and borrowed until now or earlier."""
+        self._lent = _in_force(self._lent, now_s)
+        self._borrowed = _in_force(self._borrowed, now_s)
+        self._spent_loans = _in_force(self._spent_loans, now_s)
 
     def give_back(self) -> None:
-        """Uncount the newest retry, which was not sent."""
+        """Uncount a retry that was not sent, a borrowed one first."""
+        if self._spent_loans:
+            self.retries_total -= 1
+            self._borrowed.append(self._spent_loans.pop())
+            return
         for bucket in reversed(self._buckets):
             if bucket[2]:
                 bucket[2] -= 1
@@ -110,3 +172,7 @@
         if not self._buckets or self._buckets[-1][0] < index:
             self._buckets.append([index, 0, 0])
         return self._buckets[-1]
+
+
+def _in_force(loans: list[_Retries], now_s: float) -> list[_Retries]:
+    return [loan for loan in loans if loan.until_s > now_s]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -346,7 +346,8 @@
         """Prefill the prompt; return ``None`` if another engine may be tried."""
         exchange, engine = self._exchange, admitted.plan.engine
         is_retry = not self._prefills.is_first
-        if is_retry and not self._prefills.take():
+        begun = exchange.response_started
+        if is_retry and not self._prefills.take(begun=begun):
             self._state.ledger.end_prefill(admitted.job)
             self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
         try:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.delivery.retry_loans import Loan, LoanRequest
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.gateway.change_parts import (
@@ -19,6 +20,12 @@
     decode_messages,
     is_collector_datagram,
 )
+from persimmonyoke.internal.gateway.retry_loan_messages import (
+    LOAN_FORMAT,
+    LOAN_REQUEST_FORMAT,
+    decode_loan,
+    decode_loan_request,
+)
 from persimmonyoke.internal.gateway.state import PartPlacement
 from persimmonyoke.internal.gateway.suspect_messages import (
     SUSPECTS_FORMAT,
@@ -61,6 +68,11 @@
     """
 
 
+Datagram = (
+    PeerMessage | ChangesPart | CollectorDatagram | SuspectsMessage | LoanRequest | Loan
+)
+
+
 def encode_message(message: PeerMessage) -> bytes:
     """Encode a message as one datagram."""
     work = {
@@ -90,9 +102,7 @@
     )
 
 
-def decode_datagram(
-    raw: bytes, *, now_s: float
-) -> PeerMessage | ChangesPart | CollectorDatagram | SuspectsMessage:
+def decode_datagram(raw: bytes, *, now_s: float) -> Datagram:
     """Decode a datagram received now; raise ``ProtocolError``."""
     if is_collector_datagram(raw):
         return decode_messages(raw, now_s=now_s)
@@ -102,6 +112,10 @@
             return decode_part(values)
         if format_number == SUSPECTS_FORMAT:
             return decode_suspects(values)
+        if format_number == LOAN_REQUEST_FORMAT:
+            return decode_loan_request(values)
+        if format_number == LOAN_FORMAT:
+            return decode_loan(values)
         if format_number != FORMAT:
             raise ProtocolError(f"format {format_number!r} is not known")
         return _decode_message(values)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -14,6 +14,7 @@
 from gevent.socket import wait_read
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.delivery.retry_loans import Loan, LoanRequest
 from persimmonyoke.internal.fleet.cache_duty import CollectorState
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
@@ -23,6 +24,7 @@
     ChangesPart,
     encode_changes,
 )
+from persimmonyoke.internal.gateway.digest_messages import CollectorDatagram
 from persimmonyoke.internal.gateway.peer_group import (
     CHANGED_INTERVAL_S,
     MAX_REFUSED,
@@ -40,6 +42,7 @@
     STATES_INTERVAL_S,
     HostRelay,
 )
+from persimmonyoke.internal.gateway.retry_loan_link import RetryLoanLink
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.suspect_link import SuspectLink
 from persimmonyoke.internal.gateway.suspect_messages import SuspectsMessage
@@ -81,6 +84,7 @@
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._relay = HostRelay(state, self._send_to, now_s=time.monotonic())
         self._suspects = SuspectLink(state, self._send_raw)
+        self._loans = RetryLoanLink(state, self._send_raw)
         state.on_cached = self._queue_cached_parts
         self._reported_changes = -1
         self._assembler = ChangesAssembler()
@@ -331,15 +335,20 @@
             if self.malformed == 1:
                 self._state.journal.failure("datagram_ignored", error)
             return False
-        if isinstance(message, ChangesPart):
-            self._handle_changes(message)
-            return False
-        if isinstance(message, SuspectsMessage):
-            self._suspects.handle(message, now_s=now_s)
-            return False
-        if not isinstance(message, PeerMessage):
-            return self._uses_relay() and self._relay.handle(message, now_s=now_s)
-        return self._apply_peer_message(message, now_s)
+        match message:
+            case PeerMessage():
+                return self._apply_peer_message(message, now_s)
+            case CollectorDatagram():
+                return self._uses_relay() and self._relay.handle(message, now_s=now_s)
+            case ChangesPart():
+                self._handle_changes(message)
+            case SuspectsMessage():
+                self._suspects.handle(message, now_s=now_s)
+            case LoanRequest():
+                self._loans.handle_request(message, now_s=now_s)
+            case Loan():
+                self._loans.handle_loan(message, now_s=now_s)
+        return False
 
     def _handle_changes(self, part: ChangesPart) -> None:
         """Apply changes that a peer received from the store, once complete."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
@@ -38,10 +38,13 @@
             raise StreamBroken("retry budget is spent")
         self._held = True
 
-    def take(self) -> bool:
-        """Use the retry that is held, or count one; return whether there is one."""
+    def take(self, *, begun: bool) -> bool:
+        """Use the retry that is held, or count one; return whether there is one.
+
+        A stream that has begun may use one that another host has lent.
+        """
         held, self._held = self._held, False
-        return held or self._budget.try_spend(time.monotonic())
+        return held or self._budget.try_spend(time.monotonic(), loans=begun)
 
     def give_back(self) -> None:
         """Uncount a retry that was taken and not sent."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
@@ -0,0 +1,90 @@
+"""Exchange of retries between hosts, for streams that wait for one."""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+import gevent
+
+from persimmonyoke.internal.delivery.retry_loans import (
+    LOAN_TTL_S,
+    MAX_LOAN,
+    SEND_DELAY_S,
+    Loan,
+    LoanRequest,
+    RetryBorrower,
+)
+from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.gateway.retry_loan_messages import (
+    encode_loan,
+    encode_loan_request,
+)
+from persimmonyoke.internal.gateway.state import GatewayState
+
+Send = Callable[[Sequence[HostEntry], bytes], None]
+
+
+class RetryLoanLink:
+    """Ask peers for retries, and lend them what this host does not need."""
+
+    def __init__(self, state: GatewayState, send: Send) -> None:
+        self._state = state
+        self._send = send
+        self._borrower = RetryBorrower(state.settings.host_name, state.rng)
+        self._wanted: Counter[str] = Counter()
+        state.on_retry_wanted = self.want
+
+    def want(self, service: str, count: int) -> None:
+        """Ask for retries, together with those that are wanted at the same time."""
+        if not self._wanted:
+            gevent.spawn(self._ask)
+        self._wanted[service] += count
+
+    def handle_request(self, request: LoanRequest, *, now_s: float) -> None:
+        """Lend a peer what this host does not need of its share."""
+        state, peer = self._state, self._state.hosts.entry(request.borrower)
+        configuration = state.configuration
+        if peer is None or configuration is None:
+            return
+        if request.service not in configuration.services:
+            return
+        budget = state.retry_budget(request.service)
+        count = min(request.count, MAX_LOAN)
+        lent = budget.lend(count, now_s=now_s, ttl_s=LOAN_TTL_S + SEND_DELAY_S)
+        usage = budget.usage(now_s)
+        state.journal.event(
+            "retries_lent",
+            service=request.service,
+            borrower=request.borrower,
+            lent=lent,
+            wanted=request.count,
+            retries=usage.retries,
+            retries_allowed=usage.allowed,
+        )
+        if lent:
+            name = state.settings.host_name
+            loan = Loan(name, request.service, request.number, lent)
+            self._send([peer], encode_loan(loan))
+
+    def handle_loan(self, loan: Loan, *, now_s: float) -> None:
+        """Add a loan to this host's budget if it was asked for and is in time."""
+        until_s = self._borrower.accept(loan, now_s=now_s)
+        if until_s is not None:
+            budget = self._state.retry_budget(loan.service)
+            budget.borrow(loan.count, until_s=until_s)
+        self._state.journal.event(
+            "retries_borrowed",
+            service=loan.service,
+            lender=loan.lender,
+            borrowed=loan.count,
+            left_ms=None if until_s is None else int((until_s - now_s) * 1_000),
+        )
+
+    def _ask(self) -> None:
+        wanted, self._wanted = self._wanted, Counter()
+        entries = {entry.name: entry for entry in self._state.hosts.peers()}
+        now_s = time.monotonic()
+        for service, count in wanted.items():
+            asked = self._borrower.ask(service, count, list(entries), now_s=now_s)
+            for name, request in asked.items():
+                self._send([entries[name]], encode_loan_request(request))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -148,6 +148,7 @@
         self.on_peer_work: Callable[[], None] = lambda: None
         self.on_newer_version: Callable[[int], None] = lambda _version: None
         self.on_store_changes: Callable[[RelayedChanges], None] = lambda _changes: None
+        self.on_retry_wanted: Callable[[str, int], None] = lambda _service, _count: None
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
         self.on_replica_started: Callable[[Replica], None] = lambda _replica: None
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -19,6 +19,9 @@
 FIRST_PAUSE_S = 0.1
 """Pause of a begun stream that finds no engine or retry, doubled with each failure."""
 
+RETRIES_PER_RUN = 2
+"""Retries of a run whose prompt is read again, for the prompt and for the run."""
+
 MAX_REJECTED_MOVES = 3
 """Rejections after which a stream stays with its silent engine.
 
@@ -101,7 +104,10 @@
         if obstacle != self._logged_wait:
             self._logged_wait = obstacle
             self._log("stream_waits", obstacle, now_s)
-        gevent.sleep(min(FIRST_PAUSE_S * 2 ** max(0, self._failures - 1), left_s))
+        pause_s = FIRST_PAUSE_S * 2 ** max(0, self._failures - 1)
+        if self._ask_for_retries(now_s):
+            pause_s = FIRST_PAUSE_S
+        gevent.sleep(min(pause_s, left_s))
         exchange.cancel_scope.raise_if_cancelled()
         return True
 
@@ -132,9 +138,19 @@
 
     def _spend(self) -> str | None:
         """Count a retry; return why there is none."""
-        self._is_due = self._budget.try_spend(time.monotonic())
+        begun = self._exchange.response_started
+        self._is_due = self._budget.try_spend(time.monotonic(), loans=begun)
         return None if self._is_due else "retry budget is spent"
 
+    def _ask_for_retries(self, now_s: float) -> bool:
+        """Ask peers for the retries that the next run takes, if this host has none."""
+        usage = self._budget.usage(now_s)
+        if usage.retries < usage.allowed:
+            return False
+        needed = RETRIES_PER_RUN - self._is_due
+        self._state.on_retry_wanted(self._exchange.service.name, needed)
+        return True
+
     def _log(self, event: str, obstacle: str, now_s: float) -> None:
         """Log what keeps the request from its next run, and the state of the budget."""
         usage = self._budget.usage(now_s)
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_retry_loan_link.py
@@ -0,0 +1,99 @@
+"""Test that hosts lend each other retries."""
+
+import time
+import unittest
+
+import cbor2
+import gevent
+
+from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.delivery.retry_loans import Loan
+from persimmonyoke.internal.gateway.peer_messages import decode_datagram
+from persimmonyoke.internal.gateway.retry_loan_link import RetryLoanLink
+from persimmonyoke.internal.gateway.retry_loan_messages import (
+    LOAN_FORMAT,
+    LOAN_REQUEST_FORMAT,
+)
+from persimmonyoke_testing.builders_fleet import configuration, host
+from persimmonyoke_testing.builders_gateway import gateway_state
+
+SERVICE = "llm"
+
+
+class Fleet:
+    """Connect hosts over a network that may lose datagrams."""
+
+    def __init__(self, size, *, loses=False):
+        self.loses = loses
+        entries = [host(f"h{number}", port=number + 1) for number in range(size)]
+        self.states = [gateway_state(log=[], host_name=e.name) for e in entries]
+        self.links = {}
+        for state in self.states:
+            state.hosts.replace_all(entries, now_s=0.0)
+            state.apply_configuration(configuration(), "test")
+            name = state.settings.host_name
+            self.links[name] = RetryLoanLink(state, self.send)
+
+    def send(self, receivers, datagram):
+        if self.loses:
+            return
+        message = decode_datagram(datagram, now_s=0.0)
+        for entry in receivers:
+            link = self.links[entry.name]
+            if isinstance(message, Loan):
+                link.handle_loan(message, now_s=time.monotonic())
+            else:
+                link.handle_request(message, now_s=time.monotonic())
+
+    def spend_all(self, state, *, loans=False):
+        """Spend the retries of a host and return their number."""
+        budget, count = state.retry_budget(SERVICE), 0
+        while budget.try_spend(time.monotonic(), loans=loans):
+            count += 1
+        return count
+
+
+class RetryLoanLinkTest(unittest.TestCase):
+    def test_a_host_gets_the_retries_that_its_streams_want(self):
+        fleet = Fleet(6)
+        state = fleet.states[0]
+        fleet.spend_all(state)
+        for _ in range(2):
+            state.on_retry_wanted(SERVICE, 2)
+        gevent.sleep(0.01)
+        self.assertEqual(fleet.spend_all(state, loans=True), 4)
+
+    def test_a_host_that_is_asked_often_keeps_retries_of_its_own(self):
+        fleet = Fleet(2)
+        for _ in range(50):
+            fleet.states[0].on_retry_wanted(SERVICE, 16)
+            gevent.sleep(0)
+        gevent.sleep(0.01)
+        self.assertGreater(fleet.spend_all(fleet.states[1]), 0)
+
+    def test_a_host_without_contact_to_its_peers_has_its_own_share(self):
+        fleet = Fleet(6, loses=True)
+        state = fleet.states[0]
+        own = fleet.spend_all(state)
+        state.on_retry_wanted(SERVICE, 2)
+        gevent.sleep(0.01)
+        self.assertGreater(own, 0)
+        self.assertEqual(fleet.spend_all(state, loans=True), 0)
+
+    def test_no_retries_are_lent_for_services_or_to_hosts_that_are_not_known(self):
+        # Each unknown name would add a budget that is never dropped.
+        fleet = Fleet(2)
+        state = fleet.states[0]
+        state.on_retry_wanted("unknown", 1)
+        gevent.sleep(0.01)
+        self.assertEqual(fleet.spend_all(fleet.states[1]), fleet.spend_all(state))
+
+    def test_malformed_messages_raise_a_protocol_error(self):
+        for values in ([], ["h1", SERVICE, 1, 0], ["h1", 5, 1, 1], ["h1", SERVICE, 1]):
+            for number in (LOAN_REQUEST_FORMAT, LOAN_FORMAT):
+                with self.assertRaises(ProtocolError):
+                    decode_datagram(cbor2.dumps([number, *values]), now_s=0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -1,11 +1,14 @@
 """Builders of replicas, prompts and entry hosts of a fleet."""
 
 from persimmonyoke.internal.fleet.model import (
+    ClientLimits,
+    Configuration,
     EngineLimits,
     HostEntry,
     Prompt,
     PromptPart,
     Replica,
+    Service,
     Stage,
 )
 
@@ -53,6 +56,12 @@
     return Prompt(sum(part_tokens), output_tokens, parts)
 
 
+def configuration(service: str = "llm") -> Configuration:
+    """Return a configuration with one service of engines and no routes."""
+    limits = ClientLimits(4_096, 65_536, 0.4, 5.0)
+    return Configuration(1, (), {service: Service(service, ENGINE_LIMITS)}, limits)
+
+
 def host(
     name: str,
     *,
