Count the run of an engine that ended as no attempt of a begun stream

Callers lost begun streams with "route allows no more attempts" although one of the two engines that had run them was killed, and others were free.

A begun stream whose engine is known to have ended (its connection ended and a probe was refused) keeps that attempt, once: a stream that ends each engine after its first event is not withheld, and must not reach all of them. The retry is counted as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -66,7 +66,7 @@
         *,
         begun: bool,
         now_s: float,
-    ) -> None:
+    ) -> Verdict:
         """Classify a lost answer; waits for a probe of the replica if necessary.
 
         ``begun`` means that the replica had already written a part of the answer. A
@@ -105,8 +105,14 @@
         if verdict is Verdict.CRASHED:
             self._state.pool.drop_replica(replica)
             self._state.health.note_unreachable(replica.replica_id, now_s)
-        if begun:
-            return
+        if not begun:
+            self._count(exchange, loss, kind, verdict)
+        return verdict
+
+    def _count(
+        self, exchange: Exchange, loss: Loss, kind: LossKind, verdict: Verdict
+    ) -> None:
+        """Count a crash against the request, or keep its loss until it is known."""
         if verdict is Verdict.OPEN:
             if loss.alone and kind is LossKind.ENDED:
                 loss = self._keep_reservation(exchange, loss, now_s=time.monotonic())
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
@@ -2,6 +2,7 @@
 
 import time
 
+from persimmonyoke.internal.dispatch.crash_evidence import Verdict
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Stage
 from persimmonyoke.internal.gateway.connections import (
@@ -64,7 +65,7 @@
         """Record that the answer was lost."""
         now_s = time.monotonic()
         self._state.health.note_failure(self.engine.replica_id, now_s)
-        self._crashes.note_lost_answer(
+        verdict = self._crashes.note_lost_answer(
             self._exchange,
             self.engine,
             self._start,
@@ -72,7 +73,7 @@
             begun=self.begun,
             now_s=now_s,
         )
-        return RunInterrupted(str(error))
+        return RunInterrupted(str(error), engine_ended=verdict is Verdict.CRASHED)
 
     def end(self, outcome: RunOutcome | None) -> None:
         """Record the end of the run, without an outcome if the request was given up."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/run_outcomes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/run_outcomes.py
@@ -23,6 +23,8 @@
     """Report that the run was interrupted, possibly before its first event."""
 
     reason: str
+    engine_ended: bool = False
+    """Whether the engine is known to have ended, and not only the connection."""
 
 
 RunOutcome = RunCompleted | RunRejected | RunInterrupted
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -22,6 +22,9 @@
 RETRIES_PER_RUN = 2
 """Retries of a run whose prompt is read again, for the prompt and for the run."""
 
+MAX_ENDED_ENGINES = 1
+"""Engines that end under a begun stream without using up an attempt of its route."""
+
 MAX_REJECTED_MOVES = 3
 """Rejections after which a stream stays with its silent engine.
 
@@ -43,6 +46,7 @@
         """Whether the newest run is a retry that was counted."""
 
         self._rejections = 0
+        self._ended_engines = 0
         self._failures = 0
         """Runs of the begun stream that were rejected or lost."""
 
@@ -114,6 +118,8 @@
     def _obstacle_of_begun(self, outcome: RunOutcome) -> str | None:
         """Wait for a retry while the client waits; return why there is none."""
         self._failures += 1
+        if isinstance(outcome, RunInterrupted) and outcome.engine_ended:
+            self._uncount_ended_engine()
         if isinstance(outcome, RunRejected):
             self._exchange.sends -= 1
             self.note_rejected()
@@ -125,6 +131,15 @@
                 return spent
         return obstacle
 
+    def _uncount_ended_engine(self) -> None:
+        """Make the run of an engine that ended no attempt of the route.
+
+        Further ones count, as the stream itself may end the engines that run it.
+        """
+        if self._ended_engines < MAX_ENDED_ENGINES:
+            self._ended_engines += 1
+            self._exchange.sends -= 1
+
     def _obstacle(self, outcome: RunOutcome) -> str | None:
         """Return why there can be no further run."""
         exchange = self._exchange
