Keep a prompt whose runs were not sent

Callers were refused and lost begun streams beside engines that had ended: a prompt was kept after the first engine that could not be reached, and released after the second, so that it was read again with a retry of the host's budget although no engine had used it. Only a rejection may mean that the prompt can't be had any more.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
@@ -19,7 +19,7 @@
     def __init__(self, prefill: PrefillCaller) -> None:
         self._prefill = prefill
         self._prompt: PrefilledPrompt | None = None
-        self._taken: PrefilledPrompt | None = None
+        self._kept_before: PrefilledPrompt | None = None
 
     @property
     def is_held(self) -> bool:
@@ -35,23 +35,26 @@
     ) -> None:
         """Keep a prompt that no engine has used for the next run, or release it.
 
-        An engine rejects a run when it is full, but also when it can't get the prompt.
+        An engine rejects a run when it is full, but also when it can't get the prompt,
+        so that a prompt is kept after one rejection only. A run that was not sent has
+        not used it.
         """
         if outcome is None:
             self._prefill.release(prefilled)
         elif isinstance(outcome, RunRejected):
-            is_kept = keep_rejected if outcome.sent else not outcome.links_down
-            if is_kept:
+            if not outcome.sent and not outcome.links_down:
+                self._prompt = prefilled
+            elif outcome.sent and keep_rejected:
                 self.keep(prefilled)
             else:
                 self._prefill.release(prefilled)
 
     def keep(self, prefilled: PrefilledPrompt) -> None:
         """Keep a prompt, or release it if it was kept before."""
-        if prefilled is self._taken:
+        if prefilled is self._kept_before:
             self._prefill.release(prefilled)
         else:
-            self._prompt = prefilled
+            self._prompt = self._kept_before = prefilled
 
     def take(
         self, engines: Iterable[Replica], *, now_s: float
@@ -64,7 +67,7 @@
         if not reachable or now_s >= kept.done_s + MAX_HANDLE_AGE_S:
             self.release()
             return None
-        self._prompt, self._taken = None, kept
+        self._prompt = None
         return kept
 
     def release(self) -> None:
