--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -13,7 +13,7 @@
     RequestError,
 )
 from persimmonyoke.internal.dispatch.routes import choose_service
-from persimmonyoke.internal.fleet.model import RequestKind, Stage
+from persimmonyoke.internal.fleet.model import RequestKind
 from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
@@ -28,6 +28,7 @@
 )
 from persimmonyoke.internal.gateway.memory_log import note_no_room
 from persimmonyoke.internal.gateway.plain_relay import PlainRelay
+from persimmonyoke.internal.gateway.request_log import RequestLog, request_id
 from persimmonyoke.internal.gateway.requests import (
     RETRY_AFTER_NO_ROOM_S,
     ClientRequest,
@@ -39,7 +40,6 @@
 
 BACKLOG = 1_024
 RETRY_AFTER_NOT_READY_S = 0.5
-REASON_LABEL_CHARS = 60
 
 
 class FrontServer:
@@ -55,6 +55,7 @@
         self._requests_in_progress = 0
         self._exchanges: dict[int, Exchange] = {}
         self._stop: HostStop | None = None
+        self._log = RequestLog(state)
         self._server: StreamServer | None = None
 
     @property
@@ -177,7 +178,7 @@
         try:
             exchange = self._admit(connection, request, started_s)
         except RequestError as error:
-            self._log_refusal(request, error)
+            self._log.rejected(request, error, self._stop)
             connection.send_response(_error_head(error, closing), _error_body(error))
             return not closing
         except Exception as error:
@@ -233,7 +234,7 @@
             exchange.closing = True
             return self._answer_error(exchange, exchange.failed("internal error"))
         finally:
-            self._log(exchange, outcome, reason)
+            self._log.ended(exchange, outcome, reason, self._stop)
 
     @staticmethod
     def _answer_error(exchange: Exchange, error: RequestError) -> bool:
@@ -256,16 +257,14 @@
 
         No replica has been chosen for it, so it never runs.
         """
-        self._state.journal.unexpected(
-            "request_failed", request_id=_request_id(request)
-        )
+        self._state.journal.unexpected("request_failed", request_id=request_id(request))
         error = RequestError(
             ErrorKind.NOT_READY,
             "request could not be admitted",
             retry_after_s=RETRY_AFTER_NOT_READY_S,
         )
         reason = f"{type(cause).__name__}: {cause}"
-        self._log_unadmitted(request, "failed", error.answer.status, reason)
+        self._log.unadmitted(request, "failed", error.answer.status, reason, self._stop)
         connection.send_response(_error_head(error, closing=True), _error_body(error))
 
     def _admit(
@@ -280,9 +279,7 @@
             )
         assert state.routes is not None
         if state.memory.nearly_full:
-            note_no_room(
-                self._state, "request", _request_id(request), len(request.body)
-            )
+            note_no_room(self._state, "request", request_id(request), len(request.body))
             raise RequestError(
                 ErrorKind.NOT_READY,
                 "host holds too much for other clients",
@@ -326,97 +323,6 @@
             exchange.may_begin = partial(self._stop.may_begin, exchange)
         return exchange
 
-    def _log_refusal(self, request: ClientRequest, error: RequestError) -> None:
-        self._log_unadmitted(request, "rejected", error.answer.status, error.message)
-
-    def _log_unadmitted(
-        self, request: ClientRequest, outcome: str, status: int, reason: str
-    ) -> None:
-        state = self._state
-        state.journal.event(
-            "request",
-            request_id=_request_id(request),
-            path=request.path,
-            outcome=outcome,
-            status=status,
-            reason=reason,
-            configuration=state.version,
-            **self._stop_fields(),
-        )
-        state.metrics.requests.add(kind="none", outcome=outcome)
-        state.metrics.refusals.add(reason=reason[:REASON_LABEL_CHARS])
-
-    def _log(self, exchange: Exchange, outcome: str, reason: str) -> None:
-        state, now_s = self._state, time.monotonic()
-        kind = exchange.route.kind.value
-        first_ms = None
-        if exchange.first_event_s is not None:
-            first_ms = int((exchange.first_event_s - exchange.started_s) * 1_000)
-            state.metrics.first_event.observe(first_ms / 1_000, kind=kind)
-        state.journal.event(
-            "request",
-            request_id=exchange.metadata.request_id,
-            outcome=outcome,
-            status=exchange.status,
-            reason=reason,
-            route=exchange.route.name,
-            kind=kind,
-            ms=int((now_s - exchange.started_s) * 1_000),
-            first_ms=first_ms,
-            events=exchange.events,
-            estimate_ms=_ms(exchange.estimate_s),
-            deadline_ms=_ms(exchange.deadline_s - exchange.started_s),
-            attempts=[str(attempt) for attempt in exchange.attempts],
-            writers=exchange.writers,
-            tunnels=exchange.tunnels,
-            resumes=exchange.metadata.resumed_id,
-            last_event_id=exchange.metadata.last_event_id,
-            configuration=exchange.configuration.version,
-            store_age_ms=_ms(state.contact.silent_s(now_s)),
-            **self._stop_fields(),
-            **self._load_fields(exchange, outcome),
-        )
-        state.metrics.requests.add(kind=kind, outcome=outcome)
-        state.metrics.duration.observe(now_s - exchange.started_s, kind=kind)
-        if outcome in ("refused", "failed"):
-            state.metrics.refusals.add(reason=reason[:REASON_LABEL_CHARS])
-        if exchange.sends > 1:
-            state.metrics.repeats.add(exchange.sends - 1)
-
-    def _stop_fields(self) -> dict[str, int | None]:
-        """Return the times of the stop of this host, if it was told to stop."""
-        if self._stop is None:
-            return {}
-        return {
-            "stopping_ms": _ms(self._stop.elapsed_s),
-            "stop_left_ms": _ms(self._stop.left_s),
-        }
-
-    def _load_fields(self, exchange: Exchange, outcome: str) -> dict[str, int]:
-        """Return the load at the time of a refusal or failure."""
-        if outcome == "delivered":
-            return {}
-        state, now_s = self._state, time.monotonic()
-        replicas = state.replicas.usable(exchange.service.name, now_s=now_s)
-        return {
-            "replicas": len(replicas),
-            "paused": sum(state.health.paused(r.replica_id, now_s) for r in replicas),
-            "decoders": sum(r.stage is Stage.DECODE for r in replicas),
-            "queued_ms": int(state.queued_s() * 1_000),
-            "peers_queued_ms": int(state.ledger.peers_queued_s(now_s=now_s) * 1_000),
-            "backlog_ms": int(
-                state.placement.mean_backlog_s(replicas, now_s=now_s) * 1_000
-            ),
-        }
-
-
-def _request_id(request: ClientRequest) -> str:
-    return (request.header(b"request-id") or b"").decode("latin-1")
-
-
-def _ms(seconds: float | None) -> int | None:
-    return None if seconds is None else int(seconds * 1_000)
-
 
 def _error_head(error: RequestError, closing: bool) -> OutgoingHead:
     status = error.answer.status
