Give back the retry that was counted, not the newest one

A begun stream that used a borrowed retry and then waited for an engine until the loan had ended gave back a retry of this host's own share, which another stream had sent. A retry given back late likewise freed a newer one. The host could then send one retry more for each of these, beyond the budget of all hosts.

Each spent retry is now returned as a receipt, and streams and prefills give back the one they hold: a borrowed one only until its loan ends, an own one in its bucket only.

Before the fix test_a_borrowed_retry_that_is_given_back_late_frees_no_retry_that_was_sent fails with 0 for 1 counted retry. test_a_retry_that_is_given_back_late_frees_no_newer_one fails if the newest bucket is uncounted as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -23,6 +23,15 @@
     loans."""
 
 
+@dataclass(frozen=True)
+class SpentRetry:
+    """Tell which retry was counted, so that this one can be given back."""
+
+    counted_s: float
+    lent_until_s: float | None = None
+    """End of the loan that it belongs to, if another host has lent it."""
+
+
 @dataclass(frozen=True)
 class _Retries:
     """Hold retries that are lent or borrowed until a time."""
@@ -64,8 +73,6 @@
         self._retries = 0
         self._lent: list[_Retries] = []
         self._borrowed: list[_Retries] = []
-        self._spent_loans: list[_Retries] = []
-        """Borrowed retries that were spent and may be given back, newest last."""
 
         # Totals since the start.
         self.first_attempts_total = 0
@@ -79,19 +86,26 @@
         self.first_attempts_total += 1
 
     def try_spend(self, now_s: float, *, loans: bool = False) -> bool:
-        """Count a retry and return whether it is allowed.
+        """Count a retry and return whether it is allowed."""
+        return self.spend(now_s, loans=loans) is not None
+
+    def spend(self, now_s: float, *, loans: bool = False) -> SpentRetry | None:
+        """Count a retry and return it, or ``None`` if it is not allowed.
 
         With ``loans`` one that another host has lent may be used.
         """
         bucket = self._current_bucket(now_s)
+        lent_until_s = None
         if self._retries < self._own_allowed(now_s):
             bucket[2] += 1
             self._retries += 1
-        elif not loans or not self._spend_loan():
+        elif loans and self._borrowed:
+            lent_until_s = self._spend_loan()
+        else:
             self.refused += 1
-            return False
+            return None
         self.retries_total += 1
-        return True
+        return SpentRetry(now_s, lent_until_s)
 
     def lend(self, count: int, *, now_s: float, ttl_s: float) -> int:
         """Lend up to ``count`` retries, at most half of what is left; return how many.
@@ -125,30 +139,30 @@
         share = int(self.share * self._first_attempts + self.slack)
         return max(self._floor, share) - lent
 
-    def _spend_loan(self) -> bool:
-        """Spend a retry that its lender counts; return whether there is one."""
-        if not self._borrowed:
-            return False
+    def _spend_loan(self) -> float:
+        """Spend a retry that its lender counts; return when the loan ends."""
         loan = self._borrowed.pop(0)
         if loan.count > 1:
             self._borrowed.insert(0, _Retries(loan.count - 1, loan.until_s))
-        self._spent_loans.append(_Retries(1, loan.until_s))
-        return True
+        return loan.until_s
 
     def _drop_expired(self, now_s: float) -> None:
         """Drop what was lent and borrowed until now or earlier."""
         self._lent = _in_force(self._lent, now_s)
         self._borrowed = _in_force(self._borrowed, now_s)
-        self._spent_loans = _in_force(self._spent_loans, now_s)
 
-    def give_back(self) -> None:
-        """Uncount a retry that was not sent, a borrowed one first."""
-        if self._spent_loans:
+    def give_back(self, retry: SpentRetry | None = None) -> None:
+        """Uncount a retry that was not sent, the newest of this share by default.
+
+        One that was counted a window ago is in no count any more, and a borrowed one
+        is of use until its loan ends.
+        """
+        if retry is not None and retry.lent_until_s is not None:
             self.retries_total -= 1
-            self._borrowed.append(self._spent_loans.pop())
+            self._borrowed.append(_Retries(1, retry.lent_until_s))
             return
         for bucket in reversed(self._buckets):
-            if bucket[2]:
+            if bucket[2] and (retry is None or bucket[0] == self._index(retry)):
                 bucket[2] -= 1
                 self._retries -= 1
                 self.retries_total -= 1
@@ -163,6 +177,10 @@
                 return max(self._bucket_s, end_s - now_s)
         return self._bucket_s
 
+    def _index(self, retry: SpentRetry) -> int:
+        """Return the index of the bucket that counts a retry."""
+        return int(retry.counted_s / self._bucket_s)
+
     def _current_bucket(self, now_s: float) -> list[int]:
         index = int(now_s / self._bucket_s)
         while self._buckets and self._buckets[0][0] <= index - BUCKETS:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_retry_loans.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_retry_loans.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.now_s = 100.0
         self.sent_s = []
+        self.newest = None
         self.budgets = [
             RetryBudget(share=0.0, window_s=WINDOW_S, floor=0, slack=SLACK)
             for _ in range(HOSTS)
@@ -68,8 +69,9 @@
         budget = self.budgets[step.host]
         match step.action:
             case "spend all":
-                while budget.try_spend(self.now_s, loans=True):
+                while retry := budget.spend(self.now_s, loans=True):
                     self.sent_s.append((self.now_s, step.host))
+                    self.newest = retry
             case "give back":
                 self.give_back(step.host)
             case action:
@@ -82,7 +84,7 @@
         """Give back the newest retry of a host if it was counted just now."""
         if self.sent_s and self.sent_s[-1] == (self.now_s, host):
             self.sent_s.pop()
-            self.budgets[host].give_back()
+            self.budgets[host].give_back(self.newest)
 
     def most_in_a_window(self):
         """Return the most retries that were sent in any window."""
@@ -123,6 +125,28 @@
         self.assertTrue(budget.try_spend(1.0, loans=True))
         self.assertFalse(budget.try_spend(1.6, loans=True))
 
+    def test_a_borrowed_retry_that_is_given_back_late_frees_no_retry_that_was_sent(
+        self,
+    ):
+        # A stream that waited for an engine until its loan had ended freed a retry of
+        # another stream, so that the host sent more than its share.
+        budget = RetryBudget(share=0.0, window_s=WINDOW_S, floor=0, slack=1.0)
+        self.assertTrue(budget.try_spend(5.0))
+        budget.borrow(1, until_s=5.5)
+        borrowed = budget.spend(5.0, loans=True)
+        self.assertEqual(budget.usage(6.0).retries, 1)
+        budget.give_back(borrowed)
+        self.assertEqual(budget.usage(6.0).retries, 1)
+        self.assertFalse(budget.try_spend(6.0, loans=True))
+
+    def test_a_retry_that_is_given_back_late_frees_no_newer_one(self):
+        # The newer one, which was sent, was counted for less than a window.
+        budget = RetryBudget(share=0.0, window_s=WINDOW_S, floor=0, slack=2.0)
+        unsent = budget.spend(1.0)
+        self.assertTrue(budget.try_spend(9.0))
+        budget.give_back(unsent)
+        self.assertEqual(budget.usage(12.0).retries, 1)
+
 
 class RetryBorrowerTest(unittest.TestCase):
     def setUp(self):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
@@ -2,7 +2,7 @@
 
 import time
 
-from persimmonyoke.internal.delivery.retry_budget import RetryBudget
+from persimmonyoke.internal.delivery.retry_budget import RetryBudget, SpentRetry
 from persimmonyoke.internal.gateway.exchange import StreamBroken
 
 MAX_PREFILL_ATTEMPTS = 3
@@ -14,7 +14,8 @@
     def __init__(self, budget: RetryBudget) -> None:
         self._budget = budget
         self._attempts = 0
-        self._held = False
+        self._held: SpentRetry | None = None
+        self._taken: SpentRetry | None = None
 
     @property
     def is_first(self) -> bool:
@@ -34,24 +35,25 @@
         """Hold a retry; raise ``StreamBroken`` if there may be none."""
         if self.exhausted:
             raise StreamBroken("prompt was read too often")
-        if not self._budget.try_spend(time.monotonic()):
+        self._held = self._budget.spend(time.monotonic())
+        if self._held is None:
             raise StreamBroken("retry budget is spent")
-        self._held = True
 
     def take(self, *, begun: bool) -> bool:
         """Use the retry that is held, or count one; return whether there is one.
 
         A stream that has begun may use one that another host has lent.
         """
-        held, self._held = self._held, False
-        return held or self._budget.try_spend(time.monotonic(), loans=begun)
+        held, self._held = self._held, None
+        self._taken = held or self._budget.spend(time.monotonic(), loans=begun)
+        return self._taken is not None
 
     def give_back(self) -> None:
         """Uncount a retry that was taken and not sent."""
-        self._budget.give_back()
+        self._budget.give_back(self._taken)
 
     def end_hold(self) -> None:
         """Uncount the retry that is held, if there is one."""
-        held, self._held = self._held, False
-        if held:
-            self._budget.give_back()
+        held, self._held = self._held, None
+        if held is not None:
+            self._budget.give_back(held)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from persimmonyoke.internal.delivery.retry_budget import SpentRetry
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.run_outcomes import (
@@ -42,6 +43,9 @@
         self._is_due = False
         """Whether a retry was counted that has not been sent yet."""
 
+        self._retry: SpentRetry | None = None
+        """The retry that was counted last."""
+
         self._was_due = False
         """Whether the newest run is a retry that was counted."""
 
@@ -73,7 +77,7 @@
         """Uncount a retry that is due and not made."""
         if self._is_due:
             self._is_due = False
-            self._budget.give_back()
+            self._budget.give_back(self._retry)
 
     def count_after(self, outcome: RunOutcome) -> bool:
         """Count a retry; return whether another run follows.
@@ -154,7 +158,8 @@
     def _spend(self) -> str | None:
         """Count a retry; return why there is none."""
         begun = self._exchange.response_started
-        self._is_due = self._budget.try_spend(time.monotonic(), loans=begun)
+        self._retry = self._budget.spend(time.monotonic(), loans=begun)
+        self._is_due = self._retry is not None
         return None if self._is_due else "retry budget is spent"
 
     def _ask_for_retries(self, now_s: float) -> bool:
