Keep a prompt while its begun stream waits for an engine

A begun stream whose engine was lost looks for the next one every 0.1 s. The prompt that no engine had used was kept at the first look that found none and released at the second, so that it was read again with a further retry although its handle was valid for 4.5 s. A rejection after one such look released it as well.

Only a rejection may mean that engines can't get the prompt, so only rejections are counted; its age limits how long it is kept.

Before the fix both new tests of test_kept_prompt fail (the prompt is released at the second attempt).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/kept_prompt.py
@@ -19,7 +19,7 @@
     def __init__(self, prefill: PrefillCaller) -> None:
         self._prefill = prefill
         self._prompt: PrefilledPrompt | None = None
-        self._kept_before: PrefilledPrompt | None = None
+        self._rejected: PrefilledPrompt | None = None
 
     @property
     def is_held(self) -> bool:
@@ -43,18 +43,16 @@
             self._prefill.release(prefilled)
         elif isinstance(outcome, RunRejected):
             if not outcome.sent and not outcome.links_down:
-                self._prompt = prefilled
-            elif outcome.sent and keep_rejected:
+                self.keep(prefilled)
+            elif outcome.sent and keep_rejected and prefilled is not self._rejected:
+                self._rejected = prefilled
                 self.keep(prefilled)
             else:
                 self._prefill.release(prefilled)
 
     def keep(self, prefilled: PrefilledPrompt) -> None:
-        """Keep a prompt, or release it if it was kept before."""
-        if prefilled is self._kept_before:
-            self._prefill.release(prefilled)
-        else:
-            self._prompt = self._kept_before = prefilled
+        """Keep a prompt that was sent to no engine since it was taken."""
+        self._prompt = prefilled
 
     def take(
         self, engines: Iterable[Replica], *, now_s: float
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_kept_prompt.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_kept_prompt.py
@@ -43,6 +43,21 @@
             [True, True, False],
         )
 
+    def test_a_prompt_outlasts_several_waits_for_an_engine(self):
+        # A stream that waited for an engine had its prompt read again, with a retry,
+        # after two attempts 0.1 s apart.
+        for _ in range(4):
+            self.kept.keep(self.prompt)
+            taken = self.kept.take([self.prompt.engine], now_s=DONE_S)
+            self.assertIs(taken, self.prompt)
+        self.prefill.release.assert_not_called()
+
+    def test_a_wait_for_an_engine_does_not_use_up_the_rejection_of_a_prompt(self):
+        self.assertTrue(self.end_run(REJECTED))
+        self.kept.keep(self.prompt)
+        self.assertIsNotNone(self.kept.take([self.prompt.engine], now_s=DONE_S))
+        self.assertFalse(self.end_run(REJECTED))
+
     def test_a_prompt_of_a_request_without_an_answer_is_released_by_a_rejection(self):
         self.assertFalse(self.end_run(REJECTED, begun=False))
 
