Borrow retries only for streams that wait for one

A begun stream that waited for an engine, with its retry counted already, asked peers for retries whenever its host had none left. Each loan ended unspent after 0.5 s, and its lender counted it for 13 s: a few such streams beside engines that are gone or full take the retries of all hosts, which are then missing once engines take streams again.

A stream now asks only if the budget is what keeps it from its next run.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_budget.py
@@ -11,6 +11,9 @@
 DEFAULT_FLOOR = 10
 BUCKETS = 30
 
+BUDGET_SPENT = "retry budget is spent"
+"""Reason why a request is not sent again."""
+
 
 @dataclass(frozen=True)
 class RetryUsage:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -8,6 +8,7 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.delivery.retry_budget import BUDGET_SPENT
 from persimmonyoke.internal.dispatch.loads import PrefillJob
 from persimmonyoke.internal.dispatch.outlook import ANNOUNCEMENT_WAIT_S
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
@@ -349,7 +350,7 @@
         begun = exchange.response_started
         if is_retry and not self._prefills.take(begun=begun):
             self._state.ledger.end_prefill(admitted.job)
-            self.refuse("retry budget is spent", RETRY_AFTER_REJECTED_S)
+            self.refuse(BUDGET_SPENT, RETRY_AFTER_REJECTED_S)
         try:
             # Copies of this request may have crashed engines while it was waiting.
             self._guard.status(exchange)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
@@ -2,7 +2,11 @@
 
 import time
 
-from persimmonyoke.internal.delivery.retry_budget import RetryBudget, SpentRetry
+from persimmonyoke.internal.delivery.retry_budget import (
+    BUDGET_SPENT,
+    RetryBudget,
+    SpentRetry,
+)
 from persimmonyoke.internal.gateway.exchange import StreamBroken
 
 MAX_PREFILL_ATTEMPTS = 3
@@ -37,7 +41,7 @@
             raise StreamBroken("prompt was read too often")
         self._held = self._budget.spend(time.monotonic())
         if self._held is None:
-            raise StreamBroken("retry budget is spent")
+            raise StreamBroken(BUDGET_SPENT)
 
     def take(self, *, begun: bool) -> bool:
         """Use the retry that is held, or count one; return whether there is one.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from persimmonyoke.internal.delivery.retry_budget import SpentRetry
+from persimmonyoke.internal.delivery.retry_budget import BUDGET_SPENT, SpentRetry
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.run_outcomes import (
@@ -113,7 +113,7 @@
             self._logged_wait = obstacle
             self._log("stream_waits", obstacle, now_s)
         pause_s = FIRST_PAUSE_S * 2 ** max(0, self._failures - 1)
-        if self._ask_for_retries(now_s):
+        if obstacle == BUDGET_SPENT and self._ask_for_retries(now_s):
             pause_s = FIRST_PAUSE_S
         gevent.sleep(min(pause_s, left_s))
         exchange.cancel_scope.raise_if_cancelled()
@@ -160,7 +160,7 @@
         begun = self._exchange.response_started
         self._retry = self._budget.spend(time.monotonic(), loans=begun)
         self._is_due = self._retry is not None
-        return None if self._is_due else "retry budget is spent"
+        return None if self._is_due else BUDGET_SPENT
 
     def _ask_for_retries(self, now_s: float) -> bool:
         """Ask peers for the retries that the next run takes, if this host has none."""
