Count lent retries until a waiting stream may have sent them

A stream that has counted its retry sends it when an engine takes it, up to the time that its client waits for the next event: four times the target of its route, 4.8 s on a site of ours. Lenders had such a retry back 10 s after the first 2 s of this wait, so that both hosts could send it in one window.

A lender now counts a loan for the longest wait of the routes, at least 2 s as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
@@ -13,8 +13,8 @@
 LOAN_TTL_S = 0.5
 """Time from the request of a loan in which it is spent; the rest of it is lost."""
 
-SEND_DELAY_S = 2.0
-"""Time that a retry which is counted may wait for its prompt and engine."""
+MIN_SEND_DELAY_S = 2.0
+"""Time that a retry which is counted may wait for its prompt and engine, at least."""
 
 ASKED_PEERS = 2
 """Peers that are asked at once; others are chosen for the next request."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
@@ -9,12 +9,12 @@
 from persimmonyoke.internal.delivery.retry_loans import (
     LOAN_TTL_S,
     MAX_LOAN,
-    SEND_DELAY_S,
+    MIN_SEND_DELAY_S,
     Loan,
     LoanRequest,
     RetryBorrower,
 )
-from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.model import HostEntry, RequestKind, Route
 from persimmonyoke.internal.gateway.retry_loan_messages import (
     encode_loan,
     encode_loan_request,
@@ -54,7 +54,8 @@
             return
         budget = state.retry_budget(request.service)
         count = min(request.count, MAX_LOAN)
-        lent = budget.lend(count, now_s=now_s, ttl_s=LOAN_TTL_S + SEND_DELAY_S)
+        ttl_s = LOAN_TTL_S + _longest_wait_s(configuration.routes)
+        lent = budget.lend(count, now_s=now_s, ttl_s=ttl_s)
         usage = budget.usage(now_s)
         state.journal.event(
             "retries_lent",
@@ -94,3 +95,9 @@
             asked = self._borrower.ask(service, count, list(entries), now_s=now_s)
             for name, request in asked.items():
                 self._send([entries[name]], encode_loan_request(request))
+
+
+def _longest_wait_s(routes: Sequence[Route]) -> float:
+    """Return how long a begun stream may wait for an engine with a retry counted."""
+    waits_s = [r.caller_timeout_s for r in routes if r.kind is RequestKind.STREAMING]
+    return max([MIN_SEND_DELAY_S, *waits_s])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_retry_loan_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_retry_loan_link.py
@@ -2,12 +2,18 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 import cbor2
 import gevent
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.delivery.retry_loans import ASKED_PEERS, Loan, LoanRequest
+from persimmonyoke.internal.delivery.retry_loans import (
+    ASKED_PEERS,
+    LOAN_TTL_S,
+    Loan,
+    LoanRequest,
+)
 from persimmonyoke.internal.gateway.peer_messages import decode_datagram
 from persimmonyoke.internal.gateway.retry_loan_link import (
     MIN_ASK_INTERVAL_S,
@@ -17,7 +23,7 @@
     LOAN_FORMAT,
     LOAN_REQUEST_FORMAT,
 )
-from persimmonyoke_testing.builders_fleet import configuration, host
+from persimmonyoke_testing.builders_fleet import configuration, host, stream_route
 from persimmonyoke_testing.builders_gateway import gateway_state
 
 SERVICE = "llm"
@@ -86,6 +92,23 @@
         gevent.sleep(0.1)
         self.assertLessEqual(fleet.sent, 2 * ASKED_PEERS * 0.3 / MIN_ASK_INTERVAL_S)
 
+    def test_a_loan_is_counted_until_a_waiting_stream_may_have_sent_it(self):
+        # A retry is sent up to 4.8 s after it was counted, once an engine takes the
+        # stream; its lender expected it within 2 s.
+        fleet = Fleet(2)
+        lender = fleet.states[1]
+        route = stream_route(SERVICE, target_latency_s=1.2)
+        newer = replace(configuration(SERVICE, [route]), version=2)
+        lender.apply_configuration(newer, "test")
+        now_s = time.monotonic()
+        budget = lender.retry_budget(SERVICE)
+        allowed = budget.usage(now_s).allowed
+        request = LoanRequest("h0", SERVICE, 1, 1)
+        fleet.links["h1"].handle_request(request, now_s=now_s)
+        latest_s = now_s + LOAN_TTL_S + route.caller_timeout_s
+        window_s = lender.settings.retry_window_s
+        self.assertEqual(budget.usage(latest_s + window_s).allowed, allowed - 1)
+
     def test_a_host_without_contact_to_its_peers_has_its_own_share(self):
         fleet = Fleet(6, loses=True)
         state = fleet.states[0]
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -1,5 +1,7 @@
 """Builders of replicas, prompts and entry hosts of a fleet."""
 
+from collections.abc import Sequence
+
 from persimmonyoke.internal.fleet.model import (
     ClientLimits,
     Configuration,
@@ -8,8 +10,11 @@
     Prompt,
     PromptPart,
     Replica,
+    RequestKind,
+    Route,
     Service,
     Stage,
+    WeightedService,
 )
 
 ENGINE_LIMITS = EngineLimits(
@@ -56,10 +61,28 @@
     return Prompt(sum(part_tokens), output_tokens, parts)
 
 
-def configuration(service: str = "llm") -> Configuration:
-    """Return a configuration with one service of engines and no routes."""
+def configuration(service: str = "llm", routes: Sequence[Route] = ()) -> Configuration:
+    """Return a configuration with one service of engines and some routes."""
     limits = ClientLimits(4_096, 65_536, 0.4, 5.0)
-    return Configuration(1, (), {service: Service(service, ENGINE_LIMITS)}, limits)
+    services = {service: Service(service, ENGINE_LIMITS)}
+    return Configuration(1, tuple(routes), services, limits)
+
+
+def stream_route(service: str = "llm", *, target_latency_s: float = 1.0) -> Route:
+    """Return a route of streams that may be resumed."""
+    return Route(
+        name="chat",
+        host="a.example",
+        path_prefix="/chat",
+        kind=RequestKind.STREAMING,
+        timeout_s=8.0,
+        target_latency_s=target_latency_s,
+        gap_target_s=0.2,
+        services=(WeightedService(service, 1.0),),
+        max_attempts=2,
+        resumable=True,
+        has_prompt=True,
+    )
 
 
 def host(
