Ask peers for no more retries than a stream needs

A stream that needed one retry asked two peers for one each. Both lent it, the second one ended unspent, and its lender counted it like one that was sent, so that hosts ran out of retries while few had been made.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
@@ -66,11 +66,11 @@
     ) -> dict[str, LoanRequest]:
         """Return the requests for some retries by the peer that gets each."""
         self._drop_expired(now_s)
-        asked = self._rng.sample(list(peers), min(ASKED_PEERS, len(peers)))
+        asked = min(ASKED_PEERS, count, len(peers))
         requests = {}
-        for peer in asked:
+        for index, peer in enumerate(self._rng.sample(list(peers), asked)):
             number = next(self._numbers)
-            share = -(-count // len(asked))
+            share = (count + asked - 1 - index) // asked
             requests[peer] = LoanRequest(self._host_name, service, number, share)
             self._open[number] = _OpenRequest(peer, service, now_s)
         return requests
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_retry_loans.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_retry_loans.py
@@ -163,6 +163,13 @@
         self.assertEqual(len(self.asked), 2)
         self.assertEqual(self.request, LoanRequest("h0", "llm", self.request.number, 2))
 
+    def test_peers_are_asked_for_no_more_than_is_needed(self):
+        # A stream that needed one retry got one of each of two peers; the second one
+        # ended unspent, and its lender counted it as sent.
+        for count in range(1, 6):
+            asked = self.borrower.ask("llm", count, ["h1", "h2", "h3"], now_s=10.0)
+            self.assertEqual(sum(r.count for r in asked.values()), count)
+
     def test_a_loan_is_accepted_once(self):
         # A datagram may arrive twice.
         until_s = self.borrower.accept(self.loan(), now_s=10.1)
