--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/retry_loans.py
@@ -13,8 +13,8 @@
 LOAN_TTL_S = 0.5
 """Time from the request of a loan in which it is spent; the rest of it is lost."""
 
-SEND_DELAY_S = 2.0
-"""Time that a retry which is counted may wait for its prompt and engine."""
+MIN_SEND_DELAY_S = 2.0
+"""Time that a retry which is counted may wait for its prompt and engine, at least."""
 
 ASKED_PEERS = 2
 """Peers that are asked at once; others are chosen for the next request."""
@@ -66,11 +66,11 @@
     ) -> dict[str, LoanRequest]:
         """Return the requests for some retries by the peer that gets each."""
         self._drop_expired(now_s)
-        asked = self._rng.sample(list(peers), min(ASKED_PEERS, len(peers)))
+        asked = min(ASKED_PEERS, count, len(peers))
         requests = {}
-        for peer in asked:
+        for index, peer in enumerate(self._rng.sample(list(peers), asked)):
             number = next(self._numbers)
-            share = -(-count // len(asked))
+            share = (count + asked - 1 - index) // asked
             requests[peer] = LoanRequest(self._host_name, service, number, share)
             self._open[number] = _OpenRequest(peer, service, now_s)
         return requests
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
@@ -9,18 +9,21 @@
 from persimmonyoke.internal.delivery.retry_loans import (
     LOAN_TTL_S,
     MAX_LOAN,
-    SEND_DELAY_S,
+    MIN_SEND_DELAY_S,
     Loan,
     LoanRequest,
     RetryBorrower,
 )
-from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.model import HostEntry, RequestKind, Route
 from persimmonyoke.internal.gateway.retry_loan_messages import (
     encode_loan,
     encode_loan_request,
 )
 from persimmonyoke.internal.gateway.state import GatewayState
 
+MIN_ASK_INTERVAL_S = 0.05
+"""Least time between requests of this host, however many streams wait for a retry."""
+
 Send = Callable[[Sequence[HostEntry], bytes], None]
 
 
@@ -32,10 +35,11 @@
         self._send = send
         self._borrower = RetryBorrower(state.settings.host_name, state.rng)
         self._wanted: Counter[str] = Counter()
+        self._next_ask_s = 0.0
         state.on_retry_wanted = self.want
 
     def want(self, service: str, count: int) -> None:
-        """Ask for retries, together with those that are wanted at the same time."""
+        """Ask for retries, together with those wanted until the next request."""
         if not self._wanted:
             gevent.spawn(self._ask)
         self._wanted[service] += count
@@ -50,7 +54,8 @@
             return
         budget = state.retry_budget(request.service)
         count = min(request.count, MAX_LOAN)
-        lent = budget.lend(count, now_s=now_s, ttl_s=LOAN_TTL_S + SEND_DELAY_S)
+        ttl_s = LOAN_TTL_S + _longest_wait_s(configuration.routes)
+        lent = budget.lend(count, now_s=now_s, ttl_s=ttl_s)
         usage = budget.usage(now_s)
         state.journal.event(
             "retries_lent",
@@ -81,10 +86,18 @@
         )
 
     def _ask(self) -> None:
+        gevent.sleep(max(0.0, self._next_ask_s - time.monotonic()))
         wanted, self._wanted = self._wanted, Counter()
         entries = {entry.name: entry for entry in self._state.hosts.peers()}
         now_s = time.monotonic()
+        self._next_ask_s = now_s + MIN_ASK_INTERVAL_S
         for service, count in wanted.items():
             asked = self._borrower.ask(service, count, list(entries), now_s=now_s)
             for name, request in asked.items():
                 self._send([entries[name]], encode_loan_request(request))
+
+
+def _longest_wait_s(routes: Sequence[Route]) -> float:
+    """Return how long a begun stream may wait for an engine with a retry counted."""
+    waits_s = [r.caller_timeout_s for r in routes if r.kind is RequestKind.STREAMING]
+    return max([MIN_SEND_DELAY_S, *waits_s])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from persimmonyoke.internal.delivery.retry_budget import BUDGET_SPENT, SpentRetry
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.run_outcomes import (
@@ -42,6 +43,9 @@
         self._is_due = False
         """Whether a retry was counted that has not been sent yet."""
 
+        self._retry: SpentRetry | None = None
+        """The retry that was counted last."""
+
         self._was_due = False
         """Whether the newest run is a retry that was counted."""
 
@@ -73,7 +77,7 @@
         """Uncount a retry that is due and not made."""
         if self._is_due:
             self._is_due = False
-            self._budget.give_back()
+            self._budget.give_back(self._retry)
 
     def count_after(self, outcome: RunOutcome) -> bool:
         """Count a retry; return whether another run follows.
@@ -109,7 +113,7 @@
             self._logged_wait = obstacle
             self._log("stream_waits", obstacle, now_s)
         pause_s = FIRST_PAUSE_S * 2 ** max(0, self._failures - 1)
-        if self._ask_for_retries(now_s):
+        if obstacle == BUDGET_SPENT and self._ask_for_retries(now_s):
             pause_s = FIRST_PAUSE_S
         gevent.sleep(min(pause_s, left_s))
         exchange.cancel_scope.raise_if_cancelled()
@@ -154,8 +158,9 @@
     def _spend(self) -> str | None:
         """Count a retry; return why there is none."""
         begun = self._exchange.response_started
-        self._is_due = self._budget.try_spend(time.monotonic(), loans=begun)
-        return None if self._is_due else "retry budget is spent"
+        self._retry = self._budget.spend(time.monotonic(), loans=begun)
+        self._is_due = self._retry is not None
+        return None if self._is_due else BUDGET_SPENT
 
     def _ask_for_retries(self, now_s: float) -> bool:
         """Ask peers for the retries that the next run takes, if this host has none."""
