Check a suspect's status again after its engine is reserved

A host that knows of one crash of a request reserves an engine for it and waits 0.15 s for conflicting reservations. A quarantine that a peer announced in this time was not looked at, so the request ran and crashed a third engine of the fleet, where two are allowed. The caller saw 422 all the same.

Placement now reads the status once more before it returns the reserved engine, as the gateway's guard does already. The new test fails on the old code (one crash, wanted none) and passes with the change; persimmonyoke.internal.delivery: 88 of 88 passed.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -74,10 +74,10 @@
             if isinstance(choice, EnginesDown) and polls_left:
                 polls_left -= 1
                 gevent.sleep(ENGINES_DOWN_POLL_S)
-            elif choice is not None:
-                return choice
-            else:
+            elif choice is None:
                 self._wait_for_change()
+            else:
+                return self._refuse_quarantined(choice) if must_isolate else choice
 
     def status(self) -> SuspectStatus:
         """Return whether the request is clear, a suspect or quarantined.
@@ -145,6 +145,16 @@
             return choice
         return self._isolate(choice)
 
+    def _refuse_quarantined(
+        self, choice: RouteChoice | NoRoute
+    ) -> RouteChoice | NoRoute | Quarantined:
+        """Return the choice unless the suspect was quarantined meanwhile.
+
+        The notice of a peer can arrive while the reservation of an engine settles.
+        """
+        status = self.status()
+        return status if isinstance(status, Quarantined) else choice
+
     def _readmit_restarted(self) -> None:
         """Readmit engines that restarted; their new process can't run this request."""
         for name in list(self._excluded):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -12,7 +12,10 @@
     QuarantineRule,
     Suspect,
 )
-from persimmonyoke.internal.delivery.suspects import SuspectRegister
+from persimmonyoke.internal.delivery.suspects import (
+    ISOLATION_SETTLE_S,
+    SuspectRegister,
+)
 from persimmonyoke_testing.builders_delivery import (
     FakeEngine,
     FakeFleet,
@@ -278,3 +281,25 @@
         outcomes = [greenlet.value for greenlet in innocents]
         self.assertEqual(outcomes, [True] * 30)
         self.assertLessEqual(self.fleet.crashes, 2)
+
+    def test_a_quarantine_learned_while_an_engine_is_reserved_prevents_the_run(self):
+        # The notice of a second crash may arrive after the next host has accepted the
+        # request as a suspect; running it would crash a third engine.
+        host, register = self.hosts[1], self.registers[1]
+        request = build_request("poison")
+        digest = request.content_digest
+        register.note_crash(digest, "e0", time.monotonic(), incarnation="old")
+        sending = gevent.spawn(self.kind_of_failure, host, request)
+        gevent.sleep(ISOLATION_SETTLE_S / 3)
+        self.assertTrue(register.is_isolated(digest, time.monotonic()))
+        peer = self.registers[0]
+        peer.merge(register.notice(digest, time.monotonic()), time.monotonic())
+        peer.note_crash(digest, "e1", time.monotonic(), incarnation="old")
+        self.assertEqual(sending.get(timeout=5), ErrorKind.QUARANTINED)
+        self.assertEqual(self.fleet.crashes, 0)
+        self.assertFalse(register.is_isolated(digest, time.monotonic()))
+
+    def kind_of_failure(self, host, request):
+        with self.assertRaises(RequestError) as caught:
+            host.complete(request, RecordingSink())
+        return caught.exception.kind
