Read the notices that have arrived before a request is placed

A host that was stalled finds the notices of its peers and the requests of its callers in its sockets at once. It placed the request first: a request that two engines had crashed on was unknown there and crashed a third one, where two are allowed over all hosts together. The caller saw 422 each time, as the crash confirmed the quarantine.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/completion.py
@@ -90,6 +90,7 @@
             self._placement.end_isolation()
 
     def _run(self) -> CompletionResult:
+        self._placement.read_notices()
         self._check_quarantine()
         self.context.budget.note_first_attempt(self.context.clock())
         plan = self._first_step()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -29,6 +29,8 @@
 # Polls are counted instead of time, because this host can't see engines come back
 # while it is stalled.
 ENGINES_DOWN_POLLS = 30
+# A saturated event loop is never idle; a request waits no longer than this for it.
+MAX_NOTICE_READ_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -79,6 +81,15 @@
             else:
                 return self._refuse_quarantined(choice) if must_isolate else choice
 
+    def read_notices(self) -> None:
+        """Let the event loop read the notices of peers that have already arrived.
+
+        A host that was stalled would otherwise run a request before the notice of its
+        quarantine, which arrived earlier.
+        """
+        with gevent.Timeout(MAX_NOTICE_READ_S, False):
+            gevent.idle()
+
     def status(self) -> SuspectStatus:
         """Return whether the request is clear, a suspect or quarantined.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/tests/test_suspects.py
@@ -4,6 +4,7 @@
 import unittest
 
 import gevent
+from gevent import socket
 
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.delivery.suspect_types import (
@@ -299,6 +300,30 @@
         self.assertEqual(self.fleet.crashes, 0)
         self.assertFalse(register.is_isolated(digest, time.monotonic()))
 
+    def test_a_quarantine_that_arrived_before_the_request_prevents_its_run(self):
+        # A host that was stalled finds the notices and the request in its sockets at
+        # once; running the request first would crash a third engine.
+        register, peer = self.registers[1], SuspectRegister("peer")
+        request = build_request("poison")
+        digest = request.content_digest
+        peer.note_crash(digest, "e0", time.monotonic(), incarnation="old")
+        peer.note_crash(digest, "e1", time.monotonic(), incarnation="old")
+        link, other_end = socket.socketpair()
+        self.addCleanup(link.close)
+        self.addCleanup(other_end.close)
+
+        def read_notice():
+            link.recv(1)
+            register.merge(peer.notice(digest, time.monotonic()), time.monotonic())
+
+        reader = gevent.spawn(read_notice)
+        gevent.idle()
+        other_end.send(b"n")
+        kind = self.kind_of_failure(self.hosts[1], request)
+        self.assertEqual(kind, ErrorKind.QUARANTINED)
+        self.assertTrue(reader.ready())
+        self.assertEqual(self.fleet.crashes, 0)
+
     def kind_of_failure(self, host, request):
         with self.assertRaises(RequestError) as caught:
             host.complete(request, RecordingSink())
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_processes.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_processes.py
@@ -23,6 +23,8 @@
 ANSWER_TOKENS = 100
 LEASE_S = 2.0
 SILENT_AFTER_S = 3.0
+ENGINE_RESTART_S = 0.5
+CRASHING_REQUESTS = 5
 
 
 class ProcessTest(unittest.TestCase):
@@ -77,6 +79,31 @@
         complete_text = received + second.read()
         self.assertEqual(complete_text, expected_text("kill it", ANSWER_TOKENS))
 
+    def test_a_paused_entry_process_refuses_a_request_quarantined_meanwhile(self):
+        # When the process goes on, it finds the notice and the request in its sockets;
+        # running the request first crashes a third engine.
+        engines = self.deployment.platform.engines
+        for engine in engines:
+            engine.faults.crash_marker = "crash it"
+            engine.faults.restart_after_s = ENGINE_RESTART_S
+        processes, urls = self.start_entries(2)
+        for number in range(CRASHING_REQUESTS):
+            before = sum(e.record.counts["crashes"] for e in engines)
+            prompt = f"crash it {number}"
+            with paused(processes[1]):
+                first = CallerStream(urls[0], self.firm, prompt=prompt, max_tokens=4)
+                second = gevent.spawn(
+                    CallerStream, urls[1], self.firm, prompt=prompt, max_tokens=4
+                )
+                # The request is in the paused process's socket after this time.
+                gevent.sleep(0.05)
+            self.assertEqual((first.status, second.get(timeout=15).status), (422, 422))
+            crashes = sum(e.record.counts["crashes"] for e in engines) - before
+            self.assertEqual(crashes, 2)
+            self.deployment.wait_until(lambda: all(e.running for e in engines))
+            # Hosts learn of the new incarnations from the next load reports.
+            gevent.sleep(2 * ENGINE_RESTART_S)
+
     def test_sigterm_ends_an_entry_process_after_its_streams_with_status_0(self):
         processes, urls = self.start_entries(1)
         stream = CallerStream(
