--- a/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/delivery/placement.py
@@ -29,6 +29,8 @@
 # Polls are counted instead of time, because this host can't see engines come back
 # while it is stalled.
 ENGINES_DOWN_POLLS = 30
+# A saturated event loop is never idle; a request waits no longer than this for it.
+MAX_NOTICE_READ_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -74,10 +76,19 @@
             if isinstance(choice, EnginesDown) and polls_left:
                 polls_left -= 1
                 gevent.sleep(ENGINES_DOWN_POLL_S)
-            elif choice is not None:
-                return choice
-            else:
+            elif choice is None:
                 self._wait_for_change()
+            else:
+                return self._refuse_quarantined(choice) if must_isolate else choice
+
+    def read_notices(self) -> None:
+        """Let the event loop read the notices of peers that have already arrived.
+
+        A host that was stalled would otherwise run a request before the notice of its
+        quarantine, which arrived earlier.
+        """
+        with gevent.Timeout(MAX_NOTICE_READ_S, False):
+            gevent.idle()
 
     def status(self) -> SuspectStatus:
         """Return whether the request is clear, a suspect or quarantined.
@@ -145,6 +156,16 @@
             return choice
         return self._isolate(choice)
 
+    def _refuse_quarantined(
+        self, choice: RouteChoice | NoRoute
+    ) -> RouteChoice | NoRoute | Quarantined:
+        """Return the choice unless the suspect was quarantined meanwhile.
+
+        The notice of a peer can arrive while the reservation of an engine settles.
+        """
+        status = self.status()
+        return status if isinstance(status, Quarantined) else choice
+
     def _readmit_restarted(self) -> None:
         """Readmit engines that restarted; their new process can't run this request."""
         for name in list(self._excluded):
