Poll the sockets between reads of answers that arrive without a pause

Cause: a greenlet that reads an answer yields with gevent.sleep(0) after 64 KB. gevent's loop runs the greenlets that yield in this way up to 50 times, or for 5 ms if that is longer, before it polls the sockets. Every other request waits so long each time that it waits for input, about ten times in a request.

What callers saw: beside six answers that never end, another request was late by the time for several hundred reads.

yield_to_io waits for the check watcher of the loop, which fires once after each poll; an idle watcher keeps the poll from blocking. So each answer is read once for each poll, whatever its size. Bytes that a refused client sends are read in the same way.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -17,6 +17,7 @@
     HeldMemory,
 )
 from persimmonyoke.internal.gateway.requests import ClientRequest, RequestParser
+from persimmonyoke.internal.gateway.yielding import yield_to_io
 
 READ_BYTES = 65_536
 LINGER_S = 4.0
@@ -258,7 +259,7 @@
             self._sock.settimeout(LINGER_SILENCE_S)
             while time.monotonic() < end_s and self._sock.recv(READ_BYTES):
                 # Reading from a fast client would never let other requests run.
-                gevent.sleep(0)
+                yield_to_io()
         except OSError:
             # The client may reset the connection or send nothing; it is closed anyway.
             pass
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -3,8 +3,6 @@
 import time
 from dataclasses import dataclass
 
-import gevent
-
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.fleet.interfaces import RawCall
 from persimmonyoke.internal.fleet.model import Replica
@@ -25,6 +23,7 @@
     NoRoom,
 )
 from persimmonyoke.internal.gateway.transports import SocketTransport, Transport
+from persimmonyoke.internal.gateway.yielding import yield_to_io
 
 CONNECT_TIMEOUT_S = 0.4
 """The kernel retransmits a lost SYN only after 1 s, so a longer wait has no use."""
@@ -283,7 +282,7 @@
         """Yield to other greenlets; receiving available input does not yield."""
         if self._bytes_since_yield >= MAX_BYTES_BETWEEN_YIELDS:
             self._bytes_since_yield = 0
-            gevent.sleep(0)
+            yield_to_io()
 
     def _next_event(self, deadline_s: float) -> ResponseHead | BodyPart | ResponseEnd:
         while True:
