Let other requests run between the reads of a tunnel

Cause: a host that passes an answer on to a peer reads from the replica and sends to the peer in a loop. Neither call switches to another greenlet while the replica has sent bytes and the peer's socket has room.

What callers saw: the host in between serves nothing else until one of them is slower.

Evidence: the new test fails on the old code. With a replica and a peer that never wait, all 20,000 reads take place before one echo over another socket, wanted at most 24.

The tunnel yields after each read, so that each one is read once for each poll.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
@@ -2,12 +2,15 @@
 
 import time
 import unittest
+from unittest.mock import Mock
 
 import gevent
 from gevent import socket
 
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.transports import READ_BYTES, Transport
+from persimmonyoke.internal.gateway.tunnel_requests import TunnelRequestParser
+from persimmonyoke.internal.gateway.tunnel_server import _pass_to_peer, _Tunnel
 from persimmonyoke.internal.gateway.yielding import yield_to_io
 from persimmonyoke_testing.builders_fleet import engine
 
@@ -90,6 +93,23 @@
             )
         )
 
+    def test_a_tunnel_that_carries_an_answer_without_end_lets_other_input_be_read(self):
+        # Guards against a host that serves nothing while a replica sends and a peer
+        # reads without a pause.
+        self.check(
+            lambda transport: _pass_to_peer(
+                _Tunnel(
+                    request=Mock(),
+                    replica=engine("r"),
+                    peer_sock=Mock(),
+                    transport=transport,
+                    parser=TunnelRequestParser(),
+                    opened_s=0.0,
+                    on_answer=Mock(),
+                )
+            )
+        )
+
     def test_a_yield_does_not_wait_for_input(self):
         started_s = time.monotonic()
         gevent.spawn(gevent.sleep, 1.0)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -41,6 +41,7 @@
     TunnelRequest,
     TunnelRequestParser,
 )
+from persimmonyoke.internal.gateway.yielding import yield_to_io
 
 BACKLOG = 256
 HEAD_TIMEOUT_S = 1.0
@@ -304,6 +305,8 @@
             tunnel.bytes_to_peer += len(data)
             tunnel.on_answer()
             tunnel.peer_sock.sendall(encode_chunk(data))
+            # Neither call waits while the replica sends and the peer reads.
+            yield_to_io()
     except OSError as error:
         # Without the last chunk the peer knows that the answer is not complete.
         tunnel.ended_by_replica = not tunnel.end
