Borrow retries for begun streams of dead engines

A begun stream whose engine was silent for good, beside a sound engine, waited there until its client gave up if its host's share of the retries was spent, or lacked the second retry of the move, the one for its prompt.

A stream that may leave its engine now asks as one that lost it does, and the prompt of a move may use a borrowed retry. Sound engines that stand still are left no earlier.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
@@ -36,10 +36,10 @@
         self._attempts += 1
 
     def hold(self) -> None:
-        """Hold a retry; raise ``StreamBroken`` if there may be none."""
+        """Hold a retry for a begun stream; raise ``StreamBroken`` if there is none."""
         if self.exhausted:
             raise StreamBroken("prompt was read too often")
-        self._held = self._budget.spend(time.monotonic())
+        self._held = self._budget.spend(time.monotonic(), loans=True)
         if self._held is None:
             raise StreamBroken(BUDGET_SPENT)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_retries.py
@@ -97,8 +97,18 @@
         """Count a retry for a stream that is about to leave; return whether it may."""
         if self._rejections >= MAX_REJECTED_MOVES:
             return False
-        obstacle = self._obstacle(RunInterrupted("engine is silent"))
-        return obstacle is None and self._spend() is None
+        if self._obstacle(RunInterrupted("engine is silent")) is not None:
+            return False
+        if self._spend() is not None:
+            self._ask_for_retries(time.monotonic())
+        return self._is_due
+
+    def note_not_moved(self, obstacle: str) -> None:
+        """Uncount the retry of a move that was not sent; ask for one that it lacked."""
+        self.note_not_sent()
+        self.give_back()
+        if obstacle == BUDGET_SPENT:
+            self._state.on_retry_wanted(self._exchange.service.name, 1)
 
     def pause_after_failure(self, obstacle: str) -> bool:
         """Pause a begun stream before the next attempt at a run after a failed one.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -337,8 +337,7 @@
         elif moved.was_sent:
             self._retries.note_rejected()
         else:
-            self._retries.note_not_sent()
-            self._retries.give_back()
+            self._retries.note_not_moved(moved.outcome)
 
     def _forward(
         self, engine: Replica, opened: OpenResponse, events: list[StreamEvent]
