--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/retry_loan_link.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from persimmonyoke.internal.delivery.retry_budget import RetryUsage
 from persimmonyoke.internal.delivery.retry_loans import (
     LOAN_TTL_S,
     MAX_LOAN,
@@ -24,6 +25,9 @@
 MIN_ASK_INTERVAL_S = 0.05
 """Least time between requests of this host, however many streams wait for a retry."""
 
+DENIAL_LOG_INTERVAL_S = 1.0
+"""Interval of log lines on requests that get no loan; hosts repeat them often."""
+
 Send = Callable[[Sequence[HostEntry], bytes], None]
 
 
@@ -36,6 +40,7 @@
         self._borrower = RetryBorrower(state.settings.host_name, state.rng)
         self._wanted: Counter[str] = Counter()
         self._next_ask_s = 0.0
+        self._next_denial_log_s = 0.0
         state.on_retry_wanted = self.want
 
     def want(self, service: str, count: int) -> None:
@@ -56,16 +61,7 @@
         count = min(request.count, MAX_LOAN)
         ttl_s = LOAN_TTL_S + _longest_wait_s(configuration.routes)
         lent = budget.lend(count, now_s=now_s, ttl_s=ttl_s)
-        usage = budget.usage(now_s)
-        state.journal.event(
-            "retries_lent",
-            service=request.service,
-            borrower=request.borrower,
-            lent=lent,
-            wanted=request.count,
-            retries=usage.retries,
-            retries_allowed=usage.allowed,
-        )
+        self._log_lent(request, lent, budget.usage(now_s), now_s)
         if lent:
             name = state.settings.host_name
             loan = Loan(name, request.service, request.number, lent)
@@ -85,6 +81,24 @@
             left_ms=None if until_s is None else int((until_s - now_s) * 1_000),
         )
 
+    def _log_lent(
+        self, request: LoanRequest, lent: int, usage: RetryUsage, now_s: float
+    ) -> None:
+        """Log a loan, and requests that get none at intervals."""
+        if not lent and now_s < self._next_denial_log_s:
+            return
+        if not lent:
+            self._next_denial_log_s = now_s + DENIAL_LOG_INTERVAL_S
+        self._state.journal.event(
+            "retries_lent",
+            service=request.service,
+            borrower=request.borrower,
+            lent=lent,
+            wanted=request.count,
+            retries=usage.retries,
+            retries_allowed=usage.allowed,
+        )
+
     def _ask(self) -> None:
         gevent.sleep(max(0.0, self._next_ask_s - time.monotonic()))
         wanted, self._wanted = self._wanted, Counter()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_retry_loan_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_retry_loan_link.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import cbor2
 import gevent
@@ -81,6 +82,17 @@
             fleet.links["h1"].handle_request(request, now_s=time.monotonic())
         self.assertGreater(fleet.spend_all(fleet.states[1]), 0)
 
+    def test_requests_that_get_no_loan_are_logged_at_intervals(self):
+        # 2,222 of 2,257 lines on loans told of none while engines were killed.
+        fleet = Fleet(2)
+        lender = fleet.states[1]
+        fleet.spend_all(lender)
+        with mock.patch.object(lender.journal, "event") as event:
+            for number in range(20):
+                request = LoanRequest("h0", SERVICE, number, 1)
+                fleet.links["h1"].handle_request(request, now_s=100.0 + number / 10)
+        self.assertLessEqual(event.call_count, 2)
+
     def test_many_waiting_streams_send_few_requests(self):
         # Each of some hundred streams looked for a retry ten times a second at moments
         # of its own, and each look sent two datagrams.
