Begin streams where a second decode engine remains

With several versions in service, a majority of the engines became the version for new streams as soon as one of its engines decoded, although two engines of the active version did. In a release that went on while no host reached an engine, that one engine left, and the streams had none to go on at: the order for a replacement came after the cut and took 3 s.

A majority now changes the active version once as many of its engines decode as of the active one, two at most, or after the life of a stream, so that the engines of the active version prefill again in the end. No order is added.

The test test_streams_begin_where_one_decode_engine_may_leave fails without the change.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_version_plan.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_version_plan.py
@@ -81,6 +81,25 @@
         planned = self.plan(known, replicas, now_s=100.1 + MAJORITY_HOLD_S)
         self.assertEqual((planned.active, planned.earlier), ("v1", ("v2",)))
 
+    def test_streams_begin_where_one_decode_engine_may_leave(self):
+        # They began at the majority's only decode engine. It left while no host
+        # reached an engine, so 2 of 25 streams went on that clients took up again.
+        known = record("v2", "v1")
+        self.assertIsNone(self.plan(known, fleet("ppppp", "dd"), now_s=100.0))
+        for now_s in (100.1 + MAJORITY_HOLD_S, 99.9 + LIFE_S):
+            self.assertIsNone(self.plan(known, fleet("dppp", "dd"), now_s=now_s))
+
+    def test_a_majority_with_two_decode_engines_becomes_active(self):
+        planned = self.settled(record("v2", "v1"), fleet("ddpp", "ddd"), now_s=10.0)
+        self.assertEqual((planned.active, planned.earlier), ("v1", ("v2",)))
+
+    def test_a_majority_with_one_decode_engine_waits_for_the_life_of_a_stream(self):
+        # The decode engines of the other version could never prefill otherwise.
+        known, replicas = record("v2", "v1"), fleet("dppp", "dd")
+        self.assertIsNone(self.plan(known, replicas, now_s=100.0))
+        planned = self.plan(known, replicas, now_s=100.1 + LIFE_S)
+        self.assertEqual((planned.active, planned.earlier), ("v1", ("v2",)))
+
     def test_without_any_writer_the_record_stays(self):
         self.assertIsNone(self.settled(record("v1"), fleet("pp", "p")))
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
@@ -14,6 +14,15 @@
 """Time after a change of the version in which a majority alone does not change it."""
 
 
+SPARE_WRITERS = 2
+"""Writers that a version needs so that its streams go on after one has left.
+
+A replacement for the last one takes 3 s, or longer if no host reaches the engines. A
+majority with fewer writers than the active version changes it only after the life of a
+stream, as the engines of the active version could never prefill otherwise.
+"""
+
+
 def writes_events(replica: Replica) -> bool:
     """Return whether a replica can write the events of streams in its stage."""
     return replica.stage is None or replica.stage is Stage.DECODE
@@ -96,16 +105,26 @@
         if record.active not in able:
             return majority_version(writers, record.active) or record.active
         preferred = majority_version(inputs.replicas, record.active)
-        held = now_s - self._active_since_s < MAJORITY_HOLD_S
-        if preferred is None or preferred not in able or held:
+        if preferred is None or preferred not in able:
             return record.active
-        return preferred
+        active_s = now_s - self._active_since_s
+        if active_s < MAJORITY_HOLD_S:
+            return record.active
+        fewer = _has_fewer_spare_writers(writers, preferred, record.active)
+        return record.active if fewer and active_s < inputs.life_s else preferred
 
     def _ended(self, version: str, inputs: VersionInputs, now_s: float) -> bool:
         """Return whether no stream that began at an earlier version is left."""
         return now_s - self._earlier_since_s[version] > inputs.life_s
 
 
+def _has_fewer_spare_writers(
+    writers: Sequence[Replica], version: str, active: str
+) -> bool:
+    counts = Counter(replica.software_version for replica in writers)
+    return counts[version] < min(SPARE_WRITERS, counts[active])
+
+
 def _writers(inputs: VersionInputs) -> list[Replica]:
     return [
         replica
