Send a late prefill once more to an engine that answers

Callers got 429 after 8 s beside a silent prefill engine: its call was waited for until the deadline, though another engine was free. Such a call ended at the deadline only.

A call that is 0.8 s later than planned has its engine and two others asked for a sign of life. At 1.2 s it is given up if another engine answers and a retry of the host's budget is in hand, which the next call uses; an engine that answers probes gets twice the planned time more, as it may be slow. The first call stays open for 0.4 s beside the next one, so that its handle is released if it comes; then its connection is closed, on which engines drop a request. The part of EngineSelection that chooses engines for a prompt, and EngineChoice, are modules of their own now, for their length.

test_prompts_of_a_silent_prefill_engine_are_read_at_another_one: 2 of 6 requests got 429 after 8.0 s before, all 6 are answered within 1.4 s after. In test_late_prefills the tests of the released handle and of the closed call fail on the code before; those of the short silence and of the spent budget pass on both.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_candidates.py
@@ -59,12 +59,12 @@
 
     def decoders(self) -> list[Replica]:
         """Return the candidate decode engines whose limits allow a request now."""
+        return self.within_limits(self.reachable_decoders())
+
+    def within_limits(self, engines: list[Replica]) -> list[Replica]:
+        """Return the engines of some whose limits allow a request now."""
         limits, now_s = self._state.replica_limits, time.monotonic()
-        return [
-            engine
-            for engine in self.reachable_decoders()
-            if limits.wait_s(engine.replica_id, now_s) <= 0.0
-        ]
+        return [e for e in engines if limits.wait_s(e.replica_id, now_s) <= 0.0]
 
     def reachable_decoders(self) -> list[Replica]:
         """Return the candidate decode engines, with or without a limit.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_run.py
@@ -11,7 +11,7 @@
     NotConnected,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
-from persimmonyoke.internal.gateway.engine_selection import EngineChoice
+from persimmonyoke.internal.gateway.engine_choice import EngineChoice
 from persimmonyoke.internal.gateway.exchange import RESPONSE_MARGIN_S, Exchange
 from persimmonyoke.internal.gateway.hedge import AnswerWait
 from persimmonyoke.internal.gateway.run_outcomes import (
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from typing import NoReturn
 
 import gevent
@@ -13,7 +12,7 @@
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.dispatch.refusal import Refused
 from persimmonyoke.internal.dispatch.returns import RETRY_VALUE_FACTOR, request_key
-from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica, Stage
+from persimmonyoke.internal.fleet.model import EngineLimits, Prompt, Replica
 from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway.admission import (
     AdmissionGate,
@@ -22,6 +21,8 @@
 )
 from persimmonyoke.internal.gateway.decoder_slots import DecoderSlots
 from persimmonyoke.internal.gateway.engine_candidates import EngineCandidates
+from persimmonyoke.internal.gateway.engine_choice import EngineChoice
+from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
     RETRY_AFTER_REJECTED_S,
@@ -33,6 +34,8 @@
 from persimmonyoke.internal.gateway.link_wait import LinkWait
 from persimmonyoke.internal.gateway.prefill import PrefillCaller, PrefilledPrompt
 from persimmonyoke.internal.gateway.prefill_retries import PrefillRetries
+from persimmonyoke.internal.gateway.prefill_wait import PrefillWait
+from persimmonyoke.internal.gateway.prompt_readers import PromptReaders
 from persimmonyoke.internal.gateway.run_outcomes import RunOutcome
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
@@ -44,14 +47,6 @@
 """Pause before a silent stream asks an engine again that did not accept its run."""
 
 
-@dataclass(frozen=True)
-class EngineChoice:
-    """Represent the engine to run on and the prompt if another engine prefilled it."""
-
-    engine: Replica
-    prefilled: PrefilledPrompt | None
-
-
 class EngineSelection:
     """Select engines for the runs of one request and wait for capacity."""
 
@@ -62,17 +57,18 @@
         gate: AdmissionGate,
         guard: SuspectGuard,
         versions: StreamVersionGuard,
+        probes: EngineProbes,
         exchange: Exchange,
     ) -> None:
         self._state = state
         self._guard = guard
         self._versions = versions
-        self._is_suspect = False
-        self._runs_alone = False
         self._prefill = prefill
         self._gate = gate
+        self._probes = probes
         self._exchange = exchange
         self._candidates = EngineCandidates(state, exchange, versions.allows)
+        self._readers = PromptReaders(guard, self._candidates, exchange)
         self._link_wait = LinkWait(state, exchange)
         self.kept_prompt = KeptPrompt(prefill)
         self._prefills = PrefillRetries(state.retry_budget(exchange.service.name))
@@ -127,7 +123,6 @@
         finally:
             self._candidates.continue_on = None
             self._slots.give_back()
-            self._prefills.end_hold()
 
     def discard(self, choice: EngineChoice, outcome: RunOutcome | None = None) -> None:
         """Release what was prepared for a run that was not made."""
@@ -147,6 +142,12 @@
 
     def prepare(self) -> EngineChoice:
         """Return the engine to run on and the prompt if another engine prefilled it."""
+        try:
+            return self._prepare()
+        finally:
+            self._prefills.end_hold()
+
+    def _prepare(self) -> EngineChoice:
         self._versions.check_replica_left()
         service, prompt = self._exchange.service, self._exchange.metadata.prompt
         if service.engine is None or prompt is None:
@@ -157,7 +158,8 @@
         if kept is not None:
             return EngineChoice(self._select_decoder(kept, service.engine), kept)
         while True:
-            self._reserve_for_prefill()
+            if self._readers.needs_reservation():
+                self._reserve(self._readers.engines)
             self._slots.take_before_prefill()
             try:
                 admitted = self._admit(prompt, service.engine)
@@ -240,36 +242,6 @@
         until_s = now_s + min(limit_s, patience_s)
         return self._guard.reserve(self._exchange, candidates, until_s=until_s)
 
-    def _reserve_for_prefill(self) -> None:
-        """Reserve the engine for the prefill if the request has to run alone there.
-
-        Prompt parts crash engines that begin to write an answer, so a request with a
-        suspected part needs a reservation only if a decode engine prefills it.
-        """
-        status = self._guard.status(self._exchange)
-        self._is_suspect = self._guard.is_suspect_itself(self._exchange)
-        self._runs_alone = self._guard.must_run_alone(status)
-        candidates = self._prefill_candidates()
-        is_local = any(engine.stage is Stage.DECODE for engine in candidates)
-        if self._is_suspect or is_local:
-            self._reserve(self._prefill_candidates)
-
-    def _prefill_candidates(self) -> list[Replica]:
-        """Return the engines that may prefill the prompt.
-
-        A request that may crash engines is never prefilled on a decode engine, since
-        a crash there would break the streams of other requests. One of which a prompt
-        part may crash engines is prefilled there if there is no prefill engine.
-        """
-        engines = self._candidates.engines()
-        if not self._is_suspect and not self._runs_alone:
-            return engines
-        readers = [e for e in engines if e.stage is Stage.PREFILL]
-        if not readers and not self._is_suspect:
-            readers = engines
-        isolated_on = self._exchange.isolated_on
-        return [e for e in readers if isolated_on in (None, e.replica_id)]
-
     def _prioritise_if_returning(self, prompt: Prompt) -> None:
         """Raise the priority of a request that is retried after a refusal."""
         key = request_key(self._exchange.request.path, prompt)
@@ -356,9 +328,19 @@
         except BaseException:
             self._state.ledger.end_prefill(admitted.job)
             raise
+        deadline_s = exchange.deadline_s - RESPONSE_MARGIN_S
+        wait = PrefillWait(
+            admitted.plan,
+            last_s=deadline_s,
+            silences=self._state.silences,
+            probes=self._probes,
+            readers=self._readers.free_engines,
+            hold_retry=self._prefills.try_hold,
+            rng=self._state.rng,
+        )
         try:
             outcome = self._prefill.prefill(
-                exchange, admitted, deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S
+                exchange, admitted, deadline_s=deadline_s, wait=wait
             )
         finally:
             self._gate.admit_waiting()
@@ -406,7 +388,7 @@
             deadline_s=deadline_s,
             value=self._value,
             returning=self._returning,
-            engines=self._prefill_candidates,
+            engines=self._readers.engines,
         )
         exchange.cancel_scope.raise_if_cancelled()
         admitted = self._gate.admit(request, exchange.cancel_scope.on_cancel)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/hedge.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/hedge.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from persimmonyoke.internal.gateway.connections import UpstreamConnection
+
 LOOK_AGAIN_S = 0.1
 """Interval at which a call that waits for its replica looks for another one."""
 
@@ -18,6 +20,10 @@
     def wait_until_s(self, now_s: float) -> float | None:
         """Return how long to wait further, or ``None`` if the call is given up."""
 
+    def keep(self, connection: UpstreamConnection) -> bool:
+        """Return whether the connection of a call that was given up stays open."""
+        return False
+
 
 class Hedge(AnswerWait):
     """Keep a call waiting for its replica while it can't be sent to another one.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill.py
@@ -18,9 +18,11 @@
     AnswerLost,
     LinksDown,
     NotConnected,
+    UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.prefill_wait import PrefillWait
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import (
     CallSlot,
@@ -29,6 +31,13 @@
 )
 
 RELEASE_TIMEOUT_S = 1.0
+LATE_ANSWER_S = 0.4
+"""Time for which a call that was given up stays open beside the next one.
+
+Two engines may work on one request for this long. An engine drops the request when the
+connection closes after that.
+"""
+
 PREFILL_OVERHEAD_S = 0.05
 """Time of a prefill call on an idle engine in addition to the prefill itself."""
 
@@ -68,14 +77,24 @@
         self._crashes = crashes
 
     def prefill(
-        self, exchange: Exchange, admitted: Admitted, *, deadline_s: float
+        self,
+        exchange: Exchange,
+        admitted: Admitted,
+        *,
+        deadline_s: float,
+        wait: PrefillWait,
     ) -> PrefilledPrompt | PrefillFailed:
         """Prefill the prompt of a request on the chosen engine."""
         start = self._state.start_attempt(Stage.PREFILL.value, admitted.plan.engine)
         try:
-            outcome = self._call(exchange, admitted.plan, start, deadline_s)
+            outcome = self._call(exchange, admitted.plan, start, deadline_s, wait)
         finally:
             self._state.ledger.end_prefill(admitted.job)
+            if wait.left is not None:
+                request_id = exchange.metadata.request_id
+                gevent.spawn(
+                    self._release_late, admitted.plan.engine, wait.left, request_id
+                )
         self._record_attempt(exchange, admitted.plan, outcome, start)
         return outcome
 
@@ -90,6 +109,7 @@
         plan: PrefillPlan,
         start: AttemptStart,
         deadline_s: float,
+        wait: PrefillWait,
     ) -> PrefilledPrompt | PrefillFailed:
         state, request, engine = self._state, exchange.request, plan.engine
         headers = state.wire.request_headers(
@@ -110,6 +130,7 @@
                 request_id=exchange.metadata.request_id,
                 deadline_s=deadline_s,
                 slot=CallSlot.TAKEN,
+                wait=wait,
             )
             body = self._caller.read_body(
                 opened, exchange.cancel_scope, deadline_s=deadline_s
@@ -173,6 +194,31 @@
             actual_s=elapsed_s - PREFILL_OVERHEAD_S,
         )
 
+    def _release_late(
+        self, engine: Replica, connection: UpstreamConnection, request_id: str
+    ) -> None:
+        """Release the handle of a call that was given up, if its answer comes late."""
+        scope = CancelScope()
+        deadline_s = time.monotonic() + LATE_ANSWER_S
+        try:
+            opened = self._caller.late_answer(
+                connection, request_id=request_id, deadline_s=deadline_s
+            )
+            body = self._caller.read_body(opened, scope, deadline_s=deadline_s)
+        except AnswerLost as error:
+            # Its connection is closed, so the engine drops the request.
+            self._state.journal.failure(
+                "prefill_given_up",
+                error,
+                request_id=request_id,
+                replica=engine.replica_id,
+            )
+            return
+        if opened.head.status == _OK:
+            result = self._state.wire.prefill_result(body)
+            if result is not None:
+                self.release(PrefilledPrompt(engine, result, time.monotonic()))
+
     def _release(self, prefilled: PrefilledPrompt) -> None:
         call = self._state.wire.release_handle(prefilled.result.handle)
         cancel_scope = CancelScope()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -11,12 +11,10 @@
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
+from persimmonyoke.internal.gateway.engine_choice import EngineChoice
 from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_run import EngineRun
-from persimmonyoke.internal.gateway.engine_selection import (
-    EngineChoice,
-    EngineSelection,
-)
+from persimmonyoke.internal.gateway.engine_selection import EngineSelection
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
     Exchange,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_relay.py
@@ -37,7 +37,13 @@
         """Serve a request; raise ``RequestError`` or ``StreamBroken`` if that fails."""
         versions = StreamVersionGuard(self._state, exchange)
         selection = EngineSelection(
-            self._state, self._prefill, self._gate, self._guard, versions, exchange
+            self._state,
+            self._prefill,
+            self._gate,
+            self._guard,
+            versions,
+            self._probes,
+            exchange,
         )
         run = StreamRun(
             self._state,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -12,12 +12,10 @@
     AnswerTimeout,
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
+from persimmonyoke.internal.gateway.engine_choice import EngineChoice
 from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_run import EngineRun
-from persimmonyoke.internal.gateway.engine_selection import (
-    EngineChoice,
-    EngineSelection,
-)
+from persimmonyoke.internal.gateway.engine_selection import EngineSelection
 from persimmonyoke.internal.gateway.events import EventSplitter, StreamEvent
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -147,7 +147,7 @@
         says how long the answer is waited for, also beyond the deadline.
 
         Raises ``NotConnected``, ``AnswerLost`` or the cause of a cancellation; the
-        connection is then closed.
+        connection is then closed, unless ``wait`` keeps it.
         """
         now_s = time.monotonic()
         if self._state.backoff.active(replica.replica_id, now_s):
@@ -170,7 +170,9 @@
                 connection, request_id, deadline_s, sent_s=sent_s, wait=wait
             )
         except BaseException as error:
-            connection.discard()
+            is_late = isinstance(error, AnswerTimeout) and wait is not None
+            if not is_late or not wait.keep(connection):
+                connection.discard()
             cancel_scope.detach(connection)
             cancel_scope.note_error(error)
             if isinstance(error, AnswerLost):
@@ -180,6 +182,18 @@
                 )
             raise
 
+    def late_answer(
+        self, connection: UpstreamConnection, *, request_id: str, deadline_s: float
+    ) -> OpenResponse:
+        """Return the response to a call that was given up; raise ``AnswerLost``."""
+        try:
+            return self._read_matching_response(
+                connection, request_id, deadline_s, sent_s=time.monotonic()
+            )
+        except BaseException:
+            connection.discard()
+            raise
+
     def read_body(
         self,
         response: OpenResponse,
