Ask an engine once for its start though it wants no requests

Callers lost the rest of a stream that had moved: an engine that asks for a pause of new requests after it has accepted a run was not asked for its start, so that the first event was held until the pause ended or the client left. ReplicaWaits was raised for the question as for any other call.

While an event is held, the engine is asked once in such a pause, over a new connection, as more than two calls in it are forbidden. The count is one for all streams of a host; further ones wait until the pause ends.

test_a_first_event_is_held_no_longer_than_its_engine_takes_to_tell: the stream ends after its first event on the code before, and is whole after. The count of questions has a test in test_backoff.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -71,7 +71,7 @@
         refused = 0
         while True:
             asked_s = time.monotonic()
-            found = self._ask(engine)
+            found = self._ask(engine, holds_event=True)
             if found is not Incarnation.UNKNOWN:
                 return found.may_write
             refused += isinstance(self._unanswered, ConnectionRefused)
@@ -83,13 +83,13 @@
             gevent.sleep(max(0.0, asked_s + RECHECK_S - now_s))
             self._exchange.cancel_scope.raise_if_cancelled()
 
-    def _ask(self, engine: Replica) -> Incarnation:
+    def _ask(self, engine: Replica, *, holds_event: bool = False) -> Incarnation:
         if not engine.born_unix_ms:
             # The entry names no start with which an answer could be compared.
             return Incarnation.NOT_TOLD
         started_s = time.monotonic()
         self._unanswered = None
-        told = self._told_start(engine)
+        told = self._told_start(engine, holds_event=holds_event)
         self._exchange.cancel_scope.raise_if_cancelled()
         now_s, found = time.monotonic(), judge_incarnation(engine, told)
         born_unix_ms = told.born_unix_ms if told else None
@@ -101,18 +101,23 @@
             self._log(engine, found, born_unix_ms, took_s=now_s - started_s)
         return found
 
-    def _told_start(self, engine: Replica) -> ToldStart | None:
+    def _told_start(self, engine: Replica, *, holds_event: bool) -> ToldStart | None:
         """Return what an engine tells of its start, or ``None`` without an answer.
 
         A connection that was idle may have ended with a former incarnation, so the
-        engine is asked once more over a new one.
+        engine is asked once more over a new one. An engine that asked for no requests
+        after it had accepted a run is asked over a new one at once, while its events
+        are held.
         """
+        in_backoff = holds_event and self._state.backoff.claim_question(
+            engine.replica_id, time.monotonic()
+        )
         scope, request_scope = CancelScope(), self._exchange.cancel_scope
         request_scope.on_cancel(lambda: scope.cancel(request_scope.cause))
-        scope.connection_ended = request_scope.connection_ended
+        scope.connection_ended = request_scope.connection_ended or in_backoff
         used_new = scope.connection_ended
         try:
-            return self._report(engine, scope)
+            return self._report(engine, scope, in_backoff=in_backoff)
         except (NotConnected, AnswerLost) as error:
             if used_new or not scope.connection_ended:
                 return self._note_unanswered(engine, error)
@@ -121,7 +126,9 @@
         except (NotConnected, AnswerLost) as error:
             return self._note_unanswered(engine, error)
 
-    def _report(self, engine: Replica, scope: CancelScope) -> ToldStart | None:
+    def _report(
+        self, engine: Replica, scope: CancelScope, *, in_backoff: bool = False
+    ) -> ToldStart | None:
         deadline_s = time.monotonic() + CALL_TIMEOUT_S
         opened = self._caller.start(
             engine,
@@ -129,6 +136,7 @@
             scope,
             request_id="",
             deadline_s=deadline_s,
+            in_backoff=in_backoff,
         )
         body = self._caller.read_body(opened, scope, deadline_s=deadline_s)
         if opened.head.status == NOT_FOUND:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -140,17 +140,19 @@
         slot: CallSlot = CallSlot.NEEDED,
         directly: bool = False,
         wait: AnswerWait | None = None,
+        in_backoff: bool = False,
     ) -> OpenResponse:
         """Send a call and return its response with the body still unread.
 
         With ``directly`` it is sent over this host's links only. With ``wait`` that
-        says how long the answer is waited for, also beyond the deadline.
+        says how long the answer is waited for, also beyond the deadline. With
+        ``in_backoff`` it is sent though the replica asked for no requests.
 
         Raises ``NotConnected``, ``AnswerLost`` or the cause of a cancellation; the
         connection is then closed, unless ``wait`` keeps it.
         """
         now_s = time.monotonic()
-        if self._state.backoff.active(replica.replica_id, now_s):
+        if not in_backoff and self._state.backoff.active(replica.replica_id, now_s):
             raise ReplicaWaits(f"{replica.address} asked for no requests for a while")
         self._use_slot(replica, slot, now_s)
         connection = self._state.pool.take(
