Keep a hedged call open until another replica accepts the request

Callers got 502 though their replica would have answered: a repeatable request left its silent replica for the only other one, which rejected it, and the first call was closed by then.

After a rejection, a lost call or without another replica it is read again, and may be hedged once more. If the first replica answers while the next one is silent, its answer is read. The call ends with the request, so a client that leaves is told to both replicas.

test_a_request_of_a_silent_replica_outlives_the_rejection_by_the_only_other: 502 on the code before, 200 after. Of test_hedged_calls the tests of an answer beside a silent replica and of a client that leaves after a rejection fail on the code before; the three others guard the limits and pass on both.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -19,11 +19,14 @@
 )
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import RESPONSE_MARGIN_S, Exchange
-from persimmonyoke.internal.gateway.hedge import Hedge
+from persimmonyoke.internal.gateway.former_call import CallResumed, FormerCall
+from persimmonyoke.internal.gateway.hedge import LOOK_AGAIN_S, Hedge
 from persimmonyoke.internal.gateway.memory_log import note_no_room
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard, wait_limit_s
 from persimmonyoke.internal.gateway.upstream_call import (
+    REFUSAL_TIMEOUT_S,
+    OpenResponse,
     UpstreamCaller,
     declared_bytes,
 )
@@ -93,14 +96,28 @@
 
     def _try_replicas(
         self, exchange: Exchange, budget: RetryBudget
+    ) -> ResponseReceived:
+        former = FormerCall()
+        try:
+            return self._try_in_turn(exchange, budget, former)
+        finally:
+            former.close()
+
+    def _try_in_turn(
+        self, exchange: Exchange, budget: RetryBudget, former: FormerCall
     ) -> ResponseReceived:
         excluded: set[str] = set()
         last_response: ResponseReceived | None = None
-        retry_is_due = False
+        retry_is_due = resumes = False
         while True:
-            replica = self._prepare(exchange, excluded)
+            replica = None if resumes else self._prepare(exchange, excluded)
             if replica is None and retry_is_due:
                 budget.give_back()
+                retry_is_due = False
+            resumes = replica is None and former.is_open
+            if resumes:
+                replica = former.replica
+                exchange.sends -= 1
             if replica is None and last_response is not None:
                 return last_response
             if replica is None:
@@ -108,7 +125,8 @@
                     "no replica is left", self._retry_after_s(exchange)
                 )
             excluded.add(replica.replica_id)
-            outcome = self._send(exchange, replica, excluded)
+            outcome = self._send(exchange, replica, excluded, former, resumes)
+            resumes = False
             if isinstance(outcome, ResponseReceived):
                 if outcome.response.head.status < 500:
                     return outcome
@@ -121,6 +139,9 @@
             if isinstance(outcome, NotRun) and exchange.may_have_run:
                 # It used up no attempt, and the one before can't be told as not run.
                 exchange.sends -= 1
+            resumes = former.is_open and not _is_left(outcome)
+            if resumes:
+                continue
             if not self._may_repeat(exchange, outcome, budget):
                 return self._final_outcome(exchange, outcome, last_response)
             retry_is_due = True
@@ -228,14 +249,19 @@
         )
 
     def _send(
-        self, exchange: Exchange, replica: Replica, excluded: set[str]
+        self,
+        exchange: Exchange,
+        replica: Replica,
+        excluded: set[str],
+        former: FormerCall,
+        resumes: bool,
     ) -> SendOutcome:
         start = self._state.start_attempt("plain", replica)
         exchange.sends += 1
         exchange.call_outstanding = True
         self._state.ledger.begin_run(replica.replica_id)
         try:
-            outcome = self._call(exchange, replica, excluded, start)
+            outcome = self._call(exchange, replica, excluded, start, former, resumes)
         finally:
             self._state.ledger.end_run(replica.replica_id)
             self._guard.end_reservation(exchange)
@@ -258,6 +284,8 @@
         replica: Replica,
         excluded: set[str],
         start: AttemptStart,
+        former: FormerCall,
+        resumes: bool,
     ) -> SendOutcome:
         state, request = self._state, exchange.request
         headers = state.wire.request_headers(
@@ -275,20 +303,18 @@
             request.body,
             repeatable=exchange.route.repeatable,
         )
-        deadline_s = self._attempt_deadline_s(exchange)
-        hedge = self._hedge(exchange, excluded)
+        deadline_s = self._attempt_deadline_s(exchange, resumes=resumes)
+        hedge = self._hedge(exchange, excluded, former)
         try:
-            opened = self._caller.start(
-                replica,
-                call,
-                exchange.cancel_scope,
-                request_id=exchange.metadata.request_id,
-                deadline_s=deadline_s,
-                slot=exchange.use_slot(replica.replica_id),
-                wait=hedge,
+            opened = self._open(
+                exchange, replica, call, deadline_s, hedge, former, resumes
             )
-            if hedge.extended or not self._reservable(exchange, excluded):
-                deadline_s = hedge.last_s
+            if _is_rejection(opened) and former.is_open:
+                deadline_s = time.monotonic() + REFUSAL_TIMEOUT_S
+            else:
+                former.close()
+                if hedge.extended or not self._reservable(exchange, excluded):
+                    deadline_s = hedge.last_s
             body = self._caller.read_body(
                 opened,
                 exchange.cancel_scope,
@@ -300,6 +326,8 @@
             exchange.sends -= 1
             state.note_not_connected(replica, error, now_s=time.monotonic())
             return NotRun(str(error), sent=False)
+        except CallResumed as error:
+            return OutcomeUnknown(str(error))
         except NoRoomForAnswer as error:
             # This says nothing of the replica, which has made its answer.
             exchange.may_have_run = True
@@ -314,7 +342,7 @@
             exchange.may_have_run = True
             self._record_loss(exchange, replica, start, error)
             return OutcomeUnknown(str(error), hedge.retry_counted)
-        if opened.facts.not_executed or opened.head.status == 421:
+        if _is_rejection(opened):
             state.health.note_failure(replica.replica_id, time.monotonic())
             request.held.drop(len(body))
             return NotRun(f"replica answered {opened.head.status}", sent=True)
@@ -331,7 +359,41 @@
             state.health.note_success(replica.replica_id)
         return ResponseReceived(CompleteResponse(opened.head, body))
 
-    def _hedge(self, exchange: Exchange, excluded: set[str]) -> Hedge:
+    def _open(
+        self,
+        exchange: Exchange,
+        replica: Replica,
+        call: RawCall,
+        deadline_s: float,
+        hedge: Hedge,
+        former: FormerCall,
+        resumes: bool,
+    ) -> OpenResponse:
+        """Return the answer to a new call, or to the one that was left open."""
+        former_connection = former.take() if resumes else None
+        if former_connection is None:
+            return self._caller.start(
+                replica,
+                call,
+                exchange.cancel_scope,
+                request_id=exchange.metadata.request_id,
+                deadline_s=deadline_s,
+                slot=exchange.use_slot(replica.replica_id),
+                wait=hedge,
+            )
+        opened = self._caller.resume(
+            former_connection,
+            exchange.cancel_scope,
+            request_id=exchange.metadata.request_id,
+            deadline_s=deadline_s,
+            wait=hedge,
+        )
+        hedge.extended = True
+        return opened
+
+    def _hedge(
+        self, exchange: Exchange, excluded: set[str], former: FormerCall
+    ) -> Hedge:
         budget = self._state.retry_budget(exchange.service.name)
 
         def try_spend() -> bool:
@@ -341,15 +403,19 @@
             return bool(others) and self._try_spend(exchange, budget)
 
         return Hedge(
-            last_s=exchange.deadline_s - RESPONSE_MARGIN_S, try_spend=try_spend
+            last_s=exchange.deadline_s - RESPONSE_MARGIN_S,
+            try_spend=try_spend,
+            former=former,
         )
 
-    def _attempt_deadline_s(self, exchange: Exchange) -> float:
+    def _attempt_deadline_s(self, exchange: Exchange, *, resumes: bool) -> float:
         """Return when this attempt may be given up for another replica."""
         route = exchange.route
         last_s = exchange.deadline_s - RESPONSE_MARGIN_S
         if not route.repeatable or exchange.sends >= route.max_attempts:
             return last_s
+        if resumes:
+            return min(last_s, time.monotonic() + LOOK_AGAIN_S)
         hedge_s = time.monotonic() + HEDGE_FACTOR * route.target_latency_s
         return min(last_s, hedge_s)
 
@@ -367,3 +433,13 @@
         self._crashes.note_lost_answer(
             exchange, replica, start, error, begun=False, now_s=time.monotonic()
         )
+
+
+def _is_left(outcome: SendOutcome) -> bool:
+    """Return whether a call was given up for another replica."""
+    return isinstance(outcome, OutcomeUnknown) and outcome.retry_counted
+
+
+def _is_rejection(opened: OpenResponse) -> bool:
+    """Return whether the replica did not run the request."""
+    return opened.facts.not_executed or opened.head.status == 421
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -172,11 +172,7 @@
                 connection, request_id, deadline_s, sent_s=sent_s, wait=wait
             )
         except BaseException as error:
-            is_late = isinstance(error, AnswerTimeout) and wait is not None
-            if not is_late or not wait.keep(connection):
-                connection.discard()
-            cancel_scope.detach(connection)
-            cancel_scope.note_error(error)
+            self._end_call(connection, cancel_scope, error, wait)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
                 self._state.on_call_lost(
@@ -184,6 +180,28 @@
                 )
             raise
 
+    def resume(
+        self,
+        connection: UpstreamConnection,
+        cancel_scope: CancelScope,
+        *,
+        request_id: str,
+        deadline_s: float,
+        wait: AnswerWait,
+    ) -> OpenResponse:
+        """Return the response to a call that was left open, as ``start`` does."""
+        resumed_s = time.monotonic()
+        try:
+            cancel_scope.reattach(connection)
+            return self._read_matching_response(
+                connection, request_id, deadline_s, sent_s=resumed_s, wait=wait
+            )
+        except BaseException as error:
+            self._end_call(connection, cancel_scope, error, wait)
+            if isinstance(error, AnswerLost):
+                cancel_scope.raise_if_cancelled()
+            raise
+
     def late_answer(
         self, connection: UpstreamConnection, *, request_id: str, deadline_s: float
     ) -> OpenResponse:
@@ -281,6 +299,20 @@
         else:
             self._state.links.note_answer_by_peer()
 
+    @staticmethod
+    def _end_call(
+        connection: UpstreamConnection,
+        cancel_scope: CancelScope,
+        error: BaseException,
+        wait: AnswerWait | None,
+    ) -> None:
+        """Close the connection of a lost call, unless ``wait`` keeps it."""
+        is_late = isinstance(error, AnswerTimeout) and wait is not None
+        if not is_late or not wait.keep(connection):
+            connection.discard()
+        cancel_scope.detach(connection)
+        cancel_scope.note_error(error)
+
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
         limits = self._state.replica_limits
