Read a silent engine while a connection for its move is opened

Events came up to 0.5 s late: a silent engine that went on was not read while the connection to the next engine, or to the prefill engine before, was being opened, as a cancellation reached a call only once it had its connection.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -17,6 +17,7 @@
 )
 from persimmonyoke.internal.gateway.engine_calls import CALL_TIMEOUT_S, OK
 from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import CancelScope, UpstreamCaller
 
@@ -112,7 +113,8 @@
         in_backoff = holds_event and self._state.backoff.claim_question(
             engine.replica_id, time.monotonic()
         )
-        scope, request_scope = CancelScope(), self._exchange.cancel_scope
+        request_scope = self._exchange.cancel_scope
+        scope = InterruptibleScope(CancelScope())
         request_scope.on_cancel(lambda: scope.cancel(request_scope.cause))
         scope.connection_ended = request_scope.connection_ended or in_backoff
         used_new = scope.connection_ended
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
@@ -2,6 +2,7 @@
 
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.hedge import AnswerWait
+from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
 from persimmonyoke.internal.gateway.upstream_call import CancelScope
 
 MAX_OVERLAP_S = 0.2
@@ -49,20 +50,20 @@
         return self._deadline_s
 
 
-class HandoverScope(CancelScope):
-    """Cancel the call to the next engine if the silent one goes on before it is sent.
-
-    It shares the used connections of the request.
-    """
+class HandoverScope(InterruptibleScope):
+    """Cancel the call to the next engine if the silent one goes on before."""
 
     def __init__(self, request_scope: CancelScope, silent: UpstreamConnection) -> None:
-        super().__init__()
-        self.used_connections = request_scope.used_connections
-        self.connection_ended = request_scope.connection_ended
+        super().__init__(request_scope)
         self._silent = silent
 
     def attach(self, connection: UpstreamConnection) -> None:
         """Register the connection; raise ``EngineResumed`` if it is not needed."""
+        self.raise_if_not_needed()
+        super().attach(connection)
+
+    def raise_if_not_needed(self) -> None:
+        """Raise ``EngineResumed`` if the silent engine goes on."""
+        super().raise_if_not_needed()
         if not self._silent.is_closed and self._silent.goes_on:
             raise EngineResumed("engine goes on")
-        super().attach(connection)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -20,6 +20,7 @@
     Exchange,
     StreamBroken,
 )
+from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
 from persimmonyoke.internal.gateway.run_outcomes import RunRejected
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_handover import (
@@ -102,7 +103,7 @@
         engines: Sequence[Replica],
     ) -> EngineChoice | MoveResult:
         scope = self._exchange.cancel_scope
-        preparation = self._exchange.cancel_scope = scope.child()
+        preparation = self._exchange.cancel_scope = InterruptibleScope(scope)
         watcher = gevent.spawn(_cancel_when_resumed, connection, preparation)
         try:
             return self._selection.prepare_to_continue(engine, engines)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -57,13 +57,6 @@
         self._connection: UpstreamConnection | None = None
         self._on_cancel: Callable[[], None] | None = None
 
-    def child(self) -> "CancelScope":
-        """Return a scope for calls that are made beside the one in progress."""
-        scope = CancelScope()
-        scope.used_connections = self.used_connections
-        scope.connection_ended = self.connection_ended
-        return scope
-
     def on_cancel(self, callback: Callable[[], None]) -> None:
         """Set the callback for a cancellation, replacing an earlier one."""
         self._on_cancel = callback
@@ -92,6 +85,12 @@
         if self._connection is not None:
             self._connection.interrupt()
 
+    def connect(
+        self, take_connection: Callable[[], UpstreamConnection]
+    ) -> UpstreamConnection:
+        """Return a connection for a call."""
+        return take_connection()
+
     def attach(self, connection: UpstreamConnection) -> None:
         """Register the connection in use; raise the cause if cancelled."""
         self.raise_if_cancelled()
@@ -155,14 +154,16 @@
         if not in_backoff and self._state.backoff.active(replica.replica_id, now_s):
             raise ReplicaWaits(f"{replica.address} asked for no requests for a while")
         self._use_slot(replica, slot, now_s)
-        connection = self._state.pool.take(
-            replica,
-            timeout_s=deadline_s - now_s,
-            now_s=now_s,
-            avoid=cancel_scope.used_connections,
-            new_only=cancel_scope.connection_ended,
-            directly=directly,
-            repeatable=call.repeatable,
+        connection = cancel_scope.connect(
+            lambda: self._state.pool.take(
+                replica,
+                timeout_s=deadline_s - now_s,
+                now_s=now_s,
+                avoid=cancel_scope.used_connections,
+                new_only=cancel_scope.connection_ended,
+                directly=directly,
+                repeatable=call.repeatable,
+            )
         )
         sent_s = time.monotonic()
         try:
