--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -11,17 +11,16 @@
 from persimmonyoke.internal.dispatch.placement import FIRST_EVENT_OVERHEAD_S
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
+from persimmonyoke.internal.gateway.engine_choice import EngineChoice
 from persimmonyoke.internal.gateway.engine_probe import EngineProbes
 from persimmonyoke.internal.gateway.engine_run import EngineRun
-from persimmonyoke.internal.gateway.engine_selection import (
-    EngineChoice,
-    EngineSelection,
-)
+from persimmonyoke.internal.gateway.engine_selection import EngineSelection
 from persimmonyoke.internal.gateway.exchange import (
     RESPONSE_MARGIN_S,
     Exchange,
     StreamBroken,
 )
+from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
 from persimmonyoke.internal.gateway.run_outcomes import RunRejected
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stream_handover import (
@@ -104,7 +103,7 @@
         engines: Sequence[Replica],
     ) -> EngineChoice | MoveResult:
         scope = self._exchange.cancel_scope
-        preparation = self._exchange.cancel_scope = scope.child()
+        preparation = self._exchange.cancel_scope = InterruptibleScope(scope)
         watcher = gevent.spawn(_cancel_when_resumed, connection, preparation)
         try:
             return self._selection.prepare_to_continue(engine, engines)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/upstream_call.py
@@ -57,13 +57,6 @@
         self._connection: UpstreamConnection | None = None
         self._on_cancel: Callable[[], None] | None = None
 
-    def child(self) -> "CancelScope":
-        """Return a scope for calls that are made beside the one in progress."""
-        scope = CancelScope()
-        scope.used_connections = self.used_connections
-        scope.connection_ended = self.connection_ended
-        return scope
-
     def on_cancel(self, callback: Callable[[], None]) -> None:
         """Set the callback for a cancellation, replacing an earlier one."""
         self._on_cancel = callback
@@ -92,6 +85,12 @@
         if self._connection is not None:
             self._connection.interrupt()
 
+    def connect(
+        self, take_connection: Callable[[], UpstreamConnection]
+    ) -> UpstreamConnection:
+        """Return a connection for a call."""
+        return take_connection()
+
     def attach(self, connection: UpstreamConnection) -> None:
         """Register the connection in use; raise the cause if cancelled."""
         self.raise_if_cancelled()
@@ -140,27 +139,31 @@
         slot: CallSlot = CallSlot.NEEDED,
         directly: bool = False,
         wait: AnswerWait | None = None,
+        in_backoff: bool = False,
     ) -> OpenResponse:
         """Send a call and return its response with the body still unread.
 
         With ``directly`` it is sent over this host's links only. With ``wait`` that
-        says how long the answer is waited for, also beyond the deadline.
+        says how long the answer is waited for, also beyond the deadline. With
+        ``in_backoff`` it is sent though the replica asked for no requests.
 
         Raises ``NotConnected``, ``AnswerLost`` or the cause of a cancellation; the
-        connection is then closed.
+        connection is then closed, unless ``wait`` keeps it.
         """
         now_s = time.monotonic()
-        if self._state.backoff.active(replica.replica_id, now_s):
+        if not in_backoff and self._state.backoff.active(replica.replica_id, now_s):
             raise ReplicaWaits(f"{replica.address} asked for no requests for a while")
         self._use_slot(replica, slot, now_s)
-        connection = self._state.pool.take(
-            replica,
-            timeout_s=deadline_s - now_s,
-            now_s=now_s,
-            avoid=cancel_scope.used_connections,
-            new_only=cancel_scope.connection_ended,
-            directly=directly,
-            repeatable=call.repeatable,
+        connection = cancel_scope.connect(
+            lambda: self._state.pool.take(
+                replica,
+                timeout_s=deadline_s - now_s,
+                now_s=now_s,
+                avoid=cancel_scope.used_connections,
+                new_only=cancel_scope.connection_ended,
+                directly=directly,
+                repeatable=call.repeatable,
+            )
         )
         sent_s = time.monotonic()
         try:
@@ -170,9 +173,7 @@
                 connection, request_id, deadline_s, sent_s=sent_s, wait=wait
             )
         except BaseException as error:
-            connection.discard()
-            cancel_scope.detach(connection)
-            cancel_scope.note_error(error)
+            self._end_call(connection, cancel_scope, error, wait)
             if isinstance(error, AnswerLost):
                 cancel_scope.raise_if_cancelled()
                 self._state.on_call_lost(
@@ -180,6 +181,40 @@
                 )
             raise
 
+    def resume(
+        self,
+        connection: UpstreamConnection,
+        cancel_scope: CancelScope,
+        *,
+        request_id: str,
+        deadline_s: float,
+        wait: AnswerWait,
+    ) -> OpenResponse:
+        """Return the response to a call that was left open, as ``start`` does."""
+        resumed_s = time.monotonic()
+        try:
+            cancel_scope.reattach(connection)
+            return self._read_matching_response(
+                connection, request_id, deadline_s, sent_s=resumed_s, wait=wait
+            )
+        except BaseException as error:
+            self._end_call(connection, cancel_scope, error, wait)
+            if isinstance(error, AnswerLost):
+                cancel_scope.raise_if_cancelled()
+            raise
+
+    def late_answer(
+        self, connection: UpstreamConnection, *, request_id: str, deadline_s: float
+    ) -> OpenResponse:
+        """Return the response to a call that was given up; raise ``AnswerLost``."""
+        try:
+            return self._read_matching_response(
+                connection, request_id, deadline_s, sent_s=time.monotonic()
+            )
+        except BaseException:
+            connection.discard()
+            raise
+
     def read_body(
         self,
         response: OpenResponse,
@@ -265,6 +300,20 @@
         else:
             self._state.links.note_answer_by_peer()
 
+    @staticmethod
+    def _end_call(
+        connection: UpstreamConnection,
+        cancel_scope: CancelScope,
+        error: BaseException,
+        wait: AnswerWait | None,
+    ) -> None:
+        """Close the connection of a lost call, unless ``wait`` keeps it."""
+        is_late = isinstance(error, AnswerTimeout) and wait is not None
+        if not is_late or not wait.keep(connection):
+            connection.discard()
+        cancel_scope.detach(connection)
+        cancel_scope.note_error(error)
+
     def _use_slot(self, replica: Replica, slot: CallSlot, now_s: float) -> None:
         """Count the call against the replica's limit; raise ``ReplicaWaits``."""
         limits = self._state.replica_limits
