--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_retries.py
@@ -45,10 +45,10 @@
 
     def try_hold(self) -> bool:
         """Hold a retry for the next prefill; return whether there is one."""
-        if self._held or self._attempts + 1 >= MAX_PREFILL_ATTEMPTS:
+        if self._held is not None or self._attempts + 1 >= MAX_PREFILL_ATTEMPTS:
             return False
-        self._held = self._budget.try_spend(time.monotonic())
-        return self._held
+        self._held = self._budget.spend(time.monotonic())
+        return self._held is not None
 
     def take(self, *, begun: bool) -> bool:
         """Use the retry that is held, or count one; return whether there is one.
