Choose replicas of plain services in a module of their own

PlainCandidates holds the choice of replicas; building a call and reading the meaning of its answer are methods. No behaviour changes; the tests of plain requests, hedges, silent replicas, refusals and held memory passed.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -3,13 +3,11 @@
 import time
 from dataclasses import dataclass
 
-import gevent
-
 from persimmonyoke.internal.delivery.retry_budget import RetryBudget
-from persimmonyoke.internal.dispatch.services import choose_replica
 from persimmonyoke.internal.fleet.interfaces import RawCall, UpstreamCall
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.attempts import AttemptStart
+from persimmonyoke.internal.gateway.body_buffer import Body
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
     AnswerTimeout,
@@ -22,6 +20,7 @@
 from persimmonyoke.internal.gateway.former_call import CallResumed, FormerCall
 from persimmonyoke.internal.gateway.hedge import LOOK_AGAIN_S, Hedge
 from persimmonyoke.internal.gateway.memory_log import note_no_room
+from persimmonyoke.internal.gateway.plain_candidates import PlainCandidates
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.suspect_guard import SuspectGuard, wait_limit_s
 from persimmonyoke.internal.gateway.upstream_call import (
@@ -35,12 +34,6 @@
 """Plain calls take 20 to 90 ms, so a full replica soon has a free slot."""
 
 RETRY_AFTER_NONE_S = 0.5
-SLOT_PATIENCE_SHARE = 0.5
-"""Share of the target latency that a request waits for replicas with limits.
-
-Requests that would have to wait longer are refused at once.
-"""
-
 HEDGE_FACTOR = 2.5
 """Multiple of the target latency after which a call without a response is retried.
 
@@ -81,6 +74,7 @@
     def __init__(self, state: GatewayState, crashes: CrashDetector) -> None:
         self._state = state
         self._caller = UpstreamCaller(state)
+        self._candidates = PlainCandidates(state)
         self._crashes = crashes
         self._guard = SuspectGuard(state)
 
@@ -191,61 +185,13 @@
         """
         reserved = self._guard.reserve(
             exchange,
-            lambda: self._reservable(exchange, excluded),
+            lambda: self._candidates.reservable(exchange, excluded),
             until_s=wait_limit_s(exchange),
         )
         return (
             reserved
-            or self._choose(exchange, excluded)
-            or self._await_slot(exchange, excluded)
-        )
-
-    def _await_slot(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
-        """Wait for a replica whose limit allows a request soon, if there is one."""
-        state, route = self._state, exchange.route
-        last_s = time.monotonic() + SLOT_PATIENCE_SHARE * route.target_latency_s
-        while True:
-            now_s = time.monotonic()
-            known = {r.replica_id: r for r in self._reachable(exchange, excluded)}
-            slot = state.replica_limits.reserve(
-                known, now_s=now_s, patience_s=last_s - now_s
-            )
-            if slot is None:
-                return None
-            gevent.sleep(slot.at_s - now_s)
-            exchange.cancel_scope.raise_if_cancelled()
-            usable = {r.replica_id for r in self._reachable(exchange, excluded)}
-            if slot.replica_id in usable:
-                exchange.slot_at = slot.replica_id
-                return known[slot.replica_id]
-
-    def _reservable(self, exchange: Exchange, excluded: set[str]) -> list[Replica]:
-        now_s = time.monotonic()
-        return [
-            replica
-            for replica in self._reachable(exchange, excluded)
-            if self._state.replica_limits.wait_s(replica.replica_id, now_s) <= 0.0
-        ]
-
-    def _reachable(self, exchange: Exchange, excluded: set[str]) -> list[Replica]:
-        state, now_s = self._state, time.monotonic()
-        return [
-            replica
-            for replica in state.usable_replicas(exchange.service.name, now_s=now_s)
-            if replica.replica_id not in excluded
-            and not state.health.paused(replica.replica_id, now_s)
-        ]
-
-    def _choose(self, exchange: Exchange, excluded: set[str]) -> Replica | None:
-        state, now_s = self._state, time.monotonic()
-        return choose_replica(
-            state.sendable_replicas(exchange.service.name, now_s=now_s),
-            ledger=state.ledger,
-            health=state.health,
-            excluded=excluded,
-            own_zone=state.settings.availability_zone,
-            now_s=now_s,
-            rng=state.rng,
+            or self._candidates.choose(exchange, excluded)
+            or self._candidates.await_slot(exchange, excluded)
         )
 
     def _send(
@@ -288,21 +234,7 @@
         resumes: bool,
     ) -> SendOutcome:
         state, request = self._state, exchange.request
-        headers = state.wire.request_headers(
-            request.headers,
-            UpstreamCall(
-                replica_id=replica.replica_id,
-                deadline_ms=exchange.deadline_ms,
-                last_event_id=exchange.metadata.last_event_id,
-            ),
-        )
-        call = RawCall(
-            request.method,
-            request.target,
-            headers,
-            request.body,
-            repeatable=exchange.route.repeatable,
-        )
+        call = self._raw_call(exchange, replica)
         deadline_s = self._attempt_deadline_s(exchange, resumes=resumes)
         hedge = self._hedge(exchange, excluded, former)
         try:
@@ -313,7 +245,9 @@
                 deadline_s = time.monotonic() + REFUSAL_TIMEOUT_S
             else:
                 former.close()
-                if hedge.extended or not self._reservable(exchange, excluded):
+                if hedge.extended or not self._candidates.reservable(
+                    exchange, excluded
+                ):
                     deadline_s = hedge.last_s
             body = self._caller.read_body(
                 opened,
@@ -342,6 +276,32 @@
             exchange.may_have_run = True
             self._record_loss(exchange, replica, start, error)
             return OutcomeUnknown(str(error), hedge.retry_counted)
+        return self._outcome(exchange, replica, opened, body)
+
+    def _raw_call(self, exchange: Exchange, replica: Replica) -> RawCall:
+        """Return the call that asks a replica to run the request."""
+        request = exchange.request
+        headers = self._state.wire.request_headers(
+            request.headers,
+            UpstreamCall(
+                replica_id=replica.replica_id,
+                deadline_ms=exchange.deadline_ms,
+                last_event_id=exchange.metadata.last_event_id,
+            ),
+        )
+        return RawCall(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            repeatable=exchange.route.repeatable,
+        )
+
+    def _outcome(
+        self, exchange: Exchange, replica: Replica, opened: OpenResponse, body: Body
+    ) -> SendOutcome:
+        """Return what a complete answer means for the request."""
+        state, request = self._state, exchange.request
         if _is_rejection(opened):
             state.health.note_failure(replica.replica_id, time.monotonic())
             request.held.drop(len(body))
@@ -399,7 +359,7 @@
         def try_spend() -> bool:
             if not exchange.route.repeatable:
                 return False
-            others = self._reservable(exchange, excluded)
+            others = self._candidates.reservable(exchange, excluded)
             return bool(others) and self._try_spend(exchange, budget)
 
         return Hedge(
