Send no prefill again shortly before the deadline

Callers of streams whose prefill engine was silent got streams that were cut at their deadline: the prompt was read at another engine after 1.8 s of 2 s, and the stream began 0.14 s before the deadline.

A late prefill now moves only if the route's target for a first event is left after the next prefill.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -333,6 +333,7 @@
         wait = PrefillWait(
             admitted.plan,
             last_s=deadline_s,
+            stream_s=exchange.route.target_latency_s,
             silences=self._state.silences,
             probes=self._probes,
             readers=self._readers.free_engines,
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_wait.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/prefill_wait.py
@@ -26,9 +26,10 @@
     """Keep a prefill call waiting unless it is late and another engine answers.
 
     Late engines are probed. One that answers may only be slower than expected, so its
-    call gets more time than that of a silent one. ``readers`` returns the engines that
-    may read the prompt now, and ``hold_retry`` holds a retry for the next call and
-    returns whether there is one.
+    call gets more time than that of a silent one. Near the deadline it is kept, as a
+    stream that begins less than ``stream_s`` before it would be cut. ``readers``
+    returns the engines that may read the prompt now, and ``hold_retry`` holds a retry
+    for the next call and returns whether there is one.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         plan: PrefillPlan,
         *,
         last_s: float,
+        stream_s: float,
         silences: EngineSilences,
         probes: EngineProbes,
         readers: Callable[[], Sequence[Replica]],
@@ -44,6 +46,7 @@
     ) -> None:
         self._plan = plan
         self._last_s = last_s
+        self._stream_s = stream_s
         self._silences = silences
         self._probes = probes
         self._readers = readers
@@ -65,7 +68,8 @@
         if now_s >= self._last_s:
             return None
         others = self._others(now_s)
-        if others and now_s >= self._leave_s(now_s) and self._hold_retry():
+        is_late = now_s >= self._leave_s(now_s) and self._leaves_time(now_s)
+        if others and is_late and self._hold_retry():
             self._leaves = True
             return None
         if self._probed_s > now_s or not others or not self._was_heard(now_s):
@@ -78,6 +82,10 @@
             self.left = connection
         return self._leaves
 
+    def _leaves_time(self, now_s: float) -> bool:
+        """Return whether a stream could still be written after another prefill."""
+        return self._last_s - now_s >= self._plan.done_s + self._stream_s
+
     def _leave_s(self, now_s: float) -> float:
         """Return when the call may be given up, which a probe comes before."""
         leave_s = max(
