Log whether an answer has a length or ends with its connection

Nothing in the logs told an answer that was complete by its framing from one that was taken as complete at the end of its connection, so hypotheses 1 and 2 of docs/incidents/reset-answers.md could not be told from an answer that the replica had ended itself. The request line names it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/exchange.py
@@ -12,6 +12,7 @@
     Route,
     Service,
 )
+from persimmonyoke.internal.gateway.answers import ResponseHead
 from persimmonyoke.internal.gateway.attempts import (
     Attempt,
     AttemptStart,
@@ -81,6 +82,9 @@
     """Events of the stream that were sent to the client."""
 
     status: int = 0
+    framed: bool | None = None
+    """Whether the answer has a length or chunks, or else ends with its connection."""
+
     isolated_on: str | None = None
     """Replica reserved for this request alone because the request may crash it."""
 
@@ -178,6 +182,13 @@
         kind = ErrorKind.DEADLINE_EXCEEDED if late else ErrorKind.UPSTREAM_FAILED
         return RequestError(kind, message, ran=Ran.UNKNOWN)
 
+    def relayed_head(
+        self, head: ResponseHead, headers: list[tuple[bytes, bytes]]
+    ) -> OutgoingHead:
+        """Return the head to the client of a replica's answer, and record it."""
+        self.framed = head.self_delimited
+        return self.head(head.status, head.reason, headers)
+
     def head(self, status: int, reason: bytes, headers: list) -> OutgoingHead:
         """Return the head of the response to the client and record its status."""
         self.status = status
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -85,7 +85,7 @@
         response = self._try_replicas(exchange, budget).response
         exchange.first_event_s = time.monotonic()
         headers = list(self._state.wire.client_headers(response.head.headers))
-        head = exchange.head(response.head.status, response.head.reason, headers)
+        head = exchange.relayed_head(response.head, headers)
         exchange.client.send_response(head, response.body)
 
     def _try_replicas(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/request_log.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/request_log.py
@@ -67,6 +67,7 @@
             outcome=outcome,
             status=exchange.status,
             reason=reason,
+            framed=exchange.framed,
             route=exchange.route.name,
             kind=kind,
             ms=int((now_s - exchange.started_s) * 1_000),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -212,7 +212,7 @@
             exchange.request.held.drop(len(body))
             return RunInterrupted(f"engine answered {opened.head.status}")
         headers = list(self._state.wire.client_headers(opened.head.headers))
-        head = exchange.head(opened.head.status, opened.head.reason, headers)
+        head = exchange.relayed_head(opened.head, headers)
         exchange.client.send_response(head, body)
         return RunCompleted()
 
@@ -381,7 +381,7 @@
 
     def _head(self, opened: OpenResponse) -> OutgoingHead:
         headers = list(self._state.wire.client_headers(opened.head.headers))
-        return self._exchange.head(opened.head.status, opened.head.reason, headers)
+        return self._exchange.relayed_head(opened.head, headers)
 
     def _give_up(self, outcome: RunOutcome) -> None:
         assert not isinstance(outcome, RunCompleted)
