Reject answers whose head is no head of an HTTP/1.1 answer

Clients got answers with the status 600 or 999, with control bytes in the reason phrase, with a version of HTTP that is none, and, without its name, a body in a further transfer coding (MIXED: bytes that are no answer, a body that is not the replica's). After a head with the status 000 or 099, or with control bytes, the next bytes of the replica were read as the answer to the request.

Cause: llhttp checks the names of fields but accepts these heads, and the parser took any status below 200 for an interim one. It checks the status, the version, the reason phrase and the transfer coding now.

The same parser reads the answers to requests, prefill, reports, orders and probes, those of the store, and the heads of tunnels.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
@@ -1,5 +1,6 @@
 """Parse HTTP responses of replicas and the store."""
 
+import re
 from collections import deque
 from dataclasses import dataclass
 
@@ -18,6 +19,11 @@
 """
 
 
+_MIN_STATUS, _MAX_STATUS = 100, 599
+_VERSIONS = ("1.0", "1.1")
+_NOT_IN_REASON = re.compile(rb"[^\t\x20-\x7e\x80-\xff]")
+
+
 @dataclass(frozen=True)
 class ResponseHead:
     """Represent the status line and the headers of a response."""
@@ -88,6 +94,10 @@
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise ProtocolError("unexpected upgrade") from error
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, ProtocolError):
+                raise error.__context__ from None
+            raise
         except httptools.HttpParserError as error:
             raise ProtocolError(str(error)) from error
         finally:
@@ -125,6 +135,7 @@
         """Queue the head, unless it belongs to an interim response."""
         self._headers_done = True
         status = self._parser.get_status_code()
+        self._check_head(status)
         if status < 200:
             return
         names = {name.lower() for name, _ in self._headers}
@@ -146,6 +157,24 @@
             self._in_message = False
             self._events.append(ResponseEnd())
 
+    def _check_head(self, status: int) -> None:
+        """Raise ``ProtocolError`` for a head that llhttp accepts and HTTP does not."""
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            raise ProtocolError(f"{status} is no HTTP status")
+        version = self._parser.get_http_version()
+        if version not in _VERSIONS:
+            raise ProtocolError(f"HTTP version {version} is not supported")
+        if _NOT_IN_REASON.search(self._reason):
+            raise ProtocolError("reason phrase holds control characters")
+        codings = [v for n, v in self._headers if n.lower() == b"transfer-encoding"]
+        if not codings:
+            return
+        # A body in another coding would be passed on without the name of its coding.
+        if [coding.strip().lower() for coding in codings] != [b"chunked"]:
+            raise ProtocolError("transfer coding is not supported")
+        if version == "1.0":
+            raise ProtocolError("HTTP/1.0 has no transfer codings")
+
     def on_body(self, part: bytes) -> None:
         """Add a body part; the parts of one ``feed`` call are joined into one event."""
         self._body.append(part)
