Take no answer for complete that ended together with its replica

A replica whose process is killed ends its connections without a reset if it has read all.

Cause: the kernel closes the connections of a killed process as the process itself would, so the end of a connection does not tell a finished answer from a killed replica. The host asks for further evidence now: after such an end it connects to the replica once more. Answers with a length or chunks, the usual ones, are not touched.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -22,6 +22,7 @@
     needs_probe,
 )
 from persimmonyoke.internal.fleet.model import Replica
+from persimmonyoke.internal.gateway.answers import ResponseHead
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
@@ -121,6 +122,21 @@
         elif verdict is Verdict.CRASHED:
             self._note_crash(loss, now_s=time.monotonic())
 
+    def check_end(self, replica: Replica, head: ResponseHead) -> None:
+        """Raise ``ConnectionEnded`` if an answer may have ended with its replica.
+
+        The kernel closes the connections of a process that is killed as the process
+        would, so the end of an answer without a length is its own only if the replica
+        still listens. The probe is a new one: an earlier one may be of before the end.
+        """
+        if head.self_delimited:
+            return
+        probe = ProbeResult.NOT_MADE
+        if not self._restarted(replica):
+            probe = self._connect(replica)
+        if probe in (ProbeResult.NOT_MADE, ProbeResult.REFUSED):
+            raise ConnectionEnded("replica ended, perhaps before its answer")
+
     def note_started(self, started: Replica) -> None:
         """Count the unexplained losses of the previous incarnation as crashes."""
         now_s = time.monotonic()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -257,6 +257,8 @@
                 held=request.held,
                 room_until_s=hedge.last_s,
             )
+            if not _is_rejection(opened):
+                self._check_end(exchange, replica, opened, body)
         except NotConnected as error:
             exchange.sends -= 1
             state.note_not_connected(replica, error, now_s=time.monotonic())
@@ -279,6 +281,16 @@
             return OutcomeUnknown(str(error), hedge.retry_counted)
         return self._outcome(exchange, replica, opened, body)
 
+    def _check_end(
+        self, exchange: Exchange, replica: Replica, opened: OpenResponse, body: Body
+    ) -> None:
+        """Drop an answer that may have ended with its replica."""
+        try:
+            self._crashes.check_end(replica, opened.head)
+        except AnswerLost:
+            exchange.request.held.drop(len(body))
+            raise
+
     def _raw_call(self, exchange: Exchange, replica: Replica) -> RawCall:
         """Return the call that asks a replica to run the request."""
         request = exchange.request
