Free a refused request before its client is waited for

Clients whose chunked bodies were refused ended the host: a refusal is an exception, its traceback holds the frames of the parser, and those hold the body, which the budget counted as released. While the refusal was handled the host sent it and read on for up to 4 s, so each refused client kept up to 4 MB. The refusal is sent after the exception has been handled now, and the parser drops the one that it kept for later.

test_held_memory holds it in one process (4 bodies where 3 have room, before).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -1,6 +1,7 @@
 """Serve client connections, each in a greenlet of its own."""
 
 import time
+from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
 
@@ -42,6 +43,20 @@
 RETRY_AFTER_NOT_READY_S = 0.5
 
 
+@dataclass(frozen=True)
+class _Refusal:
+    """Represent the response to input that is rejected."""
+
+    head: OutgoingHead
+    body: bytes
+
+    def send(self, connection: ClientConnection) -> None:
+        """Release what was received, send the response and close the connection."""
+        connection.release()
+        connection.send_response(self.head, self.body)
+        connection.lingering_close()
+
+
 class FrontServer:
     """Accept client connections and serve their requests."""
 
@@ -144,7 +159,12 @@
         try:
             request = connection.next_request()
         except RequestError as error:
-            self._refuse_input(connection, error)
+            refusal = self._refusal_of_input(error)
+        else:
+            refusal = None
+        if refusal is not None:
+            # The error is gone, and so is what its traceback held of the request.
+            refusal.send(connection)
             return False
         if request is None:
             return False
@@ -158,16 +178,15 @@
             connection.lingering_close()
         return keep_open
 
-    def _refuse_input(self, connection: ClientConnection, error: RequestError) -> None:
-        connection.release()
+    def _refusal_of_input(self, error: RequestError) -> "_Refusal":
+        """Log input that is rejected, and return what its client is told."""
         if isinstance(error, NoRoomForBody):
             note_no_room(self._state, "body", error.request_id, error.body_bytes)
         self._state.journal.event(
             "input_refused", status=error.answer.status, reason=error.message
         )
         self._state.metrics.requests.add(kind="none", outcome="rejected")
-        connection.send_response(_error_head(error, closing=True), _error_body(error))
-        connection.lingering_close()
+        return _Refusal(_error_head(error, closing=True), _error_body(error))
 
     def _handle_request(
         self, connection: ClientConnection, request: ClientRequest
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -154,6 +154,8 @@
         if self._partial is not None:
             self._partial.held.release()
         self._partial = None
+        # Its traceback holds the request that it refuses.
+        self._refusal = None
 
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise ``RequestError`` if the input is invalid or too large.
