Parse bodies in small chunks at little cost, and yield while receiving

While clients sent chunks of one byte, a host answered nobody else: each chunk was a callback in Python with a check of two limits, some 11,000 for each 64 kB, and a greenlet received on without a pause for as long as input had arrived. The parts of a block are joined once now (httptools appends them to a list by itself), the limits are checked for the block, and a client connection yields after each 64 kB, as those to replicas do.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -80,6 +80,7 @@
         self._held: HeldBytes | None = None
         self._pending: list[bytes] = []
         self._pending_bytes = 0
+        self._bytes_since_yield = 0
         self._watcher = None
         self._on_disconnect: Callable[[], None] | None = None
         self.disconnected = False
@@ -100,6 +101,10 @@
         while request is None:
             if not self._read_some(started_s):
                 return None
+            if self._bytes_since_yield >= READ_BYTES:
+                # Receiving from a fast client would never let other requests run.
+                self._bytes_since_yield = 0
+                yield_to_io()
             if self.idle:
                 started_s = time.monotonic()
             self.idle = False
@@ -130,6 +135,7 @@
             data = self._receive(started_s)
         if not data:
             return False
+        self._bytes_since_yield += len(data)
         self._widen_limits()
         self._parser.feed(data)
         if self._parser.wants_continue:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -111,6 +111,10 @@
     def __init__(self, limits: ClientLimits, memory: HeldMemory | None = None) -> None:
         self.limits = limits
         self._memory = memory or HeldMemory()
+        self._body_parts: list[bytes] = []
+        # Chunks may be of one byte each, so that a callback in Python for each one
+        # would keep all other clients waiting.
+        self.on_body = self._body_parts.append
         self._parser = httptools.HttpRequestParser(self)
         self._partial: _PartialRequest | None = None
         self._complete: deque[ClientRequest] = deque()
@@ -154,6 +158,7 @@
         if self._partial is not None:
             self._partial.held.release()
         self._partial = None
+        self._body_parts.clear()
         # Its traceback holds the request that it refuses.
         self._refusal = None
 
@@ -172,6 +177,7 @@
     def _feed(self, data: bytes) -> None:
         partial, body_bytes = self._partial, self._body_bytes
         self._parse(data)
+        self._join_body()
         if partial is None or self._partial is not partial:
             return
         # The parser doesn't report a header line until it is complete, so bytes of an
@@ -241,8 +247,12 @@
             self._hold(partial, partial.declared_bytes)
             partial.body = BodyBuffer(partial.declared_bytes)
 
-    def on_body(self, part: bytes) -> None:
-        """Append a part of the body."""
+    def _join_body(self) -> None:
+        """Append the parts that have been parsed to the body of their request."""
+        if not self._body_parts:
+            return
+        part = b"".join(self._body_parts)
+        self._body_parts.clear()
         partial = self._current()
         size_bytes = partial.body.size_bytes + len(part)
         if size_bytes > self.limits.max_body_bytes:
@@ -252,6 +262,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        self._join_body()
         partial = self._current()
         self._partial = None
         if len(self._complete) >= _MAX_PIPELINED:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
@@ -7,7 +7,10 @@
 import gevent
 from gevent import socket
 
+from persimmonyoke.internal.fleet.model import ClientLimits
+from persimmonyoke.internal.gateway.client_connection import ClientConnection
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
+from persimmonyoke.internal.gateway.held_memory import HeldMemory
 from persimmonyoke.internal.gateway.transports import READ_BYTES, Transport
 from persimmonyoke.internal.gateway.tunnel_requests import TunnelRequestParser
 from persimmonyoke.internal.gateway.tunnel_server import _pass_to_peer, _Tunnel
@@ -22,6 +25,11 @@
 MAX_READS = 20_000
 """Reads after which the answers end, so that a test that fails ends as well."""
 
+MAX_CLIENT_READS = 500
+REQUEST_HEAD = (
+    b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"
+)
+LIMITS = ClientLimits(4_096, 1_000_000_000, 5.0, 30.0)
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n"
 
 
@@ -58,6 +66,25 @@
         """Hold nothing."""
 
 
+class FloodingSocket:
+    """Have input of a client at all times, and count how often it is read."""
+
+    def __init__(self, reads):
+        self._reads = reads
+        self._next = REQUEST_HEAD
+
+    def settimeout(self, _timeout_s):
+        """Accept any time limit."""
+
+    def recv(self, size_bytes):
+        """Return the next part of a body without end."""
+        self._reads.append(self)
+        if len(self._reads) > MAX_CLIENT_READS:
+            return b""
+        data, self._next = self._next, b"b" * size_bytes
+        return data
+
+
 def read_on(connection):
     connection.read_head(timeout_s=5.0)
     while connection.read_part(timeout_s=5.0):
@@ -71,9 +98,13 @@
 
 class YieldTest(unittest.TestCase):
     def check(self, flood):
+        """Count the reads of floods of replicas until other input is read."""
+        self.check_floods(lambda reads: flood(FloodingTransport(reads)))
+
+    def check_floods(self, flood):
         """Count the reads of floods until other input is read."""
         reads = []
-        tasks = [gevent.spawn(flood, FloodingTransport(reads)) for _ in range(FLOODS)]
+        tasks = [gevent.spawn(flood, reads) for _ in range(FLOODS)]
         near, far = socket.socketpair()
         tasks.append(gevent.spawn(echo, far))
         for _ in range(ECHOES):
@@ -110,6 +141,14 @@
             )
         )
 
+    def test_a_client_that_sends_without_a_pause_lets_other_input_be_read(self):
+        # Guards against a host that serves nothing while a few clients send fast.
+        self.check_floods(
+            lambda reads: ClientConnection(
+                FloodingSocket(reads), lambda: LIMITS, HeldMemory()
+            ).next_request()
+        )
+
     def test_a_yield_does_not_wait_for_input(self):
         started_s = time.monotonic()
         gevent.spawn(gevent.sleep, 1.0)
