Limit the open connections of clients, and close the least useful one for a new one

Clients that open connections and stay kept all others from being served: a host accepted them until its descriptors were used up (idle ones on any port, for the idle limit; answers that nobody reads), and each connection takes some 40 kB that were in no budget (1,000 with unread answers: 87 to 91 MB of 80).

The connections of clients of all ports have one limit now, from limits.max-fds and limits.memory-mb (1,560 on the machines of the sites). For a new one beyond it, that without a byte is closed, then one that has neither sent nor read for 1 s in the middle of a request or answer, then the one idle for longest without input; one that is being served never is. If there is none the client gets 503, which is true: nothing was read. Sending notes its progress, so that a slow reader is told from one that does not read.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.fleet.model import ClientLimits
 from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.body_buffer import Body
+from persimmonyoke.internal.gateway.client_table import ClientPhase, TableEntry
 from persimmonyoke.internal.gateway.held_memory import (
     LARGE_BYTES,
     HeldBytes,
@@ -86,7 +87,7 @@
         return data
 
 
-class ClientConnection:
+class ClientConnection(TableEntry):
     """Read requests from a client and write responses to it.
 
     While a request is being served, a watcher detects that the client disconnects,
@@ -105,8 +106,10 @@
         sock: socket.socket,
         limits: Callable[[], ClientLimits],
         memory: HeldMemory,
+        on_progress: Callable[[ClientPhase], None] = lambda _phase: None,
     ) -> None:
         self._sock = sock
+        self._on_progress = on_progress
         self._limits = limits
         self._parser = RequestParser(limits(), memory)
         self._held: HeldBytes | None = None
@@ -117,6 +120,7 @@
         self.disconnected = False
         self.idle = True
         self.response_started = False
+        self._has_served = False
         self.last_byte_s = 0.0
 
     def next_request(self) -> ClientRequest | None:
@@ -129,6 +133,8 @@
         started_s = time.monotonic()
         if not self._parser.reading:
             self._parser.limits = self._limits()
+        if self._has_served:
+            self._on_progress(ClientPhase.IDLE)
         while request is None:
             if not self._read_some(started_s):
                 return None
@@ -139,8 +145,11 @@
             if self.idle:
                 started_s = time.monotonic()
             self.idle = False
+            self._on_progress(ClientPhase.RECEIVING)
             request = self._parser.next_request()
         self.idle = False
+        self._has_served = True
+        self._on_progress(ClientPhase.SERVING)
         self.response_started = False
         self.last_byte_s = time.monotonic()
         self._held = request.held
@@ -277,6 +286,15 @@
         """End a chunked response."""
         self._send(b"0\r\n\r\n")
 
+    @property
+    def has_input(self) -> bool:
+        """Return whether input or its end has arrived that was not read yet."""
+        return sockets.has_input(self._sock)
+
+    def shut_down(self) -> None:
+        """End the connection from another greenlet."""
+        sockets.shut_down(self._sock)
+
     def close(self) -> None:
         """Close the connection."""
         self.release()
@@ -288,7 +306,7 @@
 
         Closing with unread input would reset the connection.
         """
-        if self.idle and not sockets.has_input(self._sock):
+        if self.idle and not self.has_input:
             self.close()
 
     def lingering_close(self) -> None:
@@ -322,12 +340,29 @@
         if self.disconnected:
             raise ClientGone("client closed the connection")
         try:
-            self._sock.settimeout(SEND_TIMEOUT_S)
-            self._sock.sendall(data)
+            self._send_all(data)
         except OSError as error:
             self.disconnected = True
             raise ClientGone(f"sending to the client failed: {error}") from error
 
+    def _send_all(self, data: Body) -> None:
+        """Send bytes, and tell of the progress while the client has to read."""
+        left = memoryview(data)
+        self._sock.settimeout(0.0)
+        try:
+            left = left[self._sock.send(left) :]
+        except BlockingIOError:
+            # The client has not read what was sent before.
+            pass
+        if not left:
+            return
+        end_s = time.monotonic() + SEND_TIMEOUT_S
+        while left:
+            self._on_progress(ClientPhase.SENDING)
+            self._sock.settimeout(max(MIN_TIMEOUT_S, end_s - time.monotonic()))
+            left = left[self._sock.send(left) :]
+        self._on_progress(ClientPhase.SERVING)
+
 
 def _encode_head(head: OutgoingHead, framing: bytes) -> bytes:
     lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -16,6 +16,7 @@
 from persimmonyoke.internal.dispatch.routes import choose_service
 from persimmonyoke.internal.fleet.model import RequestKind
 from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.accepted_clients import accepted_client
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
     ClientGone,
@@ -35,11 +36,18 @@
     ClientRequest,
     NoRoomForBody,
 )
+from persimmonyoke.internal.gateway.small_server import MAX_ACCEPT
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stopping import HostStop, StreamPaces
 from persimmonyoke.internal.gateway.stream_relay import StreamRelay
 
 BACKLOG = 1_024
+REFUSED_SHARE = 0.125
+"""Share of the limit of connections that may be open beyond it for a refusal.
+
+Each client keeps its connection until it has read the refusal; others are just closed.
+"""
+
 RETRY_AFTER_NOT_READY_S = 0.5
 
 
@@ -68,6 +76,7 @@
         self._streams = StreamRelay(state, crashes)
         self._connections: set[ClientConnection] = set()
         self._requests_in_progress = 0
+        self._connections_refused = 0
         self._exchanges: dict[int, Exchange] = {}
         self._stop: HostStop | None = None
         self._log = RequestLog(state)
@@ -86,6 +95,7 @@
     def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
         self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
+        self._server.max_accept = MAX_ACCEPT
         self._server.start()
         return self._server.server_port
 
@@ -135,11 +145,13 @@
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
         sockets.enable_dead_peer_detection(sock, sockets.CLIENT_USER_TIMEOUT_MS)
-        state = self._state
-        connection = ClientConnection(sock, lambda: state.limits, state.memory)
+        connection = accepted_client(sock, self._state)
         self._connections.add(connection)
         try:
-            self._serve_requests(connection)
+            if self._state.clients.try_admit(connection):
+                self._serve_requests(connection)
+            else:
+                self._refuse_connection(connection)
         except ClientGone:
             # The disconnection has been logged with the request that it ended.
             pass
@@ -147,6 +159,7 @@
             self._state.journal.unexpected("connection_failed")
         finally:
             self._connections.discard(connection)
+            self._state.clients.discard(connection)
             connection.close()
 
     def _serve_requests(self, connection: ClientConnection) -> None:
@@ -178,7 +191,23 @@
             connection.lingering_close()
         return keep_open
 
-    def _refusal_of_input(self, error: RequestError) -> "_Refusal":
+    def _refuse_connection(self, connection: ClientConnection) -> None:
+        """Tell a client to come back, as long as there are few of those."""
+        if self._connections_refused >= REFUSED_SHARE * self._state.clients.limit:
+            return
+        self._connections_refused += 1
+        try:
+            error = RequestError(
+                ErrorKind.NOT_READY,
+                "host has too many connections",
+                retry_after_s=RETRY_AFTER_NOT_READY_S,
+            )
+            self._state.metrics.requests.add(kind="none", outcome="rejected")
+            self._refusal(error).send(connection)
+        finally:
+            self._connections_refused -= 1
+
+    def _refusal_of_input(self, error: RequestError) -> _Refusal:
         """Log input that is rejected, and return what its client is told."""
         if isinstance(error, NoRoomForBody):
             note_no_room(self._state, "body", error.request_id, error.body_bytes)
@@ -186,6 +215,10 @@
             "input_refused", status=error.answer.status, reason=error.message
         )
         self._state.metrics.requests.add(kind="none", outcome="rejected")
+        return self._refusal(error)
+
+    @staticmethod
+    def _refusal(error: RequestError) -> _Refusal:
         return _Refusal(_error_head(error, closing=True), _error_body(error))
 
     def _handle_request(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from persimmonyoke.internal.gateway.client_table import REFUSED, ClientPhase
 from persimmonyoke.internal.observability.metrics import NodeMetrics, render
 
 OUTCOMES = (
@@ -11,6 +12,7 @@
     "client_gone",
     "rejected",
 )
+CLOSED_PHASES = (*map(str, ClientPhase), REFUSED)
 MEMORY_SUBJECTS = ("body", "request", "answer")
 KINDS = ("idempotent", "non_idempotent", "streaming", "none")
 MAX_REASONS = 40
@@ -44,6 +46,11 @@
         self.held_bytes = node.gauge(
             "gateway_held_bytes", "Request bodies and answers held for clients."
         )
+        self.closed_for_others = node.counter(
+            "gateway_connections_closed_total",
+            "Connections of clients closed for others, or refused, by their phase.",
+            {"phase": CLOSED_PHASES},
+        )
         self.sends = node.counter(
             "gateway_sends_total",
             "Calls to replicas by stage and result.",
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
@@ -14,6 +14,27 @@
 DEFAULT_MEMORY_BYTES = 200 * 1024 * 1024
 """Memory of a host if the platform states none."""
 
+DEFAULT_DESCRIPTORS = 4_100
+"""Descriptors of a host if the platform states none."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that the platform reserves for files."""
+
+CLIENT_SHARE = 0.4
+"""Share of the other descriptors that clients may take.
+
+A request needs a connection to a replica as well, which stays open for the next one.
+The rest is for tunnels, other hosts and the store.
+"""
+
+PROGRAM_BYTES = 48 * 1024 * 1024
+"""Memory of the program without any connection."""
+
+CONNECTION_BYTES = 40 * 1024
+"""Memory of a client's connection with a request, without what is held for it."""
+
+MIN_CONNECTIONS = 64
+
 PROCESS_BYTES = 80 * 1024 * 1024
 """Memory for the program, its view of the fleet and its connections."""
 
@@ -49,6 +70,8 @@
     """Write calls a second that the store accepts from all hosts together."""
     memory_limit_bytes: int = DEFAULT_MEMORY_BYTES
     """Memory above which the platform kills this process."""
+    max_descriptors: int = DEFAULT_DESCRIPTORS
+    """Descriptors that this process may open, those for files included."""
 
     @property
     def held_limit_bytes(self) -> int:
@@ -56,6 +79,14 @@
         left_bytes = self.memory_limit_bytes - PROCESS_BYTES
         return max(MIN_BUDGET_BYTES, int(HELD_SHARE * left_bytes))
 
+    @property
+    def connection_limit(self) -> int:
+        """Return the limit of open connections of clients, on all ports."""
+        sockets = self.max_descriptors - FILE_DESCRIPTORS
+        left_bytes = self.memory_limit_bytes - self.held_limit_bytes - PROGRAM_BYTES
+        limit = min(int(CLIENT_SHARE * sockets), left_bytes // CONNECTION_BYTES)
+        return max(MIN_CONNECTIONS, limit)
+
     @property
     def view_age_limit_s(self) -> float:
         """Return the age at which the view of the store must be refreshed."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 
 from persimmonyoke.errors import RequestError
+from persimmonyoke.internal.gateway.accepted_clients import accepted_client
 from persimmonyoke.internal.gateway.client_connection import (
     ClientConnection,
     ClientGone,
@@ -24,6 +25,9 @@
 LONGEST_CACHE_FACTOR = 3
 """Factor by which some callers exceed that time."""
 
+MAX_ACCEPT = 16
+"""Connections accepted at once, before others are closed in their favour."""
+
 JSON = (b"Content-Type", b"application/json")
 TEXT = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
 
@@ -45,6 +49,7 @@
     def start(self, host: str, port: int) -> int:
         """Listen on an additional port and return it."""
         server = StreamServer((host, port), self._serve, backlog=256)
+        server.max_accept = MAX_ACCEPT
         server.start()
         self._servers.append(server)
         return server.server_port
@@ -55,17 +60,19 @@
             server.stop(timeout=0)
 
     def _serve(self, sock: socket.socket, _address: object) -> None:
-        state = self._state
-        connection = ClientConnection(sock, lambda: state.limits, state.memory)
+        connection = accepted_client(sock, self._state)
         try:
-            while self._serve_next(connection):
+            # A client over the limit of connections is just closed.
+            goes_on = self._state.clients.try_admit(connection)
+            while goes_on:
                 # No variable here may keep the last request and its body.
-                pass
+                goes_on = self._serve_next(connection)
         except (ClientGone, RequestError) as error:
             self._state.journal.failure("small_request_failed", error)
         except Exception:
             self._state.journal.unexpected("small_request_failed")
         finally:
+            self._state.clients.discard(connection)
             connection.close()
 
     def _serve_next(self, connection: ClientConnection) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -50,6 +50,7 @@
 from persimmonyoke.internal.fleet.store_contact import StoreContact
 from persimmonyoke.internal.fleet.view_age import ViewAge
 from persimmonyoke.internal.gateway.attempts import AttemptStart
+from persimmonyoke.internal.gateway.client_admission import ClientAdmission
 from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.connections import (
     LinksDown,
@@ -98,6 +99,7 @@
         self.journal = journal
         self.metrics = GatewayMetrics()
         self.memory = HeldMemory(settings.held_limit_bytes)
+        self.clients = ClientAdmission(settings.connection_limit, journal, self.metrics)
         self.rng = random.Random()
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
