Limit the buffers of clients' connections in the kernel

Clients that read nothing made the kernel hold what they were sent, and what they sent themselves: 239 and 268 MB for 200 clients of a host whose machine has 110 MB, beside 77 MB of the process. Its buffers grow to megabytes by themselves (4 and 33 MB here), and a host that has handed an answer to the kernel counts it as sent. Connections of clients have buffers of 64 KiB each way now, inherited from their listener, and the limit of connections counts them: 262 on a host with 300 MB.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 
 from gevent import socket
-from gevent.server import StreamServer
 
 from persimmonyoke.errors import (
     ErrorKind,
@@ -22,6 +21,7 @@
     ClientGone,
     OutgoingHead,
 )
+from persimmonyoke.internal.gateway.client_listener import ClientListener
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import (
     Exchange,
@@ -36,7 +36,6 @@
     ClientRequest,
     NoRoomForBody,
 )
-from persimmonyoke.internal.gateway.small_server import MAX_ACCEPT
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.stopping import HostStop, StreamPaces
 from persimmonyoke.internal.gateway.stream_relay import StreamRelay
@@ -80,7 +79,7 @@
         self._exchanges: dict[int, Exchange] = {}
         self._stop: HostStop | None = None
         self._log = RequestLog(state)
-        self._server: StreamServer | None = None
+        self._server: ClientListener | None = None
 
     @property
     def requests_in_progress(self) -> int:
@@ -94,8 +93,7 @@
 
     def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
-        self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
-        self._server.max_accept = MAX_ACCEPT
+        self._server = ClientListener((host, port), self._serve, backlog=BACKLOG)
         self._server.start()
         return self._server.server_port
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 
 from persimmonyoke.internal.gateway.held_memory import MIN_BUDGET_BYTES
+from persimmonyoke.internal.gateway.sockets import (
+    CLIENT_BUFFER_BYTES,
+    KERNEL_OVERHEAD_FACTOR,
+)
 
 VIEW_AGE_SHARE = 0.8
 """Maximum age of the view, as a share of the time within which changes must apply.
@@ -31,7 +35,10 @@
 """Memory of the program without any connection."""
 
 CONNECTION_BYTES = 40 * 1024
-"""Memory of a client's connection with a request, without what is held for it."""
+"""Memory of a client's connection with a request.
+
+What is held for it in the budget, and by the kernel, comes on top.
+"""
 
 MIN_CONNECTIONS = 64
 
@@ -84,7 +91,8 @@
         """Return the limit of open connections of clients, on all ports."""
         sockets = self.max_descriptors - FILE_DESCRIPTORS
         left_bytes = self.memory_limit_bytes - self.held_limit_bytes - PROGRAM_BYTES
-        limit = min(int(CLIENT_SHARE * sockets), left_bytes // CONNECTION_BYTES)
+        each_bytes = CONNECTION_BYTES + 2 * KERNEL_OVERHEAD_FACTOR * CLIENT_BUFFER_BYTES
+        limit = min(int(CLIENT_SHARE * sockets), left_bytes // each_bytes)
         return max(MIN_CONNECTIONS, limit)
 
     @property
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -6,7 +6,6 @@
 
 import orjson
 from gevent import socket
-from gevent.server import StreamServer
 
 from persimmonyoke.errors import RequestError
 from persimmonyoke.internal.gateway.accepted_clients import accepted_client
@@ -15,6 +14,7 @@
     ClientGone,
     OutgoingHead,
 )
+from persimmonyoke.internal.gateway.client_listener import ClientListener
 from persimmonyoke.internal.gateway.requests import ClientRequest
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -25,9 +25,6 @@
 LONGEST_CACHE_FACTOR = 3
 """Factor by which some callers exceed that time."""
 
-MAX_ACCEPT = 16
-"""Connections accepted at once, before others are closed in their favour."""
-
 JSON = (b"Content-Type", b"application/json")
 TEXT = (b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")
 
@@ -44,12 +41,11 @@
             "/resolve": self._resolve,
             "/metrics": self._metrics,
         }
-        self._servers: list[StreamServer] = []
+        self._servers: list[ClientListener] = []
 
     def start(self, host: str, port: int) -> int:
         """Listen on an additional port and return it."""
-        server = StreamServer((host, port), self._serve, backlog=256)
-        server.max_accept = MAX_ACCEPT
+        server = ClientListener((host, port), self._serve, backlog=256)
         server.start()
         self._servers.append(server)
         return server.server_port
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -28,6 +28,17 @@
 """Leaves it to the deadline of a call how long data may stay unacknowledged."""
 
 
+CLIENT_BUFFER_BYTES = 65_536
+"""Size of each of the two buffers of a client's connection in the kernel.
+
+By itself the kernel lets them grow to megabytes for clients that do not read, or whose
+input is not read. A body of 4 MiB takes some 6.5 s over a path of 100 ms.
+"""
+
+KERNEL_OVERHEAD_FACTOR = 2
+"""Factor by which Linux enlarges a buffer for its own records."""
+
+
 class PeerUnresponsive(ConnectionAbortedError):
     """Signal that the kernel gave a connection up, as nothing was acknowledged."""
 
@@ -64,6 +75,12 @@
     set_user_timeout(sock, user_timeout_ms)
 
 
+def limit_buffers(listener: socket.socket) -> None:
+    """Limit the buffers of the connections that a listener accepts."""
+    for option in (native.SO_RCVBUF, native.SO_SNDBUF):
+        listener.setsockopt(native.SOL_SOCKET, option, CLIENT_BUFFER_BYTES)
+
+
 def set_user_timeout(sock: socket.socket, user_timeout_ms: int) -> None:
     """Set for how long sent data may stay unacknowledged or unread by the peer."""
     sock.setsockopt(native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, user_timeout_ms)
