Reject malformed heads of answers in the clients built on http.client

Callers of plain services got answers with a status of 600 to 999, 101 or "+200", and answers in whose head a name held a blank or a control byte, with an empty body or one that included later headers. Such an engine answer was used as a KV cache or as the end of a stream, such an order counted as accepted, such a 503 as not sent, such a 404 as "no outcome is stored", and such an answer of the store as its state.

http.client ends the headers at a line that is none, so that later ones (the length among them) are lost, splits values at a bare CR, takes an end of file for the end of the head, skips no interim response but 100, and ignores lengths and codings that it does not understand. The lines are checked now before http.client parses them, in one response class of all these clients; a malformed head raises HTTPException, which the callers treat as a lost answer whose outcome is unknown.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/http_json.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/http_json.py
@@ -13,6 +13,7 @@
 )
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.platform.response_heads import CHECKED_CONNECTIONS
 
 CONNECT_TIMEOUT_S = 1.0
 POOL_CONNECTIONS = 16
@@ -54,13 +55,15 @@
             used.close()
 
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
-        return urllib3.connection_from_url(
+        pool = urllib3.connection_from_url(
             self._base_url,
             maxsize=POOL_CONNECTIONS,
             block=False,
             retries=False,
             headers=HEADERS,
         )
+        pool.ConnectionCls = CHECKED_CONNECTIONS[pool.scheme]
+        return pool
 
 
 def send(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/connections.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Mapping
 
-from urllib3.connection import HTTPConnection
+from persimmonyoke.internal.platform.response_heads import CheckedConnection
 
 # An unreachable remote host is detected after 5 + 3 x 2 s if no data is in flight, and
 # after 10 s if data is unacknowledged.
@@ -45,7 +45,7 @@
     return host.strip("[]"), int(port)
 
 
-class UpstreamConnection(HTTPConnection):
+class UpstreamConnection(CheckedConnection):
     """Connect to an upstream and record whether any byte of the call was written."""
 
     written = False
@@ -94,8 +94,9 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
     def read_head(self) -> http.client.HTTPResponse:
-        """Read the response headers and return the response without urllib3's wrapper.
+        """Read a valid head and return the response without urllib3's wrapper.
 
+        A malformed head raises ``HTTPException``, like a lost answer.
         The wrapper costs more for each event of a stream than parsing the event.
         """
         self._response_options = None
