Check that an upstream still listens after an answer without a length

If a replica or an engine was killed while it sent an answer without a length, callers got the part that had arrived as the whole answer: of a plain service, of a stored outcome, as a KV cache, as the acceptance of an order. The kernel closes the connections of a process that is killed as the process would, so the end of file was taken for the end of the answer.

Answers with a length or in chunks need no such check, and those of upstreams that still listen are taken as before.

Not covered: a process that is killed and listens again before the check.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/connections.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Mapping
 
+from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.platform.response_heads import CheckedConnection
 
 # An unreachable remote host is detected after 5 + 3 x 2 s if no data is in flight, and
@@ -15,6 +16,11 @@
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 10_000
 
+LISTENING_TIMEOUT_S = 0.2
+"""A running upstream accepts a connection within one round trip."""
+
+log = part_logger("upstreams")
+
 SocketOptions = list[tuple[int, int, int | bytes]]
 
 POOLED_SOCKET_OPTIONS: SocketOptions = [
@@ -103,6 +109,29 @@
         self.sock.settimeout(self.timeout)
         return http.client.HTTPConnection.getresponse(self)
 
+    def read_body(self, response: http.client.HTTPResponse) -> bytes:
+        """Read the whole body; raise ``ConnectionError`` if it may be cut short.
+
+        The kernel closes the connections of a process that is killed as the process
+        would, so the end of a body without a length is its own only if the upstream
+        still listens.
+        """
+        self_delimited = response.chunked or response.length is not None
+        data = response.read()
+        if not self_delimited:
+            self._check_listening()
+        return data
+
+    def _check_listening(self) -> None:
+        address = (self.host, self.port)
+        try:
+            socket.create_connection(address, LISTENING_TIMEOUT_S).close()
+        except ConnectionRefusedError as error:
+            raise ConnectionResetError("upstream ended before its answer") from error
+        except OSError as error:
+            # Only a refusal shows that the process has ended.
+            log.debug("no new connection to {} after its answer: {}", address, error)
+
 
 class ConnectionPool:
     """Keep idle connections to one upstream; the most recently used is reused first."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/engine_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/engine_client.py
@@ -173,7 +173,7 @@
             with Timeout(self.call_timeout_s, TimeoutError("call timed out")):
                 self._start(connection, method, path, body, JSON_HEADERS)
                 response = connection.read_head()
-                data = response.read()
+                data = connection.read_body(response)
         except NETWORK_ERRORS as error:
             connection.close()
             raise self._failure(connection, error, f"{method} {path}") from error
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/order_sender.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/order_sender.py
@@ -52,7 +52,7 @@
     body = wire.encode_order(order)
     connection.start("POST", "/orders", body, ORDER_HEADERS, timeout_s=timeout_s)
     response = connection.read_head()
-    data = response.read()
+    data = connection.read_body(response)
     if response.status == 200:
         if wire.decode_object(data).get("order_id") != order.order_id:
             return OrderUnknown(order.order_id, "answer names another order")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/service_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/service_client.py
@@ -125,7 +125,7 @@
             # The caller's gevent timeout bounds the whole call.
             connection.timeout = None
             response = connection.read_head()
-            data = response.read()
+            data = connection.read_body(response)
             complete = not response.will_close
         finally:
             if complete:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/raw_answers.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/raw_answers.py
@@ -11,10 +11,15 @@
 
 
 class RawAnswers:
-    """Answer the request of each connection with ``answer`` and close it."""
+    """Answer the request of each connection with ``answer`` and close it.
 
-    def __init__(self, answer: bytes = b"") -> None:
+    With ``killed`` set, the process appears to be killed after the answer: connections
+    are refused before that of the request is closed.
+    """
+
+    def __init__(self, answer: bytes = b"", *, killed: bool = False) -> None:
         self.answer = answer
+        self.killed = killed
         self._port = HeldPort()
         self._server: StreamServer | None = None
 
@@ -36,8 +41,11 @@
 
     def _handle(self, connection: socket.socket, _: object) -> None:
         with connection:
-            if read_request(connection):
-                connection.sendall(self.answer)
+            if not read_request(connection):
+                return
+            connection.sendall(self.answer)
+            if self.killed:
+                self.stop()
 
 
 def read_request(connection: socket.socket) -> bool:
