Read bodies strictly in the clients built on http.client

Callers got a part of a body, or bytes that were not of it, as a whole answer if a chunk size had a sign, blanks or a prefix, was cut short by the end of the connection ("0" of a longer one), or did not fit its chunk. Some sizes made the clients raise ValueError, OverflowError or MemoryError, although they never raise for network faults: http.client allocates a stated length before any of it arrives. An answer with status 304 that names chunks was lost.

The cause is int() as a parser of sizes, and http.client's lenient chunk reader. The response class of all these clients reads whole bodies itself now, in blocks, and the decoder of streams shares its parser of sizes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/response_heads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/response_heads.py
@@ -12,6 +12,8 @@
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from persimmonyoke.internal.platform.response_bodies import read_chunks, read_exactly
+
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_RESPONSES = 16
 
@@ -39,6 +41,20 @@
         finally:
             self.fp = stream
 
+    def read(self, amt: int | None = None) -> bytes:
+        """Read the body, or up to ``amt`` bytes of it."""
+        if amt is not None or self.fp is None:
+            return super().read(amt)
+        if self.length is not None:
+            data = read_exactly(self.fp, self.length)
+            self.length = 0
+        elif self.chunked:
+            data = read_chunks(self.fp)
+        else:
+            return super().read()
+        self.close()
+        return data
+
 
 class CheckedConnection(HTTPConnection):
     """Read checked responses."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/sse.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/sse.py
@@ -1,6 +1,7 @@
 """Incremental decoding of chunked bodies and server-sent events."""
 
 from persimmonyoke.errors import ProtocolError
+from persimmonyoke.internal.platform.response_bodies import parse_chunk_size
 
 MAX_CHUNK_HEAD_BYTES = 128
 MAX_EVENT_BYTES = 4 * 1024 * 1024
@@ -18,10 +19,7 @@
     if data[start : start + 6] != DATA_PREFIX or data[-4:] != EVENT_CHUNK_END:
         return None
     event = data[start + 6 : -4]
-    try:
-        size = int(data[: start - 2], 16)
-    except ValueError:
-        return None
+    size = parse_chunk_size(data[: start - 2])
     if size != len(event) + 8 or b"\n" in event:
         return None
     return event
@@ -76,10 +74,11 @@
 
     @staticmethod
     def _size(head: bytes) -> int:
-        try:
-            return int(head.partition(b";")[0], 16)
-        except ValueError as error:
-            raise ProtocolError(f"chunk head {head[:32]!r} is not a size") from error
+        digits, has_extension, _ = head.partition(b";")
+        size = parse_chunk_size(digits.rstrip(b" \t") if has_extension else digits)
+        if size is None:
+            raise ProtocolError(f"chunk head {head[:32]!r} is not a size")
+        return size
 
 
 class EventDecoder:
