Reject a stored outcome whose status is no HTTP status

A client that asked again for a call that runs at most once got an answer whose status was 000, 600 or 20, if its replica named that as the status of the stored outcome: any digits were accepted.

Before, the test failed in all eight cases; it passes now.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/service_client.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/service_client.py
@@ -1,5 +1,6 @@
 """HTTP client for plain services."""
 
+import re
 from collections.abc import Mapping
 from http.client import HTTPException, HTTPMessage
 from urllib.parse import quote
@@ -25,6 +26,7 @@
 OUTCOME_STATUS_HEADER = "x-outcome-status"
 OUTCOME_TIMEOUT_S = 5.0
 NOT_RUN_STATUS = 503
+FINAL_STATUS = re.compile("[2-5][0-9]{2}")
 # Headers that apply to a single connection or message and must not be forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -103,7 +105,7 @@
         if answer.status == 404:
             return None
         status = answer.headers.get(OUTCOME_STATUS_HEADER, "")
-        if answer.status != 200 or not status.isdecimal():
+        if answer.status != 200 or not FINAL_STATUS.fullmatch(status):
             raise ConnectionError(f"GET {path} at {self.address}: {answer.status}")
         headers = dict(answer.headers)
         del headers[OUTCOME_STATUS_HEADER]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_malformed_heads.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/upstreams/tests/test_malformed_heads.py
@@ -163,6 +163,14 @@
             self.check_no_outcome, change=lambda answer: answer.replace(OK, missing)
         )
 
+    def test_a_stored_outcome_whose_status_is_none_is_not_returned(self):
+        # The client got an answer with that status.
+        for status in (b"000", b"099", b"100", b"199", b"600", b"999", b"20", b"0200"):
+            stored = OK + b"X-Outcome-Status: " + status + b"\r\n" + LENGTH
+            self.upstream.answer = with_head(stored)
+            with self.subTest(status):
+                self.check_no_outcome()
+
     def test_unusual_heads_that_http_allows_are_read(self):
         self.check_each(self.check_answer, VALID)
 
