Reopen a watch whose stream has a negative chunk size

A watch ended for good, with an exception in its thread, if a chunk of the store's answer had a size below -1: urllib3 passes it on to a read, which raises ValueError, and the watch expected network errors only. It counts as a broken stream now, so that the watch is reopened from its revision.

The other sizes were handled.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/platform/etcd_watch.py
@@ -230,7 +230,8 @@
                 raise HttpFailure("line of the watch is too long", sent=True)
     except urllib3.exceptions.ReadTimeoutError:
         return
-    except (HTTPError, OSError) as error:
+    # urllib3 passes a negative chunk size on to a read, which raises ValueError.
+    except (HTTPError, OSError, ValueError) as error:
         raise HttpFailure(f"stream broke: {error}", sent=True) from error
 
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/raw_answers.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/raw_answers.py
@@ -20,6 +20,7 @@
     def __init__(self, answer: bytes = b"", *, killed: bool = False) -> None:
         self.answer = answer
         self.killed = killed
+        self.requests = 0
         self._port = HeldPort()
         self._server: StreamServer | None = None
 
@@ -43,6 +44,7 @@
         with connection:
             if not read_request(connection):
                 return
+            self.requests += 1
             connection.sendall(self.answer)
             if self.killed:
                 self.stop()
