Check the end of an engine's answers that are no streams

Callers of a stream's route got the beginning of an engine's failure, with a length, as a whole answer, if the engine was killed while it wrote an answer without a length.

Cause: asks after such an end whether the replica still listens, in the relay of plain requests and of events, but not where an engine's other answers are read.

Before: 404 with a part of its body in both cases of the new test. Now the answer is lost like one that is reset there; 14 tests of the module pass.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -205,6 +205,11 @@
             )
         except AnswerLost as error:
             return run.lost(error)
+        try:
+            self._crashes.check_end(engine, opened.head)
+        except AnswerLost as error:
+            exchange.request.held.drop(len(body))
+            return run.lost(error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
         # A success would be taken for the rest of a stream that the client resumes.
         unusable = self._continues and opened.head.status < _MULTIPLE_CHOICES
