Count a call on a dead connection as silence of its link again

After a request on a connection that had gone silent for good, the next ones were sent on other idle connections as old as that, and waited there until the kernel gave them up; a peer whose tunnel had gone silent was not asked last.

Cause: since a time-out of the kernel is a ConnectionTimedOut, no AnswerTimeout. The record of links and peers in the dialer looked for the latter only. It asks now whether nothing came back, which holds for both.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/dialer.py
@@ -21,9 +21,11 @@
 from persimmonyoke.internal.gateway.connection_race import ConnectionRace
 from persimmonyoke.internal.gateway.connections import (
     CONNECT_TIMEOUT_S,
+    AnswerLost,
     AnswerTimeout,
     ConnectionEnded,
     ConnectionRefused,
+    ConnectionTimedOut,
     LinksDown,
     LostCall,
     NotConnected,
@@ -140,7 +142,7 @@
     def note_call_lost(self, call: LostCall) -> None:
         """Record a call that ended before the head of its answer."""
         now_s, connection = time.monotonic(), call.connection
-        if isinstance(call.error, AnswerTimeout):
+        if _is_silence(call.error):
             self._note_silent(connection, call.sent_s, now_s)
         is_new_link = connection.peer is None and not connection.answered
         if is_new_link and _shows_no_answer(call, now_s):
@@ -312,11 +314,16 @@
 
 def _shows_no_answer(call: LostCall, now_s: float) -> bool:
     """Return whether a call ended by itself, or was silent for long enough."""
-    if isinstance(call.error, ConnectionEnded):
-        return True
+    if not _is_silence(call.error):
+        return isinstance(call.error, ConnectionEnded)
     waited = now_s - call.sent_s >= MIN_SILENCE_S
     stood_still = now_s >= call.deadline_s + STALL_S
-    return isinstance(call.error, AnswerTimeout) and waited and not stood_still
+    return waited and not stood_still
+
+
+def _is_silence(error: AnswerLost) -> bool:
+    """Return whether a call was lost as nothing came back from its replica."""
+    return isinstance(error, AnswerTimeout | ConnectionTimedOut)
 
 
 def _timed_out(direct: NotConnected | None) -> bool:
