Raise the failure that a connection kept as the error that it was

A replica or peer that the kernel had given up counted as one that closed its connection if a poll or a failed send met the time-out first: the replica was not paused, and each such call waited for a probe of it.

Cause: the transport keeps the first failure, but raised it as another error afterwards. It raises one of the same type now.

Before: the new test failed with ConnectionAbortedError. Passed now: its module (2), test_reset_answers (13).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/transports.py
@@ -88,9 +88,7 @@
         with self._keeping_failure():
             data = self._sock.recv(READ_BYTES)
         if not data and self._failure is not None:
-            raise ConnectionAbortedError(
-                f"connection has failed: {self._failure}"
-            ) from self._failure
+            raise type(self._failure)(*self._failure.args) from self._failure
         return data
 
     def set_user_timeout(self, user_timeout_ms: int) -> None:
