Close a connection after an answer without the body that its head declares

A request that followed one with the method HEAD on the same connection to a replica was answered 502 although the replica had answered it: the length that the answer to HEAD declared was taken off the next answer, and the rest was no answer.

Cause: llhttp expects the declared body, and can't be told that none follows. The parser ended the answer itself and called the connection reusable. It is closed now.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/answers.py
@@ -150,13 +150,21 @@
             reason=self._reason,
             headers=tuple(self._headers),
             self_delimited=self_delimited,
-            keep_alive=self_delimited and self._parser.should_keep_alive(),
+            keep_alive=self_delimited and self._may_read_on,
         )
         self._events.append(self._head)
         if self.without_body:
             self._in_message = False
             self._events.append(ResponseEnd())
 
+    @property
+    def _may_read_on(self) -> bool:
+        """Return whether the parser reads what follows as the next response.
+
+        llhttp can't be told that a body of the declared length does not follow.
+        """
+        return self._parser.should_keep_alive() and not self.without_body
+
     def _check_head(self, status: int) -> None:
         """Raise ``ProtocolError`` for a head that llhttp accepts and HTTP does not."""
         if not _MIN_STATUS <= status <= _MAX_STATUS:
