Let a refusal of the own link end an answer that came over it

Clients got the beginning of an answer without a length as a whole one if its replica was killed and the host has a peer that does not confirm the refusal: a slow one, or one that reaches no other replica either, as when all replicas of a small site end together.

Cause: where there are peers, a refusal counts as that of the replica only on a peer's word, as a host's own links may be cut by resets; after a refusal only peers are asked for a while. Otherwise the dialer raises NotConnected, which the probe takes for silence, and the answer of a silent replica counts as whole.

The probe of an answer that came over the own link asks this link last, if the other ways did not tell; it worked a moment ago. Answers through a peer, and crash verdicts, go by the former rule. Silence still is no evidence, as opening packets get lost.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/crash_watch.py
@@ -22,7 +22,6 @@
     needs_probe,
 )
 from persimmonyoke.internal.fleet.model import Replica
-from persimmonyoke.internal.gateway.answers import ResponseHead
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.connections import (
     AnswerLost,
@@ -34,6 +33,7 @@
 )
 from persimmonyoke.internal.gateway.exchange import Exchange
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.upstream_call import OpenResponse
 
 PROBE_TIMEOUT_S = 0.2
 """A running replica accepts a connection within one round trip."""
@@ -122,19 +122,17 @@
         elif verdict is Verdict.CRASHED:
             self._note_crash(loss, now_s=time.monotonic())
 
-    def check_end(self, replica: Replica, head: ResponseHead) -> None:
+    def check_end(self, replica: Replica, opened: OpenResponse) -> None:
         """Raise ``ConnectionEnded`` if an answer may have ended with its replica.
 
         The kernel closes the connections of a process that is killed as the process
         would, so the end of an answer without a length is its own only if the replica
         still listens. The probe is a new one: an earlier one may be of before the end.
         """
-        if head.self_delimited:
+        if opened.head.self_delimited:
             return
-        probe = ProbeResult.NOT_MADE
-        if not self._restarted(replica):
-            probe = self._connect(replica)
-        if probe in (ProbeResult.NOT_MADE, ProbeResult.REFUSED):
+        by_own_link = opened.connection.peer is None
+        if self._restarted(replica) or self._refuses(replica, by_own_link=by_own_link):
             raise ConnectionEnded("replica ended, perhaps before its answer")
 
     def note_started(self, started: Replica) -> None:
@@ -209,9 +207,26 @@
         probe.result.set(result)
         return result
 
-    def _connect(self, replica: Replica) -> ProbeResult:
+    def _refuses(self, replica: Replica, *, by_own_link: bool) -> bool:
+        """Return whether a replica refuses a new connection.
+
+        Without a peer's word that of the own link counts, if it carried the answer: it
+        worked a moment ago.
+        """
+        probe = self._connect(replica)
+        if probe is ProbeResult.SILENT and by_own_link:
+            probe = self._connect(replica, directly=True)
+        return probe is ProbeResult.REFUSED
+
+    def _connect(self, replica: Replica, *, directly: bool = False) -> ProbeResult:
         try:
-            connection = self._state.pool.open(replica, PROBE_TIMEOUT_S)
+            connection = self._state.pool.take(
+                replica,
+                timeout_s=PROBE_TIMEOUT_S,
+                now_s=time.monotonic(),
+                new_only=True,
+                directly=directly,
+            )
         except ConnectionRefused:
             return ProbeResult.REFUSED
         except NotConnected:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/plain_relay.py
@@ -286,7 +286,7 @@
     ) -> None:
         """Drop an answer that may have ended with its replica."""
         try:
-            self._crashes.check_end(replica, opened.head)
+            self._crashes.check_end(replica, opened)
         except AnswerLost:
             exchange.request.held.drop(len(body))
             raise
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -206,7 +206,7 @@
         except AnswerLost as error:
             return run.lost(error)
         try:
-            self._crashes.check_end(engine, opened.head)
+            self._crashes.check_end(engine, opened)
         except AnswerLost as error:
             exchange.request.held.drop(len(body))
             return run.lost(error)
@@ -248,7 +248,7 @@
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
             join.check_end(splitter, begun=run.begun)
-            self._crashes.check_end(engine, opened.head)
+            self._crashes.check_end(engine, opened)
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.cancel_scope, error)
             self._exchange.cancel_scope.raise_if_cancelled()
