--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -205,6 +205,11 @@
             )
         except AnswerLost as error:
             return run.lost(error)
+        try:
+            self._crashes.check_end(engine, opened)
+        except AnswerLost as error:
+            exchange.request.held.drop(len(body))
+            return run.lost(error)
         self._state.health.note_failure(engine.replica_id, time.monotonic())
         # A success would be taken for the rest of a stream that the client resumes.
         unusable = self._continues and opened.head.status < _MULTIPLE_CHOICES
@@ -243,7 +248,7 @@
                 if self._exchange.remaining_s <= 0:
                     raise AnswerTimeout("stream did not end in time")
             join.check_end(splitter, begun=run.begun)
-            self._crashes.check_end(engine, opened.head)
+            self._crashes.check_end(engine, opened)
         except AnswerLost as error:
             self._caller.abandon(opened, self._exchange.cancel_scope, error)
             self._exchange.cancel_scope.raise_if_cancelled()
