Hold the first event of a begun stream until the deadline if its engine is silent

A begun stream whose second engine fell silent after its first event was broken off with "engine is not known to have the stream's version", between 20 ms before and 0.4 s after the time at which its client was expected to leave. The start of the engine was asked for until then only, while a silence without a held event is waited out until the deadline; the run counted as lost, and no attempt was left. A silence is no reason to end an answer sooner, and no further run could have brought an event in time.

The question is repeated until the deadline now if the answer has begun. A client that waits no longer ends the stream itself, which cancels the question; refused connections still show that the engine is gone. Answers that have not begun are given up as before.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -16,7 +16,10 @@
     NotConnected,
 )
 from persimmonyoke.internal.gateway.engine_calls import CALL_TIMEOUT_S, OK
-from persimmonyoke.internal.gateway.exchange import Exchange
+from persimmonyoke.internal.gateway.exchange import (
+    RESPONSE_MARGIN_S,
+    Exchange,
+)
 from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import CancelScope, UpstreamCaller
@@ -67,7 +70,8 @@
         An incarnation that is still the one of its entry wrote the events before its
         answer, so no restart between an earlier question and the run is overlooked. An
         engine that does not answer may be silent, so it is asked while the client
-        waits for the events.
+        waits for the events. A begun stream is kept until its deadline, as a client
+        that waits no longer ends it itself.
         """
         refused = 0
         while True:
@@ -79,11 +83,17 @@
             now_s = time.monotonic()
             if refused >= MAX_REFUSED_CHECKS:
                 return False
-            if self._exchange.event_wait_left_s(now_s) <= 0.0:
+            if not self._may_hold_event(now_s):
                 return False
             gevent.sleep(max(0.0, asked_s + RECHECK_S - now_s))
             self._exchange.cancel_scope.raise_if_cancelled()
 
+    def _may_hold_event(self, now_s: float) -> bool:
+        """Return whether the events of a run may be held any longer."""
+        if self._exchange.response_started:
+            return self._exchange.remaining_s > RESPONSE_MARGIN_S
+        return self._exchange.event_wait_left_s(now_s) > 0.0
+
     def _ask(self, engine: Replica, *, holds_event: bool = False) -> Incarnation:
         if not engine.born_unix_ms:
             # The entry names no start with which an answer could be compared.
