Ask a silent engine for its start while it holds the run of a begun stream

A begun stream left its silent engine for one that had fallen silent meanwhile. That one went on for a moment, wrote its first event, and fell silent again. The event was in time, but was held, as the engine was asked for its start only then; the client left or the stream broke off, with no attempt left.

If the next engine has not answered as the silent one is left, it is asked for its start beside the run now, until it answers or the client would leave. An engine that goes on answers both. The answer is as good as one to a question after the event: the start was compared before the run, a connection belongs to one incarnation, and the run was sent over it before. It counts for the connection of the run alone, and not through a peer, which may reach the engine later. Without an answer the event is held and the engine is asked as before. The question ends with the run or the request.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -14,6 +14,7 @@
     AnswerLost,
     ConnectionRefused,
     NotConnected,
+    UpstreamConnection,
 )
 from persimmonyoke.internal.gateway.engine_calls import CALL_TIMEOUT_S, OK
 from persimmonyoke.internal.gateway.exchange import (
@@ -21,6 +22,7 @@
     Exchange,
 )
 from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
+from persimmonyoke.internal.gateway.start_question import StartQuestion
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.upstream_call import CancelScope, UpstreamCaller
 
@@ -50,6 +52,9 @@
         self._unanswered: Exception | None = None
         """Why the newest question was not answered, if it was not."""
 
+        self._question: StartQuestion | None = None
+        """The question that is asked beside the run of a silent engine."""
+
     def is_excluded(self, engine: Replica) -> bool:
         """Return whether an engine is another incarnation, or was not confirmed."""
         if self._state.engine_restarts.is_outdated(engine):
@@ -59,12 +64,29 @@
 
     def confirm(self, engine: Replica) -> bool:
         """Ask an engine, before a run; return whether a stream may go on at it."""
-        found = self._ask(engine)
+        found = self._ask(engine, self._exchange.cancel_scope)
         if not found.may_write:
             self._not_before_s[engine.replica_id] = time.monotonic() + RECHECK_S
         return found.may_write
 
-    def confirm_writer(self, engine: Replica) -> bool:
+    def ask_beside(self, engine: Replica, connection: UpstreamConnection) -> None:
+        """Ask a silent engine that was sent a run over a connection, until it answers.
+
+        It may fall silent again after its first event, which would be held until its
+        next answer then.
+        """
+        self.end_question()
+        self._question = StartQuestion(
+            engine, connection, lambda: self._ask_until_told(engine)
+        )
+
+    def end_question(self) -> None:
+        """End the question that is asked beside a run, if there is one."""
+        if self._question is not None:
+            self._question.end()
+            self._question = None
+
+    def confirm_writer(self, engine: Replica, connection: UpstreamConnection) -> bool:
         """Ask the engine of a run that has begun, before its events are sent on.
 
         An incarnation that is still the one of its entry wrote the events before its
@@ -73,10 +95,13 @@
         waits for the events. A begun stream is kept until its deadline, as a client
         that waits no longer ends it itself.
         """
+        found = self._found_beside(engine, connection)
+        if found is not Incarnation.UNKNOWN:
+            return found.may_write
         refused = 0
         while True:
             asked_s = time.monotonic()
-            found = self._ask(engine, holds_event=True)
+            found = self._ask(engine, self._exchange.cancel_scope, holds_event=True)
             if found is not Incarnation.UNKNOWN:
                 return found.may_write
             refused += isinstance(self._unanswered, ConnectionRefused)
@@ -94,14 +119,43 @@
             return self._exchange.remaining_s > RESPONSE_MARGIN_S
         return self._exchange.event_wait_left_s(now_s) > 0.0
 
-    def _ask(self, engine: Replica, *, holds_event: bool = False) -> Incarnation:
+    def _found_beside(
+        self, engine: Replica, connection: UpstreamConnection
+    ) -> Incarnation:
+        """Return what an engine told beside the run of a connection."""
+        question, found = self._question, Incarnation.UNKNOWN
+        if question is not None and question.concerns(engine, connection):
+            self._exchange.cancel_scope.on_cancel(question.end)
+            found = question.found(CALL_TIMEOUT_S)
+        self.end_question()
+        self._exchange.cancel_scope.raise_if_cancelled()
+        return found
+
+    def _ask_until_told(self, engine: Replica) -> Incarnation:
+        """Ask an engine while its answer may let the stream go on in time."""
+        while True:
+            asked_s = time.monotonic()
+            found = self._ask(engine, CancelScope())
+            now_s = time.monotonic()
+            wait_left_s = self._exchange.event_wait_left_s(now_s)
+            if found is not Incarnation.UNKNOWN or wait_left_s <= 0.0:
+                return found
+            gevent.sleep(max(0.0, asked_s + RECHECK_S - now_s))
+
+    def _ask(
+        self,
+        engine: Replica,
+        request_scope: CancelScope,
+        *,
+        holds_event: bool = False,
+    ) -> Incarnation:
         if not engine.born_unix_ms:
             # The entry names no start with which an answer could be compared.
             return Incarnation.NOT_TOLD
         started_s = time.monotonic()
         self._unanswered = None
-        told = self._told_start(engine, holds_event=holds_event)
-        self._exchange.cancel_scope.raise_if_cancelled()
+        told = self._told_start(engine, request_scope, holds_event=holds_event)
+        request_scope.raise_if_cancelled()
         now_s, found = time.monotonic(), judge_incarnation(engine, told)
         born_unix_ms = told.born_unix_ms if told else None
         if found is Incarnation.STARTED_AGAIN and born_unix_ms is not None:
@@ -112,7 +166,9 @@
             self._log(engine, found, born_unix_ms, took_s=now_s - started_s)
         return found
 
-    def _told_start(self, engine: Replica, *, holds_event: bool) -> ToldStart | None:
+    def _told_start(
+        self, engine: Replica, request_scope: CancelScope, *, holds_event: bool
+    ) -> ToldStart | None:
         """Return what an engine tells of its start, or ``None`` without an answer.
 
         A connection that was idle may have ended with a former incarnation, so the
@@ -123,7 +179,6 @@
         in_backoff = holds_event and self._state.backoff.claim_question(
             engine.replica_id, time.monotonic()
         )
-        request_scope = self._exchange.cancel_scope
         scope = InterruptibleScope(CancelScope())
         request_scope.on_cancel(lambda: scope.cancel(request_scope.cause))
         scope.connection_ended = request_scope.connection_ended or in_backoff
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_handover.py
@@ -1,5 +1,7 @@
 """Handover of a silent stream, which keeps its engine until the next one accepts."""
 
+from collections.abc import Callable
+
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.hedge import AnswerWait
 from persimmonyoke.internal.gateway.interruptible_scope import InterruptibleScope
@@ -17,11 +19,21 @@
 
 
 class Handover(AnswerWait):
-    """Keep the silent connection while the next engine may still reject the run."""
-
-    def __init__(self, silent: UpstreamConnection, *, deadline_s: float) -> None:
+    """Keep the silent connection while the next engine may still reject the run.
+
+    ``on_late`` is called when the silent engine is left for one without an answer.
+    """
+
+    def __init__(
+        self,
+        silent: UpstreamConnection,
+        *,
+        deadline_s: float,
+        on_late: Callable[[], None],
+    ) -> None:
         self._silent = silent
         self._deadline_s = deadline_s
+        self._on_late = on_late
         self.has_left = False
         """Whether the silent engine was left before the next one answered."""
 
@@ -47,6 +59,7 @@
             self.has_given_up = True
             raise EngineResumed("engine goes on")
         self.leave()
+        self._on_late()
         return self._deadline_s
 
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_move.py
@@ -28,6 +28,7 @@
     Handover,
     HandoverScope,
 )
+from persimmonyoke.internal.gateway.stream_version_guard import StreamVersionGuard
 from persimmonyoke.internal.gateway.upstream_call import CancelScope, OpenResponse
 
 RESUME_POLL_S = 0.02
@@ -64,12 +65,14 @@
         selection: EngineSelection,
         probes: EngineProbes,
         exchange: Exchange,
+        versions: StreamVersionGuard,
         open_run: Callable[[EngineChoice, Handover], EngineRun],
     ) -> None:
         self._state = state
         self._selection = selection
         self._probes = probes
         self._exchange = exchange
+        self._versions = versions
         self._open_run = open_run
         self._logged: set[tuple[str, str | None]] = set()
 
@@ -136,7 +139,11 @@
         next_scope = HandoverScope(scope, connection)
         exchange.cancel_scope = next_scope
         handover = Handover(
-            connection, deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S
+            connection,
+            deadline_s=exchange.deadline_s - RESPONSE_MARGIN_S,
+            on_late=lambda: self._versions.ask_writer(
+                choice.engine, next_scope.used_connections[-1]
+            ),
         )
         if choice.engine == connection.replica:
             # The lost answer may hold the last place of its engine.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -69,7 +69,9 @@
         self._last_event_id = exchange.metadata.last_event_id
         self._bounds = StreamBounds(exchange.metadata.prompt)
         self._writer_known = False
-        self._move = StreamMove(state, selection, probes, exchange, self._open_next)
+        self._move = StreamMove(
+            state, selection, probes, exchange, versions, self._open_next
+        )
         self._moved_to: EngineRun | None = None
         """The next run, if this one was left for it."""
 
@@ -83,6 +85,7 @@
             self._retries.give_back()
             if self._moved_to is not None:
                 self._end_unused(self._moved_to)
+            self._versions.end_question()
             self._selection.kept_prompt.release()
 
     def _end_unused(self, run: EngineRun) -> None:
@@ -160,6 +163,7 @@
                 # Otherwise they belong to the next run.
                 self._guard.end_reservation(exchange)
                 self._selection.end_local_prefill()
+                self._versions.end_question()
             self._selection.end_prompt(run.choice, outcome)
             run.end(outcome)
         exchange.call_outstanding = False
@@ -236,7 +240,7 @@
                 events = join.sound(complete)
                 self._bounds.check(splitter, events, self._last_event_id or 0)
                 self._note_begun(run, events)
-                self._check_writer(engine, events)
+                self._check_writer(engine, opened, events)
                 self._forward(engine, opened, events)
                 if len(events) < len(complete):
                     raise AnswerLost("stream holds an error in place of an event")
@@ -266,12 +270,14 @@
             run.begun = True
             self._guard.note_completed(self._exchange)
 
-    def _check_writer(self, engine: Replica, events: Sequence[StreamEvent]) -> None:
+    def _check_writer(
+        self, engine: Replica, opened: OpenResponse, events: Sequence[StreamEvent]
+    ) -> None:
         """Raise ``AnswerLost`` if the first events may be of another version."""
         if not events or self._writer_known:
             return
         self._writer_known = True
-        if not self._versions.wrote_events(engine):
+        if not self._versions.wrote_events(engine, opened.connection):
             raise AnswerLost("engine is not known to have the stream's version")
 
     def _read_part(self, engine: Replica, opened: OpenResponse) -> bytes | None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -16,6 +16,7 @@
     writes_events,
 )
 from persimmonyoke.internal.fleet.model import Replica, ServiceVersions, Stage
+from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.incarnation_check import IncarnationCheck
 from persimmonyoke.internal.gateway.state import GatewayState
@@ -104,9 +105,24 @@
             return True
         return self._incarnations.confirm(replica)
 
-    def wrote_events(self, replica: Replica) -> bool:
+    def ask_writer(self, replica: Replica, connection: UpstreamConnection) -> None:
+        """Ask a replica that was sent a run, and is silent, for its incarnation.
+
+        A peer may reach the replica for a connection later than the question does.
+        """
+        is_known = self._required is None or replica.stage is None
+        if not is_known and connection.peer is None:
+            self._incarnations.ask_beside(replica, connection)
+
+    def end_question(self) -> None:
+        """Ask the replica of a run that has ended no more."""
+        self._incarnations.end_question()
+
+    def wrote_events(self, replica: Replica, connection: UpstreamConnection) -> bool:
         """Return whether the events of a run are from the entry's incarnation."""
-        return replica.stage is None or self._incarnations.confirm_writer(replica)
+        if replica.stage is None:
+            return True
+        return self._incarnations.confirm_writer(replica, connection)
 
     def awaits_entry(self) -> bool:
         """Return whether a new entry may let the stream go on in time."""
