Hold the lines of request heads in the budget of what clients may take

A header line of 8 bytes takes some 200 in a host, and neither the heads of requests that wait behind another one nor incomplete ones were in any budget. The process took several times the memory of its machine. The lines are held now, in steps of 1 kB, with the request that they belong to; where there is no room it gets 503, before it runs.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/requests.py
@@ -23,6 +23,12 @@
 _MAX_PIPELINED = 16
 
 RETRY_AFTER_NO_ROOM_S = 0.5
+HEADER_LINE_BYTES = 192
+"""Memory of a header line without its characters: two strings, a tuple, its place."""
+
+HEAD_STEP_BYTES = 1_024
+"""Memory of a head that is held at a time."""
+
 DIGEST_BYTES = 16
 _DIGEST_HEADERS = (b"host", b"authorization")
 """Headers that, with method, target and body, identify the request and its caller."""
@@ -39,7 +45,7 @@
     def __init__(self, request_id: str, body_bytes: int) -> None:
         super().__init__(
             ErrorKind.NOT_READY,
-            "host has no memory left for the body",
+            "host has no memory left for the request",
             retry_after_s=RETRY_AFTER_NO_ROOM_S,
         )
         self.request_id = request_id
@@ -96,6 +102,10 @@
     body: BodyBuffer = field(default_factory=BodyBuffer)
     declared_bytes: int = 0
     head_bytes: int = 0
+    lines_bytes: int = 0
+    """Memory of the header lines."""
+
+    held_lines_bytes: int = 0
     framing_bytes: int = 0
     head_complete: bool = False
     expects_continue: bool = False
@@ -221,6 +231,7 @@
         self._count_head(partial, len(name) + len(value) + 4)
         if not partial.head_complete:
             partial.headers.append((name, value))
+            self._hold_line(partial, len(name) + len(value))
 
     def on_headers_complete(self) -> None:
         """Validate the head of a request."""
@@ -301,9 +312,16 @@
         if value.isdigit() and int(value) > self.limits.max_body_bytes:
             raise RequestError(ErrorKind.BODY_TOO_LARGE, "body is too large")
 
+    def _hold_line(self, partial: _PartialRequest, size_bytes: int) -> None:
+        """Hold a header line, in steps; raise ``NoRoomForBody``."""
+        partial.lines_bytes += HEADER_LINE_BYTES + size_bytes
+        if partial.lines_bytes >= partial.held_lines_bytes + HEAD_STEP_BYTES:
+            partial.held_lines_bytes = partial.lines_bytes
+            self._hold(partial, 0)
+
     def _hold(self, partial: _PartialRequest, size_bytes: int) -> None:
-        """Hold a body up to a size; raise ``NoRoomForBody``."""
-        missing_bytes = size_bytes - partial.held.size_bytes
+        """Hold the head, and a body up to a size; raise ``NoRoomForBody``."""
+        missing_bytes = partial.held_lines_bytes + size_bytes - partial.held.size_bytes
         if missing_bytes <= 0:
             return
         try:
