Limit the connections on the peer port that wait for a request for a tunnel

Clients that connect to the port of peers and send nothing kept a descriptor for 1 s each, and any number of them did: descriptors that the requests of others need, since the limit of clients' connections does not count that port. At most 64 wait there now, and the oldest without input is closed for a new one; a host that opens a tunnel sends its request at once.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -19,12 +19,14 @@
 from persimmonyoke.internal.fleet.model import Replica, RequestKind
 from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway import sockets
+from persimmonyoke.internal.gateway.client_table import ClientTable, TableEntry
 from persimmonyoke.internal.gateway.connections import (
     CONNECT_TIMEOUT_S,
     ConnectionRefused,
     NotConnected,
 )
 from persimmonyoke.internal.gateway.dialer import MIN_SILENCE_S, ReplicaDialer
+from persimmonyoke.internal.gateway.small_server import MAX_ACCEPT
 from persimmonyoke.internal.gateway.state import GatewayState
 from persimmonyoke.internal.gateway.transports import (
     LAST_CHUNK,
@@ -45,6 +47,12 @@
 
 BACKLOG = 256
 HEAD_TIMEOUT_S = 1.0
+MAX_WAITING = 64
+"""Connections on which the request for a tunnel has not arrived.
+
+A host sends it at once, so only others have more of them open.
+"""
+
 MAX_TUNNELS = 256
 """Open tunnels of one host, each of which takes two descriptors and some 30 KB."""
 
@@ -65,6 +73,22 @@
         self.status = status
 
 
+class _WaitingPeer(TableEntry):
+    """A connection on which the request for a tunnel has not arrived."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    @property
+    def has_input(self) -> bool:
+        """Return whether input has arrived that was not read yet."""
+        return sockets.has_input(self._sock)
+
+    def shut_down(self) -> None:
+        """End the connection, which wakes the greenlet that owns it."""
+        sockets.shut_down(self._sock)
+
+
 @dataclass
 class _Tunnel:
     """Hold the two connections of a tunnel and what they carried."""
@@ -92,10 +116,12 @@
         self._dialer = dialer
         self._server: StreamServer | None = None
         self._open: dict[int, _Tunnel] = {}
+        self._waiting = ClientTable(MAX_WAITING)
 
     def start(self, host: str, port: int) -> int:
         """Start listening and return the port."""
         self._server = StreamServer((host, port), self._serve, backlog=BACKLOG)
+        self._server.max_accept = MAX_ACCEPT
         self._server.start()
         return self._server.server_port
 
@@ -147,7 +173,7 @@
 
     def _open_and_run(self, sock: socket.socket) -> None:
         parser = TunnelRequestParser()
-        request = _read_head(sock, parser)
+        request = self._await_request(sock, parser)
         if request is None:
             return
         begun_s = time.monotonic()
@@ -171,6 +197,32 @@
             self._note_end(tunnel)
             self._log(tunnel)
 
+    def _await_request(
+        self, sock: socket.socket, parser: TunnelRequestParser
+    ) -> TunnelRequest | None:
+        """Return the request of a peer, or ``None`` if its connection ends before."""
+        peer = _WaitingPeer(sock)
+        if not self._try_wait(peer):
+            self._state.metrics.tunnels.add(result="refused")
+            return None
+        try:
+            return _read_head(sock, parser)
+        finally:
+            self._waiting.discard(peer)
+
+    def _try_wait(self, peer: _WaitingPeer) -> bool:
+        """Let a connection wait for its request, in place of another if need be."""
+        now_s = time.monotonic()
+        if self._waiting.is_full:
+            other = self._waiting.least_useful(now_s=now_s)
+            if other is None:
+                return False
+            self._state.metrics.tunnels.add(result="refused")
+            self._waiting.discard(other)
+            other.shut_down()
+        self._waiting.add(peer, now_s=now_s)
+        return True
+
     def _accept(self, request: TunnelRequest) -> Replica:
         """Return the replica to connect to; raise ``TunnelRefused``."""
         state = self._state
