Take a few bytes of a request for no progress

Clients that send their heads byte by byte kept all others out of a host with as many connections as it bears: each byte counted as progress, so that none of them was closed before its time limit, and a client that waited 0.5 s between its attempts met a full host each time. A connection counts as new now until the head of its request is complete, and a body gets on by 16 kB at least, which a client over a slow link sends in well under the 1 s after which it is taken for stalled (at 100 kB/s in 0.16 s).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -39,6 +39,9 @@
 
 MIN_TIMEOUT_S = 0.001
 
+PROGRESS_BYTES = 16_384
+"""Bytes of a body from which its client gets on."""
+
 MAX_PENDING_BYTES = 262_144
 """Limit of pipelined input that is buffered while a request is being served."""
 
@@ -115,6 +118,7 @@
         self._held: HeldBytes | None = None
         self._pending = _PendingInput(memory)
         self._bytes_since_yield = 0
+        self._bytes_since_progress = 0
         self._watcher = None
         self._on_disconnect: Callable[[], None] | None = None
         self.disconnected = False
@@ -145,7 +149,7 @@
             if self.idle:
                 started_s = time.monotonic()
             self.idle = False
-            self._on_progress(ClientPhase.RECEIVING)
+            self._note_received()
             request = self._parser.next_request()
         self.idle = False
         self._has_served = True
@@ -155,6 +159,18 @@
         self._held = request.held
         return request
 
+    def _note_received(self) -> None:
+        """Tell of the progress of a body; a few bytes of it are none, nor is a head.
+
+        A head that arrives in parts is no more use to its host than a new connection.
+        """
+        if not self._parser.head_complete:
+            return
+        begins = self.phase is not ClientPhase.RECEIVING
+        if begins or self._bytes_since_progress >= PROGRESS_BYTES:
+            self._bytes_since_progress = 0
+            self._on_progress(ClientPhase.RECEIVING)
+
     def release(self) -> None:
         """Release all that is held for the requests of this connection."""
         self._release_served()
@@ -172,6 +188,7 @@
         if not data:
             return False
         self._bytes_since_yield += len(data)
+        self._bytes_since_progress += len(data)
         self._widen_limits()
         self._parser.feed(data)
         if self._parser.wants_continue:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
@@ -24,9 +24,11 @@
     """Enumerate what a client's connection is doing."""
 
     NEW = "new"
-    """Nothing has been received on it."""
+    """No complete head of a request has been received on it."""
 
     RECEIVING = "receiving"
+    """The body of a request is being received."""
+
     SERVING = "serving"
     SENDING = "sending"
     """The client has to read before more of its answer can be sent."""
@@ -96,9 +98,9 @@
     def least_useful(self, *, now_s: float) -> TableEntry | None:
         """Return the connection to close for a new one, if there is one.
 
-        A new connection without a byte comes first, as a client sends its request at
-        once. Next are those whose clients neither send nor read, and last the one that
-        has been idle for longest, whose client may send its request again.
+        A new connection without a request comes first, as a client sends it at once.
+        Next are those whose clients neither send nor read, and last the one that has
+        been idle for longest, whose client may send its request again.
         """
         new = self._oldest_without_input(ClientPhase.NEW)
         if new is not None:
