Close a connection that has had its last answer in favour of a new one

After a last answer, or a refusal, a host reads on for up to 4 s so that its client can read it. Meanwhile the connection counted as one being served, which is never closed for another one, so clients that ask for the close and then send a byte now and then kept all others out of a full host. Such connections have a phase of their own now, and are the first to be closed after new ones. What was sent on them is still delivered.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -333,6 +333,7 @@
         """
         self.release()
         self._stop_watcher()
+        self._on_progress(ClientPhase.ENDING)
         end_s = time.monotonic() + LINGER_S
         try:
             self._sock.shutdown(socket.SHUT_WR)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
@@ -36,11 +36,15 @@
     IDLE = "idle"
     """Its requests have been answered."""
 
+    ENDING = "ending"
+    """Its last answer has been sent, and it is about to be closed."""
+
 
 REFUSED = "refused"
 """What becomes of a connection in favour of which no other one is closed."""
 
-_STALLING = (ClientPhase.RECEIVING, ClientPhase.SENDING)
+_UNUSED = (ClientPhase.NEW, ClientPhase.ENDING)
+_STALLING = (ClientPhase.ENDING, ClientPhase.RECEIVING, ClientPhase.SENDING)
 
 
 class TableEntry(ABC):
@@ -99,12 +103,14 @@
         """Return the connection to close for a new one, if there is one.
 
         A new connection without a request comes first, as a client sends it at once.
-        Next are those whose clients neither send nor read, and last the one that has
-        been idle for longest, whose client may send its request again.
+        Next are those that are about to be closed, and those whose clients neither send
+        nor read. Last is the one that has been idle for longest, whose client may send
+        its request again.
         """
-        new = self._oldest_without_input(ClientPhase.NEW)
-        if new is not None:
-            return new
+        for phase in _UNUSED:
+            entry = self._oldest_without_input(phase)
+            if entry is not None:
+                return entry
         for phase in _STALLING:
             entry = next(iter(self._entries[phase]), None)
             if entry is not None and now_s - entry.progress_s >= STALLED_S:
