Take no body for stalled of which a part has arrived unread

On a full host that had been held up itself for a second, every body being received looked stalled, and was closed for a new connection although more of it had arrived. If that was its rest, the request was still read, passed on and run, and its answer lost. A body is stalled now only if nothing of it waits to be read.

The test of the table failed before (the connection with input was closed) and passes now; another one holds that a connection after its last answer goes before idle ones.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
@@ -112,11 +112,22 @@
             if entry is not None:
                 return entry
         for phase in _STALLING:
-            entry = next(iter(self._entries[phase]), None)
-            if entry is not None and now_s - entry.progress_s >= STALLED_S:
+            entry = self._oldest_stalled(phase, now_s=now_s)
+            if entry is not None:
                 return entry
         return self._oldest_without_input(ClientPhase.IDLE)
 
+    def _oldest_stalled(self, phase: ClientPhase, *, now_s: float) -> TableEntry | None:
+        """Return a connection without progress for a while, if there is one."""
+        if phase is ClientPhase.RECEIVING:
+            # This host may have been held up itself, with more of the body unread.
+            entry = self._oldest_without_input(phase)
+        else:
+            entry = next(iter(self._entries[phase]), None)
+        if entry is None or now_s - entry.progress_s < STALLED_S:
+            return None
+        return entry
+
     def _oldest_without_input(self, phase: ClientPhase) -> TableEntry | None:
         """Return a connection on which no request has arrived meanwhile."""
         oldest = islice(self._entries[phase], MAX_LOOKED_AT)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_client_table.py
@@ -82,6 +82,19 @@
                 other = Client(table, phase, 1.0)
                 self.assertIs(table.least_useful(now_s=10.0), other)
 
+    def test_a_body_that_the_host_has_not_read_yet_is_not_stalled(self):
+        # A host that was held up for a second closed uploads that had gone on.
+        self.client(ClientPhase.RECEIVING, 0.0).has_input = True
+        self.assertIsNone(self.least_useful())
+        other = self.client(ClientPhase.RECEIVING, 1.0)
+        self.assertIs(self.least_useful(), other)
+
+    def test_a_connection_after_its_last_answer_is_closed_before_idle_ones(self):
+        # It counted as one being served, which kept all others out of a full host.
+        self.client(ClientPhase.IDLE, 0.0)
+        ending = self.client(ClientPhase.ENDING, 9.9)
+        self.assertIs(self.least_useful(), ending)
+
     def test_a_connection_that_was_removed_stays_removed(self):
         client = self.client(ClientPhase.NEW)
         self.table.discard(client)
