--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_listener.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_listener.py
@@ -5,12 +5,14 @@
 
 from persimmonyoke.internal.gateway import sockets
 
+MAX_ACCEPT = 16
+"""Connections accepted at once, before others are closed in their favour."""
+
 
 class ClientListener(StreamServer):
     """Accept connections of clients, whose buffers in the kernel are limited."""
 
-    max_accept = 16
-    """Connections accepted at once, before others are closed in their favour."""
+    max_accept = MAX_ACCEPT
 
     @classmethod
     def get_listener(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
@@ -24,9 +24,11 @@
     """Enumerate what a client's connection is doing."""
 
     NEW = "new"
-    """Nothing has been received on it."""
+    """No complete head of a request has been received on it."""
 
     RECEIVING = "receiving"
+    """The body of a request is being received."""
+
     SERVING = "serving"
     SENDING = "sending"
     """The client has to read before more of its answer can be sent."""
@@ -34,11 +36,15 @@
     IDLE = "idle"
     """Its requests have been answered."""
 
+    ENDING = "ending"
+    """Its last answer has been sent, and it is about to be closed."""
+
 
 REFUSED = "refused"
 """What becomes of a connection in favour of which no other one is closed."""
 
-_STALLING = (ClientPhase.RECEIVING, ClientPhase.SENDING)
+_UNUSED = (ClientPhase.NEW, ClientPhase.ENDING)
+_STALLING = (ClientPhase.ENDING, ClientPhase.RECEIVING, ClientPhase.SENDING)
 
 
 class TableEntry(ABC):
@@ -96,19 +102,32 @@
     def least_useful(self, *, now_s: float) -> TableEntry | None:
         """Return the connection to close for a new one, if there is one.
 
-        A new connection without a byte comes first, as a client sends its request at
-        once. Next are those whose clients neither send nor read, and last the one that
-        has been idle for longest, whose client may send its request again.
+        A new connection without a request comes first, as a client sends it at once.
+        Next are those that are about to be closed, and those whose clients neither send
+        nor read. Last is the one that has been idle for longest, whose client may send
+        its request again.
         """
-        new = self._oldest_without_input(ClientPhase.NEW)
-        if new is not None:
-            return new
+        for phase in _UNUSED:
+            entry = self._oldest_without_input(phase)
+            if entry is not None:
+                return entry
         for phase in _STALLING:
-            entry = next(iter(self._entries[phase]), None)
-            if entry is not None and now_s - entry.progress_s >= STALLED_S:
+            entry = self._oldest_stalled(phase, now_s=now_s)
+            if entry is not None:
                 return entry
         return self._oldest_without_input(ClientPhase.IDLE)
 
+    def _oldest_stalled(self, phase: ClientPhase, *, now_s: float) -> TableEntry | None:
+        """Return a connection without progress for a while, if there is one."""
+        if phase is ClientPhase.RECEIVING:
+            # This host may have been held up itself, with more of the body unread.
+            entry = self._oldest_without_input(phase)
+        else:
+            entry = next(iter(self._entries[phase]), None)
+        if entry is None or now_s - entry.progress_s < STALLED_S:
+            return None
+        return entry
+
     def _oldest_without_input(self, phase: ClientPhase) -> TableEntry | None:
         """Return a connection on which no request has arrived meanwhile."""
         oldest = islice(self._entries[phase], MAX_LOOKED_AT)
