Receive bodies in small steps that let other connections run

60 clients that sent bodies in chunks of one byte, to the port for callers or to that for operators, hung an entry process. The WSGI server parsed each chunk byte by byte in Python, and a socket that always has input never waits: nobody else was served, and not even the time to receive a request could end.

A body that breaks its framing is refused on the operators' port as "malformed_body".

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/exchange.py
@@ -1,6 +1,5 @@
 """State of one HTTP exchange: request id, request body and response."""
 
-import io
 from collections.abc import Callable, Sequence
 
 import gevent
@@ -76,7 +75,7 @@
         chunked = "HTTP_TRANSFER_ENCODING" in self.environ
         body = b""
         if declared <= limit and (declared or chunked):
-            body = self._read_up_to(limit + 1)
+            body = self.environ["wsgi.input"].receive(limit + 1)
         if declared > limit or len(body) > limit:
             self._abandon_input()
             raise RequestError(
@@ -84,16 +83,6 @@
             )
         return body
 
-    def _read_up_to(self, size: int) -> bytes:
-        stream = self.environ["wsgi.input"]
-        parts = io.BytesIO()
-        while parts.tell() < size:
-            data = stream.read(size - parts.tell())
-            if not data:
-                break
-            parts.write(data)
-        return parts.getvalue()
-
     def _abandon_input(self) -> None:
         self._input_abandoned = True
         self.environ["persimmonyoke.abandon_input"]()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
@@ -15,6 +15,7 @@
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.callers.api import CallerLimits, CallerServices
 from persimmonyoke.internal.callers.app import CallerApp, new_request_id
+from persimmonyoke.internal.callers.body_input import body_input
 from persimmonyoke.internal.callers.error_answers import raw_response
 from persimmonyoke.internal.callers.exchange import ReceiveTimedOut
 
@@ -149,6 +150,8 @@
     def get_environ(self) -> dict:
         """Add the entries of the connection that the application uses."""
         environ = super().get_environ()
+        self.wsgi_input = body_input(self.wsgi_input)
+        environ["wsgi.input"] = self.wsgi_input
         environ["persimmonyoke.receiving"] = self._receiving
         environ["persimmonyoke.abandon_input"] = self._abandon_input
         environ["persimmonyoke.descriptor"] = self._descriptor
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -6,7 +6,10 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 
+from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.callers.body_input import body_input
 from persimmonyoke.internal.observability import part_logger
+from persimmonyoke.internal.operators.answers import error_body, new_request_id
 
 MAX_CONNECTIONS = 64
 
@@ -37,8 +40,15 @@
         """Add the function that cancels the receive timeout to the environment."""
         environ = super().get_environ()
         environ["persimmonyoke.received"] = self._receiving.close
+        self.wsgi_input = body_input(self.wsgi_input)
+        environ["wsgi.input"] = self.wsgi_input
+        environ["persimmonyoke.abandon_input"] = self._abandon_input
         return environ
 
+    def _abandon_input(self) -> None:
+        self.close_connection = True
+        self.wsgi_input.abandon()
+
 
 class _BufferBodyMiddleware:
     """Buffer a body of bounded size before the application runs."""
@@ -50,12 +60,26 @@
     def __call__(self, environ: dict, start_response: Callable) -> object:
         """Serve one request."""
         source = environ["wsgi.input"]
-        body = source.read(self._max_body_bytes + 1)
+        try:
+            body = source.receive(self._max_body_bytes + 1)
+        except OSError as error:
+            log.debug("malformed body: {}", error)
+            environ["persimmonyoke.abandon_input"]()
+            return _refuse_framing(start_response)
         environ["persimmonyoke.received"]()
         environ["wsgi.input"] = _BufferedBody(body)
         return self._app(environ, start_response)
 
 
+def _refuse_framing(start_response: Callable) -> list[bytes]:
+    error = RequestError(
+        ErrorKind.MALFORMED_BODY, "the body does not follow its framing"
+    )
+    headers = [("Content-Type", "application/json"), ("Connection", "close")]
+    start_response("400 Bad Request", headers)
+    return [error_body(error, new_request_id()).encode()]
+
+
 class _BufferedBody:
     """Serve a buffered body as the application's input stream."""
 
--- /dev/null
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -0,0 +1,86 @@
+"""Test that crowds of clients outside the limits end or hang no entry process.
+
+Each test starts a process of its own. What is checked does not depend on the speed of
+the machine.
+"""
+
+import itertools
+import unittest
+
+from persimmonyoke_testing.builders_crowds import CrowdHost
+
+MEMORY_MB = 256
+"""Memory of a machine: half for received bodies, half for everything else."""
+
+FEW_DESCRIPTORS = 300
+RESERVED_DESCRIPTORS = 50
+"""Descriptors for files, listeners and connections to other processes."""
+
+OPERATOR_BODY_BYTES = 1_000_000
+BLOCK_BYTES = 65_536
+SEND_LIMIT_S = 60.0
+CALLERS, OPERATORS = "callers", "operators"
+PATHS = {CALLERS: "/v1/completions", OPERATORS: "/operators/changes"}
+
+
+def head(port, *lines):
+    """Return the head of a request without a key."""
+    names = (f"POST {PATHS[port]} HTTP/1.1", "Host: host", *lines)
+    return ("\r\n".join(names) + "\r\n\r\n").encode()
+
+
+def chunked_head(port):
+    """Return the head of a request whose body comes in chunks."""
+    return head(port, "Transfer-Encoding: chunked")
+
+
+def chunks(size_bytes, body_bytes):
+    """Return a body in chunks of one size, without its end."""
+    block = b"%x\r\n%b\r\n" % (size_bytes, b"c" * size_bytes)
+    return block * (body_bytes // size_bytes)
+
+
+def nothing():
+    """Send nothing."""
+    yield from ()
+
+
+class CrowdTest(unittest.TestCase):
+    def host(self, *, descriptors=4_200):
+        host = CrowdHost(descriptors=descriptors)
+        self.addCleanup(host.stop)
+        self.descriptors = descriptors
+        return host
+
+    def check(self, host):
+        """Check what must hold however fast the machine is."""
+        self.assertTrue(host.answers_caller(), "no ordinary caller was answered")
+        self.assertTrue(host.answers_operator(), "no operator was answered")
+        self.assertTrue(host.process.running, "the process has ended")
+        self.assertLessEqual(host.peak_mb, MEMORY_MB)
+        sockets = self.descriptors - RESERVED_DESCRIPTORS
+        self.assertLessEqual(host.open_descriptors, sockets)
+
+    def check_chunks_of_one_byte(self, port):
+        host = self.host()
+
+        def parts():
+            yield chunked_head(port)
+            block = chunks(1, 10_000)
+            for _ in itertools.count():
+                yield block
+
+        host.crowd(port, 60, parts, returns=True)
+        self.check(host)
+
+    def test_chunks_of_one_byte_of_callers_do_not_hang_the_host(self):
+        # Parsing them took all of the host's time, and nobody else was answered.
+        self.check_chunks_of_one_byte(CALLERS)
+
+    def test_chunks_of_one_byte_of_operators_do_not_hang_the_host(self):
+        # Parsing them took all of the host's time, and nobody else was answered.
+        self.check_chunks_of_one_byte(OPERATORS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_deployment.py
@@ -1,6 +1,7 @@
 """Callers and node processes for tests against a deployment."""
 
 import json
+import resource
 import signal
 import subprocess
 import sys
@@ -156,14 +157,30 @@
 class NodeProcess:
     """Run ``persimmonyoke-node`` as a process of its own."""
 
-    def __init__(self, role: str, settings: Path) -> None:
+    def __init__(
+        self, role: str, settings: Path, *, descriptors: int | None = None
+    ) -> None:
+        self._descriptors = descriptors
         command = [sys.executable, "-m", "persimmonyoke_node", role, str(settings)]
         self._name = settings.stem
         self.log_path = settings.with_suffix(".log")
         with self.log_path.open("ab") as log_file:
             # Earlier processes of the same host wrote to the same file.
             self._log_start = log_file.tell()
-            self._process = subprocess.Popen(command, stderr=log_file)
+            self._process = subprocess.Popen(
+                command, stderr=log_file, preexec_fn=self._limit_descriptors
+            )
+
+    def _limit_descriptors(self) -> None:
+        """Limit the descriptors of the node alone; runs in its process."""
+        if self._descriptors is not None:
+            limits = (self._descriptors, self._descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    @property
+    def running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
 
     @property
     def pid(self) -> int:
