Bound the sum of the bodies that a host receives from callers

Callers whose bodies stopped short made an entry process grow without bound: each of up to 4,096 connections could hold a body of the largest size, which nothing added up. An idle connection also kept the body of its last request, in the environment of the request, and the traceback of a refusal kept its frames in a reference cycle.

A host now holds at most limits.all_bodies_bytes (128 MiB) of bodies, from the first byte to the end of the request. A body is freed with its request. Settings with body_bytes of 128 MiB or more need all_bodies_bytes as well, and are refused without it.

Bodies without end and bodies announced over the limit passed before; their tests keep it so.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/api.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/api.py
@@ -108,11 +108,13 @@
 class CallerLimits:
     """Limit the resources that a caller can occupy; applied before authentication.
 
+    ``all_bodies_bytes`` bounds the sum of the bodies that a host holds at once.
     ``receive_s`` covers a request from its first byte to the end of its body.
     ``send_s`` bounds each write to a caller that does not read.
     """
 
     body_bytes: int = 4 * 1024 * 1024
+    all_bodies_bytes: int = 128 * 1024 * 1024
     header_bytes: int = 16 * 1024
     receive_s: float = 10.0
     keep_alive_s: float = 75.0
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/app.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/app.py
@@ -19,7 +19,12 @@
 )
 from persimmonyoke.internal.callers.authentication import Authenticator
 from persimmonyoke.internal.callers.completions import CompletionHandler
-from persimmonyoke.internal.callers.exchange import ENVIRON_KEY, Exchange
+from persimmonyoke.internal.callers.exchange import (
+    BODY_KEY,
+    ENVIRON_KEY,
+    Exchange,
+)
+from persimmonyoke.internal.callers.held_bodies import HeldBodies
 from persimmonyoke.internal.callers.parsing import model_ids, unknown_model
 from persimmonyoke.internal.delivery.api import CallerGone
 from persimmonyoke.internal.delivery.services import ServiceRequest
@@ -78,6 +83,7 @@
         self._authenticator = Authenticator()
         self._completions = CompletionHandler(services, limits)
         self._bottle = self._build_routes()
+        self._bodies = HeldBodies(limits.all_bodies_bytes)
         self.errors: Counter[ErrorKind] = Counter()
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -86,16 +92,18 @@
             environ,
             start_response,
             request_id=new_request_id(),
+            bodies=self._bodies,
             is_draining=self._is_draining,
         )
         environ[ENVIRON_KEY] = exchange
         try:
-            environ["persimmonyoke.body"] = exchange.read_body(self._limits)
+            environ[BODY_KEY] = exchange.read_body(self._limits)
             return self._bottle.wsgi(environ, exchange.start_response)
         except CallerGone:
             error = RequestError(ErrorKind.CALLER_GONE, "the caller has left")
         except RequestError as caught:
-            error = caught
+            # The traceback's frames hold the body, and this one holds the error.
+            error = caught.with_traceback(None)
         except Exception:
             # Formatted here, since a log sink may be configured to add the values of
             # local variables, which include API keys.
@@ -107,6 +115,8 @@
             error = RequestError(
                 ErrorKind.INTERNAL, "an internal error occurred", ran=Ran.UNKNOWN
             )
+        finally:
+            exchange.release_body()
         return self._fail(exchange, error)
 
     def _fail(self, exchange: Exchange, error: RequestError) -> list[bytes]:
@@ -184,7 +194,7 @@
 
     def _complete(self, *, chat: bool) -> bytes:
         exchange, preset, workspace = self._authenticate_request()
-        body = exchange.environ["persimmonyoke.body"]
+        body = exchange.environ[BODY_KEY]
         bottle.response.content_type = JSON
         return self._completions.handle(exchange, body, preset, workspace, chat=chat)
 
@@ -282,7 +292,7 @@
         method=method,
         path=_service_path(exchange),
         headers=headers,
-        body=exchange.environ["persimmonyoke.body"],
+        body=exchange.environ[BODY_KEY],
         idempotency_key=_idempotency_key(exchange),
     )
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/exchange.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/exchange.py
@@ -8,9 +8,11 @@
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.callers.api import CallerLimits
 from persimmonyoke.internal.callers.error_answers import error_body, status_line
+from persimmonyoke.internal.callers.held_bodies import HeldBodies
 from persimmonyoke.internal.delivery.api import CallerGone
 
 ENVIRON_KEY = "persimmonyoke.exchange"
+BODY_KEY = "persimmonyoke.body"
 Headers = Sequence[tuple[str, str]]
 
 
@@ -32,8 +34,10 @@
         start_response: Callable,
         *,
         request_id: str,
+        bodies: HeldBodies,
         is_draining: Callable[[], bool],
     ) -> None:
+        self._held_body = bodies.open()
         self.environ = environ
         self.request_id = request_id
         self.started = False
@@ -54,6 +58,9 @@
         receiving = self.environ["persimmonyoke.receiving"]
         try:
             body = self._read(limits.body_bytes)
+        except RequestError:
+            self._abandon_input()
+            raise
         except ReceiveTimedOut as timeout:
             if timeout is not receiving:
                 raise
@@ -73,15 +80,19 @@
     def _read(self, limit: int) -> bytes:
         declared = int(self.environ.get("CONTENT_LENGTH") or 0)
         chunked = "HTTP_TRANSFER_ENCODING" in self.environ
-        body = b""
+        held = self._held_body
         if declared <= limit and (declared or chunked):
-            body = self.environ["wsgi.input"].receive(limit + 1)
-        if declared > limit or len(body) > limit:
-            self._abandon_input()
+            self.environ["wsgi.input"].receive_into(held.write, limit + 1)
+        if declared > limit or held.size_bytes > limit:
             raise RequestError(
                 ErrorKind.BODY_TOO_LARGE, f"the body is longer than {limit} bytes"
             )
-        return body
+        return held.finish()
+
+    def release_body(self) -> None:
+        """Free the body; the request has ended or needs it no more."""
+        self.environ.pop(BODY_KEY, None)
+        self._held_body.close()
 
     def _abandon_input(self) -> None:
         self._input_abandoned = True
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/entry.py
@@ -206,6 +206,7 @@
             services,
             limits=CallerLimits(
                 body_bytes=limits.body_bytes,
+                all_bodies_bytes=limits.all_bodies_bytes,
                 header_bytes=limits.header_bytes,
                 receive_s=limits.receive_s,
             ),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/settings/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/settings/model.py
@@ -68,6 +68,7 @@
     """Limit what a caller may send before it is authenticated."""
 
     body_bytes: int = 4 * 1024 * 1024
+    all_bodies_bytes: int = 128 * 1024 * 1024
     header_bytes: int = 16 * 1024
     receive_s: float = 10.0
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/settings/parser.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/settings/parser.py
@@ -205,13 +205,23 @@
 
 def _read_limits(table: Table) -> LimitSettings:
     default = LimitSettings()
-    return LimitSettings(
+    limits = LimitSettings(
         body_bytes=table.integer("body_bytes", default=default.body_bytes, minimum=1),
+        all_bodies_bytes=table.integer(
+            "all_bodies_bytes", default=default.all_bodies_bytes, minimum=1
+        ),
         header_bytes=table.integer(
             "header_bytes", default=default.header_bytes, minimum=256
         ),
         receive_s=_duration(table, "receive_s", default.receive_s),
     )
+    if limits.all_bodies_bytes <= limits.body_bytes:
+        table.fault(
+            "all_bodies_bytes",
+            f"is {limits.all_bodies_bytes}",
+            f"more than body_bytes, which is {limits.body_bytes}",
+        )
+    return limits
 
 
 def _read_shutdown(table: Table) -> ShutdownSettings:
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -7,7 +7,7 @@
 import itertools
 import unittest
 
-from persimmonyoke_testing.builders_crowds import CrowdHost
+from persimmonyoke_testing.builders_crowds import BODY_BYTES, CrowdHost
 
 MEMORY_MB = 256
 """Memory of a machine: half for received bodies, half for everything else."""
@@ -61,6 +61,41 @@
         sockets = self.descriptors - RESERVED_DESCRIPTORS
         self.assertLessEqual(host.open_descriptors, sockets)
 
+    def check_bodies_that_stop_short(self, port, size, body_bytes):
+        host = self.host()
+
+        def parts():
+            yield chunked_head(port)
+            for _ in range(body_bytes // BLOCK_BYTES - 1):
+                yield chunks(BLOCK_BYTES, BLOCK_BYTES)
+            yield b"%x\r\n%b" % (BLOCK_BYTES, b"c" * (BLOCK_BYTES - 1))
+
+        host.crowd(port, size, parts).wait_sent(SEND_LIMIT_S)
+        self.check(host)
+
+    def check_bodies_without_end(self, port, size, body_bytes, *lines):
+        host = self.host()
+
+        def parts():
+            yield head(port, *lines)
+            for _ in range(4 * body_bytes // BLOCK_BYTES):
+                yield chunks(BLOCK_BYTES, BLOCK_BYTES)
+
+        host.crowd(port, size, parts, returns=True).wait_sent(SEND_LIMIT_S)
+        self.check(host)
+
+    def test_whole_bodies_of_idle_callers_stay_within_the_memory(self):
+        # An idle connection kept the body of its last request.
+        host = self.host()
+
+        def parts():
+            yield head(CALLERS, f"Content-Length: {BODY_BYTES}")
+            for _ in range(BODY_BYTES // BLOCK_BYTES):
+                yield b"c" * BLOCK_BYTES
+
+        host.crowd(CALLERS, 200, parts).wait_sent(SEND_LIMIT_S)
+        self.check(host)
+
     def check_chunks_of_one_byte(self, port):
         host = self.host()
 
@@ -73,6 +108,20 @@
         host.crowd(port, 60, parts, returns=True)
         self.check(host)
 
+    def test_chunked_bodies_of_callers_that_stop_short_stay_within_the_memory(self):
+        # Nothing bounded the sum of the bodies that a host receives.
+        self.check_bodies_that_stop_short(CALLERS, 200, BODY_BYTES)
+
+    def test_chunked_bodies_of_callers_without_end_stay_within_the_memory(self):
+        # A refused body must not stay in memory while its client sends on.
+        line = "Transfer-Encoding: chunked"
+        self.check_bodies_without_end(CALLERS, 60, BODY_BYTES, line)
+
+    def test_bodies_of_callers_announced_over_the_limit_stay_within_the_memory(self):
+        # A body that is announced over the limit must not be kept.
+        line = "Content-Length: 10000000000"
+        self.check_bodies_without_end(CALLERS, 60, BODY_BYTES, line)
+
     def test_chunks_of_one_byte_of_callers_do_not_hang_the_host(self):
         # Parsing them took all of the host's time, and nobody else was answered.
         self.check_chunks_of_one_byte(CALLERS)
