Keep idle connections of callers from using up the descriptors

400 callers that send nothing kept an entry process with 300 descriptors from answering anyone: accept failed until the idle limit of 75 s had passed, and the limit of connections knew nothing of the descriptors.

The places for connections follow from the descriptors now. A refused connection has no place, so only 32 of them wait at once until their client has read the answer.

The test failed before: no ordinary caller was answered within 40 s. Callers that don't read their answers passed before; their test keeps it so.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
@@ -16,6 +16,13 @@
 from persimmonyoke.internal.callers.api import CallerLimits, CallerServices
 from persimmonyoke.internal.callers.app import CallerApp, new_request_id
 from persimmonyoke.internal.callers.body_input import body_input
+from persimmonyoke.internal.callers.connection_places import (
+    IDLE_GRACE_S,
+    MAX_ACCEPT,
+    Connection,
+    ConnectionPlaces,
+    available_places,
+)
 from persimmonyoke.internal.callers.error_answers import raw_response
 from persimmonyoke.internal.callers.exchange import ReceiveTimedOut
 
@@ -25,9 +32,8 @@
 LINGER_BYTES = 65_536
 OVERLOADED_RETRY_S = 1.0
 WAIT_POLL_S = 0.05
-# At shutdown, a connection is closed only once it has been idle for this long, so that
-# a request already in transit is still answered.
-IDLE_GRACE_S = 1.0
+MAX_LINGERING_REFUSALS = 32
+"""Refused connections, without a place, whose answer is waited for at once."""
 
 
 class _HeaderTooLarge(ValueError):
@@ -50,7 +56,7 @@
         return line
 
 
-class CallerHandler(pywsgi.WSGIHandler):
+class CallerHandler(pywsgi.WSGIHandler, Connection):
     """Serve one connection of a caller."""
 
     server: "_ConnectionServer"
@@ -58,7 +64,9 @@
     _abandoned = False
     _descriptor = -1
     _line_reader: _LimitedLineReader | None = None
+    _is_shut_down = False
     busy = False
+    has_received = False
     idle_since_s = 0.0
 
     def handle(self) -> None:
@@ -66,21 +74,37 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._descriptor = self.socket.fileno()
         server = self.server
-        if len(server.connections) >= server.limits.max_connections:
-            self._refuse(
-                RequestError(
-                    ErrorKind.OVERLOADED,
-                    "this host has too many connections",
-                    retry_after_s=OVERLOADED_RETRY_S,
-                )
-            )
-            self.socket.close()
+        self.idle_since_s = time.monotonic()
+        if not server.places.take(self, self.idle_since_s):
+            self._refuse_connection()
             return
-        server.connections.add(self)
         try:
             super().handle()
         finally:
-            server.connections.discard(self)
+            server.places.leave(self)
+
+    def _refuse_connection(self) -> None:
+        server = self.server
+        error = RequestError(
+            ErrorKind.OVERLOADED,
+            "this host has too many connections",
+            retry_after_s=OVERLOADED_RETRY_S,
+        )
+        server.refusals += 1
+        try:
+            self._refuse(error, lingers=server.refusals <= MAX_LINGERING_REFUSALS)
+        finally:
+            server.refusals -= 1
+            self.socket.close()
+
+    def shut_down(self) -> None:
+        """End the connection; its greenlet closes the socket soon afterwards."""
+        self._is_shut_down = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except (OSError, AttributeError):
+            # The handler has closed its socket concurrently.
+            pass
 
     def handle_one_request(self) -> object:
         """Wait for a request and serve it within the limits."""
@@ -112,7 +136,9 @@
         self.idle_since_s = time.monotonic()
         self.socket.settimeout(timeout_s)
         try:
-            return bool(self.rfile.peek(1))
+            self.has_received = bool(self.rfile.peek(1))
+            # A request that came just before the shutdown could not be answered.
+            return self.has_received and not self._is_shut_down
         except (OSError, ValueError):
             # Closed by either side, or idle for too long.
             return False
@@ -200,7 +226,7 @@
             f"the request line and headers are longer than {limit} bytes",
         )
 
-    def _refuse(self, error: RequestError) -> None:
+    def _refuse(self, error: RequestError, *, lingers: bool = True) -> None:
         """Answer a request that never reaches the application."""
         request_id = new_request_id()
         logger.info(
@@ -211,7 +237,8 @@
             self.socket.sendall(raw_response(error, request_id))
         except OSError:
             return
-        self._linger()
+        if lingers:
+            self._linger()
 
     def _linger(self) -> None:
         self._abandoned = False
@@ -273,13 +300,15 @@
     """Accept connections and hold the state that their handlers share."""
 
     handler_class = CallerHandler
+    max_accept = MAX_ACCEPT
 
     def __init__(
         self, address: tuple[str, int], app: CallerApp, limits: CallerLimits
     ) -> None:
         self.app = app
         self.limits = limits
-        self.connections: set[CallerHandler] = set()
+        self.places = ConnectionPlaces(available_places(limits.max_connections))
+        self.refusals = 0
         super().__init__(
             address,
             app,
@@ -311,9 +340,9 @@
         return self._wsgi.address
 
     @property
-    def connections(self) -> set[CallerHandler]:
+    def connections(self) -> set[Connection]:
         """Return the open connections."""
-        return self._wsgi.connections
+        return self._wsgi.places.taken
 
     @property
     def requests_in_progress(self) -> int:
@@ -350,17 +379,10 @@
         """Close the listener and all open connections."""
         self._wsgi.stop(timeout=0)
         for handler in list(self.connections):
-            self._shut_down_socket(handler)
+            handler.shut_down()
 
     def _close_idle_connections(self) -> None:
         now_s = time.monotonic()
         for handler in list(self.connections):
             if not handler.busy and now_s - handler.idle_since_s >= IDLE_GRACE_S:
-                self._shut_down_socket(handler)
-
-    def _shut_down_socket(self, handler: CallerHandler) -> None:
-        try:
-            handler.socket.shutdown(socket.SHUT_RDWR)
-        except (OSError, AttributeError):
-            # The handler has closed its socket concurrently.
-            pass
+                handler.shut_down()
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -108,6 +108,24 @@
         host.crowd(port, 60, parts, returns=True)
         self.check(host)
 
+    def check_idle_connections(self, port):
+        host = self.host(descriptors=FEW_DESCRIPTORS)
+        host.crowd(port, 400, nothing, returns=True).wait_sent(SEND_LIMIT_S)
+        self.check(host)
+
+    def check_unread_answers(self, port, size, path):
+        host = self.host(descriptors=FEW_DESCRIPTORS)
+        request = f"GET {path} HTTP/1.1\r\nHost: host\r\n\r\n".encode()
+
+        def parts():
+            for _ in itertools.count():
+                yield request * max(1, BLOCK_BYTES // len(request))
+
+        crowd = host.crowd(port, size, parts)
+        with self.assertRaisesRegex(AssertionError, "could not send"):
+            crowd.wait_sent(5.0)
+        self.check(host)
+
     def test_chunked_bodies_of_callers_that_stop_short_stay_within_the_memory(self):
         # Nothing bounded the sum of the bodies that a host receives.
         self.check_bodies_that_stop_short(CALLERS, 200, BODY_BYTES)
@@ -130,6 +148,14 @@
         # Parsing them took all of the host's time, and nobody else was answered.
         self.check_chunks_of_one_byte(OPERATORS)
 
+    def test_idle_connections_of_callers_do_not_use_up_the_descriptors(self):
+        # The host accepted no other client until the idle limit had passed.
+        self.check_idle_connections(CALLERS)
+
+    def test_unread_answers_of_callers_do_not_hang_the_host(self):
+        # Callers that read nothing must not keep their connections.
+        self.check_unread_answers(CALLERS, 100, "/metrics")
+
 
 if __name__ == "__main__":
     unittest.main()
