Free the place of an operator's request that is not received

Clients whose bodies stopped short, or were longer than the limit, held all 64 places of the operators' port for ever. Once the time to receive a request had passed, or the request had been answered, the WSGI server read on to the end of the body without any limit.

The handler now abandons such a body, answers with "Connection: close" and waits 1 s at most until the client has read the answer. A request that is not received in time gets "request_timeout".

The tests failed before: with 200 bodies that stop short no operator was answered within 40 s; with 100 bodies without end, chunked or announced, part of the crowd got no place within 60 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
@@ -25,11 +25,8 @@
 )
 from persimmonyoke.internal.callers.error_answers import raw_response
 from persimmonyoke.internal.callers.exchange import ReceiveTimedOut
+from persimmonyoke.internal.callers.lingering import linger
 
-# Closing a socket with unread input resets the connection, which can discard the error
-# answer before the caller reads it. The input is therefore drained for up to this time.
-LINGER_S = 1.0
-LINGER_BYTES = 65_536
 OVERLOADED_RETRY_S = 1.0
 WAIT_POLL_S = 0.05
 MAX_LINGERING_REFUSALS = 32
@@ -242,14 +239,7 @@
 
     def _linger(self) -> None:
         self._abandoned = False
-        try:
-            self.socket.shutdown(socket.SHUT_WR)
-            with gevent.Timeout(LINGER_S, False):
-                while self.socket.recv(LINGER_BYTES):
-                    pass
-        except OSError:
-            # The caller has closed the connection, so there is nothing to wait for.
-            pass
+        linger(self.socket)
 
     def _log_error(
         self, kind: type[BaseException], error: BaseException, trace: TracebackType
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -8,6 +8,8 @@
 
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.callers.body_input import body_input
+from persimmonyoke.internal.callers.error_answers import status_line
+from persimmonyoke.internal.callers.lingering import linger
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.operators.answers import error_body, new_request_id
 
@@ -24,6 +26,7 @@
     """Bound the time from waiting for a request to the end of its body."""
 
     _receiving: gevent.Timeout | None = None
+    _abandoned = False
 
     def handle_one_request(self) -> object:
         """Serve one request; close the connection if it is not received in time."""
@@ -35,6 +38,8 @@
             return None
         finally:
             self._receiving.close()
+            if self._abandoned:
+                linger(self.socket)
 
     def get_environ(self) -> dict:
         """Add the function that cancels the receive timeout to the environment."""
@@ -46,6 +51,7 @@
         return environ
 
     def _abandon_input(self) -> None:
+        self._abandoned = True
         self.close_connection = True
         self.wsgi_input.abandon()
 
@@ -62,22 +68,42 @@
         source = environ["wsgi.input"]
         try:
             body = source.receive(self._max_body_bytes + 1)
-        except OSError as error:
-            log.debug("malformed body: {}", error)
-            environ["persimmonyoke.abandon_input"]()
-            return _refuse_framing(start_response)
+        except ReceiveTimeout:
+            # The WSGI server would wait for the rest of the body without a limit.
+            error = RequestError(
+                ErrorKind.REQUEST_TIMEOUT, "the request was not received in time"
+            )
+            return _refuse(environ, start_response, error)
+        except OSError as caught:
+            log.debug("malformed body: {}", caught)
+            error = RequestError(
+                ErrorKind.MALFORMED_BODY, "the body does not follow its framing"
+            )
+            return _refuse(environ, start_response, error)
         environ["persimmonyoke.received"]()
         environ["wsgi.input"] = _BufferedBody(body)
-        return self._app(environ, start_response)
+        if len(body) <= self._max_body_bytes:
+            return self._app(environ, start_response)
+        environ["persimmonyoke.abandon_input"]()
+        return self._app(environ, _closing(start_response))
+
+
+def _refuse(
+    environ: dict, start_response: Callable, error: RequestError
+) -> list[bytes]:
+    environ["persimmonyoke.abandon_input"]()
+    headers = [("Content-Type", "application/json")]
+    _closing(start_response)(status_line(error.answer.status), headers)
+    return [error_body(error, new_request_id()).encode()]
 
 
-def _refuse_framing(start_response: Callable) -> list[bytes]:
-    error = RequestError(
-        ErrorKind.MALFORMED_BODY, "the body does not follow its framing"
-    )
-    headers = [("Content-Type", "application/json"), ("Connection", "close")]
-    start_response("400 Bad Request", headers)
-    return [error_body(error, new_request_id()).encode()]
+def _closing(start_response: Callable) -> Callable:
+    """Return a ``start_response`` that announces the end of the connection."""
+
+    def start(status: str, headers: list, *exc_info: object) -> Callable:
+        return start_response(status, [*headers, ("Connection", "close")], *exc_info)
+
+    return start
 
 
 class _BufferedBody:
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -130,16 +130,30 @@
         # Nothing bounded the sum of the bodies that a host receives.
         self.check_bodies_that_stop_short(CALLERS, 200, BODY_BYTES)
 
+    def test_chunked_bodies_of_operators_that_stop_short_stay_within_the_memory(self):
+        # Each place of the operators' port may hold a body of the largest size.
+        self.check_bodies_that_stop_short(OPERATORS, 200, OPERATOR_BODY_BYTES)
+
     def test_chunked_bodies_of_callers_without_end_stay_within_the_memory(self):
         # A refused body must not stay in memory while its client sends on.
         line = "Transfer-Encoding: chunked"
         self.check_bodies_without_end(CALLERS, 60, BODY_BYTES, line)
 
+    def test_chunked_bodies_of_operators_without_end_do_not_hang_the_port(self):
+        # A refused body must not stay in memory while its client sends on.
+        line = "Transfer-Encoding: chunked"
+        self.check_bodies_without_end(OPERATORS, 100, OPERATOR_BODY_BYTES, line)
+
     def test_bodies_of_callers_announced_over_the_limit_stay_within_the_memory(self):
         # A body that is announced over the limit must not be kept.
         line = "Content-Length: 10000000000"
         self.check_bodies_without_end(CALLERS, 60, BODY_BYTES, line)
 
+    def test_bodies_of_operators_announced_over_the_limit_stay_within_the_memory(self):
+        # A body that is announced over the limit must not be kept.
+        line = "Content-Length: 10000000000"
+        self.check_bodies_without_end(OPERATORS, 100, OPERATOR_BODY_BYTES, line)
+
     def test_chunks_of_one_byte_of_callers_do_not_hang_the_host(self):
         # Parsing them took all of the host's time, and nobody else was answered.
         self.check_chunks_of_one_byte(CALLERS)
