Close connections of operators' clients that don't read

100 clients that sent requests without a token to the operators' port and read no answer held all of its places for ever: nothing bounded the time of a write.

A write may take 30 s now, as for callers. No error answer follows a failed write, since it would wait for the same client.

The test failed before: no operator was answered within 40 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -1,6 +1,7 @@
 """HTTP server of the operator interface with a receive timeout."""
 
 from collections.abc import Callable
+from types import TracebackType
 
 import gevent
 from gevent import pywsgi
@@ -15,6 +16,9 @@
 
 MAX_CONNECTIONS = 64
 
+SEND_S = 30.0
+"""Time for each write to an operator who does not read."""
+
 log = part_logger("operators")
 
 
@@ -30,6 +34,8 @@
 
     def handle_one_request(self) -> object:
         """Serve one request; close the connection if it is not received in time."""
+        # The time to receive a request has its own limit.
+        self.socket.settimeout(None)
         self._receiving = ReceiveTimeout(self.server.receive_s)
         self._receiving.start()
         try:
@@ -42,15 +48,31 @@
                 linger(self.socket)
 
     def get_environ(self) -> dict:
-        """Add the function that cancels the receive timeout to the environment."""
+        """Add the functions that end the receiving to the environment."""
         environ = super().get_environ()
-        environ["persimmonyoke.received"] = self._receiving.close
+        environ["persimmonyoke.received"] = self._end_receiving
         self.wsgi_input = body_input(self.wsgi_input)
         environ["wsgi.input"] = self.wsgi_input
         environ["persimmonyoke.abandon_input"] = self._abandon_input
         return environ
 
+    def handle_error(
+        self, kind: type[BaseException], error: BaseException, trace: TracebackType
+    ) -> None:
+        """Log an error; close the connection of a client that does not read."""
+        if isinstance(error, OSError):
+            # An error answer could not be sent either.
+            log.debug("connection error: {}", error)
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, trace)
+
+    def _end_receiving(self) -> None:
+        self._receiving.close()
+        self.socket.settimeout(SEND_S)
+
     def _abandon_input(self) -> None:
+        self._end_receiving()
         self._abandoned = True
         self.close_connection = True
         self.wsgi_input.abandon()
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -170,6 +170,10 @@
         # Callers that read nothing must not keep their connections.
         self.check_unread_answers(CALLERS, 100, "/metrics")
 
+    def test_unread_answers_of_operators_do_not_hang_the_port(self):
+        # Nothing bounded the time of a write, and each place stayed taken.
+        self.check_unread_answers(OPERATORS, 100, "/" + 4_000 * "x")
+
 
 if __name__ == "__main__":
     unittest.main()
