Keep silent clients from holding all places of the operators' port

400 clients that sent nothing, and came back when they were disconnected, kept operators out: each held one of 64 places for receive_s, and the others stood in the listener's queue.

The operators' port now chooses like that for callers: a new connection takes the place of one that has sent nothing or is idle, and is refused as "overloaded" if there is none.

The test failed before: no operator was answered within 40 s.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -1,5 +1,7 @@
 """HTTP server of the operator interface with a receive timeout."""
 
+import socket
+import time
 from collections.abc import Callable
 from types import TracebackType
 
@@ -9,12 +11,19 @@
 
 from persimmonyoke.errors import ErrorKind, RequestError
 from persimmonyoke.internal.callers.body_input import body_input
-from persimmonyoke.internal.callers.error_answers import status_line
-from persimmonyoke.internal.callers.lingering import linger
+from persimmonyoke.internal.callers.connection_places import (
+    MAX_ACCEPT,
+    Connection,
+    ConnectionPlaces,
+)
+from persimmonyoke.internal.callers.error_answers import raw_response, status_line
+from persimmonyoke.internal.callers.lingering import LINGER_S, linger
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.operators.answers import error_body, new_request_id
 
 MAX_CONNECTIONS = 64
+MAX_LINGERING_REFUSALS = 16
+OVERLOADED_RETRY_S = 1.0
 
 SEND_S = 30.0
 """Time for each write to an operator who does not read."""
@@ -26,11 +35,54 @@
     """Signal that a request was not received in time."""
 
 
-class OperatorHandler(pywsgi.WSGIHandler):
+class OperatorHandler(pywsgi.WSGIHandler, Connection):
     """Bound the time from waiting for a request to the end of its body."""
 
     _receiving: gevent.Timeout | None = None
     _abandoned = False
+    _is_shut_down = False
+    busy = False
+    has_received = False
+    idle_since_s = 0.0
+
+    def handle(self) -> None:
+        """Serve the connection, or refuse it if all places serve requests."""
+        self.idle_since_s = time.monotonic()
+        places = self.server.places
+        if not places.take(self, self.idle_since_s):
+            self._refuse_connection()
+            return
+        try:
+            super().handle()
+        finally:
+            places.leave(self)
+
+    def shut_down(self) -> None:
+        """End the connection; its greenlet closes the socket soon afterwards."""
+        self._is_shut_down = True
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except (OSError, AttributeError):
+            # The handler has closed its socket concurrently.
+            pass
+
+    def _refuse_connection(self) -> None:
+        error = RequestError(
+            ErrorKind.OVERLOADED,
+            "this host has too many connections of operators",
+            retry_after_s=OVERLOADED_RETRY_S,
+        )
+        self.server.refusals += 1
+        try:
+            self.socket.settimeout(LINGER_S)
+            self.socket.sendall(raw_response(error, new_request_id()))
+            if self.server.refusals <= MAX_LINGERING_REFUSALS:
+                linger(self.socket)
+        except OSError as caught:
+            log.debug("connection error: {}", caught)
+        finally:
+            self.server.refusals -= 1
+            self.socket.close()
 
     def handle_one_request(self) -> object:
         """Serve one request; close the connection if it is not received in time."""
@@ -39,14 +91,25 @@
         self._receiving = ReceiveTimeout(self.server.receive_s)
         self._receiving.start()
         try:
-            return super().handle_one_request()
+            return super().handle_one_request() if self._has_request() else None
         except ReceiveTimeout:
             return None
         finally:
             self._receiving.close()
+            self.idle_since_s = time.monotonic()
+            self.busy = False
             if self._abandoned:
                 linger(self.socket)
 
+    def _has_request(self) -> bool:
+        try:
+            self.has_received = bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            # Closed by the client or for another connection.
+            return False
+        self.busy = self.has_received and not self._is_shut_down
+        return self.busy
+
     def get_environ(self) -> dict:
         """Add the functions that end the receiving to the environment."""
         environ = super().get_environ()
@@ -146,17 +209,21 @@
 
 class _Server(pywsgi.WSGIServer):
     handler_class = OperatorHandler
+    max_accept = MAX_ACCEPT
 
     def __init__(
         self, address: tuple[str, int], app: Callable, *, receive_s: float
     ) -> None:
         self.receive_s = receive_s
+        self.places = ConnectionPlaces(MAX_CONNECTIONS)
+        self.refusals = 0
         super().__init__(
             address,
             app,
             log=None,
             error_log=_ServerLog(),
-            spawn=Pool(MAX_CONNECTIONS),
+            # The pool ends the handlers at a stop; the places limit them.
+            spawn=Pool(),
             environ={"SERVER_NAME": address[0]},
         )
 
--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -166,6 +166,10 @@
         # The host accepted no other client until the idle limit had passed.
         self.check_idle_connections(CALLERS)
 
+    def test_idle_connections_of_operators_do_not_use_up_the_places(self):
+        # Silent clients must not hold all places of the operators' port.
+        self.check_idle_connections(OPERATORS)
+
     def test_unread_answers_of_callers_do_not_hang_the_host(self):
         # Callers that read nothing must not keep their connections.
         self.check_unread_answers(CALLERS, 100, "/metrics")
