Free the body of an operator's request with its answer

The handler and the environment of a request refer to each other, and the environment kept the body, so that each refused body stayed until the next collection of reference cycles.

The server takes the body out of the environment once the application has returned.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -166,11 +166,16 @@
             )
             return _refuse(environ, start_response, error)
         environ["persimmonyoke.received"]()
+        if len(body) > self._max_body_bytes:
+            environ["persimmonyoke.abandon_input"]()
+            start_response = _closing(start_response)
         environ["wsgi.input"] = _BufferedBody(body)
-        if len(body) <= self._max_body_bytes:
+        try:
             return self._app(environ, start_response)
-        environ["persimmonyoke.abandon_input"]()
-        return self._app(environ, _closing(start_response))
+        finally:
+            # The handler and the environment refer to each other, so that the body
+            # would stay until the next collection of reference cycles.
+            environ["wsgi.input"] = _BufferedBody(b"")
 
 
 def _refuse(
