Let a peer tell a replica that ended with its answer from one that closed

A host that is cut off from the replicas took the beginning of an answer without a length for whole if it came through a peer and all replicas ended together: it cannot ask the replica itself, and the peer, which reaches no other one, could not say that it refuses. The peer that carried the answer connects to the replica once more at its end now, and leaves out the last chunk if that is refused.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_yielding.py
@@ -137,6 +137,7 @@
                     parser=TunnelRequestParser(),
                     opened_s=0.0,
                     on_answer=Mock(),
+                    is_refused=Mock(),
                 )
             )
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tunnel_server.py
@@ -59,6 +59,9 @@
 MIN_BUSY_S = 2.0
 """Least time without a byte after which a tunnel counts as idle."""
 
+END_PROBE_TIMEOUT_S = 0.2
+"""Time for a connection that shows whether a replica ended with its answer."""
+
 MAX_SILENCE_S = 300.0
 """Time after which a tunnel without a byte in one direction is closed."""
 
@@ -100,6 +103,9 @@
     parser: TunnelRequestParser
     opened_s: float
     on_answer: Callable[[], None]
+    is_refused: Callable[[], bool]
+    """Return whether the replica refuses a new connection."""
+
     last_byte_s: float = 0.0
     sent_s: float = 0.0
     bytes_to_replica: int = 0
@@ -184,8 +190,16 @@
         except TunnelRefused as refusal:
             self._refuse(sock, request, refusal)
             return
-        on_answer = partial(self._note_answer, replica)
-        tunnel = _Tunnel(request, replica, sock, transport, parser, begun_s, on_answer)
+        tunnel = _Tunnel(
+            request,
+            replica,
+            sock,
+            transport,
+            parser,
+            begun_s,
+            on_answer=partial(self._note_answer, replica),
+            is_refused=partial(self._is_refused, replica),
+        )
         tunnel.last_byte_s = time.monotonic()
         self._open[id(tunnel)] = tunnel
         try:
@@ -253,6 +267,14 @@
                 status = NO_TUNNEL
             raise TunnelRefused(status, str(error)) from error
 
+    def _is_refused(self, replica: Replica) -> bool:
+        """Return whether a replica that has closed a connection refuses a new one."""
+        try:
+            self._dialer.connect_directly(replica, END_PROBE_TIMEOUT_S).close()
+        except NotConnected as error:
+            return isinstance(error, ConnectionRefused)
+        return False
+
     def _refuse(
         self, sock: socket.socket, request: TunnelRequest, refusal: TunnelRefused
     ) -> None:
@@ -364,9 +386,16 @@
 
 
 def _end_for_peer(tunnel: _Tunnel) -> None:
-    """Tell the peer that the replica closed, unless the tunnel has failed before."""
+    """Tell the peer that the replica closed, unless that may be the end of its process.
+
+    The peer can't tell a killed replica from one that ended its answer, and may reach
+    no other host that tells. Without the last chunk it takes the answer for broken off.
+    """
     if tunnel.end:
         return
     tunnel.ended_by_replica = True
+    if tunnel.is_refused():
+        tunnel.end = "replica ended"
+        return
     tunnel.end = "replica closed"
     tunnel.peer_sock.sendall(LAST_CHUNK)
