--- a/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
+++ b/packages/persimmonyoke_node/src/persimmonyoke_node/tests/test_crowds.py
@@ -40,7 +40,7 @@
     return block * (body_bytes // size_bytes)
 
 
-def nothing():
+def nothing(_number):
     """Send nothing."""
     yield from ()
 
@@ -64,7 +64,7 @@
     def check_bodies_that_stop_short(self, port, size, body_bytes):
         host = self.host()
 
-        def parts():
+        def parts(_number):
             yield chunked_head(port)
             for _ in range(body_bytes // BLOCK_BYTES - 1):
                 yield chunks(BLOCK_BYTES, BLOCK_BYTES)
@@ -76,7 +76,7 @@
     def check_bodies_without_end(self, port, size, body_bytes, *lines):
         host = self.host()
 
-        def parts():
+        def parts(_number):
             yield head(port, *lines)
             for _ in range(4 * body_bytes // BLOCK_BYTES):
                 yield chunks(BLOCK_BYTES, BLOCK_BYTES)
@@ -88,7 +88,7 @@
         # An idle connection kept the body of its last request.
         host = self.host()
 
-        def parts():
+        def parts(_number):
             yield head(CALLERS, f"Content-Length: {BODY_BYTES}")
             for _ in range(BODY_BYTES // BLOCK_BYTES):
                 yield b"c" * BLOCK_BYTES
@@ -99,7 +99,7 @@
     def check_chunks_of_one_byte(self, port):
         host = self.host()
 
-        def parts():
+        def parts(_number):
             yield chunked_head(port)
             block = chunks(1, 10_000)
             for _ in itertools.count():
@@ -117,7 +117,7 @@
         host = self.host(descriptors=FEW_DESCRIPTORS)
         request = f"GET {path} HTTP/1.1\r\nHost: host\r\n\r\n".encode()
 
-        def parts():
+        def parts(_number):
             for _ in itertools.count():
                 yield request * max(1, BLOCK_BYTES // len(request))
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_crowds.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_crowds.py
@@ -9,14 +9,10 @@
 from urllib3.exceptions import HTTPError
 
 from persimmonyoke_testing.builders_deployment import NodeProcess, call, wait_healthy
-from persimmonyoke_testing.crowd import (
-    Crowd,
-    Parts,
-    open_descriptors,
-    peak_memory_bytes,
-)
+from persimmonyoke_testing.crowd import Crowd, Parts
 from persimmonyoke_testing.deployment import Deployment
 from persimmonyoke_testing.deployment_settings import write_values
+from persimmonyoke_testing.process_stats import open_descriptors, peak_memory_bytes
 
 BYTES_PER_MB = 1_048_576
 BODY_BYTES = 2 * BYTES_PER_MB
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/crowd.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/crowd.py
@@ -1,7 +1,6 @@
 """Clients that connect at once, send what a script says and stay."""
 
 from collections.abc import Callable, Iterator
-from pathlib import Path
 
 import gevent
 from gevent import socket
@@ -10,9 +9,8 @@
 
 CONNECT_TIMEOUT_S = 5.0
 RECONNECT_S = 0.05
-BYTES_PER_KB = 1_024
-Parts = Callable[[], Iterator[bytes]]
-"""Return what a client of a crowd sends."""
+Parts = Callable[[int], Iterator[bytes]]
+"""Return what a client of a crowd sends, by its number."""
 
 
 class Crowd:
@@ -23,19 +21,26 @@
     """
 
     def __init__(
-        self, port: int, size: int, parts: Parts, *, returns: bool = False
+        self,
+        port: int,
+        size: int,
+        parts: Parts,
+        *,
+        returns: bool = False,
     ) -> None:
         self._port = port
         self._parts = parts
         self._returns = returns
         self._sockets: dict[int, socket.socket] = {}
-        self._sent = 0
+        self.sent = 0
+        """Clients that have sent all of their parts, or were disconnected before."""
+
         self._tasks = [gevent.spawn(self._run, number) for number in range(size)]
 
     def wait_sent(self, timeout_s: float) -> None:
-        """Wait until each client has sent its parts once or was disconnected."""
+        """Wait until all clients have sent their parts; raise ``AssertionError``."""
         with gevent.Timeout(timeout_s, AssertionError("the crowd could not send")):
-            while self._sent < len(self._tasks):
+            while self.sent < len(self._tasks):
                 gevent.sleep(0.02)
 
     def leave(self) -> None:
@@ -48,7 +53,7 @@
         is_first = True
         while is_first or self._returns:
             self._play(number)
-            self._sent += is_first
+            self.sent += is_first
             is_first = False
             if self._returns:
                 self._wait_for_close(number)
@@ -56,7 +61,7 @@
     def _play(self, number: int) -> None:
         try:
             sock = self._connect(number)
-            for part in self._parts():
+            for part in self._parts(number):
                 sock.sendall(part)
                 gevent.sleep(0)
         except OSError:
@@ -75,23 +80,11 @@
         return sock
 
     def _wait_for_close(self, number: int) -> None:
+        """Discard what the host sends until it closes the connection."""
         try:
             while self._sockets[number].recv(65_536):
                 continue
         except OSError:
             # A reset ends the connection as well.
-            pass
+            return
         gevent.sleep(RECONNECT_S)
-
-
-def peak_memory_bytes(pid: int) -> int:
-    """Return the most resident memory that a process has had."""
-    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) * BYTES_PER_KB
-    raise AssertionError("the kernel reports no peak of memory")
-
-
-def open_descriptors(pid: int) -> int:
-    """Return the number of open descriptors of a process."""
-    return sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
