--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_connection.py
@@ -40,7 +40,7 @@
 MIN_TIMEOUT_S = 0.001
 
 PROGRESS_BYTES = 16_384
-"""Bytes of a body from which its client gets on."""
+"""Bytes of a body that count as progress of its client."""
 
 MAX_PENDING_BYTES = 262_144
 """Limit of pipelined input that is buffered while a request is being served."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/client_table.py
@@ -15,7 +15,6 @@
 A large body over a slow link arrives in parts that follow each other much faster.
 """
 
-
 MAX_LOOKED_AT = 16
 """Connections of one phase of which the input is looked at for one new connection."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/sockets.py
@@ -32,7 +32,8 @@
 """Size of each of the two buffers of a client's connection in the kernel.
 
 By itself the kernel lets them grow to megabytes for clients that do not read, or whose
-input is not read. A body of 4 MiB takes some 6.5 s over a path of 100 ms.
+input is not read. At one buffer a round trip, a body of 4 MiB needs 6.4 s over a path
+of 100 ms.
 """
 
 KERNEL_OVERHEAD_FACTOR = 2
