Share the end of a connection between the two WSGI handlers

The handlers of callers and of operators had the same method to end a connection from another greenlet. Both inherit it now; nothing else changes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/callers/server.py
@@ -25,6 +25,7 @@
 )
 from persimmonyoke.internal.callers.error_answers import raw_response
 from persimmonyoke.internal.callers.exchange import ReceiveTimedOut
+from persimmonyoke.internal.callers.handler_connection import HandlerConnection
 from persimmonyoke.internal.callers.lingering import linger
 
 OVERLOADED_RETRY_S = 1.0
@@ -53,7 +54,7 @@
         return line
 
 
-class CallerHandler(pywsgi.WSGIHandler, Connection):
+class CallerHandler(pywsgi.WSGIHandler, HandlerConnection):
     """Serve one connection of a caller."""
 
     server: "_ConnectionServer"
@@ -61,7 +62,6 @@
     _abandoned = False
     _descriptor = -1
     _line_reader: _LimitedLineReader | None = None
-    _is_shut_down = False
     busy = False
     has_received = False
     idle_since_s = 0.0
@@ -94,15 +94,6 @@
             server.refusals -= 1
             self.socket.close()
 
-    def shut_down(self) -> None:
-        """End the connection; its greenlet closes the socket soon afterwards."""
-        self._is_shut_down = True
-        try:
-            self.socket.shutdown(socket.SHUT_RDWR)
-        except (OSError, AttributeError):
-            # The handler has closed its socket concurrently.
-            pass
-
     def handle_one_request(self) -> object:
         """Wait for a request and serve it within the limits."""
         limits = self.server.limits
@@ -135,7 +126,7 @@
         try:
             self.has_received = bool(self.rfile.peek(1))
             # A request that came just before the shutdown could not be answered.
-            return self.has_received and not self._is_shut_down
+            return self.has_received and not self.is_shut_down
         except (OSError, ValueError):
             # Closed by either side, or idle for too long.
             return False
--- a/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/node/operator_server.py
@@ -1,6 +1,5 @@
 """HTTP server of the operator interface with a receive timeout."""
 
-import socket
 import time
 from collections.abc import Callable
 from types import TracebackType
@@ -13,10 +12,10 @@
 from persimmonyoke.internal.callers.body_input import body_input
 from persimmonyoke.internal.callers.connection_places import (
     MAX_ACCEPT,
-    Connection,
     ConnectionPlaces,
 )
 from persimmonyoke.internal.callers.error_answers import raw_response, status_line
+from persimmonyoke.internal.callers.handler_connection import HandlerConnection
 from persimmonyoke.internal.callers.lingering import LINGER_S, linger
 from persimmonyoke.internal.observability import part_logger
 from persimmonyoke.internal.operators.answers import error_body, new_request_id
@@ -35,12 +34,11 @@
     """Signal that a request was not received in time."""
 
 
-class OperatorHandler(pywsgi.WSGIHandler, Connection):
+class OperatorHandler(pywsgi.WSGIHandler, HandlerConnection):
     """Bound the time from waiting for a request to the end of its body."""
 
     _receiving: gevent.Timeout | None = None
     _abandoned = False
-    _is_shut_down = False
     busy = False
     has_received = False
     idle_since_s = 0.0
@@ -57,15 +55,6 @@
         finally:
             places.leave(self)
 
-    def shut_down(self) -> None:
-        """End the connection; its greenlet closes the socket soon afterwards."""
-        self._is_shut_down = True
-        try:
-            self.socket.shutdown(socket.SHUT_RDWR)
-        except (OSError, AttributeError):
-            # The handler has closed its socket concurrently.
-            pass
-
     def _refuse_connection(self) -> None:
         error = RequestError(
             ErrorKind.OVERLOADED,
@@ -107,7 +96,7 @@
         except (OSError, ValueError):
             # Closed by the client or for another connection.
             return False
-        self.busy = self.has_received and not self._is_shut_down
+        self.busy = self.has_received and not self.is_shut_down
         return self.busy
 
     def get_environ(self) -> dict:
