Remember a version anew that was active again meanwhile

Hosts forget a former software version a stream's life after they first saw it among the earlier ones of the record, and then take each unknown stream for one of the version that is left. The planner kept that time while a version stayed among the earlier ones in all records that it saw. A host that stood still, or that the store did not answer, misses records: v1 may have been the active version again in between. The host then let v1 be forgotten while its latest streams could still be resumed, which a client would see as one answer of two versions.

Time now counts from the record in force, so that each change of the record begins it anew. A third version that joins lets the first one be remembered for longer, by a stream's life at most.

test_a_version_that_was_active_again_meanwhile_is_remembered_anew fails without the change ("()", wanted no plan) and passes with it.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_version_plan.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_version_plan.py
@@ -1,6 +1,7 @@
 """Test the choice of the software version at which new streams begin."""
 
 import unittest
+from dataclasses import replace
 
 from persimmonyoke.internal.dispatch.version_plan import (
     MAJORITY_HOLD_S,
@@ -110,6 +111,17 @@
         planned = self.plan(known, replicas, now_s=100.1 + LIFE_S)
         self.assertEqual((planned.active, planned.earlier), ("v2", ()))
 
+    def test_a_version_that_was_active_again_meanwhile_is_remembered_anew(self):
+        # A host that stood still saw it among the earlier versions before and after,
+        # and let it be forgotten while its latest streams could be resumed.
+        replicas = fleet("", "dp")
+        self.assertIsNone(self.plan(record("v2", "v1"), replicas, now_s=100.0))
+        newer = replace(record("v2", "v1"), revision=9)
+        for now_s in (100.1 + LIFE_S, 100.0 + 2 * LIFE_S):
+            self.assertIsNone(self.plan(newer, replicas, now_s=now_s))
+        planned = self.plan(newer, replicas, now_s=100.2 + 2 * LIFE_S)
+        self.assertEqual(planned.earlier, ())
+
     def test_a_version_that_began_a_stream_here_is_named(self):
         # While the store was away, streams began at a version that is not recorded.
         planned = self.plan(record("v1"), fleet("dp", "d"), begun=["v1", "v2"])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/version_plan.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self._active: str | None = None
         self._active_since_s = float("-inf")
+        self._revision: int | None = None
         self._earlier_since_s: dict[str, float] = {}
 
     def plan(
@@ -77,6 +78,10 @@
         active = record.active if record else None
         if active != self._active:
             self._active, self._active_since_s = active, now_s
+        revision = record.revision if record else None
+        if revision != self._revision:
+            # Between two records a version may have been the active one again.
+            self._revision, self._earlier_since_s = revision, {}
         earlier = record.earlier if record else ()
         self._earlier_since_s = {
             version: self._earlier_since_s.get(version, now_s) for version in earlier
