Remember streams for the timeouts under which they began

The time after which a former software version and the streams of a host are forgotten follows from the route timeouts of the configuration in force. A change to shorter timeouts shortened it at once, also for streams that began under the longer ones and could still be resumed. Such a resumption was then taken for a stream of the version that is left.

StreamLife tells the longest life of the streams that may be left: a longer former one counts until its last streams have ended. A host that starts after the change knows the new timeouts only; this remains.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
@@ -58,6 +58,33 @@
     return TIMEOUT_MULTIPLE * longest_s + LIFE_MARGIN_S
 
 
+@dataclass(frozen=True)
+class _FormerLife:
+    """Hold a life of streams of which the last one ends at a time."""
+
+    life_s: float
+    until_s: float
+
+
+class StreamLife:
+    """Tell the longest life of the streams that may be left.
+
+    Streams that began before a change of the timeouts last as long as before it.
+    """
+
+    def __init__(self) -> None:
+        self._life_s = 0.0
+        self._former: list[_FormerLife] = []
+
+    def note(self, life_s: float, *, now_s: float) -> float:
+        """Note the life of streams that begin now; return the longest life."""
+        if life_s != self._life_s:
+            self._former.append(_FormerLife(self._life_s, now_s + self._life_s))
+            self._life_s = life_s
+        self._former = [life for life in self._former if now_s < life.until_s]
+        return max([life_s, *(life.life_s for life in self._former)])
+
+
 def record_interval_s(*, hosts: int, writes_per_s: float) -> float:
     """Return the interval of a host's records within the store's rate of writes.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_versions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonyoke.internal.dispatch.stream_versions import (
+    StreamLife,
     StreamVersion,
     StreamVersions,
     find_version,
@@ -69,6 +70,25 @@
         self.assertIsNone(register.find("other", "r1"))
 
 
+class StreamLifeTest(unittest.TestCase):
+    def test_streams_that_began_under_longer_timeouts_are_not_forgotten_earlier(self):
+        # A configuration with shorter timeouts let all hosts forget the version of
+        # streams that could still be resumed.
+        life = StreamLife()
+        life.note(20.0, now_s=NOW_S)
+        self.assertEqual(life.note(6.0, now_s=NOW_S + 1.0), 20.0)
+        self.assertEqual(life.note(6.0, now_s=NOW_S + 20.9), 20.0)
+        self.assertEqual(life.note(6.0, now_s=NOW_S + 21.1), 6.0)
+
+    def test_longer_timeouts_count_at_once(self):
+        life = StreamLife()
+        life.note(6.0, now_s=NOW_S)
+        self.assertEqual(life.note(20.0, now_s=NOW_S + 1.0), 20.0)
+
+    def test_without_a_configuration_no_stream_is_left(self):
+        self.assertEqual(StreamLife().note(0.0, now_s=NOW_S), 0.0)
+
+
 class RecordIntervalTest(unittest.TestCase):
     def test_streams_are_recorded_within_a_quarter_second_in_a_large_fleet(self):
         # After 1.2 s most streams of killed hosts were not recorded, and were refused.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
@@ -15,6 +15,7 @@
 from persimmonyoke.errors import LeaseEnded, StoreUnavailable
 from persimmonyoke.internal.dispatch.stream_versions import (
     BegunStream,
+    StreamLife,
     record_interval_s,
     stream_life_s,
 )
@@ -67,6 +68,7 @@
     def __init__(self, state: GatewayState, store: FleetStore) -> None:
         self._state = state
         self._store = store
+        self._life = StreamLife()
         self._planners: dict[str, VersionPlanner] = defaultdict(VersionPlanner)
         self._wanted_since_s: dict[str, float] = {}
         self._pause_until_s = 0.0
@@ -101,7 +103,7 @@
 
     def _step(self, now_s: float) -> None:
         state = self._state
-        life_s = stream_life_s(state.configuration)
+        life_s = self._life.note(stream_life_s(state.configuration), now_s=now_s)
         state.stream_versions.forget_before(now_s - life_s)
         if state.ready and now_s >= self._pause_until_s:
             for service in self._resumable_services():
