Tell a host what happens after its registration has ended

A host that the store turns away, or does not answer, can't renew the lease of its entry. After 4 s the entry ends, and its peers sent it no datagrams any more, although it was heard and served on. It then believed that no host reaches the store, "outage" in place of "only I am turned away": it kept what it knew for as long as it was turned away, and heard of no draining replica, no configuration and no suspect request.

HostView keeps the entry of a host that left the store for a minute, and PeerLink, the collectors and the gossip of suspects also send to those of them that are heard. They are offered to no caller, and count in no share.

test_a_host_without_a_registration_is_told_of_states_and_changes and test_a_host_without_a_registration_hears_the_collector_of_its_zone fail without the change.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -23,6 +23,9 @@
 MAX_MESH_HOSTS = 16
 """Number of registered hosts up to which datagrams are sent in a full mesh."""
 
+EXPIRED_KEPT_S = 60.0
+"""Time for which the entry of a host is kept after it was removed from the store."""
+
 WATCHERS_PER_ZONE = 3
 """Number of hosts per availability zone that watch the store; two of them may fail."""
 
@@ -46,6 +49,14 @@
     """Time at which the store confirmed the peer's view up to its revision."""
 
 
+@dataclass(frozen=True)
+class _ExpiredEntry:
+    """Hold the last entry of a host whose registration ended."""
+
+    entry: HostEntry
+    expired_s: float
+
+
 class HostView:
     """Track the entry hosts, and select those that are offered to callers."""
 
@@ -57,6 +68,7 @@
         self._by_zone: dict[str, list[HostEntry]] | None = None
         self._first_read_s: float | None = None
         self._entries: dict[str, HostEntry] = {}
+        self._expired: dict[str, _ExpiredEntry] = {}
         self._peers: dict[str, PeerState] = {}
         self._first_seen_s: dict[str, float] = {}
 
@@ -64,10 +76,12 @@
         """Replace all entries after a full read."""
         if self._first_read_s is None:
             self._first_read_s = now_s
-        self._entries = {}
+        former, self._entries = self._entries, {}
         self._by_zone = None
         for entry in entries:
             self.put(entry, now_s=now_s)
+        for name in former.keys() - self._entries.keys():
+            self._keep_expired(former[name], now_s)
 
     def put(self, entry: HostEntry, *, now_s: float) -> None:
         """Add or update one entry."""
@@ -75,13 +89,24 @@
         if known is None or known.front_address != entry.front_address:
             self._first_seen_s[entry.name] = now_s
         self._entries[entry.name] = entry
+        self._expired.pop(entry.name, None)
         self._by_zone = None
 
-    def remove(self, name: str) -> None:
+    def remove(self, name: str, *, now_s: float) -> None:
         """Remove a host whose registration ended."""
-        self._entries.pop(name, None)
+        entry = self._entries.pop(name, None)
         self._by_zone = None
         self._first_seen_s.pop(name, None)
+        if entry is not None:
+            self._keep_expired(entry, now_s)
+
+    def _keep_expired(self, entry: HostEntry, now_s: float) -> None:
+        self._expired = {
+            name: expired
+            for name, expired in self._expired.items()
+            if now_s - expired.expired_s <= EXPIRED_KEPT_S
+        }
+        self._expired[entry.name] = _ExpiredEntry(entry, now_s)
 
     def entry(self, name: str) -> HostEntry | None:
         """Return the entry of a registered host."""
@@ -144,6 +169,21 @@
         """Return the other registered hosts."""
         return [e for e in self._entries.values() if e.name != self._own_name]
 
+    def unregistered(self, now_s: float) -> list[HostEntry]:
+        """Return the hosts that are heard although their registration ended.
+
+        A host that the store turns away can't renew it, but serves on.
+        """
+        return [
+            expired.entry
+            for name, expired in self._expired.items()
+            if name != self._own_name and self._heard(expired.entry, now_s)
+        ]
+
+    def _heard(self, entry: HostEntry, now_s: float) -> bool:
+        peer = self._peers.get(entry.name)
+        return peer is not None and now_s - peer.heard_s <= self._peer_timeout_s
+
     @property
     def all_know_eras(self) -> bool:
         """Return whether all other hosts order revisions across eras of the store."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -142,6 +142,40 @@
         self.assertTrue(self.knows_more(*known, ("host-9", NOW_S, True, 50)))
 
 
+class UnregisteredHostTest(unittest.TestCase):
+    """A host that the store turned away heard nothing after its lease had ended."""
+
+    def setUp(self):
+        self.hosts = HostView("host-1")
+        for number in (1, 2, 3):
+            self.hosts.put(host(f"host-{number}", port=number), now_s=NOW_S)
+
+    def unregistered(self, now_s=NOW_S):
+        return [entry.name for entry in self.hosts.unregistered(now_s)]
+
+    def test_a_host_that_is_heard_without_an_entry_is_told_what_happens(self):
+        self.hosts.note_peer("host-2", PeerState(NOW_S, True, 7))
+        self.hosts.remove("host-2", now_s=NOW_S)
+        self.assertEqual(self.unregistered(), ["host-2"])
+        self.assertNotIn("host-2", [entry.name for entry in self.hosts.peers()])
+
+    def test_a_host_that_a_snapshot_lacks_is_told_as_well(self):
+        self.hosts.note_peer("host-3", PeerState(NOW_S, True, 7))
+        self.hosts.replace_all([host("host-1"), host("host-2")], now_s=NOW_S)
+        self.assertEqual(self.unregistered(), ["host-3"])
+
+    def test_a_host_that_has_ended_is_told_no_more(self):
+        self.hosts.note_peer("host-2", PeerState(NOW_S, True, 7))
+        self.hosts.remove("host-2", now_s=NOW_S)
+        self.assertEqual(self.unregistered(NOW_S + 2 * PEER_TIMEOUT_S), [])
+
+    def test_a_host_that_is_registered_again_is_a_peer(self):
+        self.hosts.note_peer("host-2", PeerState(NOW_S, True, 7))
+        self.hosts.remove("host-2", now_s=NOW_S)
+        self.hosts.put(host("host-2", port=9), now_s=NOW_S)
+        self.assertEqual(self.unregistered(), [])
+
+
 class ManyHostsTest(unittest.TestCase):
     def hosts(self, count, *, seen_s=NOW_S):
         hosts = HostView("host-0")
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -206,8 +206,8 @@
 
     def _peers(self) -> tuple[list[HostEntry], list[HostEntry]]:
         """Return the peers of this host's availability zone and those of others."""
-        own_zone = self._state.settings.availability_zone
-        peers = self._state.hosts.peers()
+        own_zone, hosts = self._state.settings.availability_zone, self._state.hosts
+        peers = [*hosts.peers(), *hosts.unregistered(time.monotonic())]
         near = [peer for peer in peers if peer.availability_zone == own_zone]
         far = [peer for peer in peers if peer.availability_zone != own_zone]
         return near, far
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -185,9 +185,9 @@
         near = [*digests.near, *self._update_messages(self._near_updates), *states.near]
         near += take_up_to(self._cached_parts, CACHED_PARTS_MESSAGES_PER_ROUND)
         far = [*digests.far, *self._update_messages(self._far_updates), *states.far]
-        self._send(self._members(), near)
+        self._send(self._members(now_s), near)
         self._send(self._far_collectors(), far)
-        self._send_catch_up()
+        self._send_catch_up(now_s)
 
     def _clear_queues(self) -> None:
         self._near_updates.clear()
@@ -253,8 +253,11 @@
     def _zone_entries(self) -> Sequence[HostEntry]:
         return self._state.hosts.registered(self._zone)
 
-    def _members(self) -> list[HostEntry]:
-        return [entry for entry in self._zone_entries() if entry.name != self._name]
+    def _members(self, now_s: float) -> list[HostEntry]:
+        """Return the other hosts of this zone, and unregistered ones that are heard."""
+        unregistered = self._state.hosts.unregistered(now_s)
+        near = [e for e in unregistered if e.availability_zone == self._zone]
+        return [e for e in self._zone_entries() if e.name != self._name] + near
 
     def _far_collectors(self) -> list[HostEntry]:
         """Return the collectors of other zones and the hosts next in line."""
@@ -329,9 +332,9 @@
         )
         return [encode_updates(message) for message in messages if message is not None]
 
-    def _send_catch_up(self) -> None:
+    def _send_catch_up(self, now_s: float) -> None:
         """Send cached parts to the hosts that have just started."""
-        members = {entry.name: entry for entry in self._members()}
+        members = {entry.name: entry for entry in self._members(now_s)}
         for name, queue in list(self._catch_up.items()):
             if name in members:
                 self._send(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -80,7 +80,7 @@
                 self._state.journal.unexpected("gossip_failed")
 
     def _gossip_once(self, now_s: float) -> None:
-        peers = self._state.hosts.peers()
+        peers = self._receivers(now_s)
         receivers = self._state.rng.sample(peers, min(GOSSIP_PEERS, len(peers)))
         for datagram in encode_suspects(self._state.suspects.isolated_notices(now_s)):
             self._send(receivers, datagram)
@@ -89,7 +89,7 @@
         self._flushing = False
         notices = list(self._pending)
         self._pending.clear()
-        peers = self._state.hosts.peers()
+        peers = self._receivers(time.monotonic())
         strong = [notice for notice in notices if self._is_strong(notice)]
         weak = [notice for notice in notices if not self._is_strong(notice)]
         for datagram in encode_suspects(strong):
@@ -98,6 +98,11 @@
                 gevent.spawn_later(delay_s, self._send, peers, datagram)
         self._send_weak(weak, peers)
 
+    def _receivers(self, now_s: float) -> list[HostEntry]:
+        """Return all peers, also unregistered ones that are heard."""
+        hosts = self._state.hosts
+        return [*hosts.peers(), *hosts.unregistered(now_s)]
+
     def _send_weak(
         self, notices: Sequence[SuspectNotice], peers: Sequence[HostEntry]
     ) -> None:
@@ -107,7 +112,7 @@
                 self._send(peers, datagram)
             return
         by_host: dict[str, list[SuspectNotice]] = defaultdict(list)
-        entries = {peer.name: peer for peer in peers}
+        entries = {peer.name: peer for peer in self._state.hosts.peers()}
         for notice in notices:
             for name in counting_hosts(notice.digest, list(entries)):
                 by_host[name].append(notice)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -11,7 +11,9 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.digests import WorkDigest
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.gateway import peers
+from persimmonyoke.internal.gateway.change_parts import ChangesPart
 from persimmonyoke.internal.gateway.digest_messages import (
     DigestMessage,
     encode_digest,
@@ -24,8 +26,10 @@
 )
 from persimmonyoke.internal.gateway.peer_messages import (
     FORMAT,
+    PeerMessage,
     decode_datagram,
     encode_message,
+    peer_state,
 )
 from persimmonyoke.internal.gateway.peers import (
     MAX_FAR_DATAGRAMS_PER_S,
@@ -90,6 +94,29 @@
         self.assertGreater(len(sends), 1)
 
 
+class UnregisteredHostTest(unittest.TestCase):
+    def test_a_host_without_a_registration_is_told_of_states_and_changes(self):
+        # The store turned it away, so that its lease ended, and its peers told it
+        # nothing any more.
+        state = gateway_state(log=[])
+        link = PeerLink(state)
+        link.start("127.0.0.1", 0)
+        self.addCleanup(link.stop)
+        receiver = socket.socket(type=socket.SOCK_DGRAM)
+        receiver.bind(("127.0.0.1", 0))
+        self.addCleanup(receiver.close)
+        now_s, port = time.monotonic(), receiver.getsockname()[1]
+        state.hosts.put(host("host-2", port=port), now_s=now_s)
+        state.note_peer("host-2", peer_state(peer_message(), now_s), now_s)
+        state.hosts.remove("host-2", now_s=now_s)
+        link.forward_changes(RelayedChanges(1, b"changes"))
+        received = set()
+        with gevent.Timeout(2.0):
+            while received != {PeerMessage, ChangesPart}:
+                message = decode_datagram(receiver.recv(8_192), now_s=now_s)
+                received.add(type(message))
+
+
 class DatagramTest(unittest.TestCase):
     def test_a_large_fleet_is_not_flooded_with_datagrams(self):
         for bound in (MAX_NEAR_DATAGRAMS_PER_S, MAX_FAR_DATAGRAMS_PER_S):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -110,6 +110,21 @@
         self.assertEqual(len(known), 8)
         self.assertEqual(len(state.hosts.states("z1", newer_than_s=STARTED_S)), 8)
 
+    def test_a_host_without_a_registration_hears_the_collector_of_its_zone(self):
+        # The store turned it away. It heard no peer any more, and could not tell that
+        # from an outage of the store.
+        turned_away = "z1-005"
+        for name, running in self.network.hosts.items():
+            if name != turned_away:
+                running.state.hosts.remove(turned_away, now_s=self.network.now_s)
+        self.network.run(3.0)
+        self.network.reset_counts()
+        self.network.run(2.0)
+        self.assertGreater(self.network.received[turned_away], 10)
+        hosts = self.network.hosts[turned_away].state.hosts
+        heard = hosts.states("z2", newer_than_s=self.network.now_s - 2.0)
+        self.assertEqual(len(heard), 9)
+
     def test_zone_recovers_when_its_first_hosts_are_killed(self):
         self.network.lost.update({"z1-000", "z1-001"})
         self.network.run(1.5)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/view_updates.py
@@ -74,7 +74,7 @@
                 case HostUpdated(host):
                     state.hosts.put(host, now_s=now_s)
                 case HostRemoved(name):
-                    state.hosts.remove(name)
+                    state.hosts.remove(name, now_s=now_s)
                     state.suspects.forget_host(name)
                 case HolderChanged(holder):
                     self._orders.note_holder(holder)
