--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_versions.py
@@ -158,6 +158,9 @@
         self.own_count = 0
         """Streams that have begun at this host."""
 
+        self.read_boot_s = float("-inf")
+        """Boot time of the last read of all records."""
+
     def note_begun(
         self, request_id: str, replica: Replica, *, version: str, now_s: float
     ) -> None:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -48,6 +48,12 @@
     view_confirmed_s: float = float("-inf")
     """Time at which the store confirmed the peer's view up to its revision."""
 
+    heard_boot_s: float = float("-inf")
+    """Earliest boot time at which the state may have been sent."""
+
+    view_confirmed_boot_s: float = float("-inf")
+    """Earliest boot time to which ``view_confirmed_s`` may correspond."""
+
 
 @dataclass(frozen=True)
 class _ExpiredEntry:
@@ -180,10 +186,6 @@
             if name != self._own_name and self._heard(expired.entry, now_s)
         ]
 
-    def _heard(self, entry: HostEntry, now_s: float) -> bool:
-        peer = self._peers.get(entry.name)
-        return peer is not None and now_s - peer.heard_s <= self._peer_timeout_s
-
     @property
     def all_know_eras(self) -> bool:
         """Return whether all other hosts order revisions across eras of the store."""
@@ -202,14 +204,17 @@
 
     def view_confirmed_s(self, revision: int) -> float:
         """Return when the store last confirmed to a peer that a revision is current."""
-        return max(
-            (
-                peer.view_confirmed_s
-                for peer in self._peers.values()
-                if _precedes(peer.store_revision, revision)
-            ),
-            default=float("-inf"),
-        )
+        confirmed_s = (p.view_confirmed_s for p in self._not_ahead(revision))
+        return max(confirmed_s, default=float("-inf"))
+
+    def view_confirmed_boot_s(self, revision: int) -> float:
+        """Return the earliest boot time to which ``view_confirmed_s`` corresponds."""
+        confirmed_s = (p.view_confirmed_boot_s for p in self._not_ahead(revision))
+        return max(confirmed_s, default=float("-inf"))
+
+    def _not_ahead(self, revision: int) -> Iterable[PeerState]:
+        peers = self._peers.values()
+        return (peer for peer in peers if _precedes(peer.store_revision, revision))
 
     def store_answering_since_s(self, *, regained_s: float, now_s: float) -> float:
         """Return since when the store has been available without interruption.
@@ -269,16 +274,39 @@
         but a few may have been cut off together. A peer at revision 0 has started
         again and says nothing of what it knew, nor does one in an earlier era.
         """
-        heard = [
-            peer
-            for name, peer in self._peers.items()
-            if name != self._own_name and peer.heard_s >= since_s
-        ]
+        heard = [peer for peer in self._other_states() if peer.heard_s >= since_s]
+        return self._know_no_more(heard, revision)
+
+    def no_peer_knew_more(self, revision: int, *, since_boot_s: float) -> bool:
+        """Return ``no_peer_knows_more`` by states sent since a boot time."""
+        others = self._other_states()
+        heard = [peer for peer in others if peer.heard_boot_s >= since_boot_s]
+        return self._know_no_more(heard, revision)
+
+    def _other_states(self) -> list[PeerState]:
+        return [peer for name, peer in self._peers.items() if name != self._own_name]
+
+    def _know_no_more(self, heard: Iterable[PeerState], revision: int) -> bool:
+        heard = list(heard)
         if any(p.store_connected or p.store_revision > revision for p in heard):
             return False
         known = [p.store_revision for p in heard if p.store_revision > 0]
         return self._is_majority(sum(_precedes(peer, revision) for peer in known))
 
+    def peers_to_ask(self, revision: int, now_s: float) -> list[HostEntry]:
+        """Return the peers that may tell of changes after a revision.
+
+        Those that reach the store are asked first, as they know that it is the latest.
+        """
+        heard = [e for e in self.peers() if e.tunnel_key and self._heard(e, now_s)]
+        connected = [e for e in heard if self._peers[e.name].store_connected]
+        ahead = [e for e in heard if self._peers[e.name].store_revision > revision]
+        return connected or ahead
+
+    def _heard(self, entry: HostEntry, now_s: float) -> bool:
+        peer = self._peers.get(entry.name)
+        return peer is not None and now_s - peer.heard_s <= self._peer_timeout_s
+
     def _is_majority(self, peers: int) -> bool:
         return 2 * (1 + peers) > 1 + len(self.peers())
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -1,7 +1,7 @@
 """Interfaces between the gateway and its deployment platform."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import (
@@ -252,6 +252,30 @@
 
     after_revision: int
     encoded: bytes
+    current_boot_s: float = float("-inf")
+    """Earliest boot time of this host at which the store may have told the peer."""
+
+    is_recent: bool = True
+    """Whether the store has just told the peer, and no later revision existed."""
+
+
+SendChanges = Callable[[RelayedChanges], int]
+"""Sends changes to the host that asked for them; returns the number of datagrams."""
+
+
+@dataclass(frozen=True)
+class ChangesRequest:
+    """Ask a peer for the changes after a revision.
+
+    ``tunnel_key`` is that of the peer, which only the readers of its entry know.
+    """
+
+    host: str
+    after_revision: int
+    tunnel_key: str
+
+
+ChangesListener = Callable[[ChangesRequest, SendChanges], None]
 
 
 class FleetStore(ABC):
@@ -277,6 +301,10 @@
         response after ``timeout_s`` is closed.
         """
 
+    @abstractmethod
+    def encoded_snapshot(self) -> bytes:
+        """Read all entries, encoded like changes that write each of them."""
+
     @abstractmethod
     def decode_changes(self, encoded: bytes) -> StoreChanges:
         """Decode changes that another host relayed; raise ``StoreUnavailable``."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -97,6 +97,15 @@
         )
 
 
+LIMITS_BEFORE_CONFIGURATION = ClientLimits(
+    max_header_bytes=16_384,
+    max_body_bytes=4_194_304,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+"""Limits until the first configuration is known; until then all requests get 503."""
+
+
 @dataclass(frozen=True)
 class Configuration:
     """Hold one version of the operator's configuration."""
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/recent_changes.py
@@ -0,0 +1,56 @@
+"""Changes that this host has applied lately, for peers that missed them."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+
+MAX_CHANGES = 64
+MAX_BYTES = 262_144
+"""Limits on what is kept; a host that lacks more waits for the store."""
+
+
+@dataclass(frozen=True)
+class _Applied:
+    """Hold changes with the revisions before and after them."""
+
+    after_revision: int
+    revision: int
+    encoded: bytes
+
+
+class RecentChanges:
+    """Keep the last consecutive changes."""
+
+    def __init__(self) -> None:
+        self._changes: deque[_Applied] = deque()
+        self._size_bytes = 0
+
+    def note(self, after_revision: int, revision: int, encoded: bytes) -> None:
+        """Add changes; those before a gap are forgotten."""
+        if self._changes and self._changes[-1].revision != after_revision:
+            self.clear()
+        if revision == after_revision:
+            return
+        self._changes.append(_Applied(after_revision, revision, encoded))
+        self._size_bytes += len(encoded)
+        while self._size_bytes > MAX_BYTES or len(self._changes) > MAX_CHANGES:
+            self._size_bytes -= len(self._changes.popleft().encoded)
+
+    def clear(self) -> None:
+        """Forget all changes."""
+        self._changes.clear()
+        self._size_bytes = 0
+
+    def after(self, revision: int) -> list[RelayedChanges]:
+        """Return the changes after a revision; none unless all of them are known.
+
+        The first ones may repeat changes up to the revision, whose entries the later
+        ones of the same call hold as well.
+        """
+        missed = [c for c in self._changes if c.revision > revision]
+        if not missed or missed[0].after_revision > revision:
+            return []
+        first = RelayedChanges(revision, missed[0].encoded)
+        rest = [RelayedChanges(c.after_revision, c.encoded) for c in missed[1:]]
+        return [first, *rest]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -176,6 +176,54 @@
         self.assertEqual(self.unregistered(), [])
 
 
+class PeersToAskTest(unittest.TestCase):
+    def asked(self, *states):
+        hosts = HostView("host-1")
+        for number in range(1, 5):
+            entry = host(f"host-{number}", port=number, tunnel_key=f"key-{number}")
+            hosts.put(entry, now_s=0.0)
+        for name, connected, revision in states:
+            hosts.note_peer(name, PeerState(NOW_S, True, 7, connected, revision))
+        return [entry.name for entry in hosts.peers_to_ask(40, NOW_S)]
+
+    def test_a_peer_that_reaches_the_store_is_asked_before_others(self):
+        # Only the store can tell that there is nothing newer.
+        states = ("host-2", False, 50), ("host-3", True, 40)
+        self.assertEqual(self.asked(*states), ["host-3"])
+
+    def test_without_the_store_the_peers_that_are_ahead_are_asked(self):
+        states = ("host-2", False, 50), ("host-3", False, 40)
+        self.assertEqual(self.asked(*states), ["host-2"])
+
+    def test_a_host_that_is_not_heard_is_not_asked(self):
+        self.assertEqual(self.asked(), [])
+
+
+class SuspensionTest(unittest.TestCase):
+    """What peers said before a suspension was taken for news."""
+
+    def test_only_states_sent_since_a_boot_time_count(self):
+        hosts = HostView("host-1")
+        for number in (1, 2, 3):
+            hosts.put(host(f"host-{number}", port=number), now_s=0.0)
+        for name in ("host-2", "host-3"):
+            state = PeerState(NOW_S, True, 7, False, 40, heard_boot_s=500.0)
+            hosts.note_peer(name, state)
+        self.assertTrue(hosts.no_peer_knew_more(40, since_boot_s=499.0))
+        self.assertFalse(hosts.no_peer_knew_more(40, since_boot_s=501.0))
+
+    def test_a_view_is_confirmed_by_peers_that_know_no_later_revision(self):
+        hosts = HostView("host-1")
+        for name, revision, boot_s in (("host-2", 40, 7.0), ("host-3", 41, 9.0)):
+            state = PeerState(
+                NOW_S, True, 7, True, revision, view_confirmed_boot_s=boot_s
+            )
+            hosts.note_peer(name, state)
+        self.assertEqual(hosts.view_confirmed_boot_s(40), 7.0)
+        self.assertEqual(hosts.view_confirmed_boot_s(41), 9.0)
+        self.assertEqual(hosts.view_confirmed_boot_s(39), float("-inf"))
+
+
 class ManyHostsTest(unittest.TestCase):
     def hosts(self, count, *, seen_s=NOW_S):
         hosts = HostView("host-0")
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_recent_changes.py
@@ -0,0 +1,58 @@
+"""Test what a host keeps of its last changes for others."""
+
+import unittest
+
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.recent_changes import (
+    MAX_BYTES,
+    MAX_CHANGES,
+    RecentChanges,
+)
+
+
+class RecentChangesTest(unittest.TestCase):
+    def setUp(self):
+        self.recent = RecentChanges()
+        self.recent.note(10, 12, b"to 12")
+        self.recent.note(12, 13, b"to 13")
+        self.recent.note(13, 20, b"to 20")
+
+    def encoded_after(self, revision):
+        return [changes.encoded for changes in self.recent.after(revision)]
+
+    def test_the_changes_after_a_revision_are_consecutive(self):
+        first, second = self.recent.after(12)
+        self.assertEqual(first, RelayedChanges(12, b"to 13"))
+        self.assertEqual(second, RelayedChanges(13, b"to 20"))
+
+    def test_changes_that_begin_before_the_revision_follow_it(self):
+        # Hosts read changes in batches of different sizes.
+        first, _ = self.recent.after(11)[:2]
+        self.assertEqual(first, RelayedChanges(11, b"to 12"))
+
+    def test_nothing_is_given_unless_all_that_follows_is_known(self):
+        # A host that applies changes after a gap keeps outdated entries for good.
+        self.assertEqual(self.encoded_after(9), [])
+        self.assertEqual(self.encoded_after(20), [])
+        self.recent.note(25, 26, b"to 26")
+        self.assertEqual(self.encoded_after(13), [])
+        self.assertEqual(self.encoded_after(25), [b"to 26"])
+
+    def test_an_answer_without_changes_is_not_kept(self):
+        self.recent.note(20, 20, b"nothing")
+        self.assertEqual(self.encoded_after(13), [b"to 20"])
+
+    def test_what_is_kept_is_bounded_by_number_and_size(self):
+        # A store that changes all the time would fill the memory of each host.
+        for revision in range(20, 20 + 2 * MAX_CHANGES):
+            self.recent.note(revision, revision + 1, b"x")
+        newest = 20 + 2 * MAX_CHANGES
+        self.assertEqual(len(self.recent.after(newest - MAX_CHANGES)), MAX_CHANGES)
+        self.assertEqual(self.recent.after(newest - MAX_CHANGES - 1), [])
+        self.recent.note(newest, newest + 1, b"x" * MAX_BYTES)
+        self.assertEqual(len(self.recent.after(newest)), 1)
+        self.assertEqual(self.recent.after(newest - 1), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
@@ -0,0 +1,114 @@
+"""Changes of the store for peers that it does not answer.
+
+The store may turn single hosts away. Such a host hears the changes that the watchers
+of its own zone forward, and asks a peer for those that it missed. While the store
+answers no host, a peer gives what it has applied before, so that all know the same.
+"""
+
+import hmac
+import time
+from collections.abc import Sequence
+
+import gevent
+
+from persimmonyoke.errors import HistoryLost, StoreUnavailable
+from persimmonyoke.internal.fleet.interfaces import (
+    ChangesRequest,
+    FleetStore,
+    RelayedChanges,
+    SendChanges,
+)
+from persimmonyoke.internal.fleet.recent_changes import RecentChanges
+from persimmonyoke.internal.fleet.store_revision import era_of, number_of
+from persimmonyoke.internal.gateway.clocks import read_clocks
+from persimmonyoke.internal.gateway.state import GatewayState
+
+MAX_ANSWERING = 16
+"""Requests answered at a time; a host whose request is dropped asks another peer."""
+
+READ_WAIT_S = 0.01
+"""Wait time of a call for changes that the store already has."""
+
+READ_TIMEOUT_S = 0.4
+"""Time after which the answer of the store is too late for the host that asked."""
+
+
+class ChangeServer:
+    """Give peers the changes of the store that they missed."""
+
+    def __init__(
+        self, state: GatewayState, store: FleetStore, recent: RecentChanges
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._recent = recent
+        self._answering = 0
+        state.on_changes_requested = self.handle
+
+    def handle(self, request: ChangesRequest, send: SendChanges) -> None:
+        """Answer a request in a task of its own, unless there are too many."""
+        if not self._accepts(request) or self._answering >= MAX_ANSWERING:
+            self._state.metrics.change_requests.add(result="refused")
+            return
+        self._answering += 1
+        gevent.spawn(self._answer, request, send)
+
+    def _accepts(self, request: ChangesRequest) -> bool:
+        """Return whether a host has read this one's entry and knows its era.
+
+        The revisions of another era can't be told apart by the host that asks.
+        """
+        own_key = self._state.tunnel_key.encode()
+        return (
+            hmac.compare_digest(request.tunnel_key.encode(), own_key)
+            and era_of(request.after_revision) == self._store.era.current
+        )
+
+    def _answer(self, request: ChangesRequest, send: SendChanges) -> None:
+        try:
+            missed = self._missed(request.after_revision)
+            sent = sum(map(send, missed)) if self._accepts(request) else 0
+            self._log(request, missed, sent)
+        except StoreUnavailable as error:
+            self._state.journal.failure(
+                "changes_not_served", error, asked_by=request.host
+            )
+        except Exception:
+            self._state.journal.unexpected("changes_not_served", asked_by=request.host)
+        finally:
+            self._answering -= 1
+
+    def _missed(self, after_revision: int) -> list[RelayedChanges]:
+        """Return the changes after a revision, as recent as this host can tell."""
+        if not self._state.store_connected:
+            return self._recent.after(after_revision)
+        asked = read_clocks()
+        encoded = self._read(after_revision)
+        is_recent = read_clocks().elapsed_s(asked) <= READ_TIMEOUT_S
+        return [RelayedChanges(after_revision, encoded, is_recent=is_recent)]
+
+    def _read(self, after_revision: int) -> bytes:
+        """Return the changes after a revision, or all entries if they are lost."""
+        try:
+            return self._store.changes(
+                after_revision=after_revision,
+                wait_s=READ_WAIT_S,
+                timeout_s=READ_TIMEOUT_S,
+            ).encoded
+        except HistoryLost:
+            return self._store.encoded_snapshot()
+
+    def _log(
+        self, request: ChangesRequest, missed: Sequence[RelayedChanges], sent: int
+    ) -> None:
+        state = self._state
+        state.metrics.change_requests.add(result="served" if sent else "refused")
+        state.journal.event(
+            "changes_served",
+            asked_by=request.host,
+            after_revision=number_of(request.after_revision),
+            recent=bool(missed) and missed[-1].is_recent,
+            datagrams=sent,
+            bytes=sum(len(changes.encoded) for changes in missed),
+            view_age_ms=int(state.view.age_s(time.monotonic()) * 1_000),
+        )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/digest_messages.py
@@ -149,18 +149,18 @@
     )
 
 
-def encode_states(message: StatesMessage, *, now_s: float) -> bytes:
+def encode_states(message: StatesMessage, *, now_s: float, now_boot_s: float) -> bytes:
     """Encode the states of hosts; times are sent as ages."""
     rows = [
         [
             item.name,
-            _age_ms(item.state.heard_s, now_s),
+            _heard_age_ms(item.state, now_s, now_boot_s),
             item.state.ready,
             item.state.config_version,
             item.state.store_connected,
             item.state.store_revision,
             _age_ms(item.state.store_contact_since_s, now_s),
-            _age_ms(item.state.view_confirmed_s, now_s),
+            _age_ms(item.state.view_confirmed_boot_s, now_boot_s),
         ]
         for item in message.hosts
     ]
@@ -172,8 +172,13 @@
     return raw.startswith(SEQUENCE_PREFIX)
 
 
-def decode_messages(raw: bytes, *, now_s: float) -> CollectorDatagram:
-    """Decode the messages of a datagram received now; raise ``ProtocolError``."""
+def decode_messages(
+    raw: bytes, *, now_s: float, after_boot_s: float = float("-inf")
+) -> CollectorDatagram:
+    """Decode the messages of a datagram received now; raise ``ProtocolError``.
+
+    It arrived after ``after_boot_s``, and may have been queued since.
+    """
     try:
         (sequence,) = SEQUENCE.unpack_from(raw, len(SEQUENCE_PREFIX))
         source = io.BytesIO(raw)
@@ -181,7 +186,8 @@
         decoder = cbor2.CBORDecoder(source)
         messages = []
         while source.tell() < len(raw):
-            messages.append(_decode_message(decoder.decode(), sequence, now_s))
+            fields = decoder.decode()
+            messages.append(_decode_message(fields, sequence, now_s, after_boot_s))
         return CollectorDatagram(tuple(messages))
     except (
         cbor2.CBORDecodeError,
@@ -195,7 +201,7 @@
 
 
 def _decode_message(
-    fields: Sequence[Any], sequence: int, now_s: float
+    fields: Sequence[Any], sequence: int, now_s: float, after_boot_s: float
 ) -> CollectorMessage:
     format_number, *values = fields
     if format_number == DIGEST_FORMAT:
@@ -203,7 +209,7 @@
     if format_number == UPDATES_FORMAT:
         return _decode_updates(values)
     if format_number == STATES_FORMAT:
-        return _decode_states(values, now_s)
+        return _decode_states(values, now_s, after_boot_s)
     if format_number == CACHED_PARTS_FORMAT:
         sender, replica_id, parts = values
         return CachedPartsMessage(str(sender), str(replica_id), tuple(map(str, parts)))
@@ -238,13 +244,17 @@
     )
 
 
-def _decode_states(values: Sequence[Any], now_s: float) -> StatesMessage:
+def _decode_states(
+    values: Sequence[Any], now_s: float, after_boot_s: float
+) -> StatesMessage:
     sender, rows = values
-    hosts = tuple(_decode_host_state(row, now_s) for row in rows)
+    hosts = tuple(_decode_host_state(row, now_s, after_boot_s) for row in rows)
     return StatesMessage(str(sender), hosts)
 
 
-def _decode_host_state(row: Sequence[Any], now_s: float) -> HostState:
+def _decode_host_state(
+    row: Sequence[Any], now_s: float, after_boot_s: float
+) -> HostState:
     name, age_ms, ready, version, connected, revision, contact_ms, view_ms = row
     return HostState(
         str(name),
@@ -255,16 +265,32 @@
             store_connected=connected is True,
             store_revision=int(revision),
             store_contact_since_s=_since_s(contact_ms, now_s),
-            view_confirmed_s=_since_s(view_ms, now_s) or float("-inf"),
+            view_confirmed_s=_confirmed_s(view_ms, now_s),
+            heard_boot_s=after_boot_s - age_ms / 1_000,
+            view_confirmed_boot_s=_confirmed_s(view_ms, after_boot_s),
         ),
     )
 
 
+def _heard_age_ms(state: PeerState, now_s: float, now_boot_s: float) -> int | None:
+    """Return the age of a state, also if this host was suspended meanwhile."""
+    age_ms = _age_ms(state.heard_s, now_s)
+    boot_age_ms = _age_ms(state.heard_boot_s, now_boot_s)
+    if age_ms is None or boot_age_ms is None:
+        return age_ms
+    return max(age_ms, boot_age_ms)
+
+
 def _age_ms(at_s: float | None, now_s: float) -> int | None:
     if at_s is None or at_s == float("-inf"):
         return None
     return max(0, int((now_s - at_s) * 1_000))
 
 
+def _confirmed_s(age_ms: int | None, now_s: float) -> float:
+    since_s = _since_s(age_ms, now_s)
+    return float("-inf") if since_s is None else since_s
+
+
 def _since_s(age_ms: int | None, now_s: float) -> float | None:
     return None if age_ms is None else now_s - age_ms / 1_000
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -2,7 +2,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 import gevent
@@ -16,14 +16,19 @@
     ReplicaRemoved,
     StoreChanges,
 )
+from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.recent_changes import RecentChanges
 from persimmonyoke.internal.fleet.store_revision import era_of, number_of
+from persimmonyoke.internal.fleet.term import ClockReading
 from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
+from persimmonyoke.internal.gateway.clocks import boot_time_s, read_clocks
 from persimmonyoke.internal.gateway.interruptible import (
     CallInterrupted,
     call_interruptible,
 )
 from persimmonyoke.internal.gateway.orders import StageOrderController
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.view_confirmation import note_confirmed_by_peers
 from persimmonyoke.internal.gateway.view_updates import ViewUpdater
 
 WATCH_MARGIN_S = 0.4
@@ -34,6 +39,9 @@
 
 MIN_WATCH_WAIT_S = 0.1
 
+LATE_READ_S = 0.2
+"""Time after a watch's time-out in which a busy host still reads its answer."""
+
 WATCH_LAG_S = 0.4
 """Time by which this host's watch may lag behind that of a peer with a slow store."""
 
@@ -46,6 +54,12 @@
 A datagram with the changes arrives within a few milliseconds, the next one in 0.25 s.
 """
 
+REQUEST_AGE_S = 0.5
+"""Age of the view at which a host that the store does not answer asks a peer."""
+
+REQUEST_INTERVAL_S = 0.2
+"""Shortest interval of such requests, of which some are lost."""
+
 CATCH_UP_WAIT_S = 0.01
 """Wait time of a call for changes that the store already has."""
 
@@ -82,30 +96,42 @@
         orders: StageOrderController,
         on_configuration: Callable[[], None],
         forward_changes: Callable[[RelayedChanges], None],
+        request_changes: Callable[[HostEntry, int], None],
     ) -> None:
         self._state = state
         self._store = store
         self._orders = orders
         self._updates = ViewUpdater(state, orders, on_configuration)
         self._forward_changes = forward_changes
+        self._request_changes = request_changes
         self._revision: int | None = None
         self._needs_snapshot = True
         self._relayed: deque[RelayedChanges] = deque(maxlen=MAX_RELAYED_CHANGES)
         self._changes_arrived = Event()
+        self.recent = RecentChanges()
+        self._confirmation_wanted = False
         self._behind_since_s: float | None = None
+        self._asked_s = float("-inf")
         self._watching = True
         self._checking_version = False
         self._snapshot_requested = Event()
         self._pacer = WatchPacer()
+        self._own_zone = state.settings.availability_zone
         state.on_newer_version = self.note_newer_version
         store.era.subscribe(self.note_era)
         state.on_store_changes = self.note_relayed
+        state.want_confirmation = self.want_confirmation
 
     def note_relayed(self, changes: RelayedChanges) -> None:
         """Queue changes that a peer's watch returned."""
         self._relayed.append(changes)
         self._changes_arrived.set()
 
+    def want_confirmation(self) -> None:
+        """Ask a peer soon whether this host's view is the latest."""
+        self._confirmation_wanted = True
+        self._changes_arrived.set()
+
     def note_era(self, previous: int, era: int) -> None:
         """Read everything again if the store came back from a copy."""
         view = self._state.view.revision
@@ -173,7 +199,25 @@
             self._changes_arrived.clear()
             while self._relayed and self._revision is not None:
                 self._apply_additions(self._relayed.popleft(), self._revision)
-            self._changes_arrived.wait(left_s)
+            if self._revision is not None:
+                self._keep_up_with_peers(self._revision)
+            self._changes_arrived.wait(min(left_s, FOLLOW_CHECK_S))
+
+    def _keep_up_with_peers(self, revision: int) -> None:
+        """Note what peers confirm; ask one for what this host has missed."""
+        now_s = time.monotonic()
+        note_confirmed_by_peers(self._state)
+        outdated_s = boot_time_s() - self._state.view.current_boot_s
+        is_behind = self._behind(revision, now_s) and outdated_s > REQUEST_AGE_S
+        if not is_behind and not self._confirmation_wanted:
+            return
+        peers = self._state.hosts.peers_to_ask(revision, now_s)
+        if not peers or now_s - self._asked_s < REQUEST_INTERVAL_S:
+            return
+        self._confirmation_wanted, self._asked_s = False, now_s
+        peer = self._state.rng.choice(_nearest(peers, self._own_zone))
+        self._log_behind(revision, now_s, asked=peer.name)
+        self._request_changes(peer, revision)
 
     def _apply_additions(self, relayed: RelayedChanges, revision: int) -> None:
         """Apply consecutive changes except removals.
@@ -185,17 +229,25 @@
             return
         self._revision = changes.revision
         kept = tuple(e for e in changes.events if not isinstance(e, REMOVALS))
-        self._state.view.note_relayed(changes.revision, time.monotonic())
+        self._note_relayed(changes, relayed)
         # They may have been queued during a store call and are not necessarily recent.
         self._updates.apply_events(kept, watched=False)
 
+    def _note_relayed(self, changes: StoreChanges, relayed: RelayedChanges) -> None:
+        view, now_s = self._state.view, time.monotonic()
+        self.recent.note(relayed.after_revision, changes.revision, relayed.encoded)
+        if relayed.is_recent:
+            boot_s = relayed.current_boot_s
+            view.note_relayed(changes.revision, now_s, current_boot_s=boot_s)
+        else:
+            view.revision = changes.revision
+
     def _step(self) -> None:
         now_s = time.monotonic()
-        own_zone = self._state.settings.availability_zone
         if self._needs_snapshot or self._revision is None:
             self._read_snapshot()
             return
-        watching = self._state.hosts.watches_store(own_zone, now_s)
+        watching = self._state.hosts.watches_store(self._own_zone, now_s)
         if watching != self._watching:
             self._watching = watching
             self._state.journal.event(
@@ -209,11 +261,12 @@
     def _read_snapshot(self) -> None:
         """Read all entries and replace the view with them."""
         self._snapshot_requested.clear()
-        asked_s = time.monotonic()
+        asked = read_clocks()
         changes = self._store.snapshot()
         self._state.note_store_answer(time.monotonic())
         # The first page does not reflect changes made while later pages are read.
-        self._note_store_revision(changes.revision, asked_s)
+        self.recent.clear()
+        self._note_store_revision(changes.revision, asked)
         self._needs_snapshot = False
         self._updates.apply_snapshot(changes.events)
 
@@ -236,20 +289,25 @@
 
         ``watched`` means that the changes are recent, not ones this host has missed.
         """
+        asked, timeout_s = read_clocks(), wait_s + WATCH_MARGIN_S
         changes = call_interruptible(
             self._snapshot_requested,
             partial(
                 self._store.changes,
                 after_revision=revision,
                 wait_s=wait_s,
-                timeout_s=wait_s + WATCH_MARGIN_S,
+                timeout_s=timeout_s,
             ),
         )
-        self._state.note_store_answer(time.monotonic())
+        answered = read_clocks()
+        self._state.note_store_answer(answered.steady_s)
+        # A host that stood still reads an answer that the store gave long before.
+        late = answered.elapsed_s(asked) > timeout_s + LATE_READ_S
         # Missed changes are not forwarded: peers that miss them request them as well.
-        if watched and changes.revision != revision:
+        if watched and not late and changes.revision != revision:
             self._forward_changes(RelayedChanges(revision, changes.encoded))
-        self._note_store_revision(changes.revision, time.monotonic())
+        self.recent.note(revision, changes.revision, changes.encoded)
+        self._note_store_revision(changes.revision, asked if late else answered)
         self._updates.apply_events(changes.events, watched=watched)
 
     def _follow(self, revision: int) -> None:
@@ -259,19 +317,12 @@
         while self._relayed:
             revision = self._apply_relayed(self._relayed.popleft(), revision)
         now_s = time.monotonic()
-        self._state.view.note_peer_confirmed(
-            self._state.hosts.view_confirmed_s(revision)
-        )
+        note_confirmed_by_peers(self._state)
         view_age_s = self._state.view.age_s(now_s)
         view_is_old = view_age_s > self._state.settings.view_age_limit_s
         if view_is_old or self._behind(revision, now_s):
             self._behind_since_s = None
-            self._state.journal.event(
-                "behind_peers",
-                revision=revision,
-                newest=self._state.hosts.newest_revision(now_s),
-                view_age_ms=int(view_age_s * 1_000),
-            )
+            self._log_behind(revision, now_s, asked="store")
             self._pace()
             self._apply_changes(revision, wait_s=CATCH_UP_WAIT_S, watched=False)
 
@@ -281,7 +332,7 @@
         if changes is None:
             return revision
         self._revision = changes.revision
-        self._state.view.note_relayed(changes.revision, time.monotonic())
+        self._note_relayed(changes, relayed)
         self._updates.apply_events(changes.events, watched=True)
         return changes.revision
 
@@ -299,6 +350,17 @@
             self._state.journal.failure("relayed_changes_malformed", error)
             return None
 
+    def _log_behind(self, revision: int, now_s: float, *, asked: str) -> None:
+        state = self._state
+        state.journal.event(
+            "behind_peers",
+            asked=asked,
+            revision=number_of(revision),
+            newest=number_of(state.hosts.newest_revision(now_s)),
+            view_age_ms=int(state.view.age_s(now_s) * 1_000),
+            outdated_ms=_to_ms(boot_time_s() - state.view.current_boot_s),
+        )
+
     def _behind(self, revision: int, now_s: float) -> bool:
         """Return whether a peer has been ahead for longer than forwarding takes."""
         if self._state.hosts.newest_revision(now_s) <= revision:
@@ -308,6 +370,18 @@
             self._behind_since_s = now_s
         return now_s - self._behind_since_s >= FOLLOW_LAG_S
 
-    def _note_store_revision(self, revision: int, known_s: float) -> None:
+    def _note_store_revision(self, revision: int, known: ClockReading) -> None:
         self._revision = revision
-        self._state.view.note_store_confirmed(revision, known_s)
+        self._state.view.note_store_confirmed(
+            revision, known.steady_s, current_boot_s=known.boot_s
+        )
+
+
+def _nearest(peers: Sequence[HostEntry], own_zone: str) -> Sequence[HostEntry]:
+    """Return the peers of the own availability zone, or all if there are none."""
+    near = [peer for peer in peers if peer.availability_zone == own_zone]
+    return near or peers
+
+
+def _to_ms(duration_s: float) -> int | None:
+    return None if duration_s == float("inf") else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -18,6 +18,7 @@
 MAX_REASONS = 40
 STAGES = ("prefill", "decode", "plain")
 RESUMPTION_RESULTS = ("known", "unknown")
+CHANGE_REQUEST_RESULTS = ("served", "refused")
 TUNNEL_RESULTS = ("opened", "not_opened", "served", "refused")
 SEND_RESULTS = ("answered", "not_run", "lost", "not_connected", "malformed")
 
@@ -61,6 +62,11 @@
             "Streams that clients resume, by whether their version is known.",
             {"result": RESUMPTION_RESULTS},
         )
+        self.change_requests = node.counter(
+            "gateway_change_requests_total",
+            "Requests of peers for changes of the store that they missed.",
+            {"result": CHANGE_REQUEST_RESULTS},
+        )
         self.tunnels = node.counter(
             "gateway_tunnels_total",
             "Tunnels to replicas, through peers and for peers.",
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peer_messages.py
@@ -10,9 +10,13 @@
 from persimmonyoke.internal.delivery.retry_loans import Loan, LoanRequest
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
 from persimmonyoke.internal.fleet.hosts import PeerState
+from persimmonyoke.internal.fleet.interfaces import ChangesRequest
 from persimmonyoke.internal.gateway.change_parts import (
     CHANGES_FORMAT,
+    CHANGES_REQUEST_FORMAT,
+    FORMER_CHANGES_FORMAT,
     ChangesPart,
+    decode_changes_request,
     decode_part,
 )
 from persimmonyoke.internal.gateway.digest_messages import (
@@ -69,7 +73,13 @@
 
 
 Datagram = (
-    PeerMessage | ChangesPart | CollectorDatagram | SuspectsMessage | LoanRequest | Loan
+    PeerMessage
+    | ChangesPart
+    | ChangesRequest
+    | CollectorDatagram
+    | SuspectsMessage
+    | LoanRequest
+    | Loan
 )
 
 
@@ -102,14 +112,23 @@
     )
 
 
-def decode_datagram(raw: bytes, *, now_s: float) -> Datagram:
-    """Decode a datagram received now; raise ``ProtocolError``."""
+def decode_datagram(
+    raw: bytes, *, now_s: float, after_boot_s: float = float("-inf")
+) -> Datagram:
+    """Decode a datagram received now; raise ``ProtocolError``.
+
+    It arrived after ``after_boot_s``, and may have been queued since.
+    """
     if is_collector_datagram(raw):
-        return decode_messages(raw, now_s=now_s)
+        return decode_messages(raw, now_s=now_s, after_boot_s=after_boot_s)
     try:
         format_number, *values = cbor2.loads(raw)
         if format_number == CHANGES_FORMAT:
-            return decode_part(values)
+            return decode_part(values, is_recent=True)
+        if format_number == FORMER_CHANGES_FORMAT:
+            return decode_part(values, is_recent=False)
+        if format_number == CHANGES_REQUEST_FORMAT:
+            return decode_changes_request(values)
         if format_number == SUSPECTS_FORMAT:
             return decode_suspects(values)
         if format_number == LOAN_REQUEST_FORMAT:
@@ -175,14 +194,21 @@
     return None if value is None else _int(value)
 
 
-def peer_state(message: PeerMessage, now_s: float) -> PeerState:
-    """Return the state of the sender of a message received now."""
+def peer_state(
+    message: PeerMessage, now_s: float, *, after_boot_s: float = float("-inf")
+) -> PeerState:
+    """Return the state of the sender of a message received now.
+
+    It arrived after ``after_boot_s``, and may have been queued since.
+    """
     contact_ms, view_age_ms = message.store_contact_ms, message.view_age_ms
-    contact_since_s, view_confirmed_s = None, float("-inf")
+    contact_since_s = None
+    view_confirmed_s = view_confirmed_boot_s = float("-inf")
     if contact_ms is not None:
         contact_since_s = now_s - contact_ms / 1_000
     if view_age_ms is not None:
         view_confirmed_s = now_s - view_age_ms / 1_000
+        view_confirmed_boot_s = after_boot_s - view_age_ms / 1_000
     return PeerState(
         heard_s=now_s,
         ready=message.ready,
@@ -191,4 +217,6 @@
         store_revision=message.store_revision,
         store_contact_since_s=contact_since_s,
         view_confirmed_s=view_confirmed_s,
+        heard_boot_s=after_boot_s,
+        view_confirmed_boot_s=view_confirmed_boot_s,
     )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Sequence
+from functools import partial
 
 import gevent
 from gevent import socket
@@ -16,13 +17,20 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.delivery.retry_loans import Loan, LoanRequest
 from persimmonyoke.internal.fleet.cache_duty import CollectorState
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.interfaces import ChangesRequest, RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.fleet.replica_links import LinkState
 from persimmonyoke.internal.gateway.change_parts import (
     ChangesAssembler,
     ChangesPart,
     encode_changes,
+    encode_changes_request,
+)
+from persimmonyoke.internal.gateway.clocks import boot_time_s
+from persimmonyoke.internal.gateway.datagram_inbox import (
+    Address,
+    DatagramInbox,
+    ReceivedDatagram,
 )
 from persimmonyoke.internal.gateway.digest_messages import CollectorDatagram
 from persimmonyoke.internal.gateway.peer_group import (
@@ -71,8 +79,6 @@
 MAX_RECEIVED_AT_ONCE = 64
 """Datagrams that are applied before yielding to other tasks."""
 
-DATAGRAM_BUFFER_BYTES = 8_192
-
 
 class PeerLink:
     """Send this host's state to all peers and apply theirs."""
@@ -80,6 +86,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._socket: socket.socket | None = None
+        self._inbox: DatagramInbox | None = None
         self._near = PeerGroup(MAX_NEAR_DATAGRAMS_PER_S)
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._relay = HostRelay(state, self._send_to, now_s=time.monotonic())
@@ -95,6 +102,7 @@
         """Open the socket, start the tasks and return the port."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
+        self._inbox = DatagramInbox(self._socket)
         self._tasks = [
             gevent.spawn(self._receive_loop),
             gevent.spawn(self._send_loop),
@@ -128,6 +136,25 @@
         for data in encode_changes(changes):
             self._send_raw(near, data)
 
+    def request_changes(self, peer: HostEntry, after_revision: int) -> None:
+        """Ask a peer for the changes after a revision."""
+        request = ChangesRequest(
+            self._state.settings.host_name, after_revision, peer.tunnel_key
+        )
+        self._send_to(peer, encode_changes_request(request))
+
+    def _send_changes(self, receiver: Address, changes: RelayedChanges) -> int:
+        """Send changes to the host that asked for them; return the datagrams sent."""
+        assert self._socket is not None
+        datagrams = encode_changes(changes)
+        try:
+            for data in datagrams:
+                self._socket.sendto(data, receiver)
+        except OSError as error:
+            # The host asks again.
+            self._state.journal.failure("changes_not_sent", error)
+        return len(datagrams)
+
     def _send_loop(self) -> None:
         while True:
             gevent.sleep(CHANGED_INTERVAL_S)
@@ -249,7 +276,7 @@
             store_connected=state.store_connected,
             store_revision=state.view.revision,
             store_contact_ms=_to_ms(contact_s),
-            view_age_ms=_to_ms(state.view.store_confirmed_age_s(now_s)),
+            view_age_ms=_to_ms(state.view.store_confirmed_age_s(boot_time_s())),
             suspects=self._paused_replicas(now_s),
         )
 
@@ -297,39 +324,33 @@
 
     def _receive_pending(self) -> int:
         """Apply the datagrams that have arrived; return their number."""
+        assert self._inbox is not None
         heard_peer, received = False, 0
         while received < MAX_RECEIVED_AT_ONCE:
-            raw = self._next_datagram()
-            if raw is None:
+            datagram = self._inbox.next()
+            if datagram is None:
                 break
             received += 1
-            heard_peer |= self._handle_or_log(raw)
+            heard_peer |= self._handle_or_log(datagram)
         if heard_peer:
             self._state.on_peer_work()
         return received
 
-    def _next_datagram(self) -> bytes | None:
-        """Return the next datagram that has arrived, or ``None``."""
-        assert self._socket is not None
-        try:
-            # The underlying socket does not block; gevent's wrapper would wait.
-            return self._socket._sock.recv(DATAGRAM_BUFFER_BYTES)
-        except BlockingIOError:
-            return None
-
-    def _handle_or_log(self, raw: bytes) -> bool:
+    def _handle_or_log(self, datagram: ReceivedDatagram) -> bool:
         """Apply one datagram; an unexpected error must not end the receiving task."""
         try:
-            return self._handle(raw)
+            return self._handle(datagram)
         except Exception:
             self._state.journal.unexpected("datagram_failed")
             return False
 
-    def _handle(self, raw: bytes) -> bool:
+    def _handle(self, datagram: ReceivedDatagram) -> bool:
         """Apply one datagram; return whether it changed the known work of peers."""
-        now_s = time.monotonic()
+        now_s, after_boot_s = time.monotonic(), datagram.after_boot_s
         try:
-            message = decode_datagram(raw, now_s=now_s)
+            message = decode_datagram(
+                datagram.raw, now_s=now_s, after_boot_s=after_boot_s
+            )
         except ProtocolError as error:
             self.malformed += 1
             if self.malformed == 1:
@@ -337,11 +358,15 @@
             return False
         match message:
             case PeerMessage():
-                return self._apply_peer_message(message, now_s)
+                return self._apply_peer_message(message, now_s, after_boot_s)
             case CollectorDatagram():
                 return self._uses_relay() and self._relay.handle(message, now_s=now_s)
             case ChangesPart():
-                self._handle_changes(message)
+                self._handle_changes(message, after_boot_s)
+            case ChangesRequest():
+                self._state.on_changes_requested(
+                    message, partial(self._send_changes, datagram.sender)
+                )
             case SuspectsMessage():
                 self._suspects.handle(message, now_s=now_s)
             case LoanRequest():
@@ -350,22 +375,25 @@
                 self._loans.handle_loan(message, now_s=now_s)
         return False
 
-    def _handle_changes(self, part: ChangesPart) -> None:
+    def _handle_changes(self, part: ChangesPart, after_boot_s: float) -> None:
         """Apply changes that a peer received from the store, once complete."""
         try:
-            changes = self._assembler.add(part)
+            changes = self._assembler.add(part, after_boot_s=after_boot_s)
         except ProtocolError as error:
             self._state.journal.failure("relayed_changes_malformed", error)
             return
         if changes is not None:
             self._state.on_store_changes(changes)
 
-    def _apply_peer_message(self, message: PeerMessage, now_s: float) -> bool:
+    def _apply_peer_message(
+        self, message: PeerMessage, now_s: float, after_boot_s: float
+    ) -> bool:
         """Apply a peer's state; return whether its work was recorded individually."""
         state = self._state
         if message.host == state.settings.host_name:
             return False
-        state.note_peer(message.host, peer_state(message, now_s), now_s)
+        peer = peer_state(message, now_s, after_boot_s=after_boot_s)
+        state.note_peer(message.host, peer, now_s)
         state.health.note_suspected(message.suspects, now_s)
         state.note_updates(message.placements, message.refused, now_s=now_s)
         if message.config_version > state.version:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -11,6 +11,7 @@
 from persimmonyoke.internal.dispatch.stop_schedule import StopSchedule
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
 from persimmonyoke.internal.gateway.cache_learning import CacheLearner
+from persimmonyoke.internal.gateway.change_requests import ChangeServer
 from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.dialer import ReplicaDialer
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
@@ -89,7 +90,9 @@
             self._orders,
             on_configuration=self._peers.send_now,
             forward_changes=self._peers.forward_changes,
+            request_changes=self._peers.request_changes,
         )
+        self._change_server = ChangeServer(self.state, store, self._follower.recent)
         self._recorder = StreamVersionRecorder(self.state, store)
         self._record_reader = StreamRecordReader(self.state, store)
         self._metrics_port = metrics_port
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -20,6 +20,7 @@
 from persimmonyoke.internal.fleet.collectors import CollectorElection
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.digest_messages import (
     CachedPartsMessage,
     CollectorDatagram,
@@ -126,7 +127,7 @@
     def report(self, message: PeerMessage, *, now_s: float) -> PeerMessage:
         """Number and remember a report, and return it to be sent to the collectors."""
         self._reported_s = now_s
-        self._own_state = peer_state(message, now_s)
+        self._own_state = peer_state(message, now_s, after_boot_s=boot_time_s())
         self._sequence += 1
         self._reported_work[self._sequence] = message.work
         self._reported_queued_s[self._sequence] = message.queued_ms / 1_000
@@ -320,7 +321,11 @@
             for first in range(0, len(rows), STATES_PER_MESSAGE)
         )
         return [
-            encode_states(StatesMessage(self._name, chunk), now_s=now_s)
+            encode_states(
+                StatesMessage(self._name, chunk),
+                now_s=now_s,
+                now_boot_s=boot_time_s(),
+            )
             for chunk in chunks
         ]
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -27,11 +27,13 @@
 from persimmonyoke.internal.dispatch.stream_versions import StreamVersions
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import (
+    ChangesListener,
     RelayedChanges,
     ResponseMetadata,
     UpstreamWire,
 )
 from persimmonyoke.internal.fleet.model import (
+    LIMITS_BEFORE_CONFIGURATION,
     ClientLimits,
     Configuration,
     HostEntry,
@@ -67,14 +69,6 @@
 from persimmonyoke.internal.gateway.retry_budgets import RetryBudgets
 from persimmonyoke.internal.gateway.settings import GatewaySettings
 
-LIMITS_BEFORE_CONFIGURATION = ClientLimits(
-    max_header_bytes=16_384,
-    max_body_bytes=4_194_304,
-    header_timeout_s=3.0,
-    idle_timeout_s=15.0,
-)
-"""Limits until the first configuration is known; until then all requests get 503."""
-
 _MISDIRECTED, _UNAVAILABLE = 421, 503
 TUNNEL_KEY_BYTES = 16
 
@@ -150,6 +144,8 @@
         self.on_peer_work: Callable[[], None] = lambda: None
         self.on_newer_version: Callable[[int], None] = lambda _version: None
         self.on_store_changes: Callable[[RelayedChanges], None] = lambda _changes: None
+        self.want_confirmation: Callable[[], None] = lambda: None
+        self.on_changes_requested: ChangesListener = lambda _request, _send: None
         self.on_retry_wanted: Callable[[str, int], None] = lambda _service, _count: None
         self.on_cached: Callable[[str, list[str]], None] = lambda _id, _parts: None
         self.on_engine: Callable[[Replica], None] = lambda _engine: None
@@ -179,6 +175,11 @@
             return LIMITS_BEFORE_CONFIGURATION
         return self.configuration.limits
 
+    @property
+    def record_current_boot_s(self) -> float:
+        """Return the boot time up to which the records of versions were the latest."""
+        return max(self.view.current_boot_s, self.stream_versions.read_boot_s)
+
     def retry_budget(self, service: str) -> RetryBudget:
         """Return this host's share of the retry budget of a service."""
         return self._retry_budgets.of_service(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_records.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_records.py
@@ -14,6 +14,7 @@
     VersionsRecorded,
 )
 from persimmonyoke.internal.fleet.model import ServiceVersions
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.state import GatewayState
 
 
@@ -42,10 +43,11 @@
         return self._reading.get()
 
     def _read_into(self, result: AsyncResult) -> None:
-        answered = False
+        answered, asked_boot_s = False, boot_time_s()
         try:
             events = self._store.stream_records()
             apply_stream_records(self._state, events, now_s=time.monotonic())
+            self._state.stream_versions.read_boot_s = asked_boot_s
             answered = True
         except StoreUnavailable as error:
             self._state.journal.failure("stream_records_not_read", error)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -7,6 +7,7 @@
 import gevent
 
 from persimmonyoke.errors import ErrorKind, RequestError
+from persimmonyoke.internal.dispatch.stream_starts import StartBasis
 from persimmonyoke.internal.dispatch.stream_versions import (
     VersionFinding,
     find_version,
@@ -16,10 +17,13 @@
     writes_events,
 )
 from persimmonyoke.internal.fleet.model import Replica, ServiceVersions, Stage
+from persimmonyoke.internal.fleet.store_revision import number_of
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.incarnation_check import IncarnationCheck
 from persimmonyoke.internal.gateway.state import GatewayState
+from persimmonyoke.internal.gateway.stream_starts import StreamStarts
 
 LOOKUP_PAUSES_S = (0.0, 0.15, 0.3)
 """Pauses before the reads of the store for the record of a stream.
@@ -39,7 +43,10 @@
 PEERS_POLL_S = 0.05
 RETRY_AFTER_SILENT_STORE_S = 0.5
 
+MAX_LOGGED_AGE_S = 86_400.0
+
 UNKNOWN_VERSION = "software version of the stream is not known"
+RECORD_OUTDATED = "software version of new streams is not known"
 VERSION_LEFT = "no replica of the stream's software version is left"
 
 
@@ -55,6 +62,7 @@
         self._noted = False
         self._store_answered = False
         self._incarnations = IncarnationCheck(state, exchange)
+        self._starts = StreamStarts(state, self._service)
 
     @property
     def compatible_engines(self) -> set[str] | None:
@@ -69,11 +77,17 @@
         }
 
     def resolve(self) -> None:
-        """Find the version of a stream that a client resumes; refuse it if unknown."""
-        metadata = self._exchange.metadata
-        if not self._applies or metadata.last_event_id is None:
+        """Find the version at which a stream may go on or begin, or refuse it."""
+        if not self._applies:
             return
-        started_s = time.monotonic()
+        if self._exchange.metadata.last_event_id is None:
+            self._confirm_record()
+        else:
+            self._find_resumed()
+
+    def _find_resumed(self) -> None:
+        """Find the version of a stream that a client resumes; refuse it if unknown."""
+        metadata, started_s = self._exchange.metadata, time.monotonic()
         finding = self._find(metadata.resumed_id or "")
         self._log(finding, started_s)
         if finding.version is None:
@@ -82,6 +96,40 @@
             self._refuse(UNKNOWN_VERSION, retry_after_s)
         self._required = finding.version
 
+    def _confirm_record(self) -> None:
+        """Wait until new streams may begin by the record of versions, or refuse."""
+        if self._starts.basis() is not StartBasis.NONE:
+            return
+        started_s = time.monotonic()
+        former_age_s = self._starts.record_age_s
+        self._await_start(started_s)
+        basis = self._starts.basis()
+        state, now_s = self._state, time.monotonic()
+        state.journal.event(
+            "stream_start",
+            request_id=self._exchange.metadata.request_id,
+            basis=basis,
+            outdated_ms=int(min(former_age_s, MAX_LOGGED_AGE_S) * 1_000),
+            waited_ms=int((now_s - started_s) * 1_000),
+            store_connected=state.store_connected,
+            store_answers_a_peer=state.hosts.store_answers_a_peer(now_s),
+            revision=number_of(state.view.revision),
+            newest=number_of(state.hosts.newest_revision(now_s)),
+        )
+        if basis is StartBasis.NONE:
+            self._refuse(RECORD_OUTDATED, RETRY_AFTER_SILENT_STORE_S)
+
+    def _await_start(self, started_s: float) -> None:
+        """Read the record, or wait for what peers confirm of it."""
+        while time.monotonic() <= started_s + MAX_LOOKUP_S:
+            if self._state.read_stream_records():
+                return
+            if self._starts.basis() is not StartBasis.NONE:
+                return
+            self._state.want_confirmation()
+            gevent.sleep(PEERS_POLL_S)
+            self._exchange.cancel_scope.raise_if_cancelled()
+
     def allows(self, replica: Replica) -> bool:
         """Return whether a replica may prefill for or write the stream."""
         if not self._applies or not writes_events(replica):
@@ -190,6 +238,8 @@
 
     def _may_begin(self, replica: Replica) -> bool:
         """Return whether streams may begin at the version of a replica now."""
+        if self._starts.basis() is StartBasis.NONE:
+            return False
         state = self._state
         record = state.stream_versions.service(self._service)
         if record is None or replica.software_version == record.active:
@@ -205,7 +255,7 @@
         return {r.software_version for r in usable if writes_events(r)}
 
     def _find(self, resumed_id: str) -> VersionFinding:
-        started_s = time.monotonic()
+        started_s, started_boot_s = time.monotonic(), boot_time_s()
         # No age of the view shows that it is current: the steady clock does not count a
         # suspension, and an answer of the store may be read late. Only a read that
         # begins after the request shows it.
@@ -220,14 +270,31 @@
             is_current = self._store_answered or self._no_host_knows_more(started_s)
             finding = self._find_in_view(resumed_id, is_current=is_current)
         if finding.may_change and not self._store_answered:
-            self._await_peers(started_s)
-            is_current = self._no_host_knows_more(started_s)
+            self._await_confirmation(started_s, started_boot_s)
+            is_current = (
+                self._state.record_current_boot_s >= started_boot_s
+                or self._no_host_knows_more(started_s)
+            )
             finding = self._find_in_view(resumed_id, is_current=is_current)
         return finding
 
+    def _await_confirmation(self, started_s: float, started_boot_s: float) -> None:
+        """Wait until a peer that reaches the store has told of all changes."""
+        state, until_s = self._state, started_s + PEERS_WAIT_S
+        while state.hosts.store_answers_a_peer(time.monotonic()):
+            confirmed = state.record_current_boot_s >= started_boot_s
+            if confirmed or time.monotonic() > until_s:
+                return
+            state.want_confirmation()
+            gevent.sleep(PEERS_POLL_S)
+            self._exchange.cancel_scope.raise_if_cancelled()
+        self._await_peers(started_s)
+
     def _await_peers(self, started_s: float) -> None:
         """Wait until all peers were heard, if they may show that nothing changed."""
-        while self._sees_one_version() and not self._no_host_knows_more(started_s):
+        while self._starts.sees_one_version():
+            if self._no_host_knows_more(started_s):
+                return
             now_s = time.monotonic()
             silent = not self._state.hosts.hears_majority(now_s)
             if silent or now_s > started_s + PEERS_WAIT_S:
@@ -261,23 +328,10 @@
         No record can change then, and streams begin at another version only if its
         replicas are known. What peers said before the request proves nothing.
         """
-        return self._sees_one_version() and self._state.hosts.no_peer_knows_more(
+        return self._starts.sees_one_version() and self._state.hosts.no_peer_knows_more(
             self._state.view.revision, since_s=started_s + QUEUED_DATAGRAMS_S
         )
 
-    def _sees_one_version(self) -> bool:
-        """Return whether the record and all known replicas name one version."""
-        record = self._state.stream_versions.service(self._service)
-        return (
-            record is not None
-            and not record.earlier
-            and all(
-                replica.software_version == record.active
-                for replica in self._state.replicas.all()
-                if replica.service == self._service
-            )
-        )
-
     def _log(self, finding: VersionFinding, started_s: float) -> None:
         state, metadata, now_s = self._state, self._exchange.metadata, time.monotonic()
         record = state.stream_versions.service(self._service)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_change_parts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_change_parts.py
@@ -6,12 +6,14 @@
 import cbor2
 
 from persimmonyoke.errors import ProtocolError
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.interfaces import ChangesRequest, RelayedChanges
 from persimmonyoke.internal.gateway.change_parts import (
+    CHANGES_REQUEST_FORMAT,
     MAX_PARTIAL_CHANGES,
     ChangesAssembler,
     ChangesPart,
     encode_changes,
+    encode_changes_request,
 )
 from persimmonyoke.internal.gateway.digest_messages import MAX_DATAGRAM_BYTES
 from persimmonyoke.internal.gateway.peer_messages import decode_datagram
@@ -66,6 +68,34 @@
         (part,) = decode(encode_changes(sent))
         self.assertEqual(assembler.add(part), sent)
 
+    def test_changes_are_no_newer_than_their_first_part(self):
+        # A host that stood still reads parts that were sent long before.
+        first, last = decode(encode_changes(changes(1_500)))
+        assembler = ChangesAssembler()
+        assembler.add(first, after_boot_s=50.0)
+        joined = assembler.add(last, after_boot_s=90.0)
+        self.assertEqual(joined.current_boot_s, 50.0)
+
+    def test_changes_that_a_host_has_kept_confirm_no_view(self):
+        # There may be later ones that this host does not know.
+        kept = RelayedChanges(7, b"kept", is_recent=False)
+        (part,) = decode(encode_changes(kept))
+        joined = ChangesAssembler().add(part, after_boot_s=90.0)
+        self.assertEqual(joined, kept)
+        self.assertEqual(joined.current_boot_s, float("-inf"))
+
+    def test_a_request_round_trip(self):
+        request = ChangesRequest("host-2", 1 << 41, "key")
+        decoded = decode_datagram(encode_changes_request(request), now_s=NOW_S)
+        self.assertEqual(decoded, request)
+
+    def test_malformed_requests_are_rejected(self):
+        for values in ([], ["host-2"], ["host-2", "x", "key"], ["h", 1, "key", 4]):
+            with self.subTest(values), self.assertRaises(ProtocolError):
+                decode_datagram(
+                    cbor2.dumps([CHANGES_REQUEST_FORMAT, *values]), now_s=NOW_S
+                )
+
     def test_malformed_parts_are_rejected(self):
         for values in ([1, 2, 3, 3, b""], [1, 2, 0, 99, b""], [1, 2, 0, 1]):
             with self.subTest(values), self.assertRaises(ProtocolError):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -2,13 +2,16 @@
 
 import time
 import unittest
-from unittest.mock import Mock
+from dataclasses import replace
+from unittest.mock import Mock, patch
 
 import gevent
 
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.interfaces import ReplicaRemoved, ReplicaUpdated
 from persimmonyoke.internal.fleet.model import Stage
+from persimmonyoke.internal.fleet.term import ClockReading
+from persimmonyoke.internal.gateway.clocks import boot_time_s, read_clocks
 from persimmonyoke.internal.gateway.follower import WATCH_LAG_S, StoreFollower
 from persimmonyoke.internal.gateway.orders import StageOrderController
 from persimmonyoke_testing.builders_fleet import engine, host
@@ -24,17 +27,22 @@
         self.state = gateway_state(log=self.log)
         self.state.start_store_contact(time.monotonic())
         self.forwarded = []
+        self.requests = []
         self.follower = StoreFollower(
             self.state,
             self.store,
             StageOrderController(self.state, self.store),
             on_configuration=lambda: None,
             forward_changes=self.forwarded.append,
+            request_changes=self.note_request,
         )
         task = gevent.spawn(self.follower.run)
         self.addCleanup(task.kill)
         self.wait_for(lambda: self.usable() == ["a"], 1.0)
 
+    def note_request(self, peer, after_revision):
+        self.requests.append((peer.name, after_revision))
+
     def wait_for(self, condition, timeout_s):
         with gevent.Timeout(timeout_s):
             while not condition():
@@ -63,6 +71,21 @@
         self.assertLess(self.store.waits_s[-1], limit_s - 0.8)
 
 
+class LateAnswerTest(FollowerTest):
+    def test_an_answer_read_after_a_suspension_tells_nothing_of_the_present(self):
+        # The steady clock stands still meanwhile. The host took what the store had said
+        # before for the latest, and forwarded it as such.
+        self.wait_for(lambda: self.store.watch_calls > 0, 1.0)
+        clocks = "persimmonyoke.internal.gateway.follower.read_clocks"
+        now = read_clocks()
+        resumed = ClockReading(now.steady_s + 0.1, now.boot_s + 60.0)
+        with patch(clocks, return_value=resumed):
+            self.store.publish(ReplicaUpdated(engine("b")))
+            self.wait_for(lambda: self.usable() == ["a", "b"], 1.0)
+        self.assertLess(self.state.view.current_boot_s, now.boot_s)
+        self.assertEqual(self.forwarded, [])
+
+
 class SnapshotDuringWatchTest(FollowerTest):
     def test_a_reading_that_takes_long_puts_no_older_entry_back(self):
         # A peer's newer version starts a snapshot. If it runs concurrently with the
@@ -157,6 +180,58 @@
         self.wait_for(lambda: "b" in self.usable(), 1.0)
         self.assertEqual(self.usable(), ["a", "b"])
 
+    def hear_peer(self, *, revision, connected=True, age_s=0.0):
+        """Let a peer report its revision, and that its view has just been confirmed."""
+        entry = host("host-2", zone="zone-b", tunnel_key="key")
+        now_s, boot_s = time.monotonic(), boot_time_s()
+        self.state.hosts.put(entry, now_s=now_s)
+        peer = PeerState(
+            now_s,
+            ready=True,
+            config_version=0,
+            store_connected=connected,
+            store_revision=revision,
+            view_confirmed_s=now_s - age_s,
+            heard_boot_s=boot_s,
+            view_confirmed_boot_s=boot_s - age_s,
+        )
+        self.state.note_peer("host-2", peer, now_s)
+
+    def outdated_s(self):
+        return boot_time_s() - self.state.view.current_boot_s
+
+    def test_a_peer_that_is_ahead_is_asked_for_the_changes(self):
+        # Only the watchers of its own zone forwarded changes to a host, and it asked
+        # nobody for those that it missed.
+        known = self.state.view.revision
+        with gevent.Timeout(3.0):
+            while not self.requests:
+                self.hear_peer(revision=known + 2)
+                gevent.sleep(0.05)
+        self.assertEqual(self.requests[0], ("host-2", known))
+        self.assertTrue(any("behind_peers" in line for line in self.log))
+
+    def test_a_peer_is_not_asked_while_the_view_is_confirmed(self):
+        known, until_s = self.state.view.revision, time.monotonic() + 1.0
+        while time.monotonic() < until_s:
+            self.hear_peer(revision=known)
+            gevent.sleep(0.05)
+        self.assertEqual(self.requests, [])
+        self.assertLess(self.outdated_s(), 0.6)
+
+    def test_a_peer_is_asked_at_once_for_a_request_that_needs_the_latest(self):
+        self.hear_peer(revision=self.state.view.revision, age_s=1.0)
+        self.state.want_confirmation()
+        self.wait_for(lambda: self.requests, 2.0)
+
+    def test_changes_of_a_peer_without_the_store_do_not_confirm_the_view(self):
+        # The store may have told others of later ones.
+        gevent.sleep(0.5)
+        relayed = self.store.relay(ReplicaUpdated(engine("b")))
+        self.follower.note_relayed(replace(relayed, is_recent=False))
+        self.wait_for(lambda: self.usable() == ["a", "b"], 2.0)
+        self.assertGreater(self.outdated_s(), 0.5)
+
     def test_changes_after_a_gap_are_not_applied(self):
         # The missed changes may hold a later state of the same entry.
         self.store.relay(ReplicaUpdated(engine("b", draining=True)))
@@ -251,7 +326,7 @@
         gevent.sleep(0.5)
         now_s = time.monotonic()
         self.assertLess(self.state.view.age_s(now_s), 0.4)
-        self.assertGreater(self.state.view.store_confirmed_age_s(now_s), 0.45)
+        self.assertGreater(self.state.view.store_confirmed_age_s(boot_time_s()), 0.45)
 
     def test_host_makes_no_store_calls_while_peers_see_no_change(self):
         calls = self.store.watch_calls
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -14,6 +14,7 @@
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
 from persimmonyoke.internal.gateway import peers
 from persimmonyoke.internal.gateway.change_parts import ChangesPart
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.digest_messages import (
     DigestMessage,
     encode_digest,
@@ -94,6 +95,45 @@
         self.assertGreater(len(sends), 1)
 
 
+class QueuedDatagramTest(unittest.TestCase):
+    """A host that stood still took what peers had said before for news."""
+
+    def setUp(self):
+        self.state = gateway_state(log=[])
+        self.link = PeerLink(self.state)
+        self.port = self.link.start("127.0.0.1", 0)
+        self.addCleanup(self.link.stop)
+        self.sender = socket.socket(type=socket.SOCK_DGRAM)
+        self.addCleanup(self.sender.close)
+        gevent.sleep(0.02)
+
+    def send(self):
+        message = peer_message(store_revision=5, view_age_ms=100, store_connected=True)
+        self.sender.sendto(encode_message(message), ("127.0.0.1", self.port))
+
+    def confirmed_boot_s(self):
+        return self.state.hosts.view_confirmed_boot_s(5)
+
+    def test_a_datagram_is_no_newer_than_the_read_that_found_none(self):
+        self.send()
+        gevent.sleep(0.05)
+        before_boot_s = boot_time_s()
+        # Nothing reads the socket, as while the process is stopped.
+        self.send()
+        time.sleep(0.5)
+        gevent.sleep(0.05)
+        self.assertLess(self.confirmed_boot_s(), before_boot_s)
+
+    def test_datagrams_that_arrive_in_turn_confirm_the_view(self):
+        self.send()
+        gevent.sleep(0.3)
+        sent_boot_s = boot_time_s()
+        for _ in range(3):
+            self.send()
+            gevent.sleep(0.05)
+        self.assertGreater(self.confirmed_boot_s(), sent_boot_s - 0.15)
+
+
 class UnregisteredHostTest(unittest.TestCase):
     def test_a_host_without_a_registration_is_told_of_states_and_changes(self):
         # The store turned it away, so that its lease ended, and its peers told it
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/version_recorder.py
@@ -36,6 +36,9 @@
 CONFLICT_PAUSE_S = 0.5
 """Pause after another host has changed the record first."""
 
+FAILED_WRITE_PAUSE_S = 0.4
+"""Pause after the store has not answered, which may last for seconds."""
+
 BATCH_S = 2.0
 """Time for which a batch grows; each write repeats the whole batch."""
 
@@ -90,6 +93,7 @@
                 self._begin_again()
             except StoreUnavailable as error:
                 self._state.journal.failure("streams_not_recorded", error)
+                gevent.sleep(FAILED_WRITE_PAUSE_S)
             except Exception:
                 self._state.journal.unexpected("stream_recording_failed")
 
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -47,16 +47,17 @@
 
     def publish(self, *events: StoreEvent) -> None:
         """Change the entries in one revision and notify the watch."""
-        self.revision += 1
-        self.events = (*self.events, *events)
-        self._pending_changes.put(StoreChanges(events, self.revision))
+        self.relay(*events)
 
     def relay(self, *events: StoreEvent) -> RelayedChanges:
         """Change the entries like ``publish``; return what peers forward."""
         after_revision = self.revision
-        self.publish(*events)
+        self.revision += 1
+        self.events = (*self.events, *events)
         encoded = b"changes up to %d" % self.revision
-        self._encoded[encoded] = StoreChanges(events, self.revision, encoded)
+        changes = StoreChanges(events, self.revision, encoded)
+        self._encoded[encoded] = changes
+        self._pending_changes.put(changes)
         return RelayedChanges(after_revision, encoded)
 
     def snapshot(self) -> StoreChanges:
@@ -87,8 +88,15 @@
         if self.unavailable:
             raise StoreUnavailable("refused")
 
+    def encoded_snapshot(self) -> bytes:
+        """Return the entries in a form that ``decode_changes`` knows."""
+        self._check_available()
+        encoded = b"snapshot at %d" % self.revision
+        self._encoded[encoded] = StoreChanges(self.events, self.revision, encoded)
+        return encoded
+
     def decode_changes(self, encoded: bytes) -> StoreChanges:
-        """Return what ``relay`` encoded."""
+        """Return what ``relay`` or ``encoded_snapshot`` encoded."""
         if encoded not in self._encoded:
             raise StoreUnavailable(f"not understood: {encoded!r}")
         return self._encoded[encoded]
