--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -1,7 +1,7 @@
 """View of the entry hosts, from store entries and peer datagrams."""
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from persimmonyoke.internal.fleet.model import HostEntry
@@ -286,8 +286,7 @@
     def _other_states(self) -> list[PeerState]:
         return [peer for name, peer in self._peers.items() if name != self._own_name]
 
-    def _know_no_more(self, heard: Iterable[PeerState], revision: int) -> bool:
-        heard = list(heard)
+    def _know_no_more(self, heard: Sequence[PeerState], revision: int) -> bool:
         if any(p.store_connected or p.store_revision > revision for p in heard):
             return False
         known = [p.store_revision for p in heard if p.store_revision > 0]
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -120,14 +120,16 @@
             self._refuse(RECORD_OUTDATED, RETRY_AFTER_SILENT_STORE_S)
 
     def _await_start(self, started_s: float) -> None:
-        """Read the record, or wait for what peers confirm of it."""
+        """Read the record, or wait for what peers confirm of it meanwhile."""
+        reading = gevent.spawn(self._state.read_stream_records)
         while time.monotonic() <= started_s + MAX_LOOKUP_S:
-            if self._state.read_stream_records():
-                return
+            self._state.want_confirmation()
+            reading.join(PEERS_POLL_S)
             if self._starts.basis() is not StartBasis.NONE:
                 return
-            self._state.want_confirmation()
-            gevent.sleep(PEERS_POLL_S)
+            if reading.ready():
+                gevent.sleep(PEERS_POLL_S)
+                reading = gevent.spawn(self._state.read_stream_records)
             self._exchange.cancel_scope.raise_if_cancelled()
 
     def allows(self, replica: Replica) -> bool:
