Order engines only with a view as new as the order key

A host that the store had turned away takes the free key with calls of its own before its view holds the record of the last order, and so does not wait after it.

A record is written only while its writer holds the key, so the records of all former holders are older than the key. A holder now announces nothing before its view has reached the revision of its key; then the wait after the last record applies, counted from when it learnt of it.

The tests of the term give a view that holds all records; what they check is the same.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/term.py
@@ -113,9 +113,14 @@
         """End the term."""
         self.state = TermState.NONE
 
-    def may_announce(self, now_s: float) -> bool:
-        """Return whether this host holds the key and the handover wait has passed."""
-        return self.state is TermState.HELD and not self._must_wait(now_s)
+    def may_announce(self, now_s: float, *, view_revision: int) -> bool:
+        """Return whether this host holds the key and the handover wait has passed.
+
+        A view older than the key may lack the last record of the holder before.
+        """
+        knows_records = view_revision >= self.fencing_number
+        held = self.state is TermState.HELD
+        return held and knows_records and not self._must_wait(now_s)
 
     def attempt_delay_s(self, now_s: float) -> float:
         """Return how long to yield a free key to hosts that could send orders sooner.
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_term.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_term.py
@@ -15,6 +15,9 @@
 
 MIN_HANDOVER_S = 3.0
 LEASE = StoreLease(number=1, era=0)
+LATEST = join_revision(1 << 10, 0)
+"""Revision of a view that holds all records."""
+
 SEED = 11
 # Time of three writes and a watch event, over links between zones.
 SEEN_AFTER_S = 0.012
@@ -35,32 +38,47 @@
     return term
 
 
+def may_announce(term: OrderTerm, now_s: float) -> bool:
+    """Return whether a host whose view holds all records may announce an order."""
+    return term.may_announce(now_s, view_revision=LATEST)
+
+
 class TakeoverTest(unittest.TestCase):
     def test_a_holder_whose_predecessor_ordered_long_ago_orders_at_once(self):
         # A fixed wait left the fleet without a decode engine for five more seconds.
         term = OrderTerm("host-a", min_handover_s=MIN_HANDOVER_S)
         term.note_record(record("host-b", 5), now_s=50.0)
         term.acquired(fencing_number=9, lease=LEASE)
-        self.assertTrue(term.may_announce(100.0))
+        self.assertTrue(may_announce(term, 100.0))
 
     def test_a_holder_waits_after_an_order_of_another_host(self):
         # Engines that ignore fencing numbers would get orders of two holders.
         term = held_term()
         term.note_record(record("host-b", 5), now_s=100.0)
-        self.assertFalse(term.may_announce(100.0 + MIN_HANDOVER_S))
-        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertFalse(may_announce(term, 100.0 + MIN_HANDOVER_S))
+        self.assertTrue(may_announce(term, 100.0 + term.takeover_wait_s))
         self.assertGreater(term.takeover_wait_s, MIN_HANDOVER_S + ORDER_WINDOW_S)
 
+    def test_a_holder_orders_only_once_its_view_is_as_new_as_its_key(self):
+        # A host that regained the store took the free key before it read the record of
+        # the last order, and ordered the same engine half a second after it.
+        term = held_term()
+        self.assertFalse(term.may_announce(100.0, view_revision=8))
+        term.note_record(record("host-b", 8), now_s=100.0)
+        self.assertFalse(term.may_announce(100.1, view_revision=9))
+        now_s = 100.0 + term.takeover_wait_s
+        self.assertTrue(term.may_announce(now_s, view_revision=9))
+
     def test_a_restarted_holder_need_not_wait_for_itself(self):
         term = held_term()
         term.note_record(record("host-a", 5), now_s=100.0)
-        self.assertTrue(term.may_announce(100.0))
+        self.assertTrue(may_announce(term, 100.0))
 
     def test_an_old_record_seen_again_does_not_start_the_wait_anew(self):
         term = held_term()
         term.note_record(record("host-b", 5), now_s=100.0)
         term.note_record(record("host-b", 5), now_s=103.0)
-        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertTrue(may_announce(term, 100.0 + term.takeover_wait_s))
 
 
 class StoreRestoredTest(unittest.TestCase):
@@ -77,8 +95,8 @@
     def test_holder_without_a_record_waits_for_orders_that_the_copy_lacks(self):
         # Two hosts gave orders within the time of a lease.
         term = self.term_in_era(2, since_s=100.0)
-        self.assertFalse(term.may_announce(100.0 + MIN_HANDOVER_S))
-        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertFalse(may_announce(term, 100.0 + MIN_HANDOVER_S))
+        self.assertTrue(may_announce(term, 100.0 + term.takeover_wait_s))
 
     def test_holder_whose_own_record_is_of_an_earlier_era_waits(self):
         # Another host may have ordered since that record, in the time that is lost.
@@ -87,8 +105,8 @@
             "host-a", join_revision(1, 7), "e", "decode", join_revision(2, 5)
         )
         term.note_record(own, now_s=100.0)
-        self.assertFalse(term.may_announce(100.0 + MIN_HANDOVER_S))
-        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertFalse(may_announce(term, 100.0 + MIN_HANDOVER_S))
+        self.assertTrue(may_announce(term, 100.0 + term.takeover_wait_s))
 
     def test_record_of_the_new_era_shows_that_its_writer_has_waited(self):
         term = self.term_in_era(2, since_s=100.0)
@@ -96,7 +114,7 @@
             "host-a", join_revision(2, 7), "e", "decode", join_revision(2, 8)
         )
         term.note_record(own, now_s=101.0)
-        self.assertTrue(term.may_announce(101.0))
+        self.assertTrue(may_announce(term, 101.0))
 
     def test_record_with_a_lower_number_in_a_later_era_is_the_newer_one(self):
         # Revisions are given out again, and the wait was skipped.
@@ -107,8 +125,8 @@
             term.note_record(
                 OrderRecord("host-b", revision, "e", "decode", revision), now_s=seen_s
             )
-        self.assertFalse(term.may_announce(100.0 + MIN_HANDOVER_S))
-        self.assertTrue(term.may_announce(100.0 + term.takeover_wait_s))
+        self.assertFalse(may_announce(term, 100.0 + MIN_HANDOVER_S))
+        self.assertTrue(may_announce(term, 100.0 + term.takeover_wait_s))
 
 
 class AttemptTest(unittest.TestCase):
@@ -137,7 +155,7 @@
         term = held_term()
         term.lost()
         self.assertFalse(term.may_send(clocks(101.0), clocks(101.0)))
-        self.assertFalse(term.may_announce(200.0))
+        self.assertFalse(may_announce(term, 200.0))
 
 
 class AttemptScheduleTest(unittest.TestCase):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/orders.py
@@ -123,9 +123,13 @@
         elif time.monotonic() - self._renewed_s >= RENEW_S:
             self._renew()
         links_work = self._state.links.state is LinkState.INTACT
-        if links_work and self._term.may_announce(time.monotonic()):
+        if links_work and self._may_announce():
             self._order_changes()
 
+    def _may_announce(self) -> bool:
+        revision = self._state.view.revision
+        return self._term.may_announce(time.monotonic(), view_revision=revision)
+
     def _try_acquire(self, now_s: float) -> None:
         if not self._attempts.due(now_s):
             return
