Begin no stream as the only host left right after a stop

A host that was stopped with SIGSTOP began five streams at v1 when it went on, while the other hosts had replaced v1 and forgotten it.

Cause: a call to the store that times out while the host stands still counts as "the store is silent", and peers that were not heard meanwhile count as silent too. A host that hears nobody and knows one version begins streams at it, as it may be the only one left.

Until then it reads the record or refuses with 503. stream_start is logged whenever the record is not current, with awake_ms; a stop is logged as stood_still.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_starts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/stream_starts.py
@@ -19,6 +19,9 @@
 MAX_RECORD_AGE_S = LIFE_MARGIN_S - LATE_NEWS_S
 """Age up to which streams begin by a record, as other hosts allow for in their life."""
 
+MIN_AWAKE_S = MAX_RECORD_AGE_S
+"""Time in which a host that runs hears the store or a peer, if it can reach them."""
+
 
 class StartBasis(StrEnum):
     """Name what shows that the active version is still that of the record."""
@@ -48,13 +51,17 @@
     one_version_known: bool
     """Whether the record and all known replicas name one version."""
 
+    awake_s: float
+    """Time for which this host has run without standing still."""
+
 
 def start_basis(evidence: RecordEvidence) -> StartBasis:
     """Decide by what new streams may begin at the active version of a record.
 
     While no host reaches the store, no record can be replaced. A host that hears too
     few others to know this may be the only one left, and goes on unless it knows that
-    several versions serve.
+    several versions serve. It must have listened for a while: to a host that stood
+    still, the store and all peers seem silent at first.
     """
     if evidence.record_age_s <= MAX_RECORD_AGE_S:
         return StartBasis.CURRENT
@@ -62,6 +69,6 @@
         return StartBasis.NONE
     if evidence.most_hosts_without_store:
         return StartBasis.NO_STORE
-    if evidence.one_version_known:
+    if evidence.one_version_known and evidence.awake_s >= MIN_AWAKE_S:
         return StartBasis.ONE_VERSION
     return StartBasis.NONE
--- a/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_starts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/dispatch/tests/test_stream_starts.py
@@ -4,6 +4,7 @@
 
 from persimmonyoke.internal.dispatch.stream_starts import (
     MAX_RECORD_AGE_S,
+    MIN_AWAKE_S,
     RecordEvidence,
     StartBasis,
     start_basis,
@@ -22,6 +23,7 @@
             "most_hosts_without_store": False,
             "peer_knows_more": False,
             "one_version_known": False,
+            "awake_s": MIN_AWAKE_S,
         }
         return start_basis(RecordEvidence(**{**evidence, **changes}))
 
@@ -42,6 +44,11 @@
     def test_a_host_that_is_alone_begins_streams_at_the_only_version(self):
         self.assertIs(self.basis(one_version_known=True), StartBasis.ONE_VERSION)
 
+    def test_a_host_that_has_just_gone_on_is_not_taken_for_alone(self):
+        # Its calls time out late and its peers seem silent, as it stood still itself.
+        basis = self.basis(one_version_known=True, awake_s=MIN_AWAKE_S - 0.1)
+        self.assertIs(basis, StartBasis.NONE)
+
     def test_a_store_or_a_peer_that_can_tell_the_record_is_asked_first(self):
         for known in ("store_connected", "peer_knows_more"):
             for basis in ("most_hosts_without_store", "one_version_known"):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/program.py
@@ -12,6 +12,7 @@
 from persimmonyoke.internal.fleet.interfaces import FleetStore, UpstreamWire
 from persimmonyoke.internal.gateway.cache_learning import CacheLearner
 from persimmonyoke.internal.gateway.change_requests import ChangeServer
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.dialer import ReplicaDialer
 from persimmonyoke.internal.gateway.engine_calls import EngineCalls
@@ -199,11 +200,18 @@
         state = self.state
         while True:
             gevent.sleep(HOUSEKEEPING_S)
+            self._note_awake(boot_time_s())
             try:
                 self._drop_expired(time.monotonic())
             except Exception:
                 state.journal.unexpected("housekeeping_failed")
 
+    def _note_awake(self, now_boot_s: float) -> None:
+        """Note that this process runs, and log whether it stood still."""
+        stopped_s = self.state.awake.note(now_boot_s)
+        if stopped_s:
+            self.state.journal.event("stood_still", stopped_ms=int(stopped_s * 1_000))
+
     def _drop_expired(self, now_s: float) -> None:
         """Drop what has expired."""
         state = self.state
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -25,6 +25,7 @@
 from persimmonyoke.internal.dispatch.speeds import SlowdownFactors
 from persimmonyoke.internal.dispatch.stage_changes import StageChanges
 from persimmonyoke.internal.dispatch.stream_versions import StreamVersions
+from persimmonyoke.internal.fleet.awake_period import AwakePeriod
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import (
     ChangesListener,
@@ -53,6 +54,7 @@
 from persimmonyoke.internal.fleet.view_age import ViewAge
 from persimmonyoke.internal.gateway.attempts import AttemptStart
 from persimmonyoke.internal.gateway.client_admission import ClientAdmission
+from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.connection_pool import ConnectionPool
 from persimmonyoke.internal.gateway.connections import (
     LinksDown,
@@ -99,6 +101,7 @@
         self.routes: RouteTable | None = None
         self.contact = StoreContact(0.0)
         self.view = ViewAge(0.0)
+        self.awake = AwakePeriod(boot_time_s())
         self.store_connected = False
         self.replicas = ReplicaView()
         self.replicas_known = False
@@ -209,6 +212,7 @@
         """Start measuring store contact and view age from this time."""
         self.contact = StoreContact(now_s)
         self.view = ViewAge(now_s)
+        self.awake = AwakePeriod(boot_time_s())
 
     def note_store_answer(self, now_s: float) -> None:
         """Note that the store answered, possibly after an outage."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_starts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_starts.py
@@ -66,4 +66,5 @@
             peer_knows_more=hosts.store_answers_a_peer(now_s)
             or hosts.newest_revision(now_s) > revision,
             one_version_known=self.sees_one_version(),
+            awake_s=state.awake.duration_s(boot_time_s()),
         )
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -98,11 +98,12 @@
 
     def _confirm_record(self) -> None:
         """Wait until new streams may begin by the record of versions, or refuse."""
-        if self._starts.basis() is not StartBasis.NONE:
+        if self._starts.basis() is StartBasis.CURRENT:
             return
         started_s = time.monotonic()
         former_age_s = self._starts.record_age_s
-        self._await_start(started_s)
+        if self._starts.basis() is StartBasis.NONE:
+            self._await_start(started_s)
         basis = self._starts.basis()
         state, now_s = self._state, time.monotonic()
         state.journal.event(
@@ -111,6 +112,7 @@
             basis=basis,
             outdated_ms=int(min(former_age_s, MAX_LOGGED_AGE_S) * 1_000),
             waited_ms=int((now_s - started_s) * 1_000),
+            awake_ms=int(state.awake.duration_s(boot_time_s()) * 1_000),
             store_connected=state.store_connected,
             store_answers_a_peer=state.hosts.store_answers_a_peer(now_s),
             revision=number_of(state.view.revision),
