--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/interfaces.py
@@ -21,6 +21,9 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
+CATCH_UP_WAIT_S = 0.01
+"""Wait time of a call for changes that the store already has."""
+
 
 @dataclass(frozen=True)
 class UpstreamCall:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
@@ -13,6 +13,7 @@
 
 from persimmonyoke.errors import HistoryLost, StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
+    CATCH_UP_WAIT_S,
     ChangesRequest,
     FleetStore,
     RelayedChanges,
@@ -26,9 +27,6 @@
 MAX_ANSWERING = 16
 """Requests answered at a time; a host whose request is dropped asks another peer."""
 
-READ_WAIT_S = 0.01
-"""Wait time of a call for changes that the store already has."""
-
 READ_TIMEOUT_S = 0.4
 """Time after which the answer of the store is too late for the host that asked."""
 
@@ -92,7 +90,7 @@
         try:
             return self._store.changes(
                 after_revision=after_revision,
-                wait_s=READ_WAIT_S,
+                wait_s=CATCH_UP_WAIT_S,
                 timeout_s=READ_TIMEOUT_S,
             ).encoded
         except HistoryLost:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/clocks.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/clocks.py
@@ -13,3 +13,8 @@
 def boot_time_s() -> float:
     """Return the time since boot, in which a suspension counts."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def logged_ms(duration_s: float) -> int | None:
+    """Return a duration in milliseconds for the log, none if it has no beginning."""
+    return None if duration_s == float("inf") else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -10,6 +10,7 @@
 
 from persimmonyoke.errors import HistoryLost, StoreUnavailable
 from persimmonyoke.internal.fleet.interfaces import (
+    CATCH_UP_WAIT_S,
     FleetStore,
     HostRemoved,
     RelayedChanges,
@@ -21,7 +22,11 @@
 from persimmonyoke.internal.fleet.store_revision import era_of, number_of
 from persimmonyoke.internal.fleet.term import ClockReading
 from persimmonyoke.internal.fleet.watch_pacing import WatchPacer
-from persimmonyoke.internal.gateway.clocks import boot_time_s, read_clocks
+from persimmonyoke.internal.gateway.clocks import (
+    boot_time_s,
+    logged_ms,
+    read_clocks,
+)
 from persimmonyoke.internal.gateway.interruptible import (
     CallInterrupted,
     call_interruptible,
@@ -60,9 +65,6 @@
 REQUEST_INTERVAL_S = 0.2
 """Shortest interval of such requests, of which some are lost."""
 
-CATCH_UP_WAIT_S = 0.01
-"""Wait time of a call for changes that the store already has."""
-
 MAX_RELAYED_CHANGES = 32
 """Changes from peers queued to be applied; when full, the oldest are dropped."""
 
@@ -358,7 +360,7 @@
             revision=number_of(revision),
             newest=number_of(state.hosts.newest_revision(now_s)),
             view_age_ms=int(state.view.age_s(now_s) * 1_000),
-            outdated_ms=_to_ms(boot_time_s() - state.view.current_boot_s),
+            outdated_ms=logged_ms(boot_time_s() - state.view.current_boot_s),
         )
 
     def _behind(self, revision: int, now_s: float) -> bool:
@@ -381,7 +383,3 @@
     """Return the peers of the own availability zone, or all if there are none."""
     near = [peer for peer in peers if peer.availability_zone == own_zone]
     return near or peers
-
-
-def _to_ms(duration_s: float) -> int | None:
-    return None if duration_s == float("inf") else int(duration_s * 1_000)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -18,7 +18,7 @@
 )
 from persimmonyoke.internal.fleet.model import Replica, ServiceVersions, Stage
 from persimmonyoke.internal.fleet.store_revision import number_of
-from persimmonyoke.internal.gateway.clocks import boot_time_s
+from persimmonyoke.internal.gateway.clocks import boot_time_s, logged_ms
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
 from persimmonyoke.internal.gateway.exchange import Exchange, StreamBroken
 from persimmonyoke.internal.gateway.incarnation_check import IncarnationCheck
@@ -43,8 +43,6 @@
 PEERS_POLL_S = 0.05
 RETRY_AFTER_SILENT_STORE_S = 0.5
 
-MAX_LOGGED_AGE_S = 86_400.0
-
 UNKNOWN_VERSION = "software version of the stream is not known"
 RECORD_OUTDATED = "software version of new streams is not known"
 VERSION_LEFT = "no replica of the stream's software version is left"
@@ -110,7 +108,7 @@
             "stream_start",
             request_id=self._exchange.metadata.request_id,
             basis=basis,
-            outdated_ms=int(min(former_age_s, MAX_LOGGED_AGE_S) * 1_000),
+            outdated_ms=logged_ms(former_age_s),
             waited_ms=int((now_s - started_s) * 1_000),
             awake_ms=int(state.awake.duration_s(boot_time_s()) * 1_000),
             store_connected=state.store_connected,
