--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -167,7 +167,7 @@
                 if admitted.plan.local:
                     self.end_local_prefill()
                     self._local_prefill = admitted.job
-                    if not self._versions.may_run_at(admitted.plan.engine):
+                    if not self._versions.may_go_on_at(admitted.plan.engine):
                         self.end_local_prefill()
                         continue
                     self._exchange.slot_at = admitted.plan.engine.replica_id
@@ -268,7 +268,7 @@
                     zone=prefilled.engine.availability_zone,
                     now_s=time.monotonic(),
                 )
-                if decode is not None and self._versions.may_run_at(decode):
+                if decode is not None and self._versions.may_go_on_at(decode):
                     return decode
                 if time.monotonic() >= wait_until_s:
                     break
@@ -288,7 +288,7 @@
             reserved = self._reserve(
                 self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
             )
-            if reserved is None or self._versions.may_run_at(reserved):
+            if reserved is None or self._versions.may_go_on_at(reserved):
                 return reserved
             self._guard.end_reservation(self._exchange)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -69,16 +69,6 @@
             self._not_before_s[engine.replica_id] = time.monotonic() + RECHECK_S
         return found.may_write
 
-    def has_started_again(self, engine: Replica) -> bool:
-        """Return whether an engine tells a later start than its entry names.
-
-        It is not asked while an open connection shows that it is the same process.
-        """
-        if self._state.pool.knows_incarnation(engine):
-            return False
-        found = self._ask(engine, self._exchange.cancel_scope)
-        return found is Incarnation.STARTED_AGAIN
-
     def ask_beside(self, engine: Replica, connection: UpstreamConnection) -> None:
         """Ask a silent engine that was sent a run over a connection, until it answers.
 
@@ -172,8 +162,6 @@
             self._state.engine_restarts.note(
                 engine.replica_id, born_unix_ms, now_s=now_s
             )
-        if found.may_write:
-            self._state.pool.note_incarnation(engine)
         if found is not Incarnation.SAME:
             self._log(engine, found, born_unix_ms, took_s=now_s - started_s)
         return found
