Give the reason for the longest gap that is no stop

The comment said that no shorter gap makes a record appear outdated. Added up, the 1.6 s of a watch (1.2 s of waiting and 0.4 s of margin) and a gap of 1 s are 2.6 s, above the limit of 2.5 s; what makes it safe are the 4 s for which other hosts remember a version.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/awake_period.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/awake_period.py
@@ -3,7 +3,8 @@
 MAX_GAP_S = 1.0
 """Time between two notes above which the process stood still.
 
-Less lets no record appear outdated: its age grows to 1.6 s while the store answers.
+A record is at most 1.6 s old while the store answers, so 2.6 s after a shorter gap, and
+other hosts remember a replaced version for 4 s longer than its streams take.
 """
 
 
