Log why a host collects and what it sends, and why it refuses a peer

The line collecting names rank, candidates, silence and the bytes of the turn; gateway_datagram_bytes_total counts all datagrams. No decision changes; test_relay passes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 TAKEOVER_S = 0.4
 """Silence of all preceding hosts after which a host takes over as collector.
@@ -23,6 +24,16 @@
 """Time for which a host gets reports after it was last heard as collector."""
 
 
+@dataclass(frozen=True)
+class Standing:
+    """Hold what the election of this host depends on; without a rank it has no part."""
+
+    rank: int | None
+    candidates: int
+    silent_s: float
+    """Time for which no preceding host was heard as collector."""
+
+
 class CollectorElection:
     """Elect the collector of the own zone by name order, with takeover on silence.
 
@@ -41,11 +52,19 @@
 
     def collects(self, zone_hosts: Sequence[str], *, now_s: float) -> bool:
         """Return whether this host is the collector of its zone now."""
-        if self._own_name not in zone_hosts or now_s - self._started_s < WARM_UP_S:
+        standing = self.standing(zone_hosts, now_s=now_s)
+        if standing.rank is None or now_s - self._started_s < WARM_UP_S:
             return False
+        return standing.silent_s >= standing.rank * TAKEOVER_S
+
+    def standing(self, zone_hosts: Sequence[str], *, now_s: float) -> Standing:
+        """Return the place of this host in the order, and the silence before it."""
+        if self._own_name not in zone_hosts:
+            silent_s = self._silent_s(zone_hosts, now_s)
+            return Standing(None, len(zone_hosts), silent_s)
         rank = zone_hosts.index(self._own_name)
         silent_s = self._silent_s(zone_hosts[:rank], now_s)
-        return silent_s >= rank * TAKEOVER_S
+        return Standing(rank, len(zone_hosts), silent_s)
 
     def accepts(self, name: str, zone_hosts: Sequence[str], *, now_s: float) -> bool:
         """Return whether to use a host's aggregates: no preceding one is active."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
@@ -45,12 +45,24 @@
 
     def handle(self, request: ChangesRequest, send: SendChanges) -> None:
         """Answer a request in a task of its own, unless there are too many."""
-        if not self._accepts(request) or self._answering >= MAX_ANSWERING:
+        obstacle = self._obstacle(request)
+        if obstacle is not None:
             self._state.metrics.change_requests.add(result="refused")
+            self._state.journal.event(
+                "changes_not_served", error=obstacle, asked_by=request.host
+            )
             return
         self._answering += 1
         gevent.spawn(self._answer, request, send)
 
+    def _obstacle(self, request: ChangesRequest) -> str | None:
+        """Return why a request is refused, if it is."""
+        if not self._accepts(request):
+            return "key or era of the request is not this host's"
+        if self._answering >= MAX_ANSWERING:
+            return "too many requests are being answered"
+        return None
+
     def _accepts(self, request: ChangesRequest) -> bool:
         """Return whether a host has read this one's entry and knows its era.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/metrics.py
@@ -67,6 +67,9 @@
             "Requests of peers for changes of the store that they missed.",
             {"result": CHANGE_REQUEST_RESULTS},
         )
+        self.datagram_bytes = node.counter(
+            "gateway_datagram_bytes_total", "Bytes of datagrams sent to peers."
+        )
         self.tunnels = node.counter(
             "gateway_tunnels_total",
             "Tunnels to replicas, through peers and for peers.",
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -299,6 +299,7 @@
         assert self._socket is not None
         try:
             self._socket.sendto(data, (peer.peer_host, peer.peer_port))
+            self._state.metrics.datagram_bytes.add(len(data))
         except OSError as error:
             # The next datagram supersedes this one; the silence of a peer is detected.
             self._state.journal.failure("datagram_not_sent", error, peer=peer.name)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -22,6 +22,7 @@
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.digest_messages import (
+    PREFIX_BYTES,
     CachedPartsMessage,
     CollectorDatagram,
     DigestMessage,
@@ -101,6 +102,8 @@
         self._reported_s = float("-inf")
         self._own_state: PeerState | None = None
         self._collecting = False
+        self._collecting_since_s = now_s
+        self._sent_bytes = 0
         self._digests = Schedule(DIGEST_INTERVAL_S)
         self._far_digests = Schedule(FAR_INTERVAL_S)
         self._states = Schedule(STATES_INTERVAL_S)
@@ -174,8 +177,7 @@
             names, now_s=now_s
         )
         if collects != self._collecting:
-            self._collecting = collects
-            self._state.journal.event("collecting", collecting=collects)
+            self._note_collecting(collects, names, now_s)
         if not collects:
             self._clear_queues()
             return
@@ -190,6 +192,24 @@
         self._send(self._far_collectors(), far)
         self._send_catch_up(now_s)
 
+    def _note_collecting(
+        self, collects: bool, names: Sequence[str], now_s: float
+    ) -> None:
+        """Log that this host begins or ends to collect, why, and what it has sent."""
+        standing = self._election.standing(names, now_s=now_s)
+        lasted_s = 0.0 if collects else now_s - self._collecting_since_s
+        self._state.journal.event(
+            "collecting",
+            collecting=collects,
+            rank=standing.rank,
+            candidates=standing.candidates,
+            silent_ms=int(standing.silent_s * 1_000),
+            lasted_ms=int(lasted_s * 1_000),
+            sent_bytes=self._sent_bytes,
+        )
+        self._collecting, self._collecting_since_s = collects, now_s
+        self._sent_bytes = 0
+
     def _clear_queues(self) -> None:
         self._near_updates.clear()
         self._far_updates.clear()
@@ -353,6 +373,7 @@
             for entry in receivers:
                 sequence = self._board.sequence_of(entry.name)
                 self._send_to(entry, with_sequence(packed, sequence))
+            self._sent_bytes += len(receivers) * (PREFIX_BYTES + len(packed))
 
     def _handle_digest(self, message: DigestMessage, now_s: float) -> bool:
         if message.zone is not None and message.zone != self._zone:
