Go by no configuration that is known to be replaced

Nothing connected what peers say of their version with what requests are answered by.

A host that hears of a later version, by whatever message, now denies nothing for good by its own (no 404, 413 or 431), serves known routes for half of the time in which a change has to apply, as most changes leave most routes alone, and then refuses with 503, tells its peers and callers that it is not ready, and goes on once it has the version or no peer that is heard has one. A peer counts only if its view is newer and of the same era: after a return of the store from a copy hosts keep versions that it has lost. A 404 also needs a configuration that was confirmed lately; routes are served without it, as all hosts may be without the store.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -137,6 +137,11 @@
         )
         self._propagation_lag_s = PROPAGATION_HOPS * near_interval_s
 
+    @property
+    def peer_timeout_s(self) -> float:
+        """Return the silence after which a peer counts as gone."""
+        return self._peer_timeout_s
+
     @property
     def propagation_lag_s(self) -> float:
         """Return the time for this host's state to reach the rest of its zone."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/front_server.py
@@ -12,8 +12,9 @@
     MalformedMetadata,
     RequestError,
 )
+from persimmonyoke.internal.dispatch.configuration_use import may_deny, may_serve
 from persimmonyoke.internal.dispatch.routes import choose_service
-from persimmonyoke.internal.fleet.model import RequestKind
+from persimmonyoke.internal.fleet.model import RequestKind, Route
 from persimmonyoke.internal.gateway import sockets
 from persimmonyoke.internal.gateway.accepted_clients import accepted_client
 from persimmonyoke.internal.gateway.client_connection import (
@@ -22,6 +23,9 @@
     OutgoingHead,
 )
 from persimmonyoke.internal.gateway.client_listener import ClientListener
+from persimmonyoke.internal.gateway.configuration_evidence import (
+    configuration_evidence,
+)
 from persimmonyoke.internal.gateway.crash_watch import CrashDetector
 from persimmonyoke.internal.gateway.exchange import (
     Exchange,
@@ -48,6 +52,7 @@
 """
 
 RETRY_AFTER_NOT_READY_S = 0.5
+_LIMIT_ERRORS = (ErrorKind.BODY_TOO_LARGE, ErrorKind.HEADER_TOO_LARGE)
 
 
 @dataclass(frozen=True)
@@ -209,6 +214,8 @@
         """Log input that is rejected, and return what its client is told."""
         if isinstance(error, NoRoomForBody):
             note_no_room(self._state, "body", error.request_id, error.body_bytes)
+        if error.kind in _LIMIT_ERRORS and not self._may_deny():
+            error = _outdated_configuration()
         self._state.journal.event(
             "input_refused", status=error.answer.status, reason=error.message
         )
@@ -327,7 +334,6 @@
                 "no configuration is known yet",
                 retry_after_s=RETRY_AFTER_NOT_READY_S,
             )
-        assert state.routes is not None
         if state.memory.nearly_full:
             note_no_room(self._state, "request", request_id(request), len(request.body))
             raise RequestError(
@@ -335,10 +341,7 @@
                 "host holds too much for other clients",
                 retry_after_s=RETRY_AFTER_NO_ROOM_S,
             )
-        host = (request.header(b"host") or b"").decode("latin-1")
-        route = state.routes.find(host.rsplit(":", 1)[0], request.path)
-        if route is None:
-            raise RequestError(ErrorKind.UNKNOWN_PATH, "no route for this path")
+        route = self._find_route(request)
         try:
             metadata = state.wire.metadata(request.headers)
         except MalformedMetadata as error:
@@ -373,6 +376,30 @@
             exchange.may_begin = partial(self._stop.may_begin, exchange)
         return exchange
 
+    def _find_route(self, request: ClientRequest) -> Route:
+        """Return the route of a request; refuse it if there is none in force."""
+        assert self._state.routes is not None
+        host = (request.header(b"host") or b"").decode("latin-1")
+        route = self._state.routes.find(host.rsplit(":", 1)[0], request.path)
+        evidence = configuration_evidence(self._state, time.monotonic())
+        if not may_serve(evidence) or (route is None and not may_deny(evidence)):
+            raise _outdated_configuration()
+        if route is None:
+            raise RequestError(ErrorKind.UNKNOWN_PATH, "no route for this path")
+        return route
+
+    def _may_deny(self) -> bool:
+        """Return whether a limit of the configuration is known to be in force."""
+        return may_deny(configuration_evidence(self._state, time.monotonic()))
+
+
+def _outdated_configuration() -> RequestError:
+    return RequestError(
+        ErrorKind.NOT_READY,
+        "configuration may have been replaced",
+        retry_after_s=RETRY_AFTER_NOT_READY_S,
+    )
+
 
 def _error_head(error: RequestError, closing: bool) -> OutgoingHead:
     status = error.answer.status
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -27,6 +27,10 @@
     encode_changes_request,
 )
 from persimmonyoke.internal.gateway.clocks import boot_time_s
+from persimmonyoke.internal.gateway.configuration_evidence import (
+    note_peer_configuration,
+    takes_callers,
+)
 from persimmonyoke.internal.gateway.datagram_inbox import (
     Address,
     DatagramInbox,
@@ -268,7 +272,7 @@
             }
         return PeerMessage(
             host=state.settings.host_name,
-            ready=state.ready,
+            ready=takes_callers(state, now_s),
             config_version=state.version,
             work=work,
             placements=(),
@@ -395,6 +399,7 @@
             return False
         peer = peer_state(message, now_s, after_boot_s=after_boot_s)
         state.note_peer(message.host, peer, now_s)
+        note_peer_configuration(state, message.host, peer, now_s)
         state.health.note_suspected(message.suspects, now_s)
         state.note_updates(message.placements, message.refused, now_s=now_s)
         if message.config_version > state.version:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -21,6 +21,9 @@
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.gateway.clocks import boot_time_s
+from persimmonyoke.internal.gateway.configuration_evidence import (
+    note_peer_configuration,
+)
 from persimmonyoke.internal.gateway.digest_messages import (
     PREFIX_BYTES,
     CachedPartsMessage,
@@ -416,6 +419,7 @@
         for item in message.hosts:
             if item.name != self._name:
                 self._state.note_peer(item.name, item.state, now_s)
+                note_peer_configuration(self._state, item.name, item.state, now_s)
                 newest_version = max(newest_version, item.state.config_version)
         if newest_version > self._state.version:
             self._state.on_newer_version(newest_version)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/small_server.py
@@ -15,6 +15,7 @@
     OutgoingHead,
 )
 from persimmonyoke.internal.gateway.client_listener import ClientListener
+from persimmonyoke.internal.gateway.configuration_evidence import takes_callers
 from persimmonyoke.internal.gateway.requests import ClientRequest
 from persimmonyoke.internal.gateway.state import GatewayState
 
@@ -99,13 +100,14 @@
             return 500, b""
 
     def _ready(self, _request: ClientRequest) -> tuple[int, bytes]:
-        return (200, b"{}") if self._state.ready else (503, b"{}")
+        is_ready = takes_callers(self._state, time.monotonic())
+        return (200, b"{}") if is_ready else (503, b"{}")
 
     def _resolve(self, request: ClientRequest) -> tuple[int, bytes]:
         state = self._state
         addresses = state.hosts.addresses(
             own=state.own_entry(),
-            own_ready=state.ready,
+            own_ready=takes_callers(state, time.monotonic()),
             now_s=time.monotonic(),
             limit=MAX_ADDRESSES,
             caller_zone=request.query_value("zone"),
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -26,6 +26,7 @@
 from persimmonyoke.internal.dispatch.stage_changes import StageChanges
 from persimmonyoke.internal.dispatch.stream_versions import StreamVersions
 from persimmonyoke.internal.fleet.awake_period import AwakePeriod
+from persimmonyoke.internal.fleet.configuration_news import ConfigurationNews
 from persimmonyoke.internal.fleet.hosts import HostView, PeerState
 from persimmonyoke.internal.fleet.interfaces import (
     ChangesListener,
@@ -98,6 +99,7 @@
         self.clients = ClientAdmission(settings.connection_limit, journal, self.metrics)
         self.rng = random.Random()
         self.configuration: Configuration | None = None
+        self.configuration_news = ConfigurationNews()
         self.routes: RouteTable | None = None
         self.contact = StoreContact(0.0)
         self.view = ViewAge(0.0)
