--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/recent_changes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/recent_changes.py
@@ -45,12 +45,17 @@
     def after(self, revision: int) -> list[RelayedChanges]:
         """Return the changes after a revision; none unless all of them are known.
 
+        They confirm no view, as the store may have changed since.
+
         The first ones may repeat changes up to the revision, whose entries the later
         ones of the same call hold as well.
         """
         missed = [c for c in self._changes if c.revision > revision]
         if not missed or missed[0].after_revision > revision:
             return []
-        first = RelayedChanges(revision, missed[0].encoded)
-        rest = [RelayedChanges(c.after_revision, c.encoded) for c in missed[1:]]
-        return [first, *rest]
+        first, *rest = missed
+        return [_kept(revision, first), *(_kept(c.after_revision, c) for c in rest)]
+
+
+def _kept(after_revision: int, applied: _Applied) -> RelayedChanges:
+    return RelayedChanges(after_revision, applied.encoded, is_recent=False)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_recent_changes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_recent_changes.py
@@ -10,6 +10,11 @@
 )
 
 
+def kept(after_revision, encoded):
+    """Return changes that confirm no view, or an old one would seem current."""
+    return RelayedChanges(after_revision, encoded, is_recent=False)
+
+
 class RecentChangesTest(unittest.TestCase):
     def setUp(self):
         self.recent = RecentChanges()
@@ -22,13 +27,13 @@
 
     def test_the_changes_after_a_revision_are_consecutive(self):
         first, second = self.recent.after(12)
-        self.assertEqual(first, RelayedChanges(12, b"to 13"))
-        self.assertEqual(second, RelayedChanges(13, b"to 20"))
+        self.assertEqual(first, kept(12, b"to 13"))
+        self.assertEqual(second, kept(13, b"to 20"))
 
     def test_changes_that_begin_before_the_revision_follow_it(self):
         # Hosts read changes in batches of different sizes.
         first, _ = self.recent.after(11)[:2]
-        self.assertEqual(first, RelayedChanges(11, b"to 12"))
+        self.assertEqual(first, kept(11, b"to 12"))
 
     def test_nothing_is_given_unless_all_that_follows_is_known(self):
         # A host that applies changes after a gap keeps outdated entries for good.
