Give a peer what this host has applied, whatever its store does

A peer now sends what it has applied at once, asks the store only for what follows, and keeps the entries that it read last for a host that nothing else helps. Peers that reach the store and are ahead are asked first; after a request without an answer those of all zones are.

Tests that fail before: three of test_change_requests, one each of test_hosts and test_follower.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -300,12 +300,14 @@
     def peers_to_ask(self, revision: int, now_s: float) -> list[HostEntry]:
         """Return the peers that may tell of changes after a revision.
 
-        Those that reach the store are asked first, as they know that it is the latest.
+        Those that reach the store are asked first, as they know that it is the latest,
+        and of these those that are known to have later changes.
         """
         heard = [e for e in self.peers() if e.tunnel_key and self._heard(e, now_s)]
         connected = [e for e in heard if self._peers[e.name].store_connected]
         ahead = [e for e in heard if self._peers[e.name].store_revision > revision]
-        return connected or ahead
+        both = [e for e in connected if e in ahead]
+        return both or connected or ahead
 
     def _heard(self, entry: HostEntry, now_s: float) -> bool:
         peer = self._peers.get(entry.name)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/recent_changes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/recent_changes.py
@@ -1,9 +1,10 @@
-"""Changes that this host has applied lately, for peers that missed them."""
+"""What this host has read and applied lately, for peers that missed it."""
 
 from collections import deque
 from dataclasses import dataclass
 
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges, StoreChanges
+from persimmonyoke.internal.fleet.store_revision import era_of
 
 MAX_CHANGES = 64
 MAX_BYTES = 262_144
@@ -20,15 +21,16 @@
 
 
 class RecentChanges:
-    """Keep the last consecutive changes."""
+    """Keep the last consecutive changes, and the entries before them."""
 
     def __init__(self) -> None:
+        self._entries: StoreChanges | None = None
         self._changes: deque[_Applied] = deque()
         self._size_bytes = 0
 
     def note(self, after_revision: int, revision: int, encoded: bytes) -> None:
         """Add changes; those before a gap are forgotten."""
-        if self._changes and self._changes[-1].revision != after_revision:
+        if self.revision not in (None, after_revision):
             self.clear()
         if revision == after_revision:
             return
@@ -37,11 +39,41 @@
         while self._size_bytes > MAX_BYTES or len(self._changes) > MAX_CHANGES:
             self._size_bytes -= len(self._changes.popleft().encoded)
 
+    def note_entries(self, entries: StoreChanges) -> None:
+        """Keep all entries as of a revision in place of the changes before it."""
+        self.clear()
+        if 0 < len(entries.encoded) <= MAX_BYTES:
+            self._entries = StoreChanges((), entries.revision, entries.encoded)
+
     def clear(self) -> None:
-        """Forget all changes."""
+        """Forget all changes and entries."""
+        self._entries = None
         self._changes.clear()
         self._size_bytes = 0
 
+    @property
+    def revision(self) -> int | None:
+        """Return the revision of the last change or of the entries, if any."""
+        if self._changes:
+            return self._changes[-1].revision
+        return self._entries.revision if self._entries else None
+
+    def entries_after(self, revision: int) -> list[RelayedChanges]:
+        """Return all entries and the changes after them, for a host at a revision.
+
+        None are returned if the host knows as much, or its revision is of another era.
+        """
+        entries = self._entries
+        if entries is None or entries.revision <= revision:
+            return []
+        if era_of(entries.revision) != era_of(revision):
+            return []
+        rest = self.after(entries.revision)
+        if self._changes and not rest:
+            # Changes that were too many are missing between them.
+            return []
+        return [RelayedChanges(revision, entries.encoded, is_recent=False), *rest]
+
     def after(self, revision: int) -> list[RelayedChanges]:
         """Return the changes after a revision; none unless all of them are known.
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -191,6 +191,11 @@
         states = ("host-2", False, 50), ("host-3", True, 40)
         self.assertEqual(self.asked(*states), ["host-3"])
 
+    def test_of_those_that_reach_the_store_the_ones_ahead_are_asked(self):
+        # A peer that was behind itself answered that there was nothing newer.
+        states = ("host-2", True, 40), ("host-3", True, 50), ("host-4", False, 60)
+        self.assertEqual(self.asked(*states), ["host-3"])
+
     def test_without_the_store_the_peers_that_are_ahead_are_asked(self):
         states = ("host-2", False, 50), ("host-3", False, 40)
         self.assertEqual(self.asked(*states), ["host-2"])
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_recent_changes.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_recent_changes.py
@@ -2,12 +2,13 @@
 
 import unittest
 
-from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.interfaces import RelayedChanges, StoreChanges
 from persimmonyoke.internal.fleet.recent_changes import (
     MAX_BYTES,
     MAX_CHANGES,
     RecentChanges,
 )
+from persimmonyoke.internal.fleet.store_revision import join_revision
 
 
 def kept(after_revision, encoded):
@@ -58,6 +59,31 @@
         self.assertEqual(len(self.recent.after(newest)), 1)
         self.assertEqual(self.recent.after(newest - 1), [])
 
+    def test_entries_are_given_with_the_changes_after_them(self):
+        self.recent.note_entries(StoreChanges((), 30, b"all"))
+        self.recent.note(30, 31, b"to 31")
+        given = self.recent.entries_after(12)
+        self.assertEqual([c.encoded for c in given], [b"all", b"to 31"])
+        self.assertEqual([c.after_revision for c in given], [12, 30])
+        self.assertEqual(self.recent.after(12), [])
+        self.assertEqual(self.recent.entries_after(30), [])
+
+    def test_entries_of_another_era_or_before_a_gap_are_not_given(self):
+        # A host would keep entries that were removed in between.
+        self.recent.note_entries(StoreChanges((), join_revision(2, 30), b"all"))
+        self.assertEqual(self.recent.entries_after(12), [])
+        self.recent.note_entries(StoreChanges((), 30, b"all"))
+        for number in range(30, 40 + MAX_CHANGES):
+            self.recent.note(number, number + 1, b"one")
+        self.assertEqual(self.recent.entries_after(12), [])
+        self.recent.note_entries(StoreChanges((), 30, b"all"))
+        self.recent.note(35, 36, b"after a gap")
+        self.assertEqual(self.recent.entries_after(12), [])
+
+    def test_entries_over_the_limit_are_not_kept(self):
+        self.recent.note_entries(StoreChanges((), 30, b"x" * (MAX_BYTES + 1)))
+        self.assertIsNone(self.recent.revision)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/change_requests.py
@@ -75,27 +75,51 @@
         )
 
     def _answer(self, request: ChangesRequest, send: SendChanges) -> None:
+        """Send what this host has applied, then what the store says now.
+
+        The store may not answer this host in time, whatever it did a moment ago.
+        """
+        after_revision = request.after_revision
+        known = self._recent.after(after_revision)
         try:
-            missed = self._missed(request.after_revision)
-            sent = sum(map(send, missed)) if self._accepts(request) else 0
-            self._log(request, missed, sent)
+            if known:
+                after_revision = self._recent.revision
+                self._send(request, known, send)
+            if self._state.store_connected:
+                self._send(request, [self._latest(after_revision)], send)
+            elif not known:
+                self._send_entries(request, send)
         except StoreUnavailable as error:
             self._state.journal.failure(
                 "changes_not_served", error, asked_by=request.host
             )
+            if not known:
+                self._send_entries(request, send)
         except Exception:
             self._state.journal.unexpected("changes_not_served", asked_by=request.host)
         finally:
             self._answering -= 1
 
-    def _missed(self, after_revision: int) -> list[RelayedChanges]:
-        """Return the changes after a revision, as recent as this host can tell."""
-        if not self._state.store_connected:
-            return self._recent.after(after_revision)
+    def _send_entries(self, request: ChangesRequest, send: SendChanges) -> None:
+        entries = self._recent.entries_after(request.after_revision)
+        self._send(request, entries, send)
+
+    def _send(
+        self,
+        request: ChangesRequest,
+        missed: Sequence[RelayedChanges],
+        send: SendChanges,
+    ) -> None:
+        """Send changes, unless the era has changed since the host asked."""
+        sent = sum(map(send, missed)) if self._accepts(request) else 0
+        self._log(request, missed, sent)
+
+    def _latest(self, after_revision: int) -> RelayedChanges:
+        """Return what the store says of the changes after a revision."""
         asked = read_clocks()
         encoded = self._read(after_revision)
         is_recent = read_clocks().elapsed_s(asked) <= READ_TIMEOUT_S
-        return [RelayedChanges(after_revision, encoded, is_recent=is_recent)]
+        return RelayedChanges(after_revision, encoded, is_recent=is_recent)
 
     def _read(self, after_revision: int) -> bytes:
         """Return the changes after a revision, or all entries if they are lost."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/follower.py
@@ -114,6 +114,7 @@
         self._confirmation_wanted = False
         self._behind_since_s: float | None = None
         self._asked_s = float("-inf")
+        self._unanswered = False
         self._watching = True
         self._checking_version = False
         self._snapshot_requested = Event()
@@ -126,6 +127,7 @@
 
     def note_relayed(self, changes: RelayedChanges) -> None:
         """Queue changes that a peer's watch returned."""
+        self._unanswered = False
         self._relayed.append(changes)
         self._changes_arrived.set()
 
@@ -217,7 +219,9 @@
         if not peers or now_s - self._asked_s < REQUEST_INTERVAL_S:
             return
         self._confirmation_wanted, self._asked_s = False, now_s
-        peer = self._state.rng.choice(_nearest(peers, self._own_zone))
+        # A peer that has not answered may be as unable to as others of its zone.
+        asked = peers if self._unanswered else _nearest(peers, self._own_zone)
+        peer, self._unanswered = self._state.rng.choice(asked), True
         self._log_behind(revision, now_s, asked=peer.name)
         self._request_changes(peer, revision)
 
@@ -267,7 +271,7 @@
         changes = self._store.snapshot()
         self._state.note_store_answer(time.monotonic())
         # The first page does not reflect changes made while later pages are read.
-        self.recent.clear()
+        self.recent.note_entries(changes)
         self._note_store_revision(changes.revision, asked)
         self._needs_snapshot = False
         self._updates.apply_snapshot(changes.events)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_change_requests.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_change_requests.py
@@ -5,7 +5,11 @@
 import gevent
 
 from persimmonyoke.errors import HistoryLost, StoreUnavailable
-from persimmonyoke.internal.fleet.interfaces import ChangesRequest, ReplicaUpdated
+from persimmonyoke.internal.fleet.interfaces import (
+    ChangesRequest,
+    ReplicaUpdated,
+    StoreChanges,
+)
 from persimmonyoke.internal.fleet.recent_changes import RecentChanges
 from persimmonyoke.internal.fleet.store_revision import join_revision
 from persimmonyoke.internal.gateway.change_requests import MAX_ANSWERING, ChangeServer
@@ -60,6 +64,40 @@
         self.assertEqual(changes.encoded, b"kept")
         self.assertEqual(self.store.watch_calls, 0)
 
+    def test_a_peer_gets_what_was_applied_though_the_store_falls_silent(self):
+        # The host still counted as connected, so its requests ended without an answer.
+        self.recent.note(1, 2, b"kept")
+        self.lose_history(StoreUnavailable)
+        (changes,) = self.ask()
+        self.assertEqual(changes.encoded, b"kept")
+
+    def test_the_store_is_asked_only_for_what_was_not_applied(self):
+        # A change of the configuration would be sent twice.
+        asked = []
+        self.recent.note(1, 2, b"kept")
+
+        def changes(**call):
+            asked.append(call["after_revision"])
+            return StoreChanges((), 2, b"nothing")
+
+        self.store.changes = changes
+        self.assertEqual([c.encoded for c in self.ask()], [b"kept", b"nothing"])
+        self.assertEqual(asked, [2])
+        self.assertEqual([c.is_recent for c in self.sent], [False, True])
+
+    def test_entries_that_were_read_are_given_though_the_store_falls_silent(self):
+        # Hosts read all entries when the store drops its history, and then could tell
+        # nothing of the changes before.
+        self.store.publish(ReplicaUpdated(engine("a")))
+        self.recent.note_entries(self.store.snapshot())
+        self.recent.note(2, 3, b"kept")
+        self.lose_history(StoreUnavailable)
+        entries, changes = self.ask()
+        self.assertEqual(entries.after_revision, 1)
+        decoded = self.store.decode_changes(entries.encoded)
+        self.assertEqual(decoded.events, self.store.events)
+        self.assertEqual((changes.after_revision, changes.encoded), (2, b"kept"))
+
     def test_a_host_that_has_not_read_the_entry_gets_nothing(self):
         # Entries hold the keys of all hosts.
         for key in ("", "other", "\u00e9"):
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_follower.py
@@ -211,6 +211,20 @@
         self.assertEqual(self.requests[0], ("host-2", known))
         self.assertTrue(any("behind_peers" in line for line in self.log))
 
+    def test_after_a_request_without_an_answer_other_zones_are_asked_as_well(self):
+        # Peers of the own zone were asked again and again that could not help.
+        for number in range(2, 12):
+            zone = "zone-a" if number == 2 else "zone-b"
+            entry = host(f"host-{number}", port=number, zone=zone, tunnel_key="k")
+            self.state.hosts.put(entry, now_s=time.monotonic())
+        with gevent.Timeout(10.0):
+            while not any(name != "host-2" for name, _ in self.requests):
+                for number in range(2, 12):
+                    state = PeerState(time.monotonic(), True, 7, True, 40)
+                    self.state.hosts.note_peer(f"host-{number}", state)
+                gevent.sleep(0.02)
+        self.assertEqual(self.requests[0][0], "host-2")
+
     def test_a_peer_is_not_asked_while_the_view_is_confirmed(self):
         known, until_s = self.state.view.revision, time.monotonic() + 1.0
         while time.monotonic() < until_s:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/gated_store.py
@@ -64,7 +64,7 @@
         """Return the entries as of the start of the call."""
         self.snapshots += 1
         self._check_available()
-        taken = StoreChanges(self.events, self.revision)
+        taken = self._all_entries()
         self.snapshot_gate.wait()
         return taken
 
@@ -91,9 +91,13 @@
     def encoded_snapshot(self) -> bytes:
         """Return the entries in a form that ``decode_changes`` knows."""
         self._check_available()
+        return self._all_entries().encoded
+
+    def _all_entries(self) -> StoreChanges:
         encoded = b"snapshot at %d" % self.revision
-        self._encoded[encoded] = StoreChanges(self.events, self.revision, encoded)
-        return encoded
+        entries = StoreChanges(self.events, self.revision, encoded)
+        self._encoded[encoded] = entries
+        return entries
 
     def decode_changes(self, encoded: bytes) -> StoreChanges:
         """Return what ``relay`` or ``encoded_snapshot`` encoded."""
