Keep a collector that is heard when its registration ends

26 hosts were cut off from the store, among them the collector of a zone. When its lease ended, fourteen of its zone and of another one began to collect in the same moment: each counted for how long no host before it had collected, which for hosts that never do is since its own start. The first in the list went on for ten seconds beside the former one, which goes on as it is not told; its link of 10 Mbit/s carried no request of its own any more, and others took over beside it.

A host that is heard without a registration keeps its place in the order, so that nothing is handed over, and its work counts. If a collector does leave the list, its successors wait for their turn from when it was last heard.

Tests that fail before: three of test_relay, one of test_collectors.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
@@ -37,8 +37,9 @@
 class CollectorElection:
     """Elect the collector of the own zone by name order, with takeover on silence.
 
-    ``zone_hosts`` are the registered hosts of the zone ordered by name, including this
-    one. A host is the collector while it hears no preceding one.
+    ``zone_hosts`` are the hosts of the zone in their order, including this one. A host
+    is the collector while it hears no preceding one. One that is not in the order any
+    more counts as preceding, so that its successors take over one after the other.
     """
 
     def __init__(self, own_name: str, *, now_s: float) -> None:
@@ -63,7 +64,9 @@
             silent_s = self._silent_s(zone_hosts, now_s)
             return Standing(None, len(zone_hosts), silent_s)
         rank = zone_hosts.index(self._own_name)
-        silent_s = self._silent_s(zone_hosts[:rank], now_s)
+        not_before = zone_hosts[rank:]
+        before = [name for name in self._heard_s if name not in not_before]
+        silent_s = self._silent_s(before, now_s)
         return Standing(rank, len(zone_hosts), silent_s)
 
     def accepts(self, name: str, zone_hosts: Sequence[str], *, now_s: float) -> bool:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -156,6 +156,15 @@
         """Return the registered hosts of a zone ordered by name, including this one."""
         return self._zones().get(zone, [])
 
+    def members(self, zone: str, now_s: float) -> list[HostEntry]:
+        """Return the hosts of a zone in their order, unregistered ones that are heard.
+
+        A host that the store turns away loses its registration, and serves on.
+        """
+        unregistered = self.unregistered(now_s)
+        heard = [entry for entry in unregistered if entry.availability_zone == zone]
+        return sorted([*self.registered(zone), *heard], key=_order)
+
     def zones(self) -> list[str]:
         """Return the zones with registered hosts."""
         return list(self._zones())
@@ -172,7 +181,7 @@
     def _zones(self) -> dict[str, list[HostEntry]]:
         if self._by_zone is None:
             self._by_zone = {}
-            for entry in sorted(self._entries.values(), key=lambda e: e.name):
+            for entry in sorted(self._entries.values(), key=_order):
                 self._by_zone.setdefault(entry.availability_zone, []).append(entry)
         return self._by_zone
 
@@ -362,6 +371,11 @@
         return now_s - heard_s > self._peer_timeout_s
 
 
+def _order(entry: HostEntry) -> str:
+    """Return the key by which hosts of a zone agree on who has a duty."""
+    return entry.name
+
+
 def _precedes(peer_revision: int, revision: int) -> bool:
     """Return whether a revision is no later than another one of the same era."""
     return peer_revision <= revision and era_of(peer_revision) == era_of(revision)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_collectors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_collectors.py
@@ -37,6 +37,18 @@
         third.note_heard("host-1", now_s=after_s)
         self.assertFalse(third.collects(HOSTS, now_s=after_s + TAKEOVER_S))
 
+    def test_hosts_take_over_one_by_one_when_the_collector_leaves_the_list(self):
+        # Its registration ended. All others began to collect in the same moment, as
+        # each counted the silence of preceding hosts, which never collect, as its own.
+        waiting = [election(name) for name in HOSTS[1:]]
+        for other in waiting:
+            other.note_heard("host-0", now_s=NOW_S)
+        collecting = [e.collects(HOSTS[1:], now_s=NOW_S + 0.1) for e in waiting]
+        self.assertEqual(collecting, [True] + [False] * 6)
+        after_s = NOW_S + TAKEOVER_S
+        self.assertTrue(waiting[1].collects(HOSTS[1:], now_s=after_s))
+        self.assertFalse(waiting[2].collects(HOSTS[1:], now_s=after_s))
+
     def test_a_host_stops_collecting_when_an_earlier_one_is_back(self):
         second = election("host-1")
         self.assertTrue(second.collects(HOSTS, now_s=NOW_S))
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -115,11 +115,13 @@
     @property
     def is_first(self) -> bool:
         """Return whether this host is the first registered host of its zone."""
-        return self._zone_names()[:1] == [self._name]
+        registered = self._state.hosts.registered(self._zone)
+        return [entry.name for entry in registered[:1]] == [self._name]
 
     def hears_collector(self, *, now_s: float) -> bool:
         """Return whether another collector of this zone was heard recently."""
-        return self._election.hears_other_collector(self._zone_names(), now_s=now_s)
+        names = self._zone_names(now_s)
+        return self._election.hears_other_collector(names, now_s=now_s)
 
     @property
     def collecting(self) -> bool:
@@ -152,13 +154,14 @@
 
     def report_to(self, *, now_s: float) -> list[HostEntry]:
         """Return the hosts to which this one sends its reports."""
-        entries = {e.name: e for e in self._zone_entries()}
+        entries = {e.name: e for e in self._zone_entries(now_s)}
         names = self._election.report_to(list(entries), now_s=now_s)
         return [entries[name] for name in names]
 
     def note_report(self, message: PeerMessage, *, now_s: float) -> None:
         """Record a report of a host of this zone, or of this host itself."""
-        if message.host != self._name and message.host not in self._zone_names():
+        names = self._zone_names(now_s)
+        if message.host != self._name and message.host not in names:
             # Sent by a host of another zone that is draining or knows few hosts yet.
             return
         if self._collecting and self._has_just_started(message):
@@ -175,7 +178,7 @@
 
     def collect(self, *, now_s: float) -> None:
         """Send the messages that are due if this host is its zone's collector."""
-        names = self._zone_names()
+        names = self._zone_names(now_s)
         collects = not self._state.draining and self._election.collects(
             names, now_s=now_s
         )
@@ -271,17 +274,15 @@
             for chunk in chunks
         ]
 
-    def _zone_names(self) -> list[str]:
-        return [entry.name for entry in self._zone_entries()]
+    def _zone_names(self, now_s: float) -> list[str]:
+        return [entry.name for entry in self._zone_entries(now_s)]
 
-    def _zone_entries(self) -> Sequence[HostEntry]:
-        return self._state.hosts.registered(self._zone)
+    def _zone_entries(self, now_s: float) -> Sequence[HostEntry]:
+        return self._state.hosts.members(self._zone, now_s)
 
     def _members(self, now_s: float) -> list[HostEntry]:
-        """Return the other hosts of this zone, and unregistered ones that are heard."""
-        unregistered = self._state.hosts.unregistered(now_s)
-        near = [e for e in unregistered if e.availability_zone == self._zone]
-        return [e for e in self._zone_entries() if e.name != self._name] + near
+        """Return the other hosts of this zone."""
+        return [e for e in self._zone_entries(now_s) if e.name != self._name]
 
     def _far_collectors(self) -> list[HostEntry]:
         """Return the collectors of other zones and the hosts next in line."""
@@ -383,7 +384,7 @@
             self._far_sources[message.zone] = message.sender
             self._board.note_zone_digest(message.zone, message.digest, now_s=now_s)
             return False
-        names = self._zone_names()
+        names = self._zone_names(now_s)
         if not self._election.accepts(message.sender, names, now_s=now_s):
             return False
         self._election.note_heard(message.sender, now_s=now_s)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -125,6 +125,38 @@
         heard = hosts.states("z2", newer_than_s=self.network.now_s - 2.0)
         self.assertEqual(len(heard), 9)
 
+    def test_a_collector_that_loses_its_registration_goes_on_alone(self):
+        # The store turned it away. The next host took over beside it, for as long as
+        # it heard neither of the two: both sent to all hosts of the zone.
+        for name, running in self.network.hosts.items():
+            if name != "z1-000":
+                running.state.hosts.remove("z1-000", now_s=self.network.now_s)
+        self.network.run(2.0)
+        collecting = [n for n, h in self.network.hosts.items() if h.relay.collecting]
+        self.assertEqual(collecting, ["z1-000", "z2-000", "z3-000"])
+        self.begin_run("z1-007")
+        self.begin_run("z1-000")
+        self.network.run(CROSS_ZONE_PROPAGATION_S)
+        self.assertEqual(set(self.running_at("e1").values()), {2})
+
+    def test_a_host_that_knows_of_the_end_of_a_registration_alone_does_not_collect(
+        self,
+    ):
+        # It heard of the collector's return late, and collected beside it until then.
+        state = self.network.hosts["z1-001"].state
+        state.hosts.remove("z1-000", now_s=self.network.now_s)
+        self.network.run(2.0)
+        self.assertFalse(self.network.hosts["z1-001"].relay.collecting)
+
+    def test_work_of_a_host_that_lost_its_registration_counts(self):
+        # It serves on for as long as the store turns it away.
+        for name, running in self.network.hosts.items():
+            if name != "z1-005":
+                running.state.hosts.remove("z1-005", now_s=self.network.now_s)
+        self.begin_run("z1-005")
+        self.network.run(CROSS_ZONE_PROPAGATION_S)
+        self.assertEqual(set(self.running_at("e1").values()), {1})
+
     def test_zone_recovers_when_its_first_hosts_are_killed(self):
         self.network.lost.update({"z1-000", "z1-001"})
         self.network.run(1.5)
