Give the duties of a zone to the hosts with the fastest links

Collector and watchers were the first hosts by name. Hosts tell their link in their entry (limits.link-mbps), and a zone's order is by link, then by name; while a registered host tells none, as an earlier build does, it is by name, since all hosts have to know the same order.

Tests: test_hosts, DutyOrderTest.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from itertools import takewhile
 
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.fleet.store_revision import era_of
@@ -153,7 +154,7 @@
         return len(self._entries) > MAX_MESH_HOSTS
 
     def registered(self, zone: str) -> list[HostEntry]:
-        """Return the registered hosts of a zone ordered by name, including this one."""
+        """Return the registered hosts of a zone in their order, including this one."""
         return self._zones().get(zone, [])
 
     def members(self, zone: str, now_s: float) -> list[HostEntry]:
@@ -163,7 +164,7 @@
         """
         unregistered = self.unregistered(now_s)
         heard = [entry for entry in unregistered if entry.availability_zone == zone]
-        return sorted([*self.registered(zone), *heard], key=_order)
+        return _in_order([*self.registered(zone), *heard])
 
     def zones(self) -> list[str]:
         """Return the zones with registered hosts."""
@@ -180,9 +181,10 @@
 
     def _zones(self) -> dict[str, list[HostEntry]]:
         if self._by_zone is None:
-            self._by_zone = {}
-            for entry in sorted(self._entries.values(), key=_order):
-                self._by_zone.setdefault(entry.availability_zone, []).append(entry)
+            zones: dict[str, list[HostEntry]] = {}
+            for entry in sorted(self._entries.values(), key=_name):
+                zones.setdefault(entry.availability_zone, []).append(entry)
+            self._by_zone = {zone: _in_order(found) for zone, found in zones.items()}
         return self._by_zone
 
     def peers(self) -> list[HostEntry]:
@@ -247,15 +249,15 @@
         """Return whether this host is one of the store watchers of its zone.
 
         The watchers relay changes to the other hosts. Hosts without contact to the
-        store don't count, so that the next ones in name order replace them.
+        store don't count, so that the next ones in the order replace them.
         """
-        watching = sum(
-            1
-            for entry in self.registered(own_zone)
-            if entry.name < self._own_name and self._may_watch(entry, now_s)
-        )
+        before = takewhile(self._is_other, self.registered(own_zone))
+        watching = sum(1 for entry in before if self._may_watch(entry, now_s))
         return watching < WATCHERS_PER_ZONE
 
+    def _is_other(self, entry: HostEntry) -> bool:
+        return entry.name != self._own_name
+
     def _may_watch(self, entry: HostEntry, now_s: float) -> bool:
         """Return whether a host is known to be in contact with the store."""
         peer = self._peers.get(entry.name)
@@ -371,11 +373,26 @@
         return now_s - heard_s > self._peer_timeout_s
 
 
-def _order(entry: HostEntry) -> str:
-    """Return the key by which hosts of a zone agree on who has a duty."""
+def _in_order(entries: Sequence[HostEntry]) -> list[HostEntry]:
+    """Return the hosts of a zone in the order in which they take on duties for it.
+
+    A host that sends to its whole zone needs a link that bears it. Builds that do not
+    tell their link know the order by name only, and all must know the same one.
+    """
+    by_name = sorted(entries, key=_name)
+    if any(entry.link_mbit_per_s <= 0.0 for entry in by_name):
+        return by_name
+    return sorted(by_name, key=_link_mbit_per_s, reverse=True)
+
+
+def _name(entry: HostEntry) -> str:
     return entry.name
 
 
+def _link_mbit_per_s(entry: HostEntry) -> float:
+    return entry.link_mbit_per_s
+
+
 def _precedes(peer_revision: int, revision: int) -> bool:
     """Return whether a revision is no later than another one of the same era."""
     return peer_revision <= revision and era_of(peer_revision) == era_of(revision)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/model.py
@@ -154,6 +154,9 @@
     knows_eras: bool = False
     """Whether its build orders revisions of the store across eras."""
 
+    link_mbit_per_s: float = 0.0
+    """Capacity of its link; 0 if it is not known."""
+
 
 @dataclass(frozen=True)
 class WithheldRequest:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -99,6 +99,47 @@
         self.assertEqual(hosts.newest_revision(NOW_S), 40)
 
 
+class DutyOrderTest(unittest.TestCase):
+    """Duties for a zone went to the first names, also of hosts with a weak link."""
+
+    def hosts(self, **links):
+        view = HostView("host-2")
+        for name, link_mbit_per_s in links.items():
+            entry = host(name.replace("_", "-"), link_mbit_per_s=link_mbit_per_s)
+            view.put(entry, now_s=0.0)
+        return view
+
+    def order(self, view, now_s=NOW_S):
+        return [entry.name for entry in view.members("zone-a", now_s)]
+
+    def test_hosts_with_the_fastest_links_come_first(self):
+        view = self.hosts(host_1=10.0, host_2=10.0, host_10=10.0, host_3=200.0)
+        names = ["host-3", "host-1", "host-10", "host-2"]
+        self.assertEqual(self.order(view), names)
+        self.assertEqual([e.name for e in view.registered("zone-a")], names)
+
+    def test_a_host_that_tells_no_link_leaves_all_in_the_order_by_name(self):
+        # Hosts of an earlier build know no other one, and would collect beside others.
+        view = self.hosts(host_1=10.0, host_2=0.0, host_3=200.0)
+        self.assertEqual(self.order(view), ["host-1", "host-2", "host-3"])
+
+    def test_a_host_without_a_registration_keeps_its_place_while_it_is_heard(self):
+        view = self.hosts(host_1=10.0, host_2=10.0, host_3=200.0)
+        view.note_peer("host-3", PeerState(NOW_S, True, 7))
+        view.remove("host-3", now_s=NOW_S)
+        self.assertEqual(self.order(view)[0], "host-3")
+        self.assertEqual(self.order(view, NOW_S + 60.0), ["host-1", "host-2"])
+
+    def test_hosts_with_the_fastest_links_watch_the_store(self):
+        # A watcher passes each change on to its zone, and a large one fills its link.
+        links = {f"host_{number}": 10.0 for number in range(1, 8)}
+        view = self.hosts(**links, host_8=200.0, host_9=200.0, host_91=200.0)
+        for entry in view.peers():
+            state = PeerState(NOW_S, True, 7, store_connected=True)
+            view.note_peer(entry.name, state)
+        self.assertFalse(view.watches_store("zone-a", NOW_S))
+
+
 class PeersKnowledgeTest(unittest.TestCase):
     """Hosts joined streams of two versions as nobody had told them of a change."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/settings.py
@@ -79,6 +79,8 @@
     """Memory above which the platform kills this process."""
     max_descriptors: int = DEFAULT_DESCRIPTORS
     """Descriptors that this process may open, those for files included."""
+    link_mbit_per_s: float = 0.0
+    """Capacity of this host's link; 0 if the platform states none."""
 
     @property
     def held_limit_bytes(self) -> int:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/state.py
@@ -208,6 +208,7 @@
             ready=self.ready,
             tunnel_key=self.tunnel_key,
             knows_eras=True,
+            link_mbit_per_s=self.settings.link_mbit_per_s,
         )
 
     def start_store_contact(self, now_s: float) -> None:
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/builders_fleet.py
@@ -92,7 +92,16 @@
     ready: bool = True,
     zone: str = "zone-a",
     tunnel_key: str = "",
+    link_mbit_per_s: float = 0.0,
 ) -> HostEntry:
     """Return the store entry of an entry host."""
-    front = f"127.0.0.1:{port}"
-    return HostEntry(name, front, "127.0.0.1", port, zone, ready, tunnel_key)
+    return HostEntry(
+        name,
+        f"127.0.0.1:{port}",
+        "127.0.0.1",
+        port,
+        zone,
+        ready,
+        tunnel_key,
+        link_mbit_per_s=link_mbit_per_s,
+    )
