Keep a collector's datagrams within a share of its link

A collector with a link of 10 Mbit/s (1,250 KB a second) sent up to 825 KB a second, and one of 200 Mbit/s 1,337, most of it placements to the 24 hosts of its zone. Its own requests, tunnels and store calls timed out behind them for eight seconds, and hosts that heard it late took over beside it, on the same kind of link. Nothing in the product knew the capacity of a link.

Datagrams of a collector now draw on two fifths of the link of limits.link-mbps. What is sent once waits for room; a placement that was passed on within 5 s (receivers count on it for 20) is not repeated; those of parts that were met before go first, since most others belong to one request. In debt, sums and states come half as often, still twice within the silence after which others take over. Links of unknown capacity are not limited.

Tests that fail before: both of test_relay.WeakLinkTest (3,307,416 bytes in 3 s, 1,875,000 allowed; a shared part does not arrive).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -20,6 +20,7 @@
 from persimmonyoke.internal.fleet.interfaces import ChangesRequest, RelayedChanges
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.fleet.replica_links import LinkState
+from persimmonyoke.internal.fleet.send_budget import SendBudget
 from persimmonyoke.internal.gateway.change_parts import (
     ChangesAssembler,
     ChangesPart,
@@ -93,7 +94,10 @@
         self._inbox: DatagramInbox | None = None
         self._near = PeerGroup(MAX_NEAR_DATAGRAMS_PER_S)
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
-        self._relay = HostRelay(state, self._send_to, now_s=time.monotonic())
+        self._budget = SendBudget(state.settings.link_mbit_per_s)
+        self._relay = HostRelay(
+            state, self._send_to, self._budget, now_s=time.monotonic()
+        )
         self._suspects = SuspectLink(state, self._send_raw)
         self._loans = RetryLoanLink(state, self._send_raw)
         state.on_cached = self._queue_cached_parts
@@ -216,7 +220,7 @@
         state = self._collect_state()
         if self._relay.collecting:
             unsent = self._near.take_unsent()
-            self._relay.add_updates(unsent.placements, unsent.refused)
+            self._relay.add_updates(unsent.placements, unsent.refused, now_s=now_s)
         message = self._near.message(state, now_s=now_s)
         message = self._relay.report(message, now_s=now_s)
         self._send(self._relay.report_to(now_s=now_s), message)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -6,8 +6,7 @@
 datagrams a second, regardless of the number of hosts.
 """
 
-from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import replace
 
 from persimmonyoke.internal.dispatch.digests import (
@@ -20,6 +19,7 @@
 from persimmonyoke.internal.fleet.collectors import CollectorElection
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.send_budget import SendBudget
 from persimmonyoke.internal.gateway.clocks import boot_time_s
 from persimmonyoke.internal.gateway.configuration_evidence import (
     note_peer_configuration,
@@ -32,20 +32,15 @@
     HostState,
     StatesMessage,
     UpdatesMessage,
-    encode_cached_parts,
     encode_digest,
     encode_states,
-    encode_updates,
     pack,
     with_sequence,
 )
 from persimmonyoke.internal.gateway.peer_messages import PeerMessage, peer_state
-from persimmonyoke.internal.gateway.relay_queues import (
-    Outgoing,
-    Schedule,
-    UpdateQueue,
-    take_up_to,
-)
+from persimmonyoke.internal.gateway.relay_cached_parts import CachedPartsRelay
+from persimmonyoke.internal.gateway.relay_queues import Outgoing, Schedule
+from persimmonyoke.internal.gateway.relay_updates import SendRoom, UpdateRelay
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
 
 QUIET_REPORT_S = 0.3
@@ -63,13 +58,11 @@
 """Age after which the state of a host is no longer relayed."""
 
 STATES_PER_MESSAGE = 10
-UPDATE_MESSAGES_PER_ROUND = 4
 
-PARTS_PER_MESSAGE = 130
-CACHED_PARTS_MESSAGES_PER_ROUND = 4
-"""Messages on cached parts that each receiver gets in a round.
+DEBT_STRETCH = 2.0
+"""Factor on the intervals while this host's datagrams take more than their share.
 
-This allows thousands of parts to be sent within two seconds of a restart of all hosts.
+Twice the interval of digests is half of the silence after which others take over.
 """
 
 STARTUP_REPORTS = 3
@@ -87,18 +80,19 @@
 class HostRelay:
     """Report to the collectors, and relay reports if this host is a collector."""
 
-    def __init__(self, state: GatewayState, send_to: SendTo, *, now_s: float) -> None:
+    def __init__(
+        self, state: GatewayState, send_to: SendTo, budget: SendBudget, *, now_s: float
+    ) -> None:
         self._state = state
         self._send_to = send_to
+        self._budget = budget
         self._name = state.settings.host_name
         self._zone = state.settings.availability_zone
         self._election = CollectorElection(self._name, now_s=now_s)
         self._far_sources: dict[str, str] = {}
         self._board = DigestAggregator()
-        self._near_updates = UpdateQueue()
-        self._far_updates = UpdateQueue()
-        self._catch_up: dict[str, deque[bytes]] = {}
-        self._cached_parts: deque[bytes] = deque()
+        self._updates = UpdateRelay(self._name, self._zone, self._incarnation)
+        self._cached_parts = CachedPartsRelay(self._name)
         self._sequence = 0
         self._reported_work: dict[int, Mapping[str, ReplicaWork]] = {}
         self._reported_queued_s: dict[int, float] = {}
@@ -146,11 +140,14 @@
         return numbered
 
     def add_updates(
-        self, placements: Sequence[PartPlacement], refused: Sequence[int]
+        self,
+        placements: Sequence[PartPlacement],
+        refused: Sequence[int],
+        *,
+        now_s: float,
     ) -> None:
         """Queue updates of this host or of others to be relayed."""
-        self._near_updates.add(placements, refused)
-        self._far_updates.add(placements, refused)
+        self._updates.add_near(placements, refused, now_s=now_s)
 
     def report_to(self, *, now_s: float) -> list[HostEntry]:
         """Return the hosts to which this one sends its reports."""
@@ -165,7 +162,8 @@
             # Sent by a host of another zone that is draining or knows few hosts yet.
             return
         if self._collecting and self._has_just_started(message):
-            self._queue_catch_up(message.host, now_s)
+            holdings = self._state.prefixes.holdings(now_s)
+            self._cached_parts.add_for(message.host, holdings)
         self._board.note_report(
             message.host,
             message.work,
@@ -174,7 +172,7 @@
             now_s=now_s,
         )
         self._board.note_suspects(message.suspects, now_s=now_s)
-        self.add_updates(message.placements, message.refused)
+        self.add_updates(message.placements, message.refused, now_s=now_s)
 
     def collect(self, *, now_s: float) -> None:
         """Send the messages that are due if this host is its zone's collector."""
@@ -188,15 +186,25 @@
             self._clear_queues()
             return
         self._election.note_heard(self._name, now_s=now_s)
-        if not self._digests.take_due(now_s):
+        stretch = 1.0 if self._budget.room_bytes(now_s) > 0.0 else DEBT_STRETCH
+        if not self._digests.take_due(now_s, stretch=stretch):
             return
-        digests, states = self._digest_messages(now_s), self._state_messages(now_s)
-        near = [*digests.near, *self._update_messages(self._near_updates), *states.near]
-        near += take_up_to(self._cached_parts, CACHED_PARTS_MESSAGES_PER_ROUND)
-        far = [*digests.far, *self._update_messages(self._far_updates), *states.far]
-        self._send(self._members(now_s), near)
-        self._send(self._far_collectors(), far)
-        self._send_catch_up(now_s)
+        self._send_round(stretch, now_s)
+
+    def _send_round(self, stretch: float, now_s: float) -> None:
+        """Send what is due; what is sent once waits until there is room for it."""
+        members, far_collectors = self._members(now_s), self._far_collectors()
+        out = self._digest_messages(now_s)
+        out.extend(self._state_messages(now_s, stretch))
+        room = SendRoom(self._budget.room_bytes(now_s))
+        room.take(len(members) * sum(map(len, out.near)))
+        room.take(len(far_collectors) * sum(map(len, out.far)))
+        out.far += self._updates.far_messages(len(far_collectors), room)
+        out.near += self._updates.near_messages(len(members), room)
+        out.near += self._cached_parts.next_messages(len(members), room)
+        self._send(members, out.near, now_s)
+        self._send(far_collectors, out.far, now_s)
+        self._send_to_started(members, room, now_s)
 
     def _note_collecting(
         self, collects: bool, names: Sequence[str], now_s: float
@@ -217,13 +225,12 @@
         self._sent_bytes = 0
 
     def _clear_queues(self) -> None:
-        self._near_updates.clear()
-        self._far_updates.clear()
-        self._catch_up.clear()
+        self._updates.clear()
+        self._cached_parts.clear_for_started()
         if not self.is_first:
             # The first host queries engines already before all hosts know it and it
             # begins to collect.
-            self._cached_parts.clear()
+            self._cached_parts.clear_for_all()
 
     def handle(self, datagram: CollectorDatagram, *, now_s: float) -> bool:
         """Apply a datagram of a collector; return whether the known work changed."""
@@ -251,28 +258,7 @@
 
     def add_cached_parts(self, replica_id: str, part_ids: Sequence[str]) -> None:
         """Queue an engine's cached parts for the hosts of this zone."""
-        self._cached_parts.extend(self._encode_cached_parts(replica_id, part_ids))
-
-    def _queue_catch_up(self, host: str, now_s: float) -> None:
-        """Queue all known cached parts for a host that has just started."""
-        by_replica: dict[str, list[str]] = {}
-        for holding in self._state.prefixes.holdings(now_s):
-            by_replica.setdefault(holding.replica_id, []).append(holding.part_id)
-        queue = self._catch_up.setdefault(host, deque())
-        for replica_id, part_ids in by_replica.items():
-            queue.extend(self._encode_cached_parts(replica_id, part_ids))
-
-    def _encode_cached_parts(
-        self, replica_id: str, part_ids: Sequence[str]
-    ) -> list[bytes]:
-        chunks = (
-            tuple(part_ids[first : first + PARTS_PER_MESSAGE])
-            for first in range(0, len(part_ids), PARTS_PER_MESSAGE)
-        )
-        return [
-            encode_cached_parts(CachedPartsMessage(self._name, replica_id, chunk))
-            for chunk in chunks
-        ]
+        self._cached_parts.add(replica_id, part_ids)
 
     def _zone_names(self, now_s: float) -> list[str]:
         return [entry.name for entry in self._zone_entries(now_s)]
@@ -318,10 +304,10 @@
         self._apply_digest(message, now_s)
         return encode_digest(message)
 
-    def _state_messages(self, now_s: float) -> Outgoing:
+    def _state_messages(self, now_s: float, stretch: float) -> Outgoing:
         """Return the messages with host states that are due."""
         out, hosts = Outgoing(), self._state.hosts
-        if not self._states.take_due(now_s):
+        if not self._states.take_due(now_s, stretch=stretch):
             return out
         near = hosts.states(self._zone, newer_than_s=now_s - STATE_TTL_S)
         if self._own_state is not None:
@@ -353,31 +339,34 @@
             for chunk in chunks
         ]
 
-    def _update_messages(self, updates: UpdateQueue) -> list[bytes]:
-        """Return the next updates, enough of them to keep the queue short."""
-        messages = (
-            updates.take(self._name, self._zone)
-            for _ in range(UPDATE_MESSAGES_PER_ROUND)
-        )
-        return [encode_updates(message) for message in messages if message is not None]
+    def _incarnation(self, replica_id: str) -> Hashable:
+        """Return what changes when an engine loses its cache."""
+        replica = self._state.replicas.get(replica_id)
+        return replica and (replica.born_unix_ms, replica.stage)
 
-    def _send_catch_up(self, now_s: float) -> None:
+    def _send_to_started(
+        self, members: Sequence[HostEntry], room: SendRoom, now_s: float
+    ) -> None:
         """Send cached parts to the hosts that have just started."""
-        members = {entry.name: entry for entry in self._members(now_s)}
-        for name, queue in list(self._catch_up.items()):
-            if name in members:
-                self._send(
-                    [members[name]], take_up_to(queue, CACHED_PARTS_MESSAGES_PER_ROUND)
-                )
-            if not queue or name not in members:
-                del self._catch_up[name]
-
-    def _send(self, receivers: Sequence[HostEntry], messages: Sequence[bytes]) -> None:
+        entries = {entry.name: entry for entry in members}
+        for name, messages in self._cached_parts.next_messages_for(
+            list(entries), room
+        ).items():
+            self._send([entries[name]], messages, now_s)
+
+    def _send(
+        self,
+        receivers: Sequence[HostEntry],
+        messages: Sequence[bytes],
+        now_s: float,
+    ) -> None:
         for packed in pack(messages):
             for entry in receivers:
                 sequence = self._board.sequence_of(entry.name)
                 self._send_to(entry, with_sequence(packed, sequence))
-            self._sent_bytes += len(receivers) * (PREFIX_BYTES + len(packed))
+            size_bytes = len(receivers) * (PREFIX_BYTES + len(packed))
+            self._budget.take(size_bytes, now_s)
+            self._sent_bytes += size_bytes
 
     def _handle_digest(self, message: DigestMessage, now_s: float) -> bool:
         if message.zone is not None and message.zone != self._zone:
@@ -413,7 +402,7 @@
         self._state.note_updates(message.placements, message.refused, now_s=now_s)
         if message.zone != self._zone:
             # The collector of this zone relays them to its hosts.
-            self._near_updates.add(message.placements, message.refused)
+            self._updates.add_far(message.placements, message.refused, now_s=now_s)
 
     def _handle_states(self, message: StatesMessage, now_s: float) -> None:
         newest_version = 0
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay_queues.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay_queues.py
@@ -1,19 +1,11 @@
 """Queues and schedules of a host that relays the reports of others."""
 
 from collections import deque
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
 
-from persimmonyoke.internal.gateway.digest_messages import UpdatesMessage
-from persimmonyoke.internal.gateway.state import PartPlacement
-
 Item = TypeVar("Item")
 
-UPDATES_PER_MESSAGE = 32
-MAX_QUEUED_UPDATES = 4_096
-"""Placements, and refused requests, queued to be relayed."""
-
 
 class Schedule:
     """Decide when a periodic action is due."""
@@ -22,41 +14,18 @@
         self._interval_s = interval_s
         self._done_s = float("-inf")
 
-    def take_due(self, now_s: float) -> bool:
-        """Return whether the action is due; mark it as done if so."""
+    def take_due(self, now_s: float, *, stretch: float = 1.0) -> bool:
+        """Return whether the action is due; mark it as done if so.
+
+        ``stretch`` is a factor on the interval.
+        """
         # Ticks come slightly late; an action due just after this tick is done now.
-        if now_s - self._done_s < 0.9 * self._interval_s:
+        if now_s - self._done_s < 0.9 * stretch * self._interval_s:
             return False
         self._done_s = now_s
         return True
 
 
-class UpdateQueue:
-    """Queue placements and refused requests that are relayed once."""
-
-    def __init__(self) -> None:
-        self._placements: deque[PartPlacement] = deque(maxlen=MAX_QUEUED_UPDATES)
-        self._refused: deque[int] = deque(maxlen=MAX_QUEUED_UPDATES)
-
-    def add(self, placements: Sequence[PartPlacement], refused: Sequence[int]) -> None:
-        """Queue updates to be relayed."""
-        self._placements.extend(placements)
-        self._refused.extend(refused)
-
-    def clear(self) -> None:
-        """Discard the queued updates, which another host relays."""
-        self._placements.clear()
-        self._refused.clear()
-
-    def take(self, sender: str, zone: str) -> UpdatesMessage | None:
-        """Return the next message of updates, or ``None`` if none are queued."""
-        if not self._placements and not self._refused:
-            return None
-        placements = take_up_to(self._placements, UPDATES_PER_MESSAGE)
-        refused = take_up_to(self._refused, UPDATES_PER_MESSAGE)
-        return UpdatesMessage(sender, zone, placements, refused)
-
-
 def take_up_to(pending: deque[Item], limit: int) -> tuple[Item, ...]:
     """Remove and return the first items of a queue."""
     return tuple(pending.popleft() for _ in range(min(limit, len(pending))))
@@ -68,3 +37,8 @@
 
     near: list[bytes] = field(default_factory=list)
     far: list[bytes] = field(default_factory=list)
+
+    def extend(self, other: "Outgoing") -> None:
+        """Add the messages of another round."""
+        self.near.extend(other.near)
+        self.far.extend(other.far)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -7,6 +7,7 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.digests import WorkDigest
 from persimmonyoke.internal.fleet.collectors import REPORT_COPIES
+from persimmonyoke.internal.fleet.send_budget import BYTES_PER_MBIT
 from persimmonyoke.internal.gateway.digest_messages import (
     MAX_DATAGRAM_BYTES,
     DigestMessage,
@@ -17,7 +18,7 @@
 )
 from persimmonyoke.internal.gateway.peer_messages import decode_datagram
 from persimmonyoke.internal.gateway.state import PartPlacement
-from persimmonyoke_testing.relay_network import STARTED_S, RelayNetwork
+from persimmonyoke_testing.relay_network import ROUND_S, STARTED_S, RelayNetwork
 
 WARM_UP_S = 2.0
 ZONE_PROPAGATION_S = 0.2
@@ -175,6 +176,56 @@
         self.assertLessEqual(self.network.longest_bytes, MAX_DATAGRAM_BYTES)
 
 
+class WeakLinkTest(unittest.TestCase):
+    """A zone of 25 hosts with links of 10 Mbit/s, and 2,000 placements a second."""
+
+    LINK_MBIT_PER_S = 10.0
+    ENGINES = [f"i-{number:010x}" for number in range(47)]
+
+    def setUp(self):
+        self.network = RelayNetwork({"z1": 25}, link_mbit_per_s=self.LINK_MBIT_PER_S)
+        self.network.run(WARM_UP_S)
+        self.parts = 0
+
+    def place(self):
+        """Let each host place four prompts parts that nobody else has."""
+        for running in self.network.hosts.values():
+            for _ in range(4):
+                engine = self.ENGINES[self.parts % len(self.ENGINES)]
+                self.parts += 1
+                part = PartPlacement(f"{self.parts:08x}", engine, 300)
+                running.placements.append(part)
+                running.state.ledger.begin_run(engine, 10)
+
+    def run_under_load(self, duration_s):
+        self.network.reset_counts()
+        for _ in range(round(duration_s / ROUND_S)):
+            self.place()
+            self.network.run(ROUND_S)
+
+    def test_a_collector_leaves_most_of_a_weak_link_to_other_traffic(self):
+        # Its own calls to the store, requests and tunnels waited behind its datagrams
+        # until they timed out.
+        self.run_under_load(3.0)
+        sent_bytes = self.network.sent_bytes["z1-000"]
+        self.assertLess(sent_bytes, 3.0 * self.LINK_MBIT_PER_S * BYTES_PER_MBIT / 2)
+        collecting = [n for n, h in self.network.hosts.items() if h.relay.collecting]
+        self.assertEqual(collecting, ["z1-000"])
+
+    def test_shared_parts_go_before_those_of_single_requests(self):
+        # Hosts that do not know of a shared part let another engine read it again.
+        first, second = self.network.hosts["z1-007"], self.network.hosts["z1-008"]
+        first.placements.append(PartPlacement("shared", "e1", 0))
+        self.network.run(1.0)
+        self.run_under_load(2.0)
+        second.placements.append(PartPlacement("shared", "e2", 0))
+        self.run_under_load(ZONE_PROPAGATION_S + ROUND_S)
+        for name, running in self.network.hosts.items():
+            if name != "z1-008":
+                holders = running.state.prefixes.holders("shared")
+                self.assertEqual(set(holders), {"e1", "e2"}, name)
+
+
 class MalformedTest(unittest.TestCase):
     def test_malformed_datagrams_of_collectors_are_rejected(self):
         digest = encode_digest(DigestMessage("a", "z1", WorkDigest(0, {})))
--- a/packages/persimmonyoke_testing/src/persimmonyoke_testing/relay_network.py
+++ b/packages/persimmonyoke_testing/src/persimmonyoke_testing/relay_network.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from persimmonyoke.internal.fleet.model import HostEntry
+from persimmonyoke.internal.fleet.send_budget import SendBudget
 from persimmonyoke.internal.gateway.peer_messages import (
     PeerMessage,
     decode_datagram,
@@ -32,10 +33,14 @@
 class RelayNetwork:
     """Run the relays of many hosts; datagrams arrive in order and without delay."""
 
-    def __init__(self, hosts_by_zone: dict[str, int]) -> None:
+    def __init__(
+        self, hosts_by_zone: dict[str, int], *, link_mbit_per_s: float = 0.0
+    ) -> None:
         self.now_s = STARTED_S
+        self._link_mbit_per_s = link_mbit_per_s
         self.hosts: dict[str, RelayHost] = {}
         self.sent: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
         self.longest_bytes = 0
         self.lost: set[str] = set()
@@ -64,6 +69,7 @@
     def reset_counts(self) -> None:
         """Reset the counts of datagrams."""
         self.sent.clear()
+        self.sent_bytes.clear()
         self.received.clear()
 
     def _start(self, entry: HostEntry) -> RelayHost:
@@ -76,7 +82,8 @@
         def send_to(receiver: HostEntry, data: bytes) -> None:
             self._deliver(entry.name, receiver.name, data)
 
-        return RelayHost(state, HostRelay(state, send_to, now_s=self.now_s))
+        budget = SendBudget(self._link_mbit_per_s)
+        return RelayHost(state, HostRelay(state, send_to, budget, now_s=self.now_s))
 
     def _run_round(self, name: str, running: RelayHost) -> None:
         relay, ledger = running.relay, running.state.ledger
@@ -96,6 +103,7 @@
 
     def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
         self.sent[sender] += 1
+        self.sent_bytes[sender] += len(data)
         self.longest_bytes = max(self.longest_bytes, len(data))
         if receiver in self.lost:
             return
