Forward large changes at the pace that a weak link bears

A watcher forwards each change to its zone at once: one of 40 KB to 24 hosts is 970 KB, three quarters of a second of a link of 10 Mbit/s, in which its own calls and requests wait. Changes draw on the same share of the link as a collector's datagrams now, in their order; small ones leave at once while there is room. The watchers of a zone begin at different hosts, so that all hosts have a large change in a third of the time that one watcher needs.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -255,6 +255,15 @@
         watching = sum(1 for entry in before if self._may_watch(entry, now_s))
         return watching < WATCHERS_PER_ZONE
 
+    def forwarding_start(self, own_zone: str, receivers: int) -> int:
+        """Return the receiver to which this watcher forwards changes first.
+
+        The watchers of a zone begin at different ones, so that on weak links a large
+        change reaches all of them in a fraction of the time that each watcher takes.
+        """
+        rank = sum(1 for _ in takewhile(self._is_other, self.registered(own_zone)))
+        return rank % WATCHERS_PER_ZONE * receivers // WATCHERS_PER_ZONE
+
     def _is_other(self, entry: HostEntry) -> bool:
         return entry.name != self._own_name
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -38,6 +38,7 @@
     ReceivedDatagram,
 )
 from persimmonyoke.internal.gateway.digest_messages import CollectorDatagram
+from persimmonyoke.internal.gateway.paced_sender import PacedSender
 from persimmonyoke.internal.gateway.peer_group import (
     CHANGED_INTERVAL_S,
     MAX_REFUSED,
@@ -95,6 +96,7 @@
         self._near = PeerGroup(MAX_NEAR_DATAGRAMS_PER_S)
         self._far = PeerGroup(MAX_FAR_DATAGRAMS_PER_S)
         self._budget = SendBudget(state.settings.link_mbit_per_s)
+        self._changes = PacedSender(self._send_to, self._budget)
         self._relay = HostRelay(
             state, self._send_to, self._budget, now_s=time.monotonic()
         )
@@ -141,8 +143,9 @@
     def forward_changes(self, changes: RelayedChanges) -> None:
         """Forward changes returned by the store to the peers of this host's zone."""
         near, _far = self._peers()
-        for data in encode_changes(changes):
-            self._send_raw(near, data)
+        zone = self._state.settings.availability_zone
+        first = self._state.hosts.forwarding_start(zone, len(near))
+        self._changes.send(near[first:] + near[:first], encode_changes(changes))
 
     def request_changes(self, peer: HostEntry, after_revision: int) -> None:
         """Ask a peer for the changes after a revision."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of the datagrams between hosts."""
 
+import random
 import time
 import unittest
 from unittest import mock
@@ -11,7 +12,13 @@
 from persimmonyoke.errors import ProtocolError
 from persimmonyoke.internal.dispatch.digests import WorkDigest
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
+from persimmonyoke.internal.fleet.hosts import HostView
 from persimmonyoke.internal.fleet.interfaces import RelayedChanges
+from persimmonyoke.internal.fleet.send_budget import (
+    BURST_S,
+    BYTES_PER_MBIT,
+    LINK_SHARE,
+)
 from persimmonyoke.internal.gateway import peers
 from persimmonyoke.internal.gateway.change_parts import ChangesPart
 from persimmonyoke.internal.gateway.clocks import boot_time_s
@@ -20,6 +27,7 @@
     encode_digest,
     with_sequence,
 )
+from persimmonyoke.internal.gateway.paced_sender import PacedSender
 from persimmonyoke.internal.gateway.peer_group import (
     CHANGED_INTERVAL_S,
     PeerGroup,
@@ -157,6 +165,56 @@
                 received.add(type(message))
 
 
+class WeakLinkTest(unittest.TestCase):
+    """A watcher with a link of 10 Mbit/s forwards a change of 57 KB to 24 hosts."""
+
+    def setUp(self):
+        self.state = gateway_state(log=[], link_mbit_per_s=10.0)
+        self.link = PeerLink(self.state)
+        self.sent = []
+        self.link._changes = PacedSender(self.note_sent, self.link._budget)
+        for number in range(25):
+            entry = host(f"host-{number}", port=number + 1)
+            self.state.hosts.put(entry, now_s=time.monotonic())
+
+    def note_sent(self, receiver, data):
+        self.sent.append((receiver.name, time.monotonic(), len(data)))
+
+    def forward(self, size_bytes):
+        encoded = random.Random(1).randbytes(size_bytes)
+        self.link.forward_changes(RelayedChanges(5, encoded))
+
+    def test_a_large_change_does_not_fill_the_link(self):
+        # Its requests and store calls waited for more than a second behind it.
+        started_s = time.monotonic()
+        self.forward(40_000)
+        gevent.sleep(0.5)
+        sent_bytes = sum(size for _, _, size in self.sent)
+        allowed_bytes = 0.5 * 10 * BYTES_PER_MBIT * (time.monotonic() - started_s)
+        burst_bytes = BURST_S * LINK_SHARE * 10 * BYTES_PER_MBIT
+        self.assertLess(sent_bytes, allowed_bytes + burst_bytes)
+        self.assertGreater(sent_bytes, 0)
+
+    def test_small_changes_are_sent_to_all_at_once_and_in_order(self):
+        self.forward(100)
+        self.assertEqual(len({name for name, _, _ in self.sent}), 24)
+        self.forward(40_000)
+        self.forward(200)
+        gevent.sleep(2.5)
+        sizes = [size for name, _, size in self.sent if name == "host-9"]
+        self.assertLess(sizes[-1], 300)
+
+    def test_watchers_begin_at_different_hosts(self):
+        # All would come late to the same hosts.
+        first = set()
+        for name in ("host-0", "host-1", "host-10"):
+            hosts = HostView(name)
+            for entry in (*self.state.hosts.peers(), host("host-1", port=2)):
+                hosts.put(entry, now_s=0.0)
+            first.add(hosts.forwarding_start("zone-a", 24))
+        self.assertEqual(len(first), 3)
+
+
 class DatagramTest(unittest.TestCase):
     def test_a_large_fleet_is_not_flooded_with_datagrams(self):
         for bound in (MAX_NEAR_DATAGRAMS_PER_S, MAX_FAR_DATAGRAMS_PER_S):
