Send a collector's sums in turns while its link has no room

The sums over 300 engines for 38 hosts of a zone, twice as rarely as usual, still took nearly all of a link of 20 Mbit/s. Without room a collector now sends one part of the sums each 0.1 s, which also shows that it is there, so that each part is at most 0.8 s old (work of others counts for 1.5 s).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -39,7 +39,7 @@
 )
 from persimmonyoke.internal.gateway.peer_messages import PeerMessage, peer_state
 from persimmonyoke.internal.gateway.relay_cached_parts import CachedPartsRelay
-from persimmonyoke.internal.gateway.relay_queues import Outgoing, Schedule
+from persimmonyoke.internal.gateway.relay_queues import Outgoing, Rotation, Schedule
 from persimmonyoke.internal.gateway.relay_updates import SendRoom, UpdateRelay
 from persimmonyoke.internal.gateway.state import GatewayState, PartPlacement
 
@@ -60,10 +60,7 @@
 STATES_PER_MESSAGE = 10
 
 DEBT_STRETCH = 2.0
-"""Factor on the intervals while this host's datagrams take more than their share.
-
-Twice the interval of digests is half of the silence after which others take over.
-"""
+"""Factor on the interval of states while datagrams take more than their share."""
 
 STARTUP_REPORTS = 3
 """Highest sequence number of a report that indicates a host has just started."""
@@ -101,6 +98,7 @@
         self._collecting = False
         self._collecting_since_s = now_s
         self._sent_bytes = 0
+        self._near_parts, self._remote_parts = Rotation(), Rotation()
         self._digests = Schedule(DIGEST_INTERVAL_S)
         self._far_digests = Schedule(FAR_INTERVAL_S)
         self._states = Schedule(STATES_INTERVAL_S)
@@ -186,16 +184,18 @@
             self._clear_queues()
             return
         self._election.note_heard(self._name, now_s=now_s)
-        stretch = 1.0 if self._budget.room_bytes(now_s) > 0.0 else DEBT_STRETCH
-        if not self._digests.take_due(now_s, stretch=stretch):
-            return
-        self._send_round(stretch, now_s)
+        if self._digests.take_due(now_s):
+            self._send_round(now_s)
 
-    def _send_round(self, stretch: float, now_s: float) -> None:
-        """Send what is due; what is sent once waits until there is room for it."""
+    def _send_round(self, now_s: float) -> None:
+        """Send what is due; what is sent once waits until there is room for it.
+
+        A part of the digest is always sent, since others replace a silent collector.
+        """
+        has_room = self._budget.room_bytes(now_s) > 0.0
         members, far_collectors = self._members(now_s), self._far_collectors()
-        out = self._digest_messages(now_s)
-        out.extend(self._state_messages(now_s, stretch))
+        out = self._digest_messages(now_s, has_room=has_room)
+        out.extend(self._state_messages(now_s, 1.0 if has_room else DEBT_STRETCH))
         room = SendRoom(self._budget.room_bytes(now_s))
         room.take(len(members) * sum(map(len, out.near)))
         room.take(len(far_collectors) * sum(map(len, out.far)))
@@ -282,19 +282,22 @@
             found.extend(e for e in entries[FAR_COLLECTORS:] if e.name == source)
         return found
 
-    def _digest_messages(self, now_s: float) -> Outgoing:
+    def _digest_messages(self, now_s: float, *, has_room: bool) -> Outgoing:
         """Return the aggregates that are due, and apply them on this host."""
-        out = Outgoing()
         replica_count = len(self._state.replicas.all())
-        for digest in self._board.own_zone_digests(replica_count, now_s=now_s):
-            encoded = self._encode_and_apply(self._zone, digest, now_s)
-            out.near.append(encoded)
-            out.far.append(encoded)
+        own_zone = [
+            self._encode_and_apply(self._zone, digest, now_s)
+            for digest in self._board.own_zone_digests(replica_count, now_s=now_s)
+        ]
+        out = Outgoing(near=self._near_parts.take(own_zone, has_room=has_room))
         if not self._far_digests.take_due(now_s):
-            out.far.clear()
             return out
-        for digest in self._board.remote_digests(replica_count, now_s=now_s):
-            out.near.append(self._encode_and_apply(None, digest, now_s))
+        out.far.extend(own_zone)
+        remote = [
+            self._encode_and_apply(None, digest, now_s)
+            for digest in self._board.remote_digests(replica_count, now_s=now_s)
+        ]
+        out.near += self._remote_parts.take(remote, has_room=has_room)
         return out
 
     def _encode_and_apply(
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay_queues.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay_queues.py
@@ -1,12 +1,33 @@
 """Queues and schedules of a host that relays the reports of others."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 Item = TypeVar("Item")
 
 
+MAX_ROTATION_ROUNDS = 8
+"""Rounds after which each part was sent; work of others counts for 1.5 s."""
+
+
+class Rotation:
+    """Take turns at the parts of a message while there is no room for all of them."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def take(self, parts: Sequence[bytes], *, has_room: bool) -> list[bytes]:
+        """Return all parts, or without room those whose turn it is."""
+        if has_room or not parts:
+            return list(parts)
+        count = -(-len(parts) // MAX_ROTATION_ROUNDS)
+        first = self._next % len(parts)
+        self._next = first + count
+        return [*parts[first:], *parts[:first]][:count]
+
+
 class Schedule:
     """Decide when a periodic action is due."""
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -18,6 +18,7 @@
 )
 from persimmonyoke.internal.gateway.peer_messages import decode_datagram
 from persimmonyoke.internal.gateway.state import PartPlacement
+from persimmonyoke_testing.builders_fleet import engine
 from persimmonyoke_testing.relay_network import ROUND_S, STARTED_S, RelayNetwork
 
 WARM_UP_S = 2.0
@@ -212,6 +213,24 @@
         collecting = [n for n, h in self.network.hosts.items() if h.relay.collecting]
         self.assertEqual(collecting, ["z1-000"])
 
+    def test_a_large_zone_on_weak_links_keeps_one_collector_and_its_totals(self):
+        # The sums over 300 engines for 38 hosts alone would fill the link.
+        self.ENGINES = [f"i-{number:010x}" for number in range(300)]
+        self.network = RelayNetwork({"z1": 39, "z2": 39}, link_mbit_per_s=20.0)
+        for running in self.network.hosts.values():
+            replicas = [engine(name) for name in self.ENGINES]
+            running.state.replicas.replace_all(replicas, now_s=self.network.now_s)
+        self.network.run(WARM_UP_S)
+        self.run_under_load(1.0)
+        self.assertLess(self.network.sent_bytes["z1-000"], 20.0 * BYTES_PER_MBIT / 2)
+        collecting = [n for n, h in self.network.hosts.items() if h.relay.collecting]
+        self.assertEqual(collecting, ["z1-000", "z2-000"])
+        self.network.hosts["z2-038"].state.ledger.begin_run("one", 10)
+        self.network.run(1.5)
+        for name, running in self.network.hosts.items():
+            total = running.state.ledger.total("one", now_s=self.network.now_s)
+            self.assertEqual(total.running, 1, name)
+
     def test_shared_parts_go_before_those_of_single_requests(self):
         # Hosts that do not know of a shared part let another engine read it again.
         first, second = self.network.hosts["z1-007"], self.network.hosts["z1-008"]
