Let hosts that lose their registration not change how reports are sent

On a deployment of 22 hosts six were cut off from the store. When their leases ended the others counted 16, sent to each other directly and ignored collectors; the six could not know it, heard no collector any more and collected for ten seconds.

Unregistered hosts that are heard count for the size, and a host counts the silence of collectors anew if it had no part in their rounds for a second: it stood still, or there were none.

Tests that fail before: test_relay, a host that stood still; test_hosts, the relay (by its signature).

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/collectors.py
@@ -47,6 +47,10 @@
         self._started_s = now_s
         self._heard_s: dict[str, float] = {}
 
+    def restart(self, now_s: float) -> None:
+        """Count silences from now on, as this host has not listened before."""
+        self._started_s = now_s
+
     def note_heard(self, name: str, *, now_s: float) -> None:
         """Record an aggregate from a collector of the zone."""
         self._heard_s[name] = now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -148,10 +148,15 @@
         """Return the time for this host's state to reach the rest of its zone."""
         return self._propagation_lag_s
 
-    @property
-    def needs_relay(self) -> bool:
-        """Return whether there are too many hosts for a full mesh of datagrams."""
-        return len(self._entries) > MAX_MESH_HOSTS
+    def needs_relay(self, now_s: float) -> bool:
+        """Return whether there are too many hosts for a full mesh of datagrams.
+
+        Unregistered hosts that are heard count, as they can't know that they are not
+        registered any more, and all hosts have to agree.
+        """
+        if len(self._entries) > MAX_MESH_HOSTS:
+            return True
+        return len(self._entries) + len(self.unregistered(now_s)) > MAX_MESH_HOSTS
 
     def registered(self, zone: str) -> list[HostEntry]:
         """Return the registered hosts of a zone in their order, including this one."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/tests/test_hosts.py
@@ -3,6 +3,7 @@
 import unittest
 
 from persimmonyoke.internal.fleet.hosts import (
+    MAX_MESH_HOSTS,
     PEER_DISCOVERY_S,
     PEER_TIMEOUT_S,
     WATCHER_TIMEOUT_S,
@@ -210,6 +211,17 @@
         self.hosts.remove("host-2", now_s=NOW_S)
         self.assertEqual(self.unregistered(NOW_S + 2 * PEER_TIMEOUT_S), [])
 
+    def test_hosts_that_lose_their_registration_do_not_end_the_relay(self):
+        # They can't know it, and went on with collectors that the others ignored.
+        hosts = HostView("host-0")
+        for number in range(MAX_MESH_HOSTS + 1):
+            hosts.put(host(f"host-{number}", port=number + 1), now_s=0.0)
+            hosts.note_peer(f"host-{number}", PeerState(NOW_S, True, 7))
+        for number in range(10, MAX_MESH_HOSTS + 1):
+            hosts.remove(f"host-{number}", now_s=NOW_S)
+        self.assertTrue(hosts.needs_relay(NOW_S))
+        self.assertFalse(hosts.needs_relay(NOW_S + 60.0))
+
     def test_a_host_that_is_registered_again_is_a_peer(self):
         self.hosts.note_peer("host-2", PeerState(NOW_S, True, 7))
         self.hosts.remove("host-2", now_s=NOW_S)
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/peers.py
@@ -198,7 +198,7 @@
 
     def _uses_relay(self) -> bool:
         """Return whether there are too many hosts for a full mesh of datagrams."""
-        return self._state.hosts.needs_relay
+        return self._state.hosts.needs_relay(time.monotonic())
 
     def _run_relay_round(self, now_s: float) -> None:
         """Report this host's state if due, and relay if this host is a collector."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/relay.py
@@ -16,7 +16,7 @@
     subtract_report,
 )
 from persimmonyoke.internal.dispatch.loads import ReplicaWork
-from persimmonyoke.internal.fleet.collectors import CollectorElection
+from persimmonyoke.internal.fleet.collectors import WARM_UP_S, CollectorElection
 from persimmonyoke.internal.fleet.hosts import PeerState
 from persimmonyoke.internal.fleet.model import HostEntry
 from persimmonyoke.internal.fleet.send_budget import SendBudget
@@ -98,6 +98,7 @@
         self._collecting = False
         self._collecting_since_s = now_s
         self._sent_bytes = 0
+        self._round_s = now_s
         self._near_parts, self._remote_parts = Rotation(), Rotation()
         self._digests = Schedule(DIGEST_INTERVAL_S)
         self._far_digests = Schedule(FAR_INTERVAL_S)
@@ -174,6 +175,10 @@
 
     def collect(self, *, now_s: float) -> None:
         """Send the messages that are due if this host is its zone's collector."""
+        if now_s - self._round_s > WARM_UP_S:
+            # It stood still, or there were too few hosts for collectors.
+            self._election.restart(now_s)
+        self._round_s = now_s
         names = self._zone_names(now_s)
         collects = not self._state.draining and self._election.collects(
             names, now_s=now_s
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/suspect_link.py
@@ -62,7 +62,9 @@
     def _handle_notice(self, notice: SuspectNotice, now_s: float) -> None:
         suspects = self._state.suspects
         merge_notice(self._state, notice, now_s=now_s)
-        if self._is_strong(notice) or not self._state.hosts.needs_relay:
+        if self._is_strong(notice) or not self._state.hosts.needs_relay(
+            time.monotonic()
+        ):
             return
         known = suspects.notice(notice.digest, now_s)
         if self._is_strong(known):
@@ -107,7 +109,7 @@
         self, notices: Sequence[SuspectNotice], peers: Sequence[HostEntry]
     ) -> None:
         """Send first crashes, of which the loss of many engines causes thousands."""
-        if not self._state.hosts.needs_relay:
+        if not self._state.hosts.needs_relay(time.monotonic()):
             for datagram in encode_suspects(notices):
                 self._send(peers, datagram)
             return
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/tests/test_relay.py
@@ -166,6 +166,17 @@
         self.network.run(CROSS_ZONE_PROPAGATION_S)
         self.assertEqual(set(self.running_at("e1").values()), {1})
 
+    def test_a_host_that_stood_still_listens_before_it_collects(self):
+        # All seemed silent to it. The same happened to all hosts of a deployment when
+        # it grew beyond the size that needs collectors.
+        (entry,) = (e for e in self.network.entries if e.name == "z1-004")
+        self.network.lost.add(entry.name)
+        self.network.run(5.0)
+        self.network.lost.clear()
+        running = self.network.hosts[entry.name]
+        running.relay.collect(now_s=self.network.now_s)
+        self.assertFalse(running.relay.collecting)
+
     def test_one_host_collects_in_each_zone(self):
         collecting = [n for n, h in self.network.hosts.items() if h.relay.collecting]
         self.assertEqual(collecting, ["z1-000", "z2-000", "z3-000"])
