--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connection_pool.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connection_pool.py
@@ -3,7 +3,6 @@
 from abc import ABC, abstractmethod
 from collections import defaultdict
 from collections.abc import Collection
-from weakref import WeakSet
 
 from persimmonyoke.internal.fleet.model import Replica
 from persimmonyoke.internal.gateway.connections import UpstreamConnection
@@ -58,9 +57,6 @@
     def __init__(self, dialer: Dialer | None = None) -> None:
         self._dialer = dialer or DirectDialer()
         self._idle: dict[str, list[UpstreamConnection]] = defaultdict(list)
-        self._connections: dict[str, WeakSet[UpstreamConnection]] = defaultdict(WeakSet)
-        """All connections to each incarnation, in use or idle."""
-
         self.opened = 0
 
     def take(
@@ -99,7 +95,7 @@
             connection.close()
         if directly:
             self.opened += 1
-            return self._registered(self._dialer.open_directly(replica, timeout_s))
+            return self._dialer.open_directly(replica, timeout_s)
         return self.open(replica, timeout_s, repeatable=repeatable)
 
     def open(
@@ -107,8 +103,7 @@
     ) -> UpstreamConnection:
         """Return a new connection; raise ``NotConnected`` if that fails."""
         self.opened += 1
-        opened = self._dialer.open(replica, timeout_s, repeatable=repeatable)
-        return self._registered(opened)
+        return self._dialer.open(replica, timeout_s, repeatable=repeatable)
 
     def put(self, connection: UpstreamConnection) -> None:
         """Keep a connection for later calls, or close it if it is not reusable."""
@@ -120,34 +115,7 @@
     def put_new(self, connection: UpstreamConnection, *, now_s: float) -> None:
         """Keep a connection that has not been used yet."""
         connection.idle_since_s = now_s
-        self.put(self._registered(connection))
-
-    def knows_incarnation(self, replica: Replica) -> bool:
-        """Return whether the entry of a replica names the process that serves now.
-
-        A connection ends with the process at its other end, so one that is open shows
-        that the process is still the one that it was known to be, unless the links may
-        be cut.
-        """
-        return any(
-            connection.incarnation_known
-            and connection.is_alive
-            and self._dialer.trusts(connection)
-            for connection in self._connections.get(_key(replica), ())
-        )
-
-    def note_incarnation(self, replica: Replica) -> None:
-        """Note that a replica has just told the start that its entry names."""
-        for connection in self._connections.get(_key(replica), ()):
-            connection.incarnation_known = True
-
-    def _registered(self, connection: UpstreamConnection) -> UpstreamConnection:
-        """Register a connection; it leads to the same process as others do."""
-        if not connection.incarnation_known:
-            replica = connection.replica
-            connection.incarnation_known = self.knows_incarnation(replica)
-            self._connections[_key(replica)].add(connection)
-        return connection
+        self.put(connection)
 
     def drop_replica(self, replica: Replica) -> None:
         """Close the idle connections to a replica."""
@@ -167,9 +135,6 @@
                 self._idle[key] = kept
             else:
                 del self._idle[key]
-        for key, connections in list(self._connections.items()):
-            if not connections:
-                del self._connections[key]
 
 
 def _key(replica: Replica) -> str:
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/connections.py
@@ -120,9 +120,6 @@
         self.answered = False
         """Whether any byte has arrived on it."""
 
-        self.incarnation_known = False
-        """Whether the replica's entry is known to name the process at its end."""
-
         self.idle_since_s = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self._parser = ResponseParser()
@@ -274,12 +271,6 @@
         """Return whether this host has closed the connection."""
         return self._is_closed
 
-    @property
-    def is_alive(self) -> bool:
-        """Return whether nothing shows yet that the connection has ended."""
-        is_idle = self._complete and self._request_sent
-        return not self._ended and not (is_idle and self.has_unexpected_input())
-
     @property
     def goes_on(self) -> bool:
         """Return whether bytes of a response have arrived, not its end alone."""
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/engine_selection.py
@@ -167,7 +167,7 @@
                 if admitted.plan.local:
                     self.end_local_prefill()
                     self._local_prefill = admitted.job
-                    if not self._versions.may_run_at(admitted.plan.engine):
+                    if not self._versions.may_go_on_at(admitted.plan.engine):
                         self.end_local_prefill()
                         continue
                     self._exchange.slot_at = admitted.plan.engine.replica_id
@@ -262,22 +262,17 @@
             if reserved is not None:
                 return reserved
             while True:
-                slot_at = self._slots.wait()
-                decode = slot_at or self._state.placement.decoder(
+                decode = self._slots.wait() or self._state.placement.decoder(
                     self._candidates.decoders(),
                     limits,
                     zone=prefilled.engine.availability_zone,
                     now_s=time.monotonic(),
                 )
-                if decode is not None and self._versions.may_run_at(decode):
+                if decode is not None and self._versions.may_go_on_at(decode):
                     return decode
-                if slot_at is not None and self._versions.allows(slot_at):
-                    # Another choice would need another slot.
-                    return slot_at
                 if time.monotonic() >= wait_until_s:
                     break
-                if decode is None:
-                    self._await_decoder(limits)
+                self._await_decoder(limits)
             self.refuse("no decode engine", RETRY_AFTER_NO_ENGINE_S)
         except StreamBroken:
             # A stream that stays may go on with the prompt at another engine later.
@@ -293,7 +288,7 @@
             reserved = self._reserve(
                 self._candidates.decoders, limit_s=MAX_HANDLE_AGE_S
             )
-            if reserved is None or self._versions.may_run_at(reserved):
+            if reserved is None or self._versions.may_go_on_at(reserved):
                 return reserved
             self._guard.end_reservation(self._exchange)
 
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/incarnation_check.py
@@ -49,7 +49,6 @@
         self._caller = UpstreamCaller(state)
         self._not_before_s: dict[str, float] = {}
         self._logged: set[tuple[str, Incarnation]] = set()
-        self._asked: set[tuple[str, int]] = set()
         self._unanswered: Exception | None = None
         """Why the newest question was not answered, if it was not."""
 
@@ -70,25 +69,6 @@
             self._not_before_s[engine.replica_id] = time.monotonic() + RECHECK_S
         return found.may_write
 
-    def is_known_or_asked(self, engine: Replica) -> bool:
-        """Return whether a new stream needs to ask an engine no more; ask it if so.
-
-        An engine is not asked while an open connection shows that it is the process of
-        its entry, nor twice for one stream. After a question the engine is to be chosen
-        again, as other requests have been placed meanwhile.
-        """
-        incarnation = (engine.replica_id, engine.born_unix_ms)
-        if incarnation in self._asked or self._state.pool.knows_incarnation(engine):
-            return True
-        self._asked.add(incarnation)
-        self._ask(engine, self._exchange.cancel_scope)
-        return False
-
-    def has_started_again(self, engine: Replica) -> bool:
-        """Ask the engine of a new stream's run whether it tells a later start."""
-        found = self._ask(engine, self._exchange.cancel_scope)
-        return found is Incarnation.STARTED_AGAIN
-
     def ask_beside(self, engine: Replica, connection: UpstreamConnection) -> None:
         """Ask a silent engine that was sent a run over a connection, until it answers.
 
@@ -182,8 +162,6 @@
             self._state.engine_restarts.note(
                 engine.replica_id, born_unix_ms, now_s=now_s
             )
-        if found.may_write:
-            self._state.pool.note_incarnation(engine)
         if found is not Incarnation.SAME:
             self._log(engine, found, born_unix_ms, took_s=now_s - started_s)
         return found
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_run.py
@@ -147,7 +147,7 @@
 
     def _run_once(self, run: EngineRun) -> RunOutcome:
         exchange = self._exchange
-        self._writer_known = False
+        self._writer_known = not self._versions.is_bound
         outcome: RunOutcome | None = None
         try:
             if not exchange.response_started and not exchange.may_begin():
--- a/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/gateway/stream_version_guard.py
@@ -139,19 +139,20 @@
         if self._required is not None:
             is_compatible = replica.software_version == self._required
             return is_compatible and not self._incarnations.is_excluded(replica)
-        return self._may_begin(replica) and not self._incarnations.is_excluded(replica)
+        return self._may_begin(replica)
 
-    def may_run_at(self, replica: Replica) -> bool:
-        """Return whether a replica has the stream's version, or that of its entry.
+    @property
+    def is_bound(self) -> bool:
+        """Return whether the stream may go on only at one version."""
+        return self._required is not None
+
+    def may_go_on_at(self, replica: Replica) -> bool:
+        """Return whether a replica is known to have the stream's version now.
 
-        If not, a replica is to be chosen again, which may be the same one: a new stream
-        asks each replica once. Replicas without a stage tell their start in their entry
-        only.
+        Replicas without a stage tell their start in their entry only.
         """
-        if not self._applies or replica.stage is None:
+        if self._required is None or replica.stage is None:
             return True
-        if self._required is None:
-            return self._incarnations.is_known_or_asked(replica)
         return self._incarnations.confirm(replica)
 
     def ask_writer(self, replica: Replica, connection: UpstreamConnection) -> None:
@@ -168,22 +169,15 @@
         self._incarnations.end_question()
 
     def wrote_events(self, replica: Replica, connection: UpstreamConnection) -> bool:
-        """Return whether the events of a run are from the entry's incarnation.
-
-        The first events of a stream are sent on from an engine that does not tell its
-        start, so that a stream needs no second answer of its engine to begin.
-        """
-        if not self._applies or replica.stage is None:
+        """Return whether the events of a run are from the entry's incarnation."""
+        if replica.stage is None:
             return True
-        if self._required is None:
-            known = connection.incarnation_known
-            return known or not self._incarnations.has_started_again(replica)
         return self._incarnations.confirm_writer(replica, connection)
 
     def awaits_entry(self) -> bool:
         """Return whether a new entry may let the stream go on in time."""
         now_s, restarts = time.monotonic(), self._state.engine_restarts
-        if not self._applies or self._exchange.event_wait_left_s(now_s) <= 0:
+        if self._required is None or self._exchange.event_wait_left_s(now_s) <= 0:
             return False
         return any(
             restarts.awaits_entry(replica, now_s=now_s)
