Keep the order of a zone's hosts while none of them is unregistered

Each report and sum sorted the hosts of its zone anew, and the choice of a peer to ask compared all entries with each other. No decision changes.

--- a/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
+++ b/packages/persimmonyoke/src/persimmonyoke/internal/fleet/hosts.py
@@ -169,7 +169,8 @@
         """
         unregistered = self.unregistered(now_s)
         heard = [entry for entry in unregistered if entry.availability_zone == zone]
-        return _in_order([*self.registered(zone), *heard])
+        registered = self.registered(zone)
+        return _in_order([*registered, *heard]) if heard else registered
 
     def zones(self) -> list[str]:
         """Return the zones with registered hosts."""
@@ -330,9 +331,9 @@
         """
         heard = [e for e in self.peers() if e.tunnel_key and self._heard(e, now_s)]
         connected = [e for e in heard if self._peers[e.name].store_connected]
-        ahead = [e for e in heard if self._peers[e.name].store_revision > revision]
-        both = [e for e in connected if e in ahead]
-        return both or connected or ahead
+        asked = connected or heard
+        ahead = [e for e in asked if self._peers[e.name].store_revision > revision]
+        return ahead or connected
 
     def _heard(self, entry: HostEntry, now_s: float) -> bool:
         peer = self._peers.get(entry.name)
